--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,180 @@
+// Package config holds the dynamic configuration of the fleet: contracts, pools,
+// upstreams, data centres, hosts and operators.
+//
+// The configuration is changed only through the replicated log. Every object carries
+// the revision of its last change.
+package config
+
+import "time"
+
+// Kind distinguishes the two kinds of pools.
+type Kind string
+
+// Kinds of pools.
+const (
+	// KindModel is a pool of model engines with the chat completions interface.
+	KindModel Kind = "model"
+	// KindService is a pool of plain HTTP services.
+	KindService Kind = "service"
+)
+
+// Contract is the agreement with one client account. Every limit the account meets
+// comes from it. Rate, concurrency and queue length apply fleet-wide to each pool.
+type Contract struct {
+	Account string `toml:"account" json:"account" msgpack:"a"`
+	// KeyHashes are hex SHA-256 hashes of the credentials of the account.
+	KeyHashes         []string      `toml:"key_hashes" json:"key_hashes" msgpack:"k"`
+	Weight            float64       `toml:"weight" json:"weight" msgpack:"w"`
+	RequestsPerSecond float64       `toml:"requests_per_second" json:"requests_per_second" msgpack:"r"`
+	Burst             int           `toml:"burst" json:"burst" msgpack:"b"`
+	Concurrency       int           `toml:"concurrency" json:"concurrency" msgpack:"c"`
+	QueueLength       int           `toml:"queue_length" json:"queue_length" msgpack:"q"`
+	MaxBodyBytes      int           `toml:"max_body_bytes" json:"max_body_bytes" msgpack:"m"`
+	MaxRun            time.Duration `toml:"max_run" json:"max_run" msgpack:"u"`
+	MaxWait           time.Duration `toml:"max_wait" json:"max_wait" msgpack:"x"`
+	Pools             []string      `toml:"pools" json:"pools" msgpack:"p"`
+	Revision          uint64        `toml:"-" json:"revision" msgpack:"v"`
+}
+
+// Profile says how much work an upstream of a pool bears.
+type Profile struct {
+	ColdConcurrency int `toml:"cold_concurrency" json:"cold_concurrency" msgpack:"c"`
+	MaxConcurrency  int `toml:"max_concurrency" json:"max_concurrency" msgpack:"m"`
+	// WarmAfter is the number of successful completions that double the limit.
+	WarmAfter int `toml:"warm_after" json:"warm_after" msgpack:"w"`
+}
+
+// Route is one path of a plain service.
+type Route struct {
+	Method     string `toml:"method" json:"method" msgpack:"m"`
+	PathPrefix string `toml:"path_prefix" json:"path_prefix" msgpack:"p"`
+	Idempotent bool   `toml:"idempotent" json:"idempotent" msgpack:"i"`
+}
+
+// Pool is a set of interchangeable upstreams of one model or one plain service.
+type Pool struct {
+	Name    string  `toml:"name" json:"name" msgpack:"n"`
+	Kind    Kind    `toml:"kind" json:"kind" msgpack:"k"`
+	Profile Profile `toml:"profile" json:"profile" msgpack:"f"`
+	// MaxCost caps the cost of one request: for models input tokens / 8 + output tokens,
+	// for services milliseconds of upstream time.
+	MaxCost float64 `toml:"max_cost" json:"max_cost" msgpack:"x"`
+	// DefaultCost is the estimate before any request has ended.
+	DefaultCost float64 `toml:"default_cost" json:"default_cost" msgpack:"d"`
+	// Resume says whether the engines resume a stream by request identity and offset.
+	Resume   bool    `toml:"resume" json:"resume" msgpack:"r"`
+	Routes   []Route `toml:"routes" json:"routes" msgpack:"o"`
+	Revision uint64  `toml:"-" json:"revision" msgpack:"v"`
+}
+
+// Upstream is one model engine or plain service instance.
+type Upstream struct {
+	Name       string `toml:"name" json:"name" msgpack:"n"`
+	Pool       string `toml:"pool" json:"pool" msgpack:"p"`
+	DataCentre string `toml:"data_centre" json:"data_centre" msgpack:"d"`
+	Address    string `toml:"address" json:"address" msgpack:"a"`
+	// ChecksFence says whether the upstream refuses orders with an old fencing number.
+	ChecksFence bool `toml:"checks_fence" json:"checks_fence" msgpack:"f"`
+	// ChecksSender says whether the upstream authenticates who gives it orders.
+	ChecksSender bool `toml:"checks_sender" json:"checks_sender" msgpack:"s"`
+	// Out is true while the upstream is leaving or out of service.
+	Out      bool   `toml:"out" json:"out" msgpack:"o"`
+	Revision uint64 `toml:"-" json:"revision" msgpack:"v"`
+}
+
+// DataCentre is a site that operators take out of service and bring back as a whole.
+type DataCentre struct {
+	Name     string `toml:"name" json:"name" msgpack:"n"`
+	Out      bool   `toml:"out" json:"out" msgpack:"o"`
+	Revision uint64 `toml:"-" json:"revision" msgpack:"v"`
+}
+
+// Host is one machine of the fleet that runs the daemon.
+type Host struct {
+	Name          string `toml:"name" json:"name" msgpack:"n"`
+	DataCentre    string `toml:"data_centre" json:"data_centre" msgpack:"d"`
+	CallerAddress string `toml:"caller_address" json:"caller_address" msgpack:"c"`
+	AdminAddress  string `toml:"admin_address" json:"admin_address" msgpack:"m"`
+	PeerAddress   string `toml:"peer_address" json:"peer_address" msgpack:"p"`
+	Out           bool   `toml:"out" json:"out" msgpack:"o"`
+	Revision      uint64 `toml:"-" json:"revision" msgpack:"v"`
+}
+
+// Operator is a person or program that may change the configuration.
+type Operator struct {
+	Name      string   `toml:"name" json:"name" msgpack:"n"`
+	KeyHashes []string `toml:"key_hashes" json:"key_hashes" msgpack:"k"`
+	Revision  uint64   `toml:"-" json:"revision" msgpack:"v"`
+}
+
+// Policy holds the fleet-wide settings that are not part of a contract.
+type Policy struct {
+	// KeepFor is how long callers may keep an answer of discovery.
+	KeepFor time.Duration `toml:"keep_for" json:"keep_for" msgpack:"k"`
+	// ClaimRetention is how long claims of non-idempotent requests are kept.
+	ClaimRetention time.Duration `toml:"claim_retention" json:"claim_retention" msgpack:"c"`
+	// RetryPercent is the retry budget of a pool in percent of first attempts.
+	RetryPercent float64 `toml:"retry_percent" json:"retry_percent" msgpack:"r"`
+	// LoadsPerMinute limits load orders for the weight store.
+	LoadsPerMinute float64 `toml:"loads_per_minute" json:"loads_per_minute" msgpack:"l"`
+	Revision       uint64  `toml:"-" json:"revision" msgpack:"v"`
+}
+
+// Config is the whole dynamic configuration at one revision.
+type Config struct {
+	Revision    uint64                `toml:"-" json:"revision" msgpack:"v"`
+	Contracts   map[string]Contract   `toml:"-" json:"contracts" msgpack:"c"`
+	Pools       map[string]Pool       `toml:"-" json:"pools" msgpack:"p"`
+	Upstreams   map[string]Upstream   `toml:"-" json:"upstreams" msgpack:"u"`
+	DataCentres map[string]DataCentre `toml:"-" json:"data_centres" msgpack:"d"`
+	Hosts       map[string]Host       `toml:"-" json:"hosts" msgpack:"h"`
+	Operators   map[string]Operator   `toml:"-" json:"operators" msgpack:"o"`
+	Policy      Policy                `toml:"-" json:"policy" msgpack:"y"`
+}
+
+// New returns an empty configuration at revision 0.
+func New() *Config {
+	return &Config{
+		Contracts:   map[string]Contract{},
+		Pools:       map[string]Pool{},
+		Upstreams:   map[string]Upstream{},
+		DataCentres: map[string]DataCentre{},
+		Hosts:       map[string]Host{},
+		Operators:   map[string]Operator{},
+	}
+}
+
+// Change sets or deletes exactly one object. The pointer that is not nil is set;
+// Delete names an object to remove instead.
+type Change struct {
+	Contract   *Contract   `json:"contract,omitempty" msgpack:"c,omitempty"`
+	Pool       *Pool       `json:"pool,omitempty" msgpack:"p,omitempty"`
+	Upstream   *Upstream   `json:"upstream,omitempty" msgpack:"u,omitempty"`
+	DataCentre *DataCentre `json:"data_centre,omitempty" msgpack:"d,omitempty"`
+	Host       *Host       `json:"host,omitempty" msgpack:"h,omitempty"`
+	Operator   *Operator   `json:"operator,omitempty" msgpack:"o,omitempty"`
+	Policy     *Policy     `json:"policy,omitempty" msgpack:"y,omitempty"`
+	Delete     *ObjectRef  `json:"delete,omitempty" msgpack:"x,omitempty"`
+	// IfRevision is the revision of the object that the change expects; 0 means that
+	// the object must not exist.
+	IfRevision uint64 `json:"if_revision" msgpack:"i"`
+}
+
+// ObjectRef names an object, for example {"contract", "district-4"}.
+type ObjectRef struct {
+	Kind string `json:"kind" msgpack:"k"`
+	Name string `json:"name" msgpack:"n"`
+}
+
+// Delta is the ordered list of changes that lead from one revision to another.
+type Delta struct {
+	From    uint64    `msgpack:"f"`
+	To      uint64    `msgpack:"t"`
+	Changes []Applied `msgpack:"c"`
+}
+
+// Applied is an accepted change with the revision it produced.
+type Applied struct {
+	Revision uint64 `msgpack:"r"`
+	Change   Change `msgpack:"c"`
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,262 @@
+// Package wire defines the messages between the hosts of the fleet.
+package wire
+
+import (
+	"time"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+)
+
+// Kind names the type of a message's payload.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	KindTicket Kind = iota + 1
+	KindCancel
+	KindFinish
+	KindBeat
+	KindSync
+	KindGrant
+	KindRefuse
+	KindRenew
+	KindRenewAck
+	KindPropose
+	KindProposeAck
+	KindRaft
+	KindGrantReturn
+	KindForm
+	KindFormAck
+	KindSnapshotChunk
+)
+
+// Envelope carries one message between two hosts.
+type Envelope struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Kind     Kind
+	From     string
+	Boot     uint64
+	// HLC is the sender's hybrid logical clock.
+	HLC     uint64
+	Payload []byte
+}
+
+// TicketID identifies a request over the whole fleet and all restarts.
+type TicketID struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Host     string
+	Boot     uint64
+	Seq      uint64
+}
+
+// Digest identifies a request body or a prompt prefix.
+type Digest [16]byte
+
+// Ticket asks the pool scheduler for an upstream slot.
+type Ticket struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	ID         TicketID
+	Pool       string
+	Account    string
+	DataCentre string
+	// InputCost is the part of the cost known from the request's size.
+	InputCost   float64
+	Fingerprint Digest
+	Prefix      Digest
+	Idempotent  bool
+	// Retry is true for a repeated attempt, which is charged to the retry budget.
+	Retry bool
+	// Avoid names the upstream that failed the earlier attempt.
+	Avoid string
+	// MaxWait is the remaining time that the request may wait for a slot.
+	MaxWait time.Duration
+	// RouterClock is the router's monotonic clock when it sent the ticket.
+	RouterClock time.Duration
+}
+
+// Cancel withdraws a ticket.
+type Cancel struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	ID       TicketID
+	Pool     string
+}
+
+// Grant gives a ticket a slot at an upstream.
+type Grant struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	ID       TicketID
+	Pool     string
+	Upstream string
+	Address  string
+	// Fence is the fencing number of the scheduler's lease.
+	Fence uint64
+	// Echo is the latest RouterClock that the scheduler had from this router.
+	Echo time.Duration
+	// Tag and Virtual let a later scheduler continue the account's share.
+	Tag     float64
+	Virtual float64
+}
+
+// GrantReturn gives back a grant that the router did not use.
+type GrantReturn struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	ID       TicketID
+	Pool     string
+	Fence    uint64
+}
+
+// Refuse says that a ticket will not be served.
+type Refuse struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	ID         TicketID
+	Pool       string
+	Code       fault.Code
+	RetryAfter time.Duration
+}
+
+// Outcome is how an attempt at an upstream ended.
+type Outcome uint8
+
+// Outcomes of attempts.
+const (
+	// OutcomeDone means that the upstream gave its whole answer.
+	OutcomeDone Outcome = iota + 1
+	// OutcomeRefused means that the upstream provably did not start the request.
+	OutcomeRefused
+	// OutcomeUnreachable means that no connection could be made.
+	OutcomeUnreachable
+	// OutcomeBroken means that the connection ended before the answer did.
+	OutcomeBroken
+	// OutcomeCancelled means that the caller went away or the run time ended.
+	OutcomeCancelled
+	// OutcomeFailed means that the upstream answered with a failure of its own.
+	OutcomeFailed
+)
+
+// Finish reports the end of a granted attempt.
+type Finish struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	ID       TicketID
+	Pool     string
+	Upstream string
+	Outcome  Outcome
+	// Cost is the true cost in the pool's cost unit.
+	Cost      float64
+	FirstByte time.Duration
+	Run       time.Duration
+	// Instance is the upstream's instance identity, empty when unknown.
+	Instance string
+	// Queued is the engine's queue length as carried in the reply, -1 when unknown.
+	Queued int
+}
+
+// Beat is the router's heartbeat to a scheduler.
+type Beat struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Pool        string
+	Fence       uint64
+	RouterClock time.Duration
+}
+
+// Running describes a granted request that has not ended.
+type Running struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Ticket   Ticket
+	Upstream string
+}
+
+// AccountTag is the highest share tag that a router has seen for an account.
+type AccountTag struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Account  string
+	Tag      float64
+}
+
+// Sync gives a scheduler a router's whole view of a pool.
+type Sync struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Pool        string
+	Fence       uint64
+	RouterClock time.Duration
+	Waiting     []Ticket
+	Running     []Running
+	Tags        []AccountTag
+	Virtual     float64
+}
+
+// Lease is the right of one host to schedule one pool.
+type Lease struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Pool     string
+	Host     string
+	Boot     uint64
+	Fence    uint64
+}
+
+// HostStatus is a host's liveness as the control leader sees it.
+type HostStatus struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Host     string
+	Boot     uint64
+	Alive    bool
+	Leaving  bool
+}
+
+// Renew is a host's heartbeat to the control leader.
+type Renew struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Seq      uint64
+	// Revision is the configuration revision that the host has applied.
+	Revision uint64
+	// Held lists the fences of the leases that the host renews.
+	Held    []Lease
+	Leaving bool
+	// Ready is true when the host can take leases.
+	Ready bool
+	// HostsVersion is the version of the host list that the host has.
+	HostsVersion uint64
+	// LeasesVersion is the version of the lease table that the host has.
+	LeasesVersion uint64
+}
+
+// RenewAck answers a Renew.
+type RenewAck struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	// Seq is the sequence number of the Renew, 0 for an unsolicited push.
+	Seq uint64
+	// NotLeader is true when the receiver is not the leader; Leader names it if known.
+	NotLeader bool
+	Leader    string
+	Term      uint64
+	// Revision is the configuration revision at the time of the answer.
+	Revision uint64
+	Delta    *config.Delta
+	Snapshot *config.Config
+	// Renewed lists the held leases that the leader extended.
+	Renewed       []Lease
+	Leases        []Lease
+	LeasesVersion uint64
+	HasLeases     bool
+	Hosts         []HostStatus
+	HostsVersion  uint64
+	HasHosts      bool
+}
+
+// Propose carries a command for the replicated state to the leader.
+type Propose struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Seq      uint64
+	Command  []byte
+}
+
+// ProposeAck answers a Propose after the command was applied.
+type ProposeAck struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Seq       uint64
+	NotLeader bool
+	Leader    string
+	// Unknown is true when the command may or may not be applied later.
+	Unknown bool
+	Result  []byte
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Runs the formatter check, vet, staticcheck, the tests and the race detector on
+# the decision and consensus packages. Needs nothing but Go and a C compiler.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+unformatted=$(git ls-files '*.go' | xargs -r gofmt -l)
+if [ -n "$unformatted" ]; then
+  echo "gofmt: $unformatted"
+  exit 1
+fi
+go build ./...
+go vet ./...
+go tool staticcheck ./...
+
+# KNOWN-RED.txt names tests of recorded faults, one "test: Name" line each. They are
+# skipped by name and printed, and every other test must pass.
+skip=""
+if [ -f KNOWN-RED.txt ]; then
+  skip=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
+  [ -z "$skip" ] || echo "known red, not run: $skip"
+fi
+skip_args=()
+[ -z "$skip" ] || skip_args=(-skip "^($skip)\$")
+
+race_packages=()
+for p in sched raft state control scheduler router peer wal retry membership discovery timeline; do
+  [ -d "internal/$p" ] && race_packages+=("./internal/$p/...")
+done
+go test -count=1 -timeout 20m "${skip_args[@]}" ./...
+if [ ${#race_packages[@]} -gt 0 ]; then
+  go test -race -count=1 -timeout 20m "${skip_args[@]}" "${race_packages[@]}"
+fi
+echo "all checks passed"
