Encode peer messages as msgpack arrays

Cause: the struct tag for array encoding needs an unused field in every message, which staticcheck refuses. Change: one codec with array encoding for all messages; a garbage frame gives a typed error. Conclusion: messages stay plain structs.

--- /dev/null
+++ b/internal/wire/codec_test.go
@@ -0,0 +1,36 @@
+package wire
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+)
+
+// Guards against fields that are lost or shifted by the array encoding.
+func TestRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	in := RenewAck{
+		Seq: 7, Leader: "h1", Revision: 3,
+		Delta: &config.Delta{From: 2, To: 3, Changes: []config.Applied{{
+			Revision: 3,
+			Change:   config.Change{DataCentre: &config.DataCentre{Name: "suva", Out: true}, IfRevision: 1},
+		}}},
+		Leases: []Lease{{Pool: "p", Host: "h2", Boot: 9, Fence: 12}},
+	}
+	b, err := Marshal(in)
+	c.Assert(err, qt.IsNil)
+	var out RenewAck
+	c.Assert(Unmarshal(b, &out), qt.IsNil)
+	c.Assert(out, qt.DeepEquals, in)
+}
+
+// Guards against a panic or an untyped error on garbage from the network.
+func TestUnmarshalGarbage(t *testing.T) {
+	c := qt.New(t)
+	var out RenewAck
+	err := Unmarshal([]byte{0xc1, 0xff, 0x00}, &out)
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.FrameInvalid)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -33,10 +33,9 @@
 
 // Envelope carries one message between two hosts.
 type Envelope struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Kind     Kind
-	From     string
-	Boot     uint64
+	Kind Kind
+	From string
+	Boot uint64
 	// HLC is the sender's hybrid logical clock.
 	HLC     uint64
 	Payload []byte
@@ -44,10 +43,9 @@
 
 // TicketID identifies a request over the whole fleet and all restarts.
 type TicketID struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Host     string
-	Boot     uint64
-	Seq      uint64
+	Host string
+	Boot uint64
+	Seq  uint64
 }
 
 // Digest identifies a request body or a prompt prefix.
@@ -55,7 +53,6 @@
 
 // Ticket asks the pool scheduler for an upstream slot.
 type Ticket struct {
-	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	ID         TicketID
 	Pool       string
 	Account    string
@@ -77,14 +74,12 @@
 
 // Cancel withdraws a ticket.
 type Cancel struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	ID       TicketID
-	Pool     string
+	ID   TicketID
+	Pool string
 }
 
 // Grant gives a ticket a slot at an upstream.
 type Grant struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	ID       TicketID
 	Pool     string
 	Upstream string
@@ -100,15 +95,13 @@
 
 // GrantReturn gives back a grant that the router did not use.
 type GrantReturn struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	ID       TicketID
-	Pool     string
-	Fence    uint64
+	ID    TicketID
+	Pool  string
+	Fence uint64
 }
 
 // Refuse says that a ticket will not be served.
 type Refuse struct {
-	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	ID         TicketID
 	Pool       string
 	Code       fault.Code
@@ -136,7 +129,6 @@
 
 // Finish reports the end of a granted attempt.
 type Finish struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	ID       TicketID
 	Pool     string
 	Upstream string
@@ -153,7 +145,6 @@
 
 // Beat is the router's heartbeat to a scheduler.
 type Beat struct {
-	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Pool        string
 	Fence       uint64
 	RouterClock time.Duration
@@ -161,21 +152,18 @@
 
 // Running describes a granted request that has not ended.
 type Running struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Ticket   Ticket
 	Upstream string
 }
 
 // AccountTag is the highest share tag that a router has seen for an account.
 type AccountTag struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Account  string
-	Tag      float64
+	Account string
+	Tag     float64
 }
 
 // Sync gives a scheduler a router's whole view of a pool.
 type Sync struct {
-	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Pool        string
 	Fence       uint64
 	RouterClock time.Duration
@@ -187,26 +175,23 @@
 
 // Lease is the right of one host to schedule one pool.
 type Lease struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Pool     string
-	Host     string
-	Boot     uint64
-	Fence    uint64
+	Pool  string
+	Host  string
+	Boot  uint64
+	Fence uint64
 }
 
 // HostStatus is a host's liveness as the control leader sees it.
 type HostStatus struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Host     string
-	Boot     uint64
-	Alive    bool
-	Leaving  bool
+	Host    string
+	Boot    uint64
+	Alive   bool
+	Leaving bool
 }
 
 // Renew is a host's heartbeat to the control leader.
 type Renew struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Seq      uint64
+	Seq uint64
 	// Revision is the configuration revision that the host has applied.
 	Revision uint64
 	// Held lists the fences of the leases that the host renews.
@@ -222,7 +207,6 @@
 
 // RenewAck answers a Renew.
 type RenewAck struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	// Seq is the sequence number of the Renew, 0 for an unsolicited push.
 	Seq uint64
 	// NotLeader is true when the receiver is not the leader; Leader names it if known.
@@ -245,14 +229,12 @@
 
 // Propose carries a command for the replicated state to the leader.
 type Propose struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Seq      uint64
-	Command  []byte
+	Seq     uint64
+	Command []byte
 }
 
 // ProposeAck answers a Propose after the command was applied.
 type ProposeAck struct {
-	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Seq       uint64
 	NotLeader bool
 	Leader    string
