--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -29,6 +29,7 @@
 	KindForm
 	KindFormAck
 	KindSnapshotChunk
+	KindSyncRequest
 )
 
 // Envelope carries one message between two hosts.
@@ -173,6 +174,12 @@
 	Virtual     float64
 }
 
+// SyncRequest asks a router for a Sync, because the scheduler does not know its view.
+type SyncRequest struct {
+	Pool  string
+	Fence uint64
+}
+
 // Lease is the right of one host to schedule one pool.
 type Lease struct {
 	Pool  string
