--- /dev/null
+++ b/internal/timeline/merge.go
@@ -0,0 +1,65 @@
+package timeline
+
+import "container/heap"
+
+// Merge returns the events of all lists in clock order. Each list holds the events of
+// one host; its own order is kept even where its clock values go back, for example
+// after a restart. Equal clock values are ordered by host, then by list.
+func Merge(lists ...[]Event) []Event {
+	total := 0
+	var h cursors
+	for i, l := range lists {
+		if len(l) > 0 {
+			total += len(l)
+			h = append(h, cursor{rest: l, list: i, clock: l[0].HLC})
+		}
+	}
+	heap.Init(&h)
+	out := make([]Event, 0, total)
+	for len(h) > 0 {
+		c := &h[0]
+		out = append(out, c.rest[0])
+		c.rest = c.rest[1:]
+		if len(c.rest) == 0 {
+			heap.Pop(&h)
+			continue
+		}
+		// A value that goes back sorts like its predecessor: it can't have happened
+		// before it, and events of other hosts must not be delayed by it.
+		c.clock = max(c.clock, c.rest[0].HLC)
+		heap.Fix(&h, 0)
+	}
+	return out
+}
+
+type cursor struct {
+	rest  []Event
+	list  int
+	clock uint64
+}
+
+type cursors []cursor
+
+func (c cursors) Len() int { return len(c) }
+
+func (c cursors) Less(i, j int) bool {
+	a, b := &c[i], &c[j]
+	if a.clock != b.clock {
+		return a.clock < b.clock
+	}
+	if x, y := a.rest[0].Host, b.rest[0].Host; x != y {
+		return x < y
+	}
+	return a.list < b.list
+}
+
+func (c cursors) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+
+func (c *cursors) Push(x any) { *c = append(*c, x.(cursor)) }
+
+func (c *cursors) Pop() any {
+	old := *c
+	last := old[len(old)-1]
+	*c = old[:len(old)-1]
+	return last
+}
