Implement the peer transport

Change: handshake with two nonces and proofs, frames with a sequence-bound HMAC, one session per peer over two connections whose loss is always reported, backoff of at most 200 ms, keepalives every 500 ms and a 2 s silence limit, at most 64 unauthenticated connections of which the oldest is closed.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,13 +3,19 @@
 package peer
 
 import (
+	"bytes"
 	"context"
+	"maps"
 	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/hlc"
 	"marigoldshunt/internal/wire"
 )
@@ -52,30 +58,233 @@
 	KeepalivesReceived uint64 `json:"keepalives_received"`
 }
 
+// Defaults of Options.
+const (
+	// DefaultKeepAlive costs an idle connection 40 bytes per second and direction.
+	DefaultKeepAlive = 500 * time.Millisecond
+	// DefaultDead is four keepalive intervals, and below the 3 s in which work passes to
+	// another scheduler.
+	DefaultDead = 2 * time.Second
+	// DefaultHandshake is the time that an unauthenticated peer has.
+	DefaultHandshake = 2 * time.Second
+)
+
 // Node is the local end of the peer protocol.
-type Node struct{ o Options }
+type Node struct {
+	o        Options
+	key      []byte
+	log      logrus.FieldLogger
+	count    counters
+	handlers [256]atomic.Pointer[Handler]
+	local    local
+
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// spawnMu orders the start of goroutines with Close; no other lock is taken under it.
+	spawnMu sync.Mutex
+	wg      sync.WaitGroup
+
+	mu        sync.Mutex
+	closed    bool
+	remotes   map[string]*remote
+	listeners []net.Listener
+	pending   []net.Conn
+	onPeer    []func(host string, boot uint64, up bool)
+}
 
-// New returns a node. Sending works at once; Serve accepts connections of others.
-func New(o Options) *Node { return &Node{o: o} }
+// counters are the metrics of a node.
+type counters struct {
+	connects, losses, dropped, overflows, expired   metrics.Counter
+	handshakeFailures, pendingClosed, invalidFrames metrics.Counter
+}
+
+// New returns a node. Sending works at once; Serve accepts the connections of others.
+func New(o Options) *Node {
+	if o.KeepAlive <= 0 {
+		o.KeepAlive = DefaultKeepAlive
+	}
+	if o.Dead <= 0 {
+		o.Dead = DefaultDead
+	}
+	if o.Handshake <= 0 {
+		o.Handshake = DefaultHandshake
+	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	if o.Clock == nil {
+		o.Clock = hlc.New(nil)
+	}
+	n := &Node{key: bytes.Clone(o.Key), log: o.Log.WithField("part", "peer"), remotes: map[string]*remote{}}
+	o.Key = nil
+	n.o = o
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.local.wake = make(chan struct{}, 1)
+	for name, c := range map[string]*metrics.Counter{
+		"connects": &n.count.connects, "losses": &n.count.losses,
+		"dropped_heartbeats": &n.count.dropped, "overflows": &n.count.overflows,
+		"expired": &n.count.expired, "handshake_failures": &n.count.handshakeFailures,
+		"pending_closed": &n.count.pendingClosed, "invalid_frames": &n.count.invalidFrames,
+	} {
+		*c = metrics.GetOrRegisterCounter("peer."+name, o.Registry)
+	}
+	return n
+}
 
-// Handle sets the handler of a kind. It must be called before Serve and Send.
-func (n *Node) Handle(kind wire.Kind, h Handler) {}
+// Handle sets the handler of a kind. Messages without a handler are discarded.
+func (n *Node) Handle(kind wire.Kind, h Handler) { n.handlers[kind].Store(&h) }
 
-// OnPeer adds a function that is told when a peer is connected (up) or when messages
-// from or to it may have been lost (not up). The function must not block; it may Send.
-func (n *Node) OnPeer(f func(host string, boot uint64, up bool)) {}
+// OnPeer adds a function that is told about sessions with peers. up is true when a
+// session begins, which is before its first message. It is false when the session has
+// ended: messages from or to the peer may have been lost. A message sent after that is
+// delivered in the next session or lost before its begin. The functions and the handlers
+// of one peer run one at a time; they must not block, and may Send.
+func (n *Node) OnPeer(f func(host string, boot uint64, up bool)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onPeer = append(n.onPeer, f)
+}
 
-// Send queues a message for a host and returns without waiting for the network.
-func (n *Node) Send(to string, kind wire.Kind, msg any) error { return nil }
+// Send queues a message for a host and returns without waiting for the network. A
+// message to the host itself is handled later by another goroutine, in order. It
+// returns a FrameTooLarge error for a message that no frame can hold, and a
+// PeerUnreachable error when the node is closed or its own queue is full.
+func (n *Node) Send(to string, kind wire.Kind, msg any) error {
+	payload, err := wire.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	if to == n.o.Host {
+		return n.sendLocal(localItem{kind: kind, payload: payload})
+	}
+	body, err := wire.Marshal(&wire.Envelope{
+		Kind: kind, From: n.o.Host, Boot: n.o.Boot, HLC: n.o.Clock.Now(), Payload: payload,
+	})
+	if err != nil {
+		return err
+	}
+	if len(body) > MaxFrameBytes {
+		return fault.New(fault.FrameTooLarge, "", "message of %d bytes exceeds %d", len(body), MaxFrameBytes)
+	}
+	r := n.remote(to)
+	if r == nil {
+		return errClosed()
+	}
+	r.send(item{kind: kind, body: body, at: time.Now()})
+	return nil
+}
 
-// Serve accepts connections until Close.
-func (n *Node) Serve(ln net.Listener) error { return nil }
+func errClosed() error { return fault.New(fault.PeerUnreachable, "", "the peer transport is closed") }
 
-// Run waits until ctx ends and closes the node.
-func (n *Node) Run(ctx context.Context) error { return nil }
+// Run waits until ctx ends, closes the node and returns nil.
+func (n *Node) Run(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-n.ctx.Done():
+	}
+	n.Close()
+	return nil
+}
 
-// Close ends all connections and waits for the goroutines of the node.
-func (n *Node) Close() {}
+// Close ends all connections and waits for the goroutines of the node. Queued messages
+// are lost. It must not be called by a handler.
+func (n *Node) Close() {
+	n.spawnMu.Lock()
+	n.cancel()
+	n.spawnMu.Unlock()
+	n.mu.Lock()
+	n.closed = true
+	for _, ln := range n.listeners {
+		ln.Close()
+	}
+	for _, nc := range n.pending {
+		nc.Close()
+	}
+	remotes := slices.Collect(maps.Values(n.remotes))
+	n.mu.Unlock()
+	for _, r := range remotes {
+		r.mu.Lock()
+		r.reset()
+		r.mu.Unlock()
+	}
+	n.wg.Wait()
+}
 
 // Bytes returns the traffic per peer.
-func (n *Node) Bytes() map[string]Traffic { return nil }
+func (n *Node) Bytes() map[string]Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make(map[string]Traffic, len(n.remotes))
+	for host, r := range n.remotes {
+		out[host] = r.trafficNow()
+	}
+	return out
+}
+
+// remote returns the state of a peer, or nil when the node is closed.
+func (n *Node) remote(host string) *remote {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil
+	}
+	r := n.remotes[host]
+	if r == nil {
+		r = newRemote(n, host)
+		n.remotes[host] = r
+	}
+	return r
+}
+
+// spawn runs f in a goroutine that Close waits for. It returns false, without running
+// f, when the node is closing.
+func (n *Node) spawn(f func()) bool {
+	n.spawnMu.Lock()
+	defer n.spawnMu.Unlock()
+	if n.ctx.Err() != nil {
+		return false
+	}
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+	return true
+}
+
+// tell passes a report to the OnPeer functions.
+func (n *Node) tell(host string, rep report) {
+	n.mu.Lock()
+	functions := n.onPeer
+	n.mu.Unlock()
+	for _, f := range functions {
+		f(host, rep.boot, rep.up)
+	}
+}
+
+// call passes a message to its handler.
+func (n *Node) call(from string, boot uint64, kind wire.Kind, payload []byte) {
+	if h := n.handlers[kind].Load(); h != nil {
+		(*h)(from, boot, kind, payload)
+	}
+}
+
+// noteBadFrame counts and logs a violation of the protocol; other errors are ordinary
+// losses of a connection.
+func (n *Node) noteBadFrame(host string, err error) {
+	switch fault.CodeOf(err) {
+	case fault.FrameInvalid, fault.FrameTooLarge:
+		n.count.invalidFrames.Inc(1)
+		n.log.WithField("peer", host).WithError(err).Warn("Invalid frame. Connection reset.")
+	}
+}
