--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -132,9 +132,18 @@
 	Policy      Policy                `toml:"-" json:"policy" msgpack:"y"`
 }
 
+// DefaultPolicy is in force until an operator sets another.
+var DefaultPolicy = Policy{
+	KeepFor:        30 * time.Second,
+	ClaimRetention: 24 * time.Hour,
+	RetryPercent:   10,
+	LoadsPerMinute: 6,
+}
+
 // New returns an empty configuration at revision 0.
 func New() *Config {
 	return &Config{
+		Policy:      DefaultPolicy,
 		Contracts:   map[string]Contract{},
 		Pools:       map[string]Pool{},
 		Upstreams:   map[string]Upstream{},
