Add the replicated state machine

Cause: configuration, leases, claims, orders and crash marks need one owner that survives a restart of all processes.

Change: internal/state applies batches of typed commands. Answers to the last 10,000 operator requests are kept by operator and request id. A claim's record is dropped only when its key is refused by a floor that never falls, so a longer retention or a slower clock cannot revive a key. A released attempt is remembered, so a claim that arrives after its release has no effect. The configuration bounds the number of its objects.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -153,6 +153,9 @@
 	if err := e.next.checkReferences(ch); err != nil {
 		return err
 	}
+	if err := e.checkRoom(ref); err != nil {
+		return err
+	}
 	if err := e.claimUnique(ref, ch); err != nil {
 		return err
 	}
@@ -175,6 +178,28 @@
 	return nil
 }
 
+// maxObjects bounds the number of objects of each kind; about three times the target
+// scale of the fleet.
+var maxObjects = map[string]int{
+	ObjContract: 20_000, ObjPool: 512, ObjUpstream: 4_000, ObjDataCentre: 64, ObjHost: 2_000, ObjOperator: 1_000,
+}
+
+// checkRoom refuses a new object when the limit of its kind is reached.
+func (e *editor) checkRoom(ref ObjectRef) error {
+	c := e.next
+	if _, exists := c.RevisionOf(ref); exists {
+		return nil
+	}
+	count := map[string]int{
+		ObjContract: len(c.Contracts), ObjPool: len(c.Pools), ObjUpstream: len(c.Upstreams),
+		ObjDataCentre: len(c.DataCentres), ObjHost: len(c.Hosts), ObjOperator: len(c.Operators),
+	}[ref.Kind]
+	if limit := maxObjects[ref.Kind]; count >= limit {
+		return invalid(ref, "", "there are %d objects of this kind already, the most allowed", limit)
+	}
+	return nil
+}
+
 func (e *editor) put(ch Change) {
 	c, rev := e.next, e.next.Revision
 	switch {
@@ -292,3 +317,30 @@
 	}
 	return ch
 }
+
+// Load puts an object of a snapshot into c with the revision that it carries. It is
+// only for a configuration that nobody else reads yet.
+func (c *Config) Load(ch Change) error {
+	if _, err := ch.Ref(); err != nil {
+		return err
+	}
+	switch {
+	case ch.Contract != nil:
+		c.Contracts[ch.Contract.Account] = *ch.Contract
+	case ch.Pool != nil:
+		c.Pools[ch.Pool.Name] = *ch.Pool
+	case ch.Upstream != nil:
+		c.Upstreams[ch.Upstream.Name] = *ch.Upstream
+	case ch.DataCentre != nil:
+		c.DataCentres[ch.DataCentre.Name] = *ch.DataCentre
+	case ch.Host != nil:
+		c.Hosts[ch.Host.Name] = *ch.Host
+	case ch.Operator != nil:
+		c.Operators[ch.Operator.Name] = *ch.Operator
+	case ch.Policy != nil:
+		c.Policy = *ch.Policy
+	case ch.Delete != nil:
+		return invalid(*ch.Delete, "", "a snapshot holds no deletions")
+	}
+	return nil
+}
--- a/internal/config/unique.go
+++ b/internal/config/unique.go
@@ -102,9 +102,13 @@
 func (e *editor) scanUnique(ref ObjectRef, key string, values []string) error {
 	c := e.next
 	var found ObjectRef
-	// The plain comparisons keep this scan over all contracts free of allocation.
+	// The plain comparisons keep this scan over all contracts free of allocation. The
+	// first owner by kind and name is reported, so that all replicas give one answer.
 	match := func(kind, name, value string) {
-		if slices.Contains(values, value) && (kind != ref.Kind || name != ref.Name) {
+		if !slices.Contains(values, value) || (kind == ref.Kind && name == ref.Name) {
+			return
+		}
+		if found.Kind == "" || kind < found.Kind || kind == found.Kind && name < found.Name {
 			found = ObjectRef{kind, name}
 		}
 	}
--- /dev/null
+++ b/internal/state/command.go
@@ -0,0 +1,223 @@
+// Package state is the replicated state machine of the control group: configuration,
+// leases, claims of non-idempotent requests, orders to upstreams and crash marks.
+//
+// It is pure. All replicas apply the same commands at the same log indexes and hold
+// equal states; time enters only through the timestamps of batches.
+package state
+
+import (
+	"time"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
+)
+
+// Bounds of the replicated state. They bound memory and the size of snapshots.
+const (
+	// MaxAnswers is the number of answers to operator requests that are kept.
+	MaxAnswers = 10_000
+	// MaxClaims and MaxClaimsPerAccount bound the claims within the retention period.
+	// The bound per account keeps one account from using up the room of all others.
+	MaxClaims           = 400_000
+	MaxClaimsPerAccount = 100_000
+	// MaxAnswerBytes is the largest kept answer of one claim.
+	MaxAnswerBytes = 16 << 10
+	// MaxKeptBytes and MaxKeptBytesPerAccount bound the kept answers of all claims.
+	MaxKeptBytes           = 64 << 20
+	MaxKeptBytesPerAccount = 8 << 20
+	// MaxReleased is the number of released attempts that are remembered. It has to
+	// cover the proposals that may still arrive late.
+	MaxReleased = 10_000
+	// MaxMarks bounds the crash marks, MarkRetention is the length of a quarantine.
+	MaxMarks      = 512
+	MarkRetention = time.Hour
+	// MaxOrders and MaxOrdersPerUpstream bound the orders that wait to be sent.
+	MaxOrders            = 1_024
+	MaxOrdersPerUpstream = 16
+	// MaxKeyAhead is how far the time of an idempotency key may lie in the future.
+	MaxKeyAhead = 5 * time.Minute
+
+	maxIDLength = 64
+	maxChanges  = 20_000
+	maxMessage  = 512
+)
+
+// Command is one change of the state. Exactly one field is set.
+type Command struct {
+	Config    *ConfigChange
+	Acquire   *LeaseAcquire
+	Release   *LeaseRelease
+	Claim     *ClaimRequest
+	Finish    *ClaimFinish
+	Unclaim   *ClaimRelease
+	Mark      *Mark
+	Order     *OrderIssue
+	OrderDone *OrderDone
+}
+
+// Encode returns the bytes of the command.
+func (c Command) Encode() ([]byte, error) { return wire.Marshal(c) }
+
+// Batch is the content of one log entry: commands that are made durable together.
+type Batch struct {
+	// Time is the leader's wall clock in Unix milliseconds.
+	Time     int64
+	Commands [][]byte
+}
+
+// Encode returns the bytes of the batch.
+func (b Batch) Encode() ([]byte, error) { return wire.Marshal(b) }
+
+// ConfigChange changes one or several objects atomically. A resend with the same
+// operator and request id returns the first answer.
+type ConfigChange struct {
+	RequestID string
+	Operator  string
+	Changes   []config.Change
+}
+
+// LeaseAcquire assigns a pool to a host. Previous is the fence of the lease that it
+// replaces, 0 when the pool has none; the command has no effect if another lease came
+// in between.
+type LeaseAcquire struct {
+	Pool     string
+	Host     string
+	Boot     uint64
+	Previous uint64
+}
+
+// LeaseRelease gives back a lease whose holder has stopped using it.
+type LeaseRelease struct{ Lease wire.Lease }
+
+// ClaimRequest claims an idempotency key for one attempt to run a request.
+type ClaimRequest struct {
+	Account string
+	// Key is the caller's idempotency key, a UUID version 7.
+	Key  string
+	Body wire.Digest
+	// Attempt is unique for the attempt; only its holder may run the request.
+	Attempt string
+}
+
+// ClaimFinish records that the claimed request ran, with its answer. The answer is kept
+// only if it fits into MaxAnswerBytes; TooLarge says that the caller left it out.
+type ClaimFinish struct {
+	Account, Key, Attempt string
+	Answer                []byte
+	TooLarge              bool
+}
+
+// ClaimRelease records that the claimed request did not run and will not run under
+// this attempt.
+type ClaimRelease struct{ Account, Key, Attempt string }
+
+// ClaimAnswer is the answer to a ClaimRequest.
+type ClaimAnswer struct {
+	// Granted means that the attempt may run the request.
+	Granted bool
+	// Answer is the kept answer of the earlier run when Granted is false.
+	Answer []byte
+}
+
+// Mark is a crash mark.
+type Mark = wire.CrashMark
+
+// OrderKind is what an upstream is asked to do.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	OrderLoadModel   OrderKind = "load_model"
+	OrderLoadAdapter OrderKind = "load_adapter"
+	OrderLoadVersion OrderKind = "load_version"
+	OrderChangeRole  OrderKind = "change_role"
+	OrderDrain       OrderKind = "drain"
+)
+
+// IsLoad reports whether the order uses the weight store.
+func (k OrderKind) IsLoad() bool {
+	return k == OrderLoadModel || k == OrderLoadAdapter || k == OrderLoadVersion
+}
+
+// Order asks an upstream to load something, to change its role or to drain. Name is the
+// model, adapter, version or role; it is empty for OrderDrain.
+type Order struct {
+	Upstream string
+	Kind     OrderKind
+	Name     string
+}
+
+// OrderIssue puts an order into the log.
+type OrderIssue struct {
+	RequestID string
+	Operator  string
+	Order     Order
+}
+
+// OrderStatus is the progress of an order.
+type OrderStatus string
+
+// States of an order.
+const (
+	// OrderPending means that the order is committed and not yet confirmed.
+	OrderPending OrderStatus = "pending"
+	// OrderAccepted means that the upstream accepted the order.
+	OrderAccepted OrderStatus = "accepted"
+	// OrderFailed means that the upstream refused the order or could not be reached.
+	OrderFailed OrderStatus = "failed"
+)
+
+// OrderResult describes an order. A resend of the request returns the current status.
+type OrderResult struct {
+	// Fence is the fencing number, the log index of the order.
+	Fence   uint64
+	Status  OrderStatus
+	Message string
+}
+
+// OrderDone records how sending an order ended.
+type OrderDone struct {
+	Fence   uint64
+	Status  OrderStatus
+	Message string
+}
+
+// PendingOrder is an order that has not ended.
+type PendingOrder struct {
+	Fence  uint64
+	Order  Order
+	answer string
+}
+
+// Result is the answer to one command.
+type Result struct {
+	// Code is empty on success.
+	Code    fault.Code
+	Run     fault.RunState
+	Message string
+	// Revision is the configuration revision after a change, or the object's revision
+	// for RevisionConflict.
+	Revision uint64
+	Claim    *ClaimAnswer
+	Order    *OrderResult
+}
+
+// Err returns the failure that the result describes, or nil.
+func (r Result) Err() error {
+	if r.Code == "" {
+		return nil
+	}
+	e := fault.New(r.Code, r.Run, "%s", r.Message)
+	e.Revision = r.Revision
+	return e
+}
+
+func refuse(code fault.Code, run fault.RunState, message string) Result {
+	return Result{Code: code, Run: run, Message: message}
+}
+
+func failed(err error) Result {
+	f := fault.As(err)
+	return Result{Code: f.Code, Run: f.Run, Message: f.Message(), Revision: f.Revision}
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,126 @@
+package state
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
+)
+
+// snapshot is the encoded form of a State. It holds sorted lists instead of maps, so
+// that equal states have equal bytes.
+type snapshot struct {
+	Version  uint8
+	Index    uint64
+	Now      int64
+	FormedBy string
+
+	Revision uint64
+	Objects  []config.Change
+
+	Answers []savedAnswer
+
+	Leases        []wire.Lease
+	LeasesVersion uint64
+
+	Floor    int64
+	Claims   []savedClaim
+	Released []string
+
+	Marks        []Mark
+	MarksVersion uint64
+
+	Orders []savedOrder
+}
+
+type savedAnswer struct {
+	Key    string
+	Answer answer
+}
+
+type savedClaim struct {
+	ID    claimID
+	Claim claim
+}
+
+type savedOrder struct {
+	Order  PendingOrder
+	Answer string
+}
+
+const snapshotVersion = 1
+
+// Snapshot encodes the state.
+func (s *State) Snapshot() ([]byte, error) {
+	out := snapshot{
+		Version: snapshotVersion, Index: s.index, Now: s.now, FormedBy: s.formedBy,
+		Revision: s.config.Revision, Objects: s.config.All(),
+		LeasesVersion: s.leasesVersion,
+		Floor:         s.claims.floor, Released: s.claims.releasedOrder,
+		Marks: s.marks, MarksVersion: s.marksVersion,
+	}
+	for _, key := range s.answerOrder {
+		out.Answers = append(out.Answers, savedAnswer{key, s.answers[key]})
+	}
+	for _, pool := range slices.Sorted(maps.Keys(s.leases)) {
+		out.Leases = append(out.Leases, s.leases[pool])
+	}
+	for id, c := range s.claims.byID {
+		out.Claims = append(out.Claims, savedClaim{id, *c})
+	}
+	slices.SortFunc(out.Claims, func(a, b savedClaim) int {
+		return cmp.Or(slices.Compare(a.ID.Key[:], b.ID.Key[:]), cmp.Compare(a.ID.Account, b.ID.Account))
+	})
+	for _, p := range s.Orders() {
+		out.Orders = append(out.Orders, savedOrder{p, p.answer})
+	}
+	return wire.Marshal(out)
+}
+
+// Restore replaces the state by a snapshot. On an error the state stays as it was.
+func (s *State) Restore(data []byte) error {
+	var in snapshot
+	if err := wire.Unmarshal(data, &in); err != nil {
+		return fault.Wrap(err, fault.StorageCorrupt, "", "the snapshot cannot be decoded")
+	}
+	if in.Version != snapshotVersion {
+		return fault.New(fault.StorageCorrupt, "", "the snapshot has version %d, %d is known", in.Version, snapshotVersion)
+	}
+	n := New(in.FormedBy)
+	n.index, n.now = in.Index, in.Now
+	n.config.Revision = in.Revision
+	for _, ch := range in.Objects {
+		if err := n.config.Load(ch); err != nil {
+			return fault.Wrap(err, fault.StorageCorrupt, "", "the snapshot holds a wrong object")
+		}
+	}
+	for _, a := range in.Answers {
+		n.answers[a.Key] = a.Answer
+		n.answerOrder = append(n.answerOrder, a.Key)
+	}
+	for _, l := range in.Leases {
+		n.leases[l.Pool] = l
+	}
+	n.leasesVersion = in.LeasesVersion
+	n.claims.floor = in.Floor
+	for _, c := range in.Claims {
+		at := int64(0)
+		for _, b := range c.ID.Key[:6] {
+			at = at<<8 | int64(b)
+		}
+		n.claims.insert(c.ID, at, &c.Claim)
+	}
+	for _, attempt := range in.Released {
+		n.claims.remember(attempt)
+	}
+	n.marks, n.marksVersion = in.Marks, in.MarksVersion
+	for _, o := range in.Orders {
+		o.Order.answer = o.Answer
+		n.orders[o.Order.Fence] = o.Order
+	}
+	*s = *n
+	return nil
+}
--- /dev/null
+++ b/internal/wire/control.go
@@ -0,0 +1,66 @@
+package wire
+
+import "marigoldshunt/internal/fault"
+
+// CrashMark says that a request with this fingerprint crashed an upstream.
+type CrashMark struct {
+	Pool        string
+	Fingerprint Digest
+	Upstream    string
+	// At is the leader's wall clock in Unix milliseconds when the mark was committed.
+	At int64
+}
+
+// FormOp is a step in the formation of the control group.
+type FormOp uint8
+
+// Steps of the formation.
+const (
+	// FormIdentify asks for the replica id and changes nothing.
+	FormIdentify FormOp = iota + 1
+	// FormPromise asks a blank replica for its id and binds it to this request.
+	FormPromise
+	// FormCommit gives the membership to a replica that has promised.
+	FormCommit
+)
+
+// FormMember is one replica of a new group.
+type FormMember struct {
+	ID   uint64
+	Host string
+}
+
+// Form asks a control host to take part in the formation of the group.
+type Form struct {
+	Seq       uint64
+	Op        FormOp
+	RequestID string
+	Hosts     []string
+	Members   []FormMember
+}
+
+// FormAck answers a Form.
+type FormAck struct {
+	Seq     uint64
+	Replica uint64
+	// Formed is true when the replica belongs to a group; RequestID names its formation
+	// when the replica knows it.
+	Formed    bool
+	RequestID string
+	// Code is empty when the step was accepted.
+	Code    fault.Code
+	Message string
+}
+
+// Chunk carries one part of a message that is too large for a frame. The receiver
+// answers each part with a Chunk that has Ack set.
+type Chunk struct {
+	// Inner is the kind of the whole message.
+	Inner Kind
+	// ID identifies the transfer for one sender and Inner.
+	ID    uint64
+	Part  int
+	Parts int
+	Ack   bool
+	Data  []byte
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -203,6 +203,8 @@
 	HostsVersion uint64
 	// LeasesVersion is the version of the lease table that the host has.
 	LeasesVersion uint64
+	// MarksVersion is the version of the crash marks that the host has.
+	MarksVersion uint64
 }
 
 // RenewAck answers a Renew.
@@ -225,6 +227,11 @@
 	Hosts         []HostStatus
 	HostsVersion  uint64
 	HasHosts      bool
+	// Revoked lists held leases that the host must stop using and release.
+	Revoked      []Lease
+	Marks        []CrashMark
+	MarksVersion uint64
+	HasMarks     bool
 }
 
 // Propose carries a command for the replicated state to the leader.
