--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,150 @@
+// Package engine calls upstreams over HTTP/1.1: model engines with the chat
+// completions interface and plain services.
+//
+// The client of fasthttp has no way to cancel one call by closing its connection, and
+// it repeats calls on its own. This package therefore owns its connections, and uses
+// fasthttp only to write requests and to parse answers. No call is ever repeated here.
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
+)
+
+// Request is one attempt at an upstream.
+type Request struct {
+	Pool        config.Pool
+	Upstream    string
+	Address     string
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        []byte
+	// ID identifies the request to the engine, also when its stream is resumed.
+	ID string
+	// Key is the idempotency key, which plain services receive unchanged.
+	Key string
+	// Offset is the number of events that earlier attempts delivered.
+	Offset int
+	// Stream asks for server-sent events.
+	Stream bool
+}
+
+// Sink receives the answer. An error means that the caller went away.
+type Sink interface {
+	// Begin is called at most once per attempt, also for a resumed one; a sink that
+	// spans several attempts passes on only the first call.
+	Begin(status int, contentType string, header [][2]string) error
+	// Write receives whole events of a stream, or the whole body of another answer.
+	// It must not keep p.
+	Write(p []byte) error
+}
+
+// Result says how an attempt ended.
+type Result struct {
+	Outcome wire.Outcome
+	Status  int
+	// Cost is in the pool's cost unit.
+	Cost      float64
+	FirstByte time.Duration
+	Run       time.Duration
+	// Instance is the upstream's instance identity, empty when unknown.
+	Instance string
+	// Queued is the engine's queue length, -1 when unknown.
+	Queued int
+	// Delivered is the number of events that this attempt gave to the sink, without
+	// the final [DONE].
+	Delivered int
+	// Began is true when Sink.Begin was called.
+	Began bool
+	// Err is nil for OutcomeDone.
+	Err *fault.Error
+}
+
+// Load is a load report of an upstream.
+type Load struct {
+	Instance string `json:"instance"`
+	Running  int    `json:"running"`
+	Queued   int    `json:"queued"`
+}
+
+// CacheEvent says which prefix digests entered or left an engine's cache.
+type CacheEvent struct {
+	Seq uint64 `json:"seq"`
+	// Added and Removed are hex prefix digests.
+	Added   []string `json:"added"`
+	Removed []string `json:"removed"`
+}
+
+// CacheBatch is an answer to CacheEvents.
+type CacheBatch struct {
+	// Seq is the number of the engine's latest event.
+	Seq    uint64       `json:"seq"`
+	Events []CacheEvent `json:"events"`
+}
+
+// Order tells an upstream to change what it runs.
+type Order struct {
+	// Fence is the log index of the order.
+	Fence   uint64 `json:"fence"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// Options configure a Client. Zero values take the defaults.
+type Options struct {
+	ConnectTimeout time.Duration
+	// IdleTimeout is the longest gap between two bytes of an answer.
+	IdleTimeout time.Duration
+	// KeepIdle is how long an unused connection is kept.
+	KeepIdle time.Duration
+	// MaxIdlePerAddress bounds the unused connections of one upstream.
+	MaxIdlePerAddress int
+	// MaxAnswerBytes bounds an answer that is not streamed.
+	MaxAnswerBytes int
+	// MaxEventBytes bounds one event of a stream.
+	MaxEventBytes int
+	Metrics       metrics.Registry
+	// Now is the clock of durations.
+	Now func() time.Time
+}
+
+// Client calls upstreams. It is safe for concurrent use.
+type Client struct{ o Options }
+
+// New returns a Client.
+func New(o Options) *Client { return &Client{o: o} }
+
+// Do runs one attempt. Cancelling ctx closes the upstream connection.
+func (c *Client) Do(ctx context.Context, r *Request, s Sink) Result {
+	return Result{Outcome: wire.OutcomeUnreachable, Queued: -1, Err: fault.New(fault.Internal, fault.NotRun, "not implemented")}
+}
+
+// Load asks an upstream for its load report.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	return Load{}, fault.New(fault.Internal, "", "not implemented")
+}
+
+// CacheEvents asks an engine for the cache events after since.
+func (c *Client) CacheEvents(ctx context.Context, address string, since uint64) (CacheBatch, error) {
+	return CacheBatch{}, fault.New(fault.Internal, "", "not implemented")
+}
+
+// Order sends an order. It returns a StaleFence error when the upstream has seen a
+// higher fencing number.
+func (c *Client) Order(ctx context.Context, address string, o Order) error {
+	return fault.New(fault.Internal, "", "not implemented")
+}
+
+// Close closes the unused connections.
+func (c *Client) Close() {}
