--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,72 @@
+// Package retry decides which attempts may be repeated and holds the retry budget of
+// a pool. It is pure: no I/O, clock or lock.
+package retry
+
+import (
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
+)
+
+// RunStateOf returns what the outcome of an attempt says about the request having run.
+func RunStateOf(o wire.Outcome) fault.RunState {
+	switch o {
+	case wire.OutcomeRefused, wire.OutcomeUnreachable:
+		return fault.NotRun
+	case wire.OutcomeDone, wire.OutcomeFailed:
+		return fault.RanAndFailed
+	default:
+		return fault.MayHaveRun
+	}
+}
+
+// Repeatable reports whether a request may be attempted again after the outcome.
+// A complete answer, even a failure, is the caller's answer and is not repeated, and
+// nobody waits for a cancelled request.
+func Repeatable(o wire.Outcome, idempotent bool) bool {
+	switch o {
+	case wire.OutcomeRefused, wire.OutcomeUnreachable:
+		return true
+	case wire.OutcomeBroken:
+		return idempotent
+	default:
+		return false
+	}
+}
+
+// MaxTokens caps the saved budget, so that a long quiet time cannot pay for a storm of
+// retries. It equals the budget of 1,000 first attempts at 10 %.
+const MaxTokens = 100
+
+// Budget limits retries to a percentage of first attempts.
+type Budget struct {
+	percent float64
+	tokens  float64
+}
+
+// NewBudget returns an empty budget that grows by percent/100 per first attempt.
+func NewBudget(percent float64) Budget {
+	b := Budget{}
+	b.SetPercent(percent)
+	return b
+}
+
+// SetPercent changes the percentage for later first attempts. Values outside 0 to 100
+// are brought into that range.
+func (b *Budget) SetPercent(percent float64) { b.percent = min(max(percent, 0), 100) }
+
+// First records a first attempt.
+func (b *Budget) First() { b.tokens = min(b.tokens+b.percent/100, MaxTokens) }
+
+// Take pays for one retry and reports whether the budget covered it. The small margin
+// keeps rounding of repeated additions from refusing an earned retry.
+func (b *Budget) Take() bool {
+	const rounding = 1e-9
+	if b.tokens < 1-rounding {
+		return false
+	}
+	b.tokens = max(b.tokens-1, 0)
+	return true
+}
+
+// Tokens returns the number of retries that the budget covers now.
+func (b *Budget) Tokens() float64 { return b.tokens }
--- /dev/null
+++ b/internal/sched/api.go
@@ -0,0 +1,117 @@
+// Package sched is the decision core of one pool: fair queue over client accounts,
+// contract limits, upstream slots, cold start, choice of upstream and crash quarantine.
+//
+// The package does no I/O, reads no clock, starts no goroutine and takes no lock.
+// The caller passes the time as a duration on one monotonic clock and serialises
+// all calls.
+package sched
+
+import (
+	"time"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/wire"
+)
+
+// Options are the settings of a new Pool.
+type Options struct {
+	Pool   config.Pool
+	Policy config.Policy
+	// Seed makes the choice between equally loaded upstreams repeatable.
+	Seed int64
+}
+
+// Grant is the decision to run a ticket at an upstream.
+type Grant struct {
+	ID       wire.TicketID
+	Account  string
+	Upstream string
+	Address  string
+	// Tag is the account's normalised service after this grant, in cost units per weight.
+	Tag float64
+	// Virtual is the pool's virtual time at this grant, in cost units per weight.
+	Virtual float64
+}
+
+// LoadReport is an upstream's own statement of its load.
+type LoadReport struct {
+	Upstream string
+	// Instance is the identity of the running instance, empty when unknown.
+	Instance string
+	Running  int
+	Queued   int
+	// At is the time at which the load was sampled, on the caller's clock. A caller that
+	// knows only when it sent the request uses that time.
+	At time.Duration
+}
+
+// CrashMark says that a request broke an upstream.
+type CrashMark struct {
+	Fingerprint wire.Digest
+	Upstream    string
+	// Until is when the mark ends, on the caller's clock.
+	Until time.Duration
+}
+
+// Effects are the consequences of a call that others have to record.
+type Effects struct {
+	Marks []CrashMark
+}
+
+// State is the service state of an upstream.
+type State string
+
+// States of an upstream.
+const (
+	StateCold    State = "cold"
+	StateWarming State = "warming"
+	StateWarm    State = "warm"
+	StateSuspect State = "suspect"
+	StateOut     State = "out"
+)
+
+// UpstreamStatus describes one upstream of the pool.
+type UpstreamStatus struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	State      State  `json:"state"`
+	Limit      int    `json:"limit"`
+	// Running counts the grants held by live routers.
+	Running int `json:"running"`
+	// Other counts slots occupied by grants of lost routers and by reported requests
+	// that no known grant explains.
+	Other    int    `json:"other"`
+	Instance string `json:"instance"`
+}
+
+// AccountStatus describes one client account in the pool.
+type AccountStatus struct {
+	Account string  `json:"account"`
+	Weight  float64 `json:"weight"`
+	Waiting int     `json:"waiting"`
+	Running int     `json:"running"`
+	// Service is the cost charged to the account by this scheduler, in cost units.
+	Service float64 `json:"service"`
+	Tag     float64 `json:"tag"`
+	// Blocked is true while the account's own limits prevent its next start.
+	Blocked bool `json:"blocked"`
+	// Bound is this account's share of the fairness bound, (K+1) c / w.
+	Bound float64 `json:"bound"`
+}
+
+// Status describes the pool at one moment. Lists are sorted by name.
+type Status struct {
+	Pool      string           `json:"pool"`
+	Virtual   float64          `json:"virtual"`
+	Waiting   int              `json:"waiting"`
+	Running   int              `json:"running"`
+	Slots     int              `json:"slots"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
+	Accounts  []AccountStatus  `json:"accounts"`
+	// Bound is the largest normalised service gap allowed between any two accounts.
+	Bound float64 `json:"bound"`
+	// Quarantined counts fingerprints with two crash marks.
+	Quarantined int `json:"quarantined"`
+	// RetryTokens is the unused retry budget.
+	RetryTokens float64 `json:"retry_tokens"`
+}
