--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,394 @@
+package router
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/engine"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/frontend"
+	"marigoldshunt/internal/state"
+	"marigoldshunt/internal/wire"
+)
+
+type sent struct {
+	to   string
+	kind wire.Kind
+	msg  any
+}
+
+// fixture is a router whose ports are fakes; the test plays the scheduler.
+type fixture struct {
+	*qt.C
+	mu      sync.Mutex
+	now     time.Duration
+	cfg     *config.Config
+	current bool
+	sent    chan sent
+	engine  func(r *engine.Request, s engine.Sink) engine.Result
+	claim   func(r state.ClaimRequest) (state.ClaimAnswer, error)
+	done    chan state.ClaimFinish
+	freed   chan state.ClaimRelease
+	r       *Router
+}
+
+func (f *fixture) Now() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+func (f *fixture) advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now += d
+}
+
+func (f *fixture) Send(to string, kind wire.Kind, msg any) error {
+	f.sent <- sent{to, kind, msg}
+	return nil
+}
+func (f *fixture) Do(_ context.Context, r *engine.Request, s engine.Sink) engine.Result {
+	return f.engine(r, s)
+}
+func (f *fixture) Config() *config.Config { return f.cfg }
+func (f *fixture) Current() bool          { return f.current }
+func (f *fixture) Claim(_ context.Context, r state.ClaimRequest) (state.ClaimAnswer, error) {
+	return f.claim(r)
+}
+func (f *fixture) FinishClaim(_ context.Context, r state.ClaimFinish) error {
+	f.done <- r
+	return nil
+}
+func (f *fixture) ReleaseClaim(_ context.Context, r state.ClaimRelease) error {
+	f.freed <- r
+	return nil
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{C: qt.New(t), current: true, sent: make(chan sent, 64), done: make(chan state.ClaimFinish, 4), freed: make(chan state.ClaimRelease, 4)}
+	f.cfg = config.New()
+	f.cfg.Contracts["a"] = config.Contract{Account: "a", Weight: 1, MaxRun: time.Minute, MaxWait: time.Minute}
+	f.cfg.Pools["p"] = config.Pool{Name: "p", Kind: config.KindService}
+	f.cfg.DataCentres["d"] = config.DataCentre{Name: "d"}
+	f.cfg.Upstreams["u1"] = config.Upstream{Name: "u1", Pool: "p", DataCentre: "d"}
+	f.cfg.Upstreams["u2"] = config.Upstream{Name: "u2", Pool: "p", DataCentre: "d"}
+	f.engine = func(_ *engine.Request, s engine.Sink) engine.Result { return whole(s) }
+	f.claim = func(state.ClaimRequest) (state.ClaimAnswer, error) { return state.ClaimAnswer{Granted: true}, nil }
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f.r = New(Options{Host: "h1", Boot: 1, DataCentre: "d", Sender: f, Engine: f, Control: f, Clock: f,
+		Log: logrus.NewEntry(log), Registry: metrics.NewRegistry()})
+	f.r.LeasesChanged([]wire.Lease{{Pool: "p", Host: "s", Fence: 5}})
+	f.next(wire.KindSync)
+	return f
+}
+
+// next returns the next message, which must be of the given kind.
+func (f *fixture) next(kind wire.Kind) sent {
+	f.Helper()
+	m := <-f.sent
+	f.Assert(m.kind, qt.Equals, kind)
+	return m
+}
+
+// ticket waits for a ticket and returns it.
+func (f *fixture) ticket() wire.Ticket {
+	f.Helper()
+	return f.next(wire.KindTicket).msg.(wire.Ticket)
+}
+
+func (f *fixture) grant(t wire.Ticket, upstream string) wire.Grant {
+	return wire.Grant{ID: t.ID, Pool: "p", Upstream: upstream, Fence: 5, Echo: t.RouterClock, Tag: 3, Virtual: 2}
+}
+
+func (f *fixture) deliver(kind wire.Kind, msg any) {
+	b, err := wire.Marshal(msg)
+	f.Assert(err, qt.IsNil)
+	f.r.Handle("s", 1, kind, b)
+}
+
+// answer records what a caller gets.
+type answer struct {
+	status int
+	header [][2]string
+	body   []byte
+}
+
+func (a *answer) Begin(status int, _ string, header [][2]string) error {
+	a.status, a.header = status, header
+	return nil
+}
+
+func (a *answer) Write(p []byte) error {
+	a.body = append(a.body, p...)
+	return nil
+}
+
+func whole(s engine.Sink) engine.Result {
+	s.Begin(200, "text/plain", nil)
+	s.Write([]byte("whole"))
+	return engine.Result{Outcome: wire.OutcomeDone, Began: true, Cost: 7}
+}
+
+// serve runs a call in the background.
+func (f *fixture) serve(call frontend.Call) (*answer, chan error) {
+	a, end := &answer{}, make(chan error, 1)
+	call.Account, call.Pool = "a", "p"
+	go func() { end <- f.r.Serve(context.Background(), &call, a) }()
+	return a, end
+}
+
+func idempotent() frontend.Call { return frontend.Call{Idempotent: true} }
+
+func order() frontend.Call {
+	return frontend.Call{Key: "0190c0de-0000-7000-8000-000000000001"}
+}
+
+// Guards against an answer or a cost report that goes missing on the plain path.
+func TestGrantedRequestIsAnsweredAndReported(t *testing.T) {
+	f := newFixture(t)
+	a, end := f.serve(idempotent())
+	f.deliver(wire.KindGrant, f.grant(f.ticket(), "u1"))
+	fin := f.next(wire.KindFinish).msg.(wire.Finish)
+	f.Assert(fin.Cost, qt.Equals, 7.0)
+	f.Assert(<-end, qt.IsNil)
+	f.Assert(string(a.body), qt.Equals, "whole")
+	f.Assert(f.r.Open(), qt.Equals, 0)
+}
+
+// Guards against new work for a data centre that was taken out while the router could
+// not reach anybody: a grant older than GrantMaxAge must not be used.
+func TestVoidGrantsAreGivenBack(t *testing.T) {
+	for name, spoil := range map[string]func(f *fixture, g *wire.Grant){
+		"too old":        func(f *fixture, _ *wire.Grant) { f.advance(GrantMaxAge + time.Millisecond) },
+		"upstream out":   func(f *fixture, _ *wire.Grant) { f.cfg.Upstreams["u1"] = config.Upstream{Name: "u1", Out: true} },
+		"centre out":     func(f *fixture, _ *wire.Grant) { f.cfg.DataCentres["d"] = config.DataCentre{Name: "d", Out: true} },
+		"upstream bogus": func(_ *fixture, g *wire.Grant) { g.Upstream = "none" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			ran := false
+			f.engine = func(_ *engine.Request, s engine.Sink) engine.Result { ran = true; return whole(s) }
+			_, _ = f.serve(idempotent())
+			tk := f.ticket()
+			g := f.grant(tk, "u1")
+			spoil(f, &g)
+			f.deliver(wire.KindGrant, g)
+			f.next(wire.KindGrantReturn)
+			f.Assert(f.ticket().ID, qt.Not(qt.Equals), tk.ID)
+			f.Assert(ran, qt.IsFalse)
+		})
+	}
+}
+
+// Guards against a slot that two requests use: after a Sync the scheduler may have
+// given the slot away, and a scheduler without a lease may not grant.
+func TestGrantsOfThePastAreIgnored(t *testing.T) {
+	f := newFixture(t)
+	_, end := f.serve(idempotent())
+	tk := f.ticket()
+	old := f.grant(tk, "u1")
+	f.advance(time.Millisecond)
+	f.r.PeerUp("s")
+	sync := f.next(wire.KindSync).msg.(wire.Sync)
+	f.Assert(sync.Waiting, qt.HasLen, 1)
+	f.deliver(wire.KindGrant, old)
+	lower := f.grant(tk, "u1")
+	lower.Echo, lower.Fence = f.Now(), 4
+	f.deliver(wire.KindGrant, lower)
+	f.Assert(f.r.counters.grants.Count(), qt.Equals, int64(0))
+	good := f.grant(tk, "u2")
+	good.Echo = f.Now()
+	f.deliver(wire.KindGrant, good)
+	f.Assert(f.next(wire.KindFinish).msg.(wire.Finish).Upstream, qt.Equals, "u2")
+	f.Assert(<-end, qt.IsNil)
+}
+
+// Guards against a slot that leaks when a grant arrives after the caller gave up.
+func TestLateGrantIsReturned(t *testing.T) {
+	f := newFixture(t)
+	call := idempotent()
+	call.Deadline = time.Now().Add(20 * time.Millisecond)
+	_, end := f.serve(call)
+	tk := f.ticket()
+	err := <-end
+	f.Assert(fault.CodeOf(err), qt.Equals, fault.WaitExpired)
+	f.Assert(fault.As(err).Run, qt.Equals, fault.NotRun)
+	f.next(wire.KindCancel)
+	f.deliver(wire.KindGrant, f.grant(tk, "u1"))
+	f.next(wire.KindGrantReturn)
+}
+
+// Guards against wrong repeats: only work that provably did not start, or idempotent
+// work, may be sent again, and never to a caller that has part of another answer.
+func TestRepeats(t *testing.T) {
+	broken := func(r *engine.Request, s engine.Sink, begin bool) engine.Result {
+		if begin {
+			s.Begin(200, "text/event-stream", nil)
+			s.Write([]byte("part"))
+		}
+		return engine.Result{Outcome: wire.OutcomeBroken, Began: begin, Delivered: 3}
+	}
+	for _, c := range []struct {
+		name    string
+		call    frontend.Call
+		resume  bool
+		first   func(r *engine.Request, s engine.Sink) engine.Result
+		repeats bool
+		code    fault.Code
+		state   fault.RunState
+	}{
+		{"order refused before start", order(), false, func(*engine.Request, engine.Sink) engine.Result {
+			return engine.Result{Outcome: wire.OutcomeRefused}
+		}, true, "", ""},
+		{"order unreachable", order(), false, func(*engine.Request, engine.Sink) engine.Result {
+			return engine.Result{Outcome: wire.OutcomeUnreachable}
+		}, true, "", ""},
+		{"order broken", order(), false, func(r *engine.Request, s engine.Sink) engine.Result {
+			return broken(r, s, false)
+		}, false, fault.UpstreamFailed, fault.MayHaveRun},
+		{"idempotent broken", idempotent(), false, func(r *engine.Request, s engine.Sink) engine.Result {
+			return broken(r, s, false)
+		}, true, "", ""},
+		{"partial answer", idempotent(), false, func(r *engine.Request, s engine.Sink) engine.Result {
+			return broken(r, s, true)
+		}, false, fault.StreamCut, fault.MayHaveRun},
+		{"partial stream resumed", frontend.Call{Idempotent: true, Stream: true}, true, func(r *engine.Request, s engine.Sink) engine.Result {
+			return broken(r, s, true)
+		}, true, "", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.cfg.Pools["p"] = config.Pool{Name: "p", Resume: c.resume}
+			runs := 0
+			f.engine = func(r *engine.Request, s engine.Sink) engine.Result {
+				runs++
+				if runs == 1 {
+					return c.first(r, s)
+				}
+				if c.resume {
+					f.Check(r.Offset, qt.Equals, 3)
+				}
+				return whole(s)
+			}
+			_, end := f.serve(c.call)
+			f.deliver(wire.KindGrant, f.grant(f.ticket(), "u1"))
+			f.next(wire.KindFinish)
+			if c.repeats {
+				tk := f.ticket()
+				f.Assert(tk.Retry, qt.IsTrue)
+				f.Assert(tk.Avoid, qt.Equals, "u1")
+				f.deliver(wire.KindGrant, f.grant(tk, "u2"))
+				f.Assert(<-end, qt.IsNil)
+				return
+			}
+			err := <-end
+			f.Assert(fault.CodeOf(err), qt.Equals, c.code)
+			f.Assert(fault.As(err).Run, qt.Equals, c.state)
+			f.Assert(runs, qt.Equals, 1)
+		})
+	}
+}
+
+// Guards against "not run" for a request whose earlier attempt may have run.
+func TestRefusedRepeatMayHaveRun(t *testing.T) {
+	f := newFixture(t)
+	f.engine = func(*engine.Request, engine.Sink) engine.Result { return engine.Result{Outcome: wire.OutcomeBroken} }
+	_, end := f.serve(idempotent())
+	f.deliver(wire.KindGrant, f.grant(f.ticket(), "u1"))
+	f.next(wire.KindFinish)
+	f.deliver(wire.KindRefuse, wire.Refuse{ID: f.ticket().ID, Pool: "p", Code: fault.CrashesUpstreams})
+	err := <-end
+	f.Assert(fault.CodeOf(err), qt.Equals, fault.CrashesUpstreams)
+	f.Assert(fault.As(err).Run, qt.Equals, fault.MayHaveRun)
+}
+
+// Guards against a second run of a non-idempotent request and a lost answer.
+func TestClaims(t *testing.T) {
+	t.Run("answer is recorded and replayed", func(t *testing.T) {
+		f := newFixture(t)
+		_, end := f.serve(order())
+		f.deliver(wire.KindGrant, f.grant(f.ticket(), "u1"))
+		fin := <-f.done
+		f.Assert(<-end, qt.IsNil)
+		f.claim = func(state.ClaimRequest) (state.ClaimAnswer, error) {
+			return state.ClaimAnswer{Answer: fin.Answer}, nil
+		}
+		again, end := f.serve(order())
+		f.Assert(<-end, qt.IsNil)
+		f.Assert(string(again.body), qt.Equals, "whole")
+		f.Assert(again.header[0], qt.Equals, [2]string{"X-Replayed", "true"})
+		f.Assert(f.next(wire.KindFinish).kind, qt.Equals, wire.KindFinish)
+		f.Assert(f.sent, qt.HasLen, 0)
+	})
+	t.Run("unconfirmed claim is not sent and is released", func(t *testing.T) {
+		f := newFixture(t)
+		f.claim = func(state.ClaimRequest) (state.ClaimAnswer, error) {
+			return state.ClaimAnswer{}, fault.New(fault.NoQuorum, fault.MayHaveRun, "no answer")
+		}
+		_, end := f.serve(order())
+		err := <-end
+		f.Assert(fault.CodeOf(err), qt.Equals, fault.ClaimUnavailable)
+		f.Assert(fault.As(err).Run, qt.Equals, fault.NotRun)
+		<-f.freed
+		f.Assert(f.sent, qt.HasLen, 0)
+	})
+	t.Run("refused request releases its claim", func(t *testing.T) {
+		f := newFixture(t)
+		_, end := f.serve(order())
+		f.deliver(wire.KindRefuse, wire.Refuse{ID: f.ticket().ID, Pool: "p", Code: fault.QueueFull})
+		err := <-end
+		f.Assert(fault.As(err).Run, qt.Equals, fault.NotRun)
+		f.Assert((<-f.freed).Key, qt.Equals, order().Key)
+	})
+	t.Run("key is required", func(t *testing.T) {
+		f := newFixture(t)
+		_, end := f.serve(frontend.Call{})
+		f.Assert(fault.CodeOf(<-end), qt.Equals, fault.KeyRequired)
+	})
+}
+
+// Guards against service under an unconfirmed configuration.
+func TestIsolatedRouterRefuses(t *testing.T) {
+	f := newFixture(t)
+	f.current = false
+	_, end := f.serve(idempotent())
+	err := <-end
+	f.Assert(fault.CodeOf(err), qt.Equals, fault.HostIsolated)
+	f.Assert(fault.As(err).Run, qt.Equals, fault.NotRun)
+}
+
+// Guards against work that a new scheduler does not know of.
+func TestNewSchedulerGetsSync(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan struct{})
+	f.engine = func(_ *engine.Request, s engine.Sink) engine.Result { <-release; return whole(s) }
+	_, end := f.serve(idempotent())
+	f.deliver(wire.KindGrant, f.grant(f.ticket(), "u1"))
+	_, _ = f.serve(idempotent())
+	f.ticket()
+	for f.r.counters.grants.Count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.r.LeasesChanged([]wire.Lease{{Pool: "p", Host: "s2", Fence: 6}})
+	m := f.next(wire.KindSync)
+	s := m.msg.(wire.Sync)
+	f.Assert(m.to, qt.Equals, "s2")
+	f.Assert(s.Running, qt.HasLen, 1)
+	f.Assert(s.Running[0].Upstream, qt.Equals, "u1")
+	f.Assert(s.Waiting, qt.HasLen, 1)
+	f.Assert(s.Tags, qt.DeepEquals, []wire.AccountTag{{Account: "a", Tag: 3}})
+	f.Assert(s.Virtual, qt.Equals, 2.0)
+	close(release)
+	f.Assert(f.next(wire.KindFinish).to, qt.Equals, "s2")
+	f.Assert(<-end, qt.IsNil)
+}
