Give back a grant that arrives as the wait ends

Cause: a grant that was handed to a request at the moment its wait ended stayed occupied at the scheduler until the longest run time. Change: withdrawing a ticket drains the decision and returns the grant. Conclusion: no slot leaks at the end of a wait.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -88,17 +88,29 @@
 	delete(r.open, q.ticket.ID.Seq)
 }
 
-// withdraw removes a waiting ticket here and at the scheduler.
+// withdraw removes a ticket here and at the scheduler. A grant that arrived at the
+// same moment is given back.
 func (r *Router) withdraw(q *request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.open, q.ticket.ID.Seq)
 	p := r.pool(q.ticket.Pool)
+	if q.granted {
+		if e := <-q.events; e.grant != nil {
+			r.giveBack(p, *e.grant)
+		}
+		return
+	}
 	if p.scheduler != "" {
 		r.send(p.scheduler, wire.KindCancel, wire.Cancel{ID: q.ticket.ID, Pool: q.ticket.Pool})
 	}
 }
 
+// giveBack returns an unused grant. r.mu is held.
+func (r *Router) giveBack(p *poolView, g wire.Grant) {
+	r.send(p.scheduler, wire.KindGrantReturn, wire.GrantReturn{ID: g.ID, Pool: g.Pool, Fence: g.Fence})
+}
+
 // start marks a request as running if its grant is still valid at this moment.
 func (r *Router) start(q *request, g wire.Grant) bool {
 	c := r.o.Control.Config()
@@ -109,7 +121,7 @@
 	if !fresh || g.Fence < p.fence || g.Echo < p.syncedAt || !inService(c, g.Upstream) {
 		r.counters.staleGrants.Inc(1)
 		delete(r.open, q.ticket.ID.Seq)
-		r.send(p.scheduler, wire.KindGrantReturn, wire.GrantReturn{ID: g.ID, Pool: g.Pool, Fence: g.Fence})
+		r.giveBack(p, g)
 		return false
 	}
 	r.counters.grants.Inc(1)
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -171,7 +171,7 @@
 	if q == nil || g.ID != q.ticket.ID || q.upstream != "" || q.granted {
 		r.counters.dropped.Inc(1)
 		if q == nil || g.ID != q.ticket.ID {
-			r.send(from, wire.KindGrantReturn, wire.GrantReturn{ID: g.ID, Pool: g.Pool, Fence: g.Fence})
+			r.giveBack(p, g)
 		}
 		return
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -228,6 +228,15 @@
 	f.next(wire.KindGrantReturn)
 }
 
+// Guards against a slot that leaks when the wait ends at the moment of the grant.
+func TestGrantAtTheEndOfTheWaitIsReturned(t *testing.T) {
+	f := newFixture(t)
+	q := f.r.openTicket(&run{call: &frontend.Call{Account: "a", Pool: "p"}, waitUntil: time.Minute}, false)
+	f.deliver(wire.KindGrant, f.grant(f.ticket(), "u1"))
+	f.r.withdraw(q)
+	f.Assert(f.next(wire.KindGrantReturn).msg.(wire.GrantReturn).ID, qt.Equals, q.ticket.ID)
+}
+
 // Guards against wrong repeats: only work that provably did not start, or idempotent
 // work, may be sent again, and never to a caller that has part of another answer.
 func TestRepeats(t *testing.T) {
