Add the consensus core

Cause: the control state needs a replicated log that survives lost disks and isolated hosts. A replica that is a learner in its own log answers the vote request of a candidate whose log is ahead.

--- /dev/null
+++ b/internal/raft/election.go
@@ -0,0 +1,183 @@
+package raft
+
+import "marigoldshunt/internal/fault"
+
+// Step handles a message. It returns BadRequest for a message that is not for this
+// replica; messages that are late, repeated or from replicas outside the group are
+// ignored.
+func (n *Node) Step(m Message) error {
+	if m.To != n.cfg.ID || m.From == 0 || m.From == n.cfg.ID {
+		return fault.New(fault.BadRequest, "", "message from replica %d to %d reached replica %d", m.From, m.To, n.cfg.ID)
+	}
+	// A leader takes messages only from its membership: a removed or foreign replica
+	// with a higher term does not depose it. If the term is from a real leader, this one
+	// loses its majority and steps down by check-quorum.
+	known := find(n.members(), m.From) != nil
+	if n.role == Leader && !known {
+		return nil
+	}
+	switch m.Kind {
+	case MsgPreVote, MsgVote:
+		n.stepVoteRequest(m)
+	case MsgPreVoteResp, MsgVoteResp, MsgAppendResp, MsgHeartbeatResp:
+		if known {
+			n.stepAnswer(m)
+		}
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		return n.stepFromLeader(m)
+	default:
+		return fault.New(fault.BadRequest, "", "message kind %d is unknown", m.Kind)
+	}
+	return nil
+}
+
+// leaderIsLive reports whether a leader was heard from within the least election
+// timeout. While it is, vote requests are ignored, so a replica that was cut off or
+// removed cannot disturb the group.
+func (n *Node) leaderIsLive() bool {
+	return n.role == Leader || (n.leader != 0 && n.now-n.heard < uint64(n.cfg.ElectionTicks))
+}
+
+func (n *Node) stepVoteRequest(m Message) {
+	self := find(n.members(), n.cfg.ID)
+	if self == nil || n.leaderIsLive() {
+		return
+	}
+	lastTerm, last := n.log.lastTerm(), n.log.last()
+	recent := m.LogTerm > lastTerm || (m.LogTerm == lastTerm && m.Index >= last)
+	// Only voters of the candidate's membership are asked. A replica that is a learner in
+	// its own log is asked only if the candidate's log holds its promotion, so that log is
+	// ahead. Refusing such a candidate can leave a group without a leader for good: with
+	// voters 1, 2 (lost), 3 and 4 promoted in the log of replica 1 only, replica 1 needs
+	// the vote of 4, and 3 cannot win against the longer log of 1.
+	if self.Learner && (!recent || (m.LogTerm == lastTerm && m.Index == last)) {
+		return
+	}
+	if m.Kind == MsgPreVote {
+		// A pre-vote changes no state. The term of a grant is the one that was asked for.
+		if m.Term > n.term && recent {
+			n.send(Message{Kind: MsgPreVoteResp, To: m.From, Term: m.Term})
+		} else {
+			n.send(Message{Kind: MsgPreVoteResp, To: m.From, Reject: true})
+		}
+		return
+	}
+	if m.Term > n.term {
+		n.becomeFollower(m.Term, 0)
+	}
+	grant := m.Term == n.term && recent && n.leader == 0 && (n.vote == 0 || n.vote == m.From)
+	if grant {
+		n.vote = m.From
+		n.restartTimer()
+	}
+	n.send(Message{Kind: MsgVoteResp, To: m.From, Reject: !grant})
+}
+
+func (n *Node) stepAnswer(m Message) {
+	preVoteGrant := m.Kind == MsgPreVoteResp && !m.Reject
+	if m.Term > n.term && !preVoteGrant {
+		n.becomeFollower(m.Term, 0)
+		return
+	}
+	switch m.Kind {
+	case MsgPreVoteResp:
+		if n.role == PreCandidate && (m.Reject || m.Term == n.term+1) {
+			n.countVote(m)
+		}
+	case MsgVoteResp:
+		if n.role == Candidate && m.Term == n.term {
+			n.countVote(m)
+		}
+	default:
+		if n.role == Leader && m.Term == n.term {
+			n.stepPeer(m)
+		}
+	}
+}
+
+func (n *Node) countVote(m Message) {
+	if _, repeated := n.votes[m.From]; !repeated {
+		n.votes[m.From] = !m.Reject
+	}
+	n.tallyVotes()
+}
+
+func (n *Node) tallyVotes() {
+	won := n.quorumValue(func(id ReplicaID) uint64 {
+		if n.votes[id] {
+			return 1
+		}
+		return 0
+	})
+	if won == 0 {
+		return
+	}
+	if n.role == PreCandidate {
+		n.campaign(Candidate)
+	} else {
+		n.becomeLeader()
+	}
+}
+
+// campaign asks all other voters for a pre-vote, which shows that an election can be
+// won without raising any term, or for a vote.
+func (n *Node) campaign(role Role) {
+	n.role, n.leader, n.peers = role, 0, nil
+	n.votes = map[ReplicaID]bool{n.cfg.ID: true}
+	kind, term := MsgPreVote, n.term+1
+	if role == Candidate {
+		n.term, n.vote = term, n.cfg.ID
+		kind = MsgVote
+		n.restartTimer()
+	}
+	for _, m := range n.members() {
+		if !m.Learner && m.ID != n.cfg.ID {
+			n.send(Message{Kind: kind, To: m.ID, Term: term, LogTerm: n.log.lastTerm(), Index: n.log.last()})
+		}
+	}
+	n.tallyVotes()
+}
+
+func (n *Node) becomeFollower(term uint64, leader ReplicaID) {
+	if term > n.term {
+		n.term, n.vote = term, 0
+	}
+	n.role, n.leader, n.peers, n.votes = Follower, leader, nil, nil
+	n.reads = readQueue{done: n.reads.done}
+	n.restartTimer()
+}
+
+func (n *Node) becomeLeader() {
+	n.role, n.leader, n.votes = Leader, n.cfg.ID, nil
+	n.peers, n.reads = map[ReplicaID]*peer{}, readQueue{done: n.reads.done}
+	n.syncPeers()
+	n.ownTermFrom = n.appendOwn(Entry{Kind: EntryNoop}).Index
+	n.heartbeat()
+}
+
+// stepFromLeader handles the messages that only a leader sends.
+func (n *Node) stepFromLeader(m Message) error {
+	if m.Term < n.term {
+		// The answer carries the higher term. It deposes a leader that this replica would
+		// otherwise refuse forever, and tells a stale leader of the new term.
+		n.send(Message{Kind: MsgAppendResp, To: m.From, Reject: true, Index: m.Index, Hint: n.log.commit})
+		return nil
+	}
+	if n.role == Leader && m.Term == n.term {
+		return fault.New(fault.Internal, "", "replica %d also leads term %d", m.From, m.Term)
+	}
+	if m.Term > n.term || n.role != Follower || n.leader != m.From {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.restartTimer()
+	switch m.Kind {
+	case MsgAppend:
+		return n.handleAppend(m)
+	case MsgSnapshot:
+		n.handleSnapshot(m)
+	default:
+		n.commitTo(m.Commit)
+		n.send(Message{Kind: MsgHeartbeatResp, To: m.From, ReadSeq: m.ReadSeq})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/raft/members.go
@@ -0,0 +1,132 @@
+package raft
+
+import (
+	"slices"
+
+	"marigoldshunt/internal/fault"
+)
+
+// membership is the membership that is in force from index on.
+type membership struct {
+	index   uint64
+	members []Member
+}
+
+func find(ms []Member, id ReplicaID) *Member {
+	for i := range ms {
+		if ms[i].ID == id {
+			return &ms[i]
+		}
+	}
+	return nil
+}
+
+func isVoter(ms []Member, id ReplicaID) bool {
+	m := find(ms, id)
+	return m != nil && !m.Learner
+}
+
+// members returns the membership in force: the last one in the log, committed or not.
+func (n *Node) members() []Member { return n.memberships[len(n.memberships)-1].members }
+
+func (n *Node) membersAt(index uint64) []Member {
+	for i := len(n.memberships) - 1; i > 0; i-- {
+		if n.memberships[i].index <= index {
+			return n.memberships[i].members
+		}
+	}
+	return n.memberships[0].members
+}
+
+// resetMemberships rebuilds the list from the snapshot and the log.
+func (n *Node) resetMemberships() {
+	n.memberships = []membership{{n.log.snap.Index, n.log.snap.Members}}
+	n.noteMembers(n.log.entries)
+}
+
+// noteMembers takes the memberships in es, the new end of the log, into force.
+func (n *Node) noteMembers(es []Entry) {
+	for len(es) > 0 && len(n.memberships) > 1 && n.memberships[len(n.memberships)-1].index >= es[0].Index {
+		n.memberships = n.memberships[:len(n.memberships)-1]
+	}
+	for _, e := range es {
+		if e.Kind == EntryMembers {
+			n.memberships = append(n.memberships, membership{e.Index, e.Members})
+		}
+	}
+}
+
+// quorumValue returns the highest value that a majority of the voters has reached.
+func (n *Node) quorumValue(value func(ReplicaID) uint64) uint64 {
+	n.scratch = n.scratch[:0]
+	for _, m := range n.members() {
+		if !m.Learner {
+			n.scratch = append(n.scratch, value(m.ID))
+		}
+	}
+	if len(n.scratch) == 0 {
+		return 0
+	}
+	slices.Sort(n.scratch)
+	return n.scratch[(len(n.scratch)-1)/2]
+}
+
+// ProposeMembers appends a membership on the leader and takes it into force at once. It
+// returns NotLeader on other replicas. It returns MembershipConflict while the previous
+// membership or the leader's first entry is not committed, if the voters differ by more
+// than one, if a new voter is not a learner that holds all committed entries, and for
+// an invalid membership.
+//
+// The commit of an entry of the own term is required because a membership appended
+// before it may coexist with one of another leader, and their majorities may not overlap.
+func (n *Node) ProposeMembers(next []Member) (index, term uint64, err error) {
+	if n.role != Leader {
+		return 0, 0, n.notLeader()
+	}
+	if err := n.checkMembers(next); err != nil {
+		return 0, 0, err
+	}
+	e := n.appendOwn(Entry{Kind: EntryMembers, Members: slices.Clone(next)})
+	n.syncPeers()
+	n.advanceCommit()
+	return e.Index, e.Term, nil
+}
+
+func conflict(format string, args ...any) error {
+	return fault.New(fault.MembershipConflict, fault.NotRun, format, args...)
+}
+
+func (n *Node) checkMembers(next []Member) error {
+	if !n.ownTermCommitted() {
+		return conflict("the leader has not committed an entry of term %d yet", n.term)
+	}
+	if at := n.memberships[len(n.memberships)-1].index; at > n.log.commit {
+		return conflict("the membership at index %d is not committed yet", at)
+	}
+	voters, changed := 0, 0
+	for i, m := range next {
+		if m.ID == 0 || find(next[:i], m.ID) != nil {
+			return conflict("replica %d is zero or listed twice", m.ID)
+		}
+		if m.Learner {
+			continue
+		}
+		voters++
+		if isVoter(n.members(), m.ID) {
+			continue
+		}
+		changed++
+		if p := n.peers[m.ID]; p == nil || p.match < n.log.commit || !n.active(p) {
+			return conflict("replica %d is not a learner that has caught up", m.ID)
+		}
+	}
+	for _, m := range n.members() {
+		if !m.Learner && !isVoter(next, m.ID) {
+			changed++
+		}
+	}
+	if voters == 0 || changed > 1 {
+		return conflict("%d voters, %d of them changed; at most one may change at a time", voters, changed)
+	}
+	return nil
+}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -5,8 +5,8 @@
 // Invariants:
 //
 //   - Election safety: at most one leader per term. A replica votes once per term, the
-//     vote is saved before the answer is sent, and only voters of the replica's own
-//     membership vote.
+//     vote is saved before the answer is sent. A candidate counts only voters of its own
+//     membership, and a replica that its own membership does not list never votes.
 //   - Leader append-only: a leader never changes or drops entries of its own log.
 //   - Log matching: two logs that hold an entry with the same index and term are equal
 //     up to that entry. An append is accepted only if the preceding entry matches.
@@ -29,8 +29,8 @@
 // that lost its disk returns with a different id. Zero means none.
 type ReplicaID uint64
 
-// Member is one replica of the group. A learner receives the log but neither votes nor
-// counts towards a majority.
+// Member is one replica of the group. A learner receives the log but is never asked for
+// a vote and does not count towards a majority.
 type Member struct {
 	ID      ReplicaID
 	Host    string
