Add upstream client, discovery and upstream emulator

Cause: routers need whole answers, true run states and calls that end when the caller leaves; the client of fasthttp repeats calls and cannot close one connection. Change: the engine client owns its connections and uses the codec of fasthttp; discovery is a pure selection; the emulator counts runs, cold overloads and stale orders. Before: no code.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -7,7 +7,6 @@
 package engine
 
 import (
-	"context"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -31,6 +30,8 @@
 	ID string
 	// Key is the idempotency key, which plain services receive unchanged.
 	Key string
+	// Prefix identifies the beginning of the prompt; engines name it in cache events.
+	Prefix wire.Digest
 	// Offset is the number of events that earlier attempts delivered.
 	Offset int
 	// Stream asks for server-sent events.
@@ -43,6 +44,7 @@
 	// spans several attempts passes on only the first call.
 	Begin(status int, contentType string, header [][2]string) error
 	// Write receives whole events of a stream, or the whole body of another answer.
+	// Answers that are not streamed carry their Content-Length in Begin's header.
 	// It must not keep p.
 	Write(p []byte) error
 }
@@ -60,7 +62,7 @@
 	// Queued is the engine's queue length, -1 when unknown.
 	Queued int
 	// Delivered is the number of events that this attempt gave to the sink, without
-	// the final [DONE].
+	// the final [DONE]. A resumed attempt starts at Offset + Delivered.
 	Delivered int
 	// Began is true when Sink.Begin was called.
 	Began bool
@@ -119,32 +121,50 @@
 	Now func() time.Time
 }
 
-// Client calls upstreams. It is safe for concurrent use.
-type Client struct{ o Options }
-
-// New returns a Client.
-func New(o Options) *Client { return &Client{o: o} }
+// Defaults of Options.
+const (
+	defaultConnectTimeout = time.Second
+	defaultIdleTimeout    = 60 * time.Second
+	defaultKeepIdle       = 30 * time.Second
+	defaultMaxIdle        = 64
+	defaultMaxAnswerBytes = 8 << 20
+	defaultMaxEventBytes  = 1 << 20
+	// readBufferBytes also bounds the header of an answer.
+	readBufferBytes  = 16 << 10
+	writeBufferBytes = 4 << 10
+)
 
-// Do runs one attempt. Cancelling ctx closes the upstream connection.
-func (c *Client) Do(ctx context.Context, r *Request, s Sink) Result {
-	return Result{Outcome: wire.OutcomeUnreachable, Queued: -1, Err: fault.New(fault.Internal, fault.NotRun, "not implemented")}
+// Client calls upstreams. It is safe for concurrent use.
+type Client struct {
+	o    Options
+	pool *pool
 }
 
-// Load asks an upstream for its load report.
-func (c *Client) Load(ctx context.Context, address string) (Load, error) {
-	return Load{}, fault.New(fault.Internal, "", "not implemented")
+// New returns a Client.
+func New(o Options) *Client {
+	setDefault(&o.ConnectTimeout, defaultConnectTimeout)
+	setDefault(&o.IdleTimeout, defaultIdleTimeout)
+	setDefault(&o.KeepIdle, defaultKeepIdle)
+	setDefault(&o.MaxIdlePerAddress, defaultMaxIdle)
+	setDefault(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
+	setDefault(&o.MaxEventBytes, defaultMaxEventBytes)
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	c := &Client{o: o}
+	c.pool = &pool{o: &c.o, idle: map[string][]*conn{}}
+	return c
 }
 
-// CacheEvents asks an engine for the cache events after since.
-func (c *Client) CacheEvents(ctx context.Context, address string, since uint64) (CacheBatch, error) {
-	return CacheBatch{}, fault.New(fault.Internal, "", "not implemented")
-}
+// Close closes the unused connections.
+func (c *Client) Close() { c.pool.close() }
 
-// Order sends an order. It returns a StaleFence error when the upstream has seen a
-// higher fencing number.
-func (c *Client) Order(ctx context.Context, address string, o Order) error {
-	return fault.New(fault.Internal, "", "not implemented")
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
 }
-
-// Close closes the unused connections.
-func (c *Client) Close() {}
