--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,252 @@
+package settings
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"net/url"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Bounds of values.
+const (
+	// MinKeyBytes is the least length of the peer key, 256 bits for random bytes.
+	MinKeyBytes = 32
+	maxKeyBytes = 4096
+	// maxControlHosts is the number of hosts dedicated to control at the target scale.
+	maxControlHosts     = 8
+	maxShutdownDeadline = 24 * time.Hour
+	maxConnections      = 1_000_000
+	minHeaderBytes      = 1 << 10
+	maxHeaderBytes      = 1 << 20
+	maxReadTimeout      = 10 * time.Minute
+)
+
+// namePattern is the form of names of hosts, data centres and regions. The peer
+// protocol limits host names to 64 bytes.
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$`)
+
+// checker turns a file into settings and keeps the first refusal.
+type checker struct {
+	name, folder string
+	err          error
+}
+
+func (c *checker) refuse(key, format string, args ...any) {
+	if c.err == nil {
+		c.err = refuse(c.name, key, format, args...)
+	}
+}
+
+func (c *checker) settings(f *file) *Settings {
+	s := &Settings{
+		Host:          c.objectName("host", f.Host),
+		DataCentre:    c.objectName("data_centre", f.DataCentre),
+		Region:        c.objectName("region", f.Region),
+		CallerAddress: c.address("caller_address", f.CallerAddress),
+		AdminAddress:  c.address("admin_address", f.AdminAddress),
+		PeerAddress:   c.address("peer_address", f.PeerAddress),
+		DataFolder:    c.path(f.DataFolder),
+		PeerKey:       c.peerKey(f),
+
+		OperatorKeyHashes: c.hashes(f.OperatorKeyHashes),
+		LogLevel:          c.logLevel(f.LogLevel),
+		ShutdownDeadline:  c.duration("shutdown_deadline", f.ShutdownDeadline, maxShutdownDeadline),
+		PlatformHosts:     c.platformHosts(f.PlatformHosts),
+		CallerLimits: CallerLimits{
+			MaxConnections: c.number("caller_limits.max_connections", f.CallerLimits.MaxConnections, 1, maxConnections),
+			HeaderBytes:    c.number("caller_limits.header_bytes", f.CallerLimits.HeaderBytes, minHeaderBytes, maxHeaderBytes),
+			ReadTimeout:    c.duration("caller_limits.read_timeout", f.CallerLimits.ReadTimeout, maxReadTimeout),
+		},
+	}
+	for _, h := range f.ControlHosts {
+		s.ControlHosts = append(s.ControlHosts, ControlHost{Name: h.Name, Address: h.Address})
+	}
+	if c.err == nil {
+		c.distinctAddresses(s)
+		c.controlHosts(s)
+		c.publishedKeys(s)
+	}
+	return s
+}
+
+func (c *checker) objectName(key, v string) string {
+	switch {
+	case v == "":
+		c.refuse(key, "required")
+	case !namePattern.MatchString(v):
+		c.refuse(key, "%q is not a name of 1 to 64 letters, digits, dots, dashes and underscores", v)
+	}
+	return v
+}
+
+func (c *checker) address(key, v string) string {
+	if v == "" {
+		c.refuse(key, "required")
+		return v
+	}
+	a, err := netip.ParseAddrPort(v)
+	switch {
+	case err != nil:
+		c.refuse(key, "%q is not IP:port; names are not resolved", v)
+	case a.Port() == 0:
+		c.refuse(key, "port 0 can't be reached by other hosts")
+	case a.Addr().IsMulticast():
+		c.refuse(key, "%s is a multicast address", a.Addr())
+	}
+	return v
+}
+
+// distinctAddresses refuses listeners that would collide.
+func (c *checker) distinctAddresses(s *Settings) {
+	keys := []string{"caller_address", "admin_address", "peer_address"}
+	values := []string{s.CallerAddress, s.AdminAddress, s.PeerAddress}
+	for i := range values {
+		for j := range i {
+			a, b := netip.MustParseAddrPort(values[i]), netip.MustParseAddrPort(values[j])
+			shared := a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+			if shared && a.Port() == b.Port() {
+				c.refuse(keys[i], "%s collides with %s", values[i], keys[j])
+			}
+		}
+	}
+}
+
+func (c *checker) controlHosts(s *Settings) {
+	if n := len(s.ControlHosts); n == 0 || n > maxControlHosts {
+		c.refuse("control_hosts", "%d control hosts; between 1 and %d are allowed", n, maxControlHosts)
+	}
+	names, addresses := map[string]bool{}, map[string]bool{}
+	for _, h := range s.ControlHosts {
+		c.objectName("control_hosts.name", h.Name)
+		c.address("control_hosts.address", h.Address)
+		if c.err != nil {
+			return
+		}
+		if names[h.Name] || addresses[h.Address] {
+			c.refuse("control_hosts", "host %s or address %s occurs twice", h.Name, h.Address)
+		}
+		names[h.Name], addresses[h.Address] = true, true
+		if netip.MustParseAddrPort(h.Address).Addr().IsUnspecified() {
+			c.refuse("control_hosts.address", "%s can't be connected to", h.Address)
+		}
+		mine := netip.MustParseAddrPort(s.PeerAddress)
+		if h.Name == s.Host && !mine.Addr().IsUnspecified() && h.Address != s.PeerAddress {
+			c.refuse("control_hosts.address", "%s is not the peer_address %s of this host", h.Address, s.PeerAddress)
+		}
+	}
+	switch {
+	case names[s.Host] && s.DataFolder == "":
+		c.refuse("data_folder", "required, because control_hosts lists this host")
+	case !names[s.Host] && s.DataFolder != "":
+		c.refuse("data_folder", "must be empty, because control_hosts does not list this host")
+	}
+}
+
+// publishedKeys refuses the keys of the embedded default outside loopback.
+func (c *checker) publishedKeys(s *Settings) {
+	if c.name == defaultName {
+		return
+	}
+	d := Default()
+	loopback := func(a string) bool { return netip.MustParseAddrPort(a).Addr().IsLoopback() }
+	if string(s.PeerKey) == string(d.PeerKey) && !loopback(s.PeerAddress) {
+		c.refuse("peer_key", "the published development key is allowed on loopback only")
+	}
+	for _, h := range s.OperatorKeyHashes {
+		if h == d.OperatorKeyHashes[0] && !loopback(s.AdminAddress) {
+			c.refuse("operator_key_hashes", "the published development credential is allowed on loopback only")
+		}
+	}
+}
+
+func (c *checker) peerKey(f *file) Secret {
+	key, field := f.PeerKey, "peer_key"
+	switch {
+	case f.PeerKey != "" && f.PeerKeyFile != "":
+		c.refuse("peer_key_file", "peer_key is set as well; only one is allowed")
+	case f.PeerKey == "" && f.PeerKeyFile == "":
+		c.refuse("peer_key", "required, unless peer_key_file is set")
+	case f.PeerKeyFile != "":
+		field = "peer_key_file"
+		data, err := readBounded(c.path(f.PeerKeyFile))
+		if err != nil {
+			c.refuse(field, "%s", err)
+			return nil
+		}
+		key = trimKey(data)
+	}
+	if len(key) < MinKeyBytes || len(key) > maxKeyBytes {
+		c.refuse(field, "the key has %d bytes; between %d and %d are allowed", len(key), MinKeyBytes, maxKeyBytes)
+	}
+	return Secret(key)
+}
+
+func (c *checker) hashes(list []string) []string {
+	seen := map[string]bool{}
+	for _, h := range list {
+		b, err := hex.DecodeString(h)
+		switch {
+		case err != nil || len(b) != 32 || strings.ToLower(h) != h:
+			// The value is not shown: it may be a credential put here by mistake.
+			c.refuse("operator_key_hashes", "an entry is not a SHA-256 hash of 64 lower-case hex digits")
+		case seen[h]:
+			c.refuse("operator_key_hashes", "hash %s occurs twice", h)
+		}
+		seen[h] = true
+	}
+	return list
+}
+
+func (c *checker) logLevel(v string) logrus.Level {
+	l, err := logrus.ParseLevel(v)
+	if err != nil {
+		c.refuse("log_level", "%q is not one of error, warning, info, debug and trace", v)
+	}
+	return l
+}
+
+func (c *checker) duration(key string, v duration, limit time.Duration) time.Duration {
+	d := time.Duration(v)
+	if d <= 0 || d > limit {
+		c.refuse(key, "%s is not above 0 and at most %s", d, limit)
+	}
+	return d
+}
+
+func (c *checker) number(key string, v, low, high int) int {
+	if v < low || v > high {
+		c.refuse(key, "%d is not between %d and %d", v, low, high)
+	}
+	return v
+}
+
+func (c *checker) platformHosts(v string) string {
+	if !strings.Contains(v, "://") {
+		return c.path(v)
+	}
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		c.refuse("platform_hosts", "%q is not a file or an HTTP URL", v)
+		return v
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		c.refuse("platform_hosts", "%q is not an IP address; names are not resolved", u.Hostname())
+	}
+	if u.User != nil {
+		c.refuse("platform_hosts", "the URL must not hold a credential")
+	}
+	return v
+}
+
+// path returns a path that is relative to the settings file as one that is not.
+func (c *checker) path(v string) string {
+	if v == "" || filepath.IsAbs(v) {
+		return v
+	}
+	return filepath.Join(c.folder, v)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,206 @@
+// Package settings reads the static settings of the daemon from TOML.
+//
+// Every field is checked before anything starts. Each refusal is an InvalidSettings
+// error that names the file, the key and the reason.
+package settings
+
+import (
+	_ "embed"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/fault"
+)
+
+//go:embed default.toml
+var defaultTOML string
+
+// defaultName stands for the file name in errors about the embedded settings.
+const defaultName = "default settings"
+
+// maxFileBytes bounds the settings file and the key file.
+const maxFileBytes = 1 << 20
+
+// Secret is a key that formats as a placeholder, so that it can't reach logs.
+type Secret []byte
+
+// String returns a placeholder.
+func (Secret) String() string { return "[hidden]" }
+
+// GoString returns a placeholder.
+func (Secret) GoString() string { return "[hidden]" }
+
+// Format writes a placeholder for every verb.
+func (Secret) Format(f fmt.State, _ rune) { io.WriteString(f, "[hidden]") }
+
+// MarshalText returns a placeholder.
+func (Secret) MarshalText() ([]byte, error) { return []byte("[hidden]"), nil }
+
+// ControlHost is a member of the control group and its peer address.
+type ControlHost struct {
+	Name    string
+	Address string
+}
+
+// CallerLimits bound what callers can use before they are known.
+type CallerLimits struct {
+	MaxConnections int
+	HeaderBytes    int
+	ReadTimeout    time.Duration
+}
+
+// Settings are the checked static settings of one host. Addresses are IP:port.
+type Settings struct {
+	Host          string
+	DataCentre    string
+	Region        string
+	CallerAddress string
+	AdminAddress  string
+	PeerAddress   string
+	// DataFolder is empty on hosts without the control role.
+	DataFolder   string
+	ControlHosts []ControlHost
+	PeerKey      Secret
+	// OperatorKeyHashes are hex SHA-256 hashes of the credentials that are accepted
+	// until the replicated configuration has operators.
+	OperatorKeyHashes []string
+	LogLevel          logrus.Level
+	ShutdownDeadline  time.Duration
+	// PlatformHosts is the file or URL of the platform's host list; empty for none.
+	PlatformHosts string
+	CallerLimits  CallerLimits
+}
+
+// file is the form of the settings file.
+type file struct {
+	Host          string `toml:"host"`
+	DataCentre    string `toml:"data_centre"`
+	Region        string `toml:"region"`
+	CallerAddress string `toml:"caller_address"`
+	AdminAddress  string `toml:"admin_address"`
+	PeerAddress   string `toml:"peer_address"`
+	DataFolder    string `toml:"data_folder"`
+	ControlHosts  []struct {
+		Name    string `toml:"name"`
+		Address string `toml:"address"`
+	} `toml:"control_hosts"`
+	PeerKey           string   `toml:"peer_key"`
+	PeerKeyFile       string   `toml:"peer_key_file"`
+	OperatorKeyHashes []string `toml:"operator_key_hashes"`
+	LogLevel          string   `toml:"log_level"`
+	ShutdownDeadline  duration `toml:"shutdown_deadline"`
+	PlatformHosts     string   `toml:"platform_hosts"`
+	CallerLimits      struct {
+		MaxConnections int      `toml:"max_connections"`
+		HeaderBytes    int      `toml:"header_bytes"`
+		ReadTimeout    duration `toml:"read_timeout"`
+	} `toml:"caller_limits"`
+}
+
+// duration is a time with a unit, such as "30s". A number without a unit is refused.
+type duration time.Duration
+
+// UnmarshalText parses a duration.
+func (d *duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = duration(v)
+	return err
+}
+
+// Load reads and checks a settings file. Relative paths in it belong to its folder.
+// Optional keys that it omits have the value of the embedded default.
+func Load(path string) (*Settings, error) {
+	data, err := readBounded(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.InvalidSettings, "", "%s", path)
+	}
+	return parse(path, filepath.Dir(path), string(data))
+}
+
+// Default returns the embedded settings of one control host on loopback. Its data
+// folder is relative to the working directory.
+func Default() *Settings {
+	s, err := parse(defaultName, "", defaultTOML)
+	if err != nil {
+		// The embedded file is part of the program, and a test loads it.
+		panic(err)
+	}
+	return s
+}
+
+func parse(name, folder, text string) (*Settings, error) {
+	var f file
+	meta, err := toml.Decode(text, &f)
+	if err != nil {
+		return nil, decodeError(name, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, refuse(name, unknown[0].String(), "unknown key")
+	}
+	if name != defaultName {
+		fillOptional(&f, meta)
+	}
+	c := &checker{name: name, folder: folder}
+	s := c.settings(&f)
+	if c.err != nil {
+		return nil, c.err
+	}
+	return s, nil
+}
+
+// fillOptional copies the optional keys that a file omits from the embedded default.
+func fillOptional(f *file, meta toml.MetaData) {
+	var d file
+	if _, err := toml.Decode(defaultTOML, &d); err != nil {
+		panic(err)
+	}
+	for _, o := range []struct {
+		key  []string
+		copy func()
+	}{
+		{[]string{"region"}, func() { f.Region = d.Region }},
+		{[]string{"log_level"}, func() { f.LogLevel = d.LogLevel }},
+		{[]string{"shutdown_deadline"}, func() { f.ShutdownDeadline = d.ShutdownDeadline }},
+		{[]string{"caller_limits", "max_connections"}, func() { f.CallerLimits.MaxConnections = d.CallerLimits.MaxConnections }},
+		{[]string{"caller_limits", "header_bytes"}, func() { f.CallerLimits.HeaderBytes = d.CallerLimits.HeaderBytes }},
+		{[]string{"caller_limits", "read_timeout"}, func() { f.CallerLimits.ReadTimeout = d.CallerLimits.ReadTimeout }},
+	} {
+		if !meta.IsDefined(o.key...) {
+			o.copy()
+		}
+	}
+}
+
+func decodeError(name string, err error) error {
+	var p toml.ParseError
+	if errors.As(err, &p) {
+		return fault.New(fault.InvalidSettings, "", "%s: line %d: %s: %s", name, p.Position.Line, p.LastKey, p.Message)
+	}
+	return fault.New(fault.InvalidSettings, "", "%s: %s", name, err)
+}
+
+func refuse(name, key, format string, args ...any) error {
+	e := fault.New(fault.InvalidSettings, "", format, args...)
+	return fault.New(fault.InvalidSettings, "", "%s: %s: %s", name, key, e.Message())
+}
+
+func readBounded(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if !info.Mode().IsRegular() || info.Size() > maxFileBytes {
+		return nil, fault.New(fault.InvalidSettings, "", "not a regular file of at most %d bytes", maxFileBytes)
+	}
+	return os.ReadFile(path)
+}
+
+func trimKey(b []byte) string { return strings.TrimRight(string(b), "\r\n") }
