Set the policy that the discovery test is about

Cause: new configurations now carry a default keep-for time, so the test of the fallback no longer reached it. Change: the test clears the policy value; its assertion is unchanged. Measured: the test passes, and fails when the fallback is removed from the code. Conclusion: no change in behaviour.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -29,6 +29,7 @@
 func TestSelectOmitsHostsNotInService(t *testing.T) {
 	c := qt.New(t)
 	cfg, st := fleet(2)
+	cfg.Policy.KeepFor = 0
 	cfg.DataCentres["b"] = config.DataCentre{Name: "b", Out: true}
 	h := cfg.Hosts["c0"]
 	h.Out = true
