Add the operator tool marigoldshuntctl

Cause: operators need to form and repair the control group, change the configuration, take data centres out and back, send orders and see the fleet. Change: internal/ctl with the commands of the tool and a thin main. Requests go to the hosts in turn with one request id, so that a resend after a lost answer is recognised; control init and replace carry no id and are sent again only if no host received them. config apply shows differences and expects the compared revisions. datacentre out waits until every living host has applied the change and runs no request there. The timeline is merged by the hybrid clock. After: go test -race -count=10 ./internal/ctl passes in 16 s against the real admin API and replicated state, with a first host that is down and an answer lost after the commit. Conclusion: the tool can be used as soon as the daemon serves the admin API.

--- /dev/null
+++ b/internal/ctl/config.go
@@ -0,0 +1,185 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"marigoldshunt/internal/admin"
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+)
+
+func (a *app) configCommand() *ffcli.Command {
+	return a.group("config", "Show or change the configuration of the fleet", a.configGet(), a.configApply())
+}
+
+func fetchConfig(ctx context.Context, c *client) (*config.Config, error) {
+	cfg := config.New()
+	if err := c.get(ctx, "/v1/config", cfg); err != nil {
+		return nil, err
+	}
+	return cfg, nil
+}
+
+func (a *app) configGet() *ffcli.Command {
+	fs := a.flags("get")
+	kind := fs.String("kind", "", "only objects of this kind, for example upstream")
+	return &ffcli.Command{
+		Name: "get", ShortHelp: "List the objects of the configuration", FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if _, err := positional(fs, args); err != nil {
+				return err
+			}
+			c, err := a.connect()
+			if err != nil {
+				return err
+			}
+			cfg, err := fetchConfig(ctx, c)
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			var selected []config.Change
+			for _, ch := range cfg.All() {
+				ref, err := ch.Ref()
+				if err != nil {
+					return err
+				}
+				if *kind != "" && ref.Kind != *kind {
+					continue
+				}
+				selected = append(selected, ch)
+				revision, _ := cfg.RevisionOf(ref)
+				rows = append(rows, []string{ref.Kind, ref.Name, fmt.Sprint(revision), summary(object(ch))})
+			}
+			if *kind != "" {
+				return a.show(selected, "KIND NAME REVISION VALUES", rows)
+			}
+			return a.show(cfg, "KIND NAME REVISION VALUES", rows)
+		},
+	}
+}
+
+func (a *app) configApply() *ffcli.Command {
+	fs := a.flags("apply")
+	id := fs.String("request-id", "", "request id of an earlier attempt whose answer was lost")
+	dryRun := fs.Bool("dry-run", false, "only show what would change")
+	return &ffcli.Command{
+		Name: "apply", ShortUsage: "marigoldshuntctl config apply [flags] FILE",
+		ShortHelp: "Apply a TOML file of objects as one change", FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			names, err := positional(fs, args, "FILE")
+			if err != nil {
+				return err
+			}
+			data, err := os.ReadFile(names[0])
+			if err != nil {
+				return usageError(err.Error())
+			}
+			changes, err := config.ParseFile(names[0], data)
+			if err != nil {
+				return err
+			}
+			c, err := a.connect()
+			if err != nil {
+				return err
+			}
+			cfg, err := fetchConfig(ctx, c)
+			if err != nil {
+				return err
+			}
+			p, err := planChanges(cfg, changes)
+			if err != nil {
+				return err
+			}
+			return a.commit(ctx, c, p, requestID(*id), *dryRun)
+		},
+	}
+}
+
+// plan is the difference between the configuration and a list of wanted objects.
+type plan struct {
+	RequestID string          `json:"request_id"`
+	Lines     []string        `json:"differences"`
+	Changes   []config.Change `json:"-"`
+	Unchanged int             `json:"unchanged"`
+	Revision  uint64          `json:"revision"`
+}
+
+// planChanges finds the objects that differ. A change that names no revision expects
+// the one that was compared, so that nothing is replaced that was not shown.
+func planChanges(cfg *config.Config, wanted []config.Change) (*plan, error) {
+	current := map[config.ObjectRef]config.Change{}
+	for _, ch := range cfg.All() {
+		ref, err := ch.Ref()
+		if err != nil {
+			return nil, err
+		}
+		current[ref] = ch
+	}
+	p := &plan{Revision: cfg.Revision}
+	for _, ch := range wanted {
+		ref, err := ch.Ref()
+		if err != nil {
+			return nil, err
+		}
+		revision, _ := cfg.RevisionOf(ref)
+		if ch.IfRevision == 0 {
+			ch.IfRevision = revision
+		}
+		// An object that is absent although a revision was named may have been deleted by
+		// an earlier attempt; the fleet knows.
+		old, exists := current[ref]
+		switch {
+		case ch.Delete != nil && !exists && revision == ch.IfRevision:
+			return nil, fault.New(fault.NotFound, fault.NotRun, "%s %q is not in the configuration", ref.Kind, ref.Name)
+		case ch.Delete != nil:
+			p.Lines = append(p.Lines, fmt.Sprintf("- %s %s", ref.Kind, ref.Name))
+		case !exists:
+			p.Lines = append(p.Lines, fmt.Sprintf("+ %s %s: %s", ref.Kind, ref.Name, summary(object(ch))))
+		default:
+			d := difference(object(old), object(ch))
+			if d == "" {
+				p.Unchanged++
+				continue
+			}
+			p.Lines = append(p.Lines, fmt.Sprintf("~ %s %s: %s", ref.Kind, ref.Name, d))
+		}
+		p.Changes = append(p.Changes, ch)
+	}
+	return p, nil
+}
+
+// commit shows a plan and sends its changes as one request.
+func (a *app) commit(ctx context.Context, c *client, p *plan, id string, dryRun bool) error {
+	p.RequestID = id
+	if !a.json {
+		for _, line := range p.Lines {
+			fmt.Fprintln(a.out, line)
+		}
+		fmt.Fprintf(a.out, "%d objects differ, %d are unchanged.\n", len(p.Changes), p.Unchanged)
+	}
+	if dryRun || len(p.Changes) == 0 {
+		if a.json {
+			return a.printJSON(p)
+		}
+		return nil
+	}
+	var answer admin.RevisionAnswer
+	err := c.post(ctx, "/v1/config", admin.ChangeRequest{RequestID: id, Changes: p.Changes}, &answer, safe)
+	if err != nil {
+		if len(p.Changes) == 1 {
+			return a.explain(err, id, p.Changes[0].IfRevision)
+		}
+		return a.explain(err, id, 0)
+	}
+	p.Revision = answer.Revision
+	if a.json {
+		return a.printJSON(p)
+	}
+	_, err = fmt.Fprintf(a.out, "Accepted as revision %d.\n", answer.Revision)
+	return outputError(err)
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,226 @@
+// Package ctl implements marigoldshuntctl, the tool of the operators.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"marigoldshunt/internal/fault"
+)
+
+// EnvPrefix precedes the names of the global flags in the environment, for example
+// MARIGOLDSHUNTCTL_HOSTS and MARIGOLDSHUNTCTL_KEY_FILE.
+const EnvPrefix = "MARIGOLDSHUNTCTL"
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitInternal    = 1
+	ExitUsage       = 2
+	ExitCredential  = 3
+	ExitNotFound    = 4
+	ExitConflict    = 5
+	ExitInvalid     = 6
+	ExitUnavailable = 7
+	// ExitUnknown means that the request may have had its effect.
+	ExitUnknown = 8
+)
+
+const defaultTimeout = 15 * time.Second
+
+// app is one run of the tool.
+type app struct {
+	in       io.Reader
+	out, err io.Writer
+
+	hosts, key, keyFile string
+	timeout             time.Duration
+	json                bool
+	// poll is the time between two looks at the progress.
+	poll time.Duration
+}
+
+// Run executes the command line and returns the exit code.
+func Run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
+	a := &app{in: in, out: out, err: errOut, poll: time.Second}
+	return a.run(ctx, args)
+}
+
+func (a *app) run(ctx context.Context, args []string) int {
+	err := a.root().ParseAndRun(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitUsage
+	}
+	var usage usageError
+	var typed *fault.Error
+	if !errors.As(err, &typed) || errors.As(err, &usage) {
+		fmt.Fprintf(a.err, "marigoldshuntctl: %s\n", err)
+		return ExitUsage
+	}
+	fmt.Fprintf(a.err, "marigoldshuntctl: %s\n", typed)
+	if typed.Code == fault.RevisionConflict && typed.Revision != 0 {
+		fmt.Fprintf(a.err, "The object is at revision %d. Look at it and repeat the command.\n", typed.Revision)
+	}
+	return exitCode(typed)
+}
+
+// usageError is a mistake in the command line.
+type usageError string
+
+func (e usageError) Error() string { return string(e) }
+
+func usagef(format string, args ...any) error { return usageError(fmt.Sprintf(format, args...)) }
+
+// exitCode returns the class of a failure.
+func exitCode(e *fault.Error) int {
+	switch e.Code {
+	case fault.Unauthenticated, fault.Forbidden:
+		return ExitCredential
+	case fault.NotFound, fault.PoolUnknown:
+		return ExitNotFound
+	case fault.RevisionConflict, fault.NotFormed, fault.AlreadyFormed, fault.MembershipConflict, fault.StaleFence:
+		return ExitConflict
+	case fault.InvalidConfig, fault.BadRequest, fault.BodyTooLarge:
+		return ExitInvalid
+	case fault.PeerUnreachable, fault.Timeout, fault.NotLeader, fault.NoQuorum, fault.HostIsolated,
+		fault.HostLeaving, fault.StorageFailed, fault.StorageCorrupt, fault.RegionUnreachable:
+		if e.Run == fault.MayHaveRun {
+			return ExitUnknown
+		}
+		return ExitUnavailable
+	}
+	return ExitInternal
+}
+
+func (a *app) root() *ffcli.Command {
+	fs := a.flags("marigoldshuntctl")
+	fs.StringVar(&a.key, "key", "", "credential of the operator; visible to other users, prefer -key-file")
+	return &ffcli.Command{
+		ShortUsage: "marigoldshuntctl [flags] <command>",
+		LongHelp:   "Flags are also read from " + EnvPrefix + "_HOSTS, _KEY, _KEY_FILE, _TIMEOUT and _JSON.",
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(EnvPrefix)},
+		Exec:       needsCommand,
+		Subcommands: []*ffcli.Command{
+			a.controlCommand(), a.configCommand(), a.contractCommand(),
+			a.serviceCommand(dataCentres), a.serviceCommand(hosts), a.serviceCommand(upstreams),
+			a.orderCommand(), a.statusCommand(), a.timelineCommand(), a.metricsCommand(),
+			a.hashCommand(), a.versionCommand(),
+		},
+	}
+}
+
+// flags returns a flag set with the global flags, which every command takes. Only the
+// root reads the environment, so that it never overrides a flag.
+func (a *app) flags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(a.err)
+	if a.timeout == 0 {
+		a.timeout = defaultTimeout
+	}
+	fs.StringVar(&a.hosts, "hosts", a.hosts, "admin addresses IP:port, separated by commas, tried in turn")
+	fs.StringVar(&a.keyFile, "key-file", a.keyFile, "file with the credential of the operator")
+	fs.DurationVar(&a.timeout, "timeout", a.timeout, "time limit of a request")
+	fs.BoolVar(&a.json, "json", a.json, "print JSON")
+	return fs
+}
+
+// group returns a command that only has subcommands.
+func (a *app) group(name, help string, sub ...*ffcli.Command) *ffcli.Command {
+	return &ffcli.Command{
+		Name: name, ShortHelp: help, ShortUsage: "marigoldshuntctl " + name + " <command>",
+		FlagSet: a.flags(name), Subcommands: sub, Exec: needsCommand,
+	}
+}
+
+func needsCommand(_ context.Context, args []string) error {
+	if len(args) > 0 {
+		return usagef("unknown command %q", args[0])
+	}
+	return flag.ErrHelp
+}
+
+// positional returns the arguments that are not flags. Flags may follow them.
+func positional(fs *flag.FlagSet, args []string, names ...string) ([]string, error) {
+	var out []string
+	for len(args) > 0 {
+		if strings.HasPrefix(args[0], "-") && args[0] != "-" {
+			if err := fs.Parse(args); err != nil {
+				return nil, usageError(err.Error())
+			}
+			args = fs.Args()
+			continue
+		}
+		out, args = append(out, args[0]), args[1:]
+	}
+	if len(out) != len(names) {
+		return nil, usagef("%d arguments given, expected %d: %s", len(out), len(names), strings.Join(names, " "))
+	}
+	return out, nil
+}
+
+// connect returns a client for the hosts and the credential of the flags.
+func (a *app) connect() (*client, error) {
+	var list []string
+	for h := range strings.SplitSeq(a.hosts, ",") {
+		if h = strings.TrimSpace(h); h == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(h); err != nil {
+			return nil, usagef("-hosts: %q is not IP:port", h)
+		}
+		list = append(list, h)
+	}
+	if len(list) == 0 {
+		return nil, usagef("-hosts or %s_HOSTS is required", EnvPrefix)
+	}
+	key := a.key
+	if a.keyFile != "" {
+		if key != "" {
+			return nil, usagef("-key and -key-file exclude each other")
+		}
+		data, err := os.ReadFile(a.keyFile)
+		if err != nil {
+			return nil, usagef("-key-file: %s", err)
+		}
+		key = strings.TrimRight(string(data), "\r\n")
+	}
+	if key == "" {
+		return nil, usagef("-key-file, -key or their environment variables are required")
+	}
+	return newClient(list, key, a.timeout), nil
+}
+
+// requestID returns the id of the flag, or a new one.
+func requestID(given string) string {
+	if given != "" {
+		return given
+	}
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+// explain tells how to find out the outcome of a request that may have run.
+func (a *app) explain(err error, id string, ifRevision uint64) error {
+	if err != nil && fault.As(err).Run == fault.MayHaveRun {
+		flags := "-request-id " + id
+		if ifRevision != 0 {
+			flags += fmt.Sprintf(" (and -if-revision %d where the command has it)", ifRevision)
+		}
+		fmt.Fprintf(a.err, "The outcome is unknown. Repeat the command with %s to learn it.\n", flags)
+	}
+	return err
+}
