Answer oversize changes with status 413

Cause: a change that no frame between hosts can hold was answered as an internal error. Change: frame_too_large maps to status 413 and to the exit code for invalid requests. Conclusion: the operator sees that the request, not the fleet, is at fault.

--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -85,7 +85,7 @@
 		return fasthttp.StatusNotFound
 	case fault.RevisionConflict, fault.NotFormed, fault.AlreadyFormed, fault.MembershipConflict, fault.StaleFence:
 		return fasthttp.StatusConflict
-	case fault.BodyTooLarge:
+	case fault.BodyTooLarge, fault.FrameTooLarge:
 		return fasthttp.StatusRequestEntityTooLarge
 	case fault.KeyReused:
 		return fasthttp.StatusUnprocessableEntity
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -94,7 +94,7 @@
 		return ExitNotFound
 	case fault.RevisionConflict, fault.NotFormed, fault.AlreadyFormed, fault.MembershipConflict, fault.StaleFence:
 		return ExitConflict
-	case fault.InvalidConfig, fault.BadRequest, fault.BodyTooLarge:
+	case fault.InvalidConfig, fault.BadRequest, fault.BodyTooLarge, fault.FrameTooLarge:
 		return ExitInvalid
 	case fault.PeerUnreachable, fault.Timeout, fault.NotLeader, fault.NoQuorum, fault.HostIsolated,
 		fault.HostLeaving, fault.StorageFailed, fault.StorageCorrupt, fault.RegionUnreachable:
