Add the control node, its client and host liveness

Cause: the replicated state needs a runtime on the control hosts, and every host needs its configuration, leases and a way to propose commands.

Change: internal/control runs raft, log and state in one goroutine per control host, batches proposals and reads, forms the group, replaces lost replicas, assigns leases, pushes changes and sends orders. The client renews, follows revisions in order and holds leases counted from before the Renew was sent. internal/membership judges liveness from heartbeats. Messages above 512 KiB travel in acknowledged parts of 256 KiB.

--- /dev/null
+++ b/internal/control/ports.go
@@ -0,0 +1,132 @@
+// Package control runs the replicated log on the control hosts (Node) and keeps the
+// other hosts connected to it (Client).
+//
+// One goroutine owns the raft state machine, the log and the replicated state of a
+// Node. Everything else reaches it through a bounded queue of events.
+package control
+
+import (
+	"context"
+	"time"
+
+	"marigoldshunt/internal/raft"
+	"marigoldshunt/internal/state"
+	"marigoldshunt/internal/wire"
+)
+
+// Times of the protocol between hosts and the control leader.
+const (
+	// TickInterval is the interval of the ticks that the caller injects.
+	TickInterval = 50 * time.Millisecond
+	// RenewInterval is the interval of Renew messages.
+	RenewInterval = 400 * time.Millisecond
+	// LeaseDuration is the length of a pool lease, counted by the holder from before it
+	// sent the Renew.
+	LeaseDuration = 2 * time.Second
+	// LeaseMargin is how much longer the leader waits than the holder. It covers clocks
+	// that differ in speed by up to 5 %.
+	LeaseMargin = 100 * time.Millisecond
+	// ConfigMaxAge is how long a host serves without confirmation of its configuration.
+	ConfigMaxAge = 3500 * time.Millisecond
+	// assignGrace is how long a new leader listens for hosts before it assigns leases.
+	// Without it, the first host heard would get every pool.
+	assignGrace = time.Second
+	// hostsGrace is how long a new leader listens before it publishes its host list.
+	// Until then hosts keep the list of the previous leader.
+	hostsGrace = 3*RenewInterval + RenewInterval/2
+	// fenceWait is how long a new leader waits before it sends orders to an upstream
+	// that does not check fences.
+	fenceWait = 2 * time.Second
+	// orderTimeout bounds one order. It is shorter than fenceWait, so that an order of
+	// an old leader has ended before the new leader's first.
+	orderTimeout = time.Second
+	// orderRetry and orderAttempts govern orders that provably did not arrive.
+	orderRetry    = time.Second
+	orderAttempts = 5
+	// resendInterval is how long a client waits for the answer to a proposal.
+	resendInterval = 500 * time.Millisecond
+	// redirectDelay keeps clients from looping between hosts that know no leader.
+	redirectDelay = TickInterval
+	// formResend is the interval of repeated formation messages.
+	formResend = 500 * time.Millisecond
+
+	heartbeatTicks = 2
+	electionTicks  = 10
+)
+
+// Bounds of queues and messages.
+const (
+	inboxLength = 8_192
+	// maxDrain is the number of events handled before the log is written, so that one
+	// sync serves many proposals.
+	maxDrain           = 2_048
+	maxPending         = 32_768
+	maxRenews          = 8_192
+	maxCommandBytes    = 8 << 20
+	batchCommands      = 512
+	batchBytes         = 256 << 10
+	maxTrackedHosts    = 4_096
+	maxOrdersInFlight  = 64
+	defaultSnapEntries = 4_096
+	// maxLogBytes forces a snapshot before the entries of large commands fill the disk.
+	maxLogBytes = 32 << 20
+	// maxInline is the size from which messages are sent in chunks. Below it, the
+	// message and its envelope fit into a frame of 1 MiB.
+	maxInline = 512 << 10
+)
+
+// Transport sends messages to other hosts without waiting.
+type Transport interface {
+	Send(to string, kind wire.Kind, msg any) error
+}
+
+// Clock is the monotonic clock.
+type Clock interface{ Now() time.Duration }
+
+// Storage keeps the log and its snapshots. Save and SaveSnapshot return after the data
+// is durable.
+type Storage interface {
+	ReplicaID() raft.ReplicaID
+	Save(h *raft.HardState, entries []raft.Entry) error
+	SaveSnapshot(s raft.Snapshot) error
+	Release(index uint64) error
+	Syncs() uint64
+}
+
+// OrderSender gives an order to an upstream. It returns a fault with run state NotRun
+// when the order provably did not arrive.
+type OrderSender interface {
+	Order(ctx context.Context, address string, o state.Order, fence uint64) error
+}
+
+// Loopback delivers messages for the own host directly and hands all others to Next.
+type Loopback struct {
+	Host     string
+	Boot     uint64
+	Next     Transport
+	handlers map[wire.Kind][]func(from string, boot uint64, kind wire.Kind, payload []byte)
+}
+
+// Handle adds a handler for messages of a kind to the own host. It must be called
+// before the first Send. Handlers must not block.
+func (l *Loopback) Handle(kind wire.Kind, h func(from string, boot uint64, kind wire.Kind, payload []byte)) {
+	if l.handlers == nil {
+		l.handlers = map[wire.Kind][]func(string, uint64, wire.Kind, []byte){}
+	}
+	l.handlers[kind] = append(l.handlers[kind], h)
+}
+
+// Send implements Transport.
+func (l *Loopback) Send(to string, kind wire.Kind, msg any) error {
+	if to != l.Host {
+		return l.Next.Send(to, kind, msg)
+	}
+	payload, err := wire.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	for _, h := range l.handlers[kind] {
+		h(l.Host, l.Boot, kind, payload)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/propose.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"marigoldshunt/internal/raft"
+	"marigoldshunt/internal/state"
+	"marigoldshunt/internal/wire"
+)
+
+// caller waits for the result of a command: a host, or a function of this node. The
+// function gets ok = false when the outcome is unknown or the command was not proposed.
+type caller struct {
+	host  string
+	seq   uint64
+	local func(r state.Result, ok bool)
+}
+
+type proposal struct {
+	caller  caller
+	command []byte
+}
+
+type pendingBatch struct {
+	term    uint64
+	callers []caller
+}
+
+func (n *Node) onPropose(e event) {
+	var m wire.Propose
+	if !n.decode(e, &m) {
+		return
+	}
+	c := caller{host: e.from, seq: m.Seq}
+	if n.role != raft.Leader {
+		n.refuseProposal(c)
+		return
+	}
+	// A dropped proposal is resent by its client.
+	if len(m.Command) <= maxCommandBytes {
+		n.enqueue(proposal{c, m.Command})
+	}
+}
+
+func (n *Node) enqueue(p proposal) bool {
+	if n.waiting >= maxPending {
+		return false
+	}
+	n.waiting++
+	n.queue = append(n.queue, p)
+	return true
+}
+
+// proposeLocal proposes a command of the leader itself.
+func (n *Node) proposeLocal(c state.Command, done func(state.Result, bool)) {
+	data, err := c.Encode()
+	if err != nil || !n.enqueue(proposal{caller{local: done}, data}) {
+		done(state.Result{}, false)
+	}
+}
+
+// propose turns the queue into log entries. An entry holds many commands, but at most
+// one order, since the log index is the order's fencing number.
+func (n *Node) propose() {
+	if n.role != raft.Leader {
+		return
+	}
+	for len(n.queue) > 0 {
+		count, size, orders := 0, 0, 0
+		for _, p := range n.queue {
+			if state.IsOrder(p.command) {
+				orders++
+			}
+			size += len(p.command)
+			if count > 0 && (count >= batchCommands || size > batchBytes || orders > 1) {
+				break
+			}
+			count++
+		}
+		n.proposeBatch(n.queue[:count])
+		n.queue = n.queue[count:]
+	}
+	n.queue = nil
+}
+
+func (n *Node) proposeBatch(ps []proposal) {
+	b := state.Batch{Time: n.o.Wall().UnixMilli()}
+	entry := pendingBatch{}
+	for _, p := range ps {
+		b.Commands = append(b.Commands, p.command)
+		entry.callers = append(entry.callers, p.caller)
+	}
+	data, err := b.Encode()
+	var index uint64
+	if err == nil {
+		index, entry.term, err = n.raft.Propose(data)
+	}
+	if err != nil {
+		n.waiting -= len(ps)
+		for _, c := range entry.callers {
+			n.refuseProposal(c)
+		}
+		return
+	}
+	n.pending[index] = entry
+}
+
+// settle answers the callers of an applied entry. If another leader's entry took the
+// index, the commands of the pending entry are lost for this term, but copies of them
+// may exist, so the outcome is reported as unknown.
+func (n *Node) settle(index, term uint64, results []state.Result) {
+	p, ok := n.pending[index]
+	if !ok {
+		return
+	}
+	delete(n.pending, index)
+	n.waiting -= len(p.callers)
+	for i, c := range p.callers {
+		if p.term != term || i >= len(results) {
+			n.unknown(c)
+			continue
+		}
+		n.answer(c, results[i])
+	}
+}
+
+func (n *Node) answer(c caller, r state.Result) {
+	if c.local != nil {
+		c.local(r, true)
+		return
+	}
+	data, err := wire.Marshal(r)
+	if err != nil {
+		n.unknown(c)
+		return
+	}
+	n.send(c.host, wire.KindProposeAck, wire.ProposeAck{Seq: c.seq, Leader: n.o.Host, Result: data})
+}
+
+func (n *Node) unknown(c caller) {
+	if c.local != nil {
+		c.local(state.Result{}, false)
+		return
+	}
+	n.send(c.host, wire.KindProposeAck, wire.ProposeAck{Seq: c.seq, Leader: n.leader, Unknown: true})
+}
+
+func (n *Node) refuseProposal(c caller) {
+	if c.local != nil {
+		c.local(state.Result{}, false)
+		return
+	}
+	n.send(c.host, wire.KindProposeAck, wire.ProposeAck{Seq: c.seq, NotLeader: true, Leader: n.leader})
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,57 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const interval = 400 * time.Millisecond
+
+func newTracker() *Tracker {
+	return New(Options{Interval: interval, Missed: 3, Recover: 3, Forget: time.Minute, MaxHosts: 2})
+}
+
+// Guards against a host that is suspected after one lost heartbeat, or that stays alive
+// after three, and against a host that is alive again after a single heartbeat.
+func TestSuspectAndRecover(t *testing.T) {
+	c := qt.New(t)
+	tr := newTracker()
+	alive := func() bool { s, _ := tr.Get("a"); return s.Alive }
+	h := Heartbeat{Host: "a", Boot: 1}
+	tr.Heard(h, 0)
+	c.Assert(alive(), qt.IsTrue)
+	tr.Tick(3 * interval)
+	c.Assert(alive(), qt.IsTrue)
+	before := tr.Version()
+	tr.Tick(4 * interval)
+	c.Assert(alive(), qt.IsFalse)
+	c.Assert(tr.Version() > before, qt.IsTrue)
+	tr.Heard(h, 5*interval)
+	tr.Heard(h, 6*interval)
+	c.Assert(alive(), qt.IsFalse)
+	tr.Heard(h, 11*interval)
+	tr.Heard(h, 12*interval)
+	c.Assert(alive(), qt.IsFalse)
+	tr.Heard(h, 13*interval)
+	c.Assert(alive(), qt.IsTrue)
+}
+
+// Guards against unbounded memory and against changes that nobody is told about.
+func TestBoundsAndVersion(t *testing.T) {
+	c := qt.New(t)
+	tr := newTracker()
+	tr.Heard(Heartbeat{Host: "b"}, 0)
+	tr.Heard(Heartbeat{Host: "a"}, 0)
+	tr.Heard(Heartbeat{Host: "c"}, 0)
+	c.Assert(tr.Hosts(), qt.HasLen, 2)
+	c.Assert(tr.Hosts()[0].Host, qt.Equals, "a")
+	v := tr.Version()
+	tr.Heard(Heartbeat{Host: "a"}, interval)
+	c.Assert(tr.Version(), qt.Equals, v)
+	tr.Heard(Heartbeat{Host: "a", Leaving: true}, interval)
+	c.Assert(tr.Version(), qt.Equals, v+1)
+	tr.Tick(2 * time.Minute)
+	c.Assert(tr.Hosts(), qt.HasLen, 0)
+}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -146,12 +146,13 @@
 	Upstream string
 	Kind     OrderKind
 	Name     string
+	// Operator is who gave the order.
+	Operator string
 }
 
 // OrderIssue puts an order into the log.
 type OrderIssue struct {
 	RequestID string
-	Operator  string
 	Order     Order
 }
 
@@ -221,3 +222,19 @@
 	f := fault.As(err)
 	return Result{Code: f.Code, Run: f.Run, Message: f.Message(), Revision: f.Revision}
 }
+
+// IsOrder reports whether an encoded command is an OrderIssue, without decoding it. The
+// proposer uses it to put at most one order into a log entry.
+func IsOrder(cmd []byte) bool {
+	// A command is an array of 9 elements, and all but one of them are nil.
+	const header, null, position = 0x99, 0xc0, 8
+	if len(cmd) <= position || cmd[0] != header || cmd[position] == null {
+		return false
+	}
+	for _, b := range cmd[1:position] {
+		if b != null {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -124,7 +124,7 @@
 	case c.Mark != nil:
 		return s.mark(*c.Mark)
 	case c.Order != nil:
-		return s.once(c.Order.Operator, c.Order.RequestID, cmd, func(key string) Result { return s.issue(index, key, c.Order) })
+		return s.once("order\x00"+c.Order.Order.Operator, c.Order.RequestID, cmd, func(key string) Result { return s.issue(index, key, c.Order) })
 	case c.OrderDone != nil:
 		return s.orderDone(c.OrderDone)
 	}
@@ -133,7 +133,7 @@
 
 // once runs a request of an operator unless its answer is known.
 func (s *State) once(operator, requestID string, cmd []byte, run func(key string) Result) Result {
-	if requestID == "" || len(requestID) > maxIDLength || len(operator) > maxIDLength {
+	if requestID == "" || len(requestID) > maxIDLength || len(operator) > 2*maxIDLength {
 		return refuse(fault.BadRequest, fault.NotRun, "a request id of 1 to 64 bytes is required")
 	}
 	key := operator + "\x00" + requestID
@@ -255,6 +255,9 @@
 	return Result{}
 }
 
+// Versions returns the versions of the leases and of the crash marks.
+func (s *State) Versions() (leases, marks uint64) { return s.leasesVersion, s.marksVersion }
+
 // Marks returns a copy of the crash marks, oldest first, and their version.
 func (s *State) Marks() ([]Mark, uint64) { return slices.Clone(s.marks), s.marksVersion }
 
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -50,6 +50,8 @@
 	// Code is empty when the step was accepted.
 	Code    fault.Code
 	Message string
+	// Members are the voters of the group of a formed replica.
+	Members []FormMember
 }
 
 // Chunk carries one part of a message that is too large for a frame. The receiver
