Serve callers over HTTP

Cause: callers need typed refusals, whole or visibly incomplete answers, and an end of the upstream's work when they leave. Conclusion: every refusal before the service is not_run with a code.

--- /dev/null
+++ b/internal/frontend/chat.go
@@ -0,0 +1,73 @@
+package frontend
+
+import (
+	"encoding/json"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+)
+
+const (
+	chatPath    = "/v1/chat/completions"
+	eventStream = "text/event-stream"
+	// inputBytesPerCost is 4 bytes a token and 8 input tokens a unit of cost.
+	inputBytesPerCost = 4 * 8
+)
+
+// chatBody is the part of a chat request that the router reads.
+type chatBody struct {
+	Model    string `json:"model"`
+	Stream   bool   `json:"stream"`
+	Messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+// chat serves POST /v1/chat/completions.
+func (s *Server) chat(r *request) error {
+	var b chatBody
+	if err := json.Unmarshal(r.body, &b); err != nil {
+		return fault.New(fault.BadRequest, fault.NotRun, "the body is not a chat request: %v", err)
+	}
+	if b.Model == "" {
+		return fault.New(fault.BadRequest, fault.NotRun, "the field model is required")
+	}
+	if err := r.choosePool(b.Model, config.KindModel); err != nil {
+		return err
+	}
+	c := r.call(chatPath)
+	c.Stream = b.Stream
+	c.Idempotent = true
+	c.Prefix = prefixDigest(r.account, b.Model, b.prefix())
+	c.InputCost = float64(len(r.body)) / inputBytesPerCost
+	return s.serveCall(r, c)
+}
+
+// prefix returns the beginning of the messages' content.
+func (b *chatBody) prefix() []byte {
+	var p []byte
+	for _, m := range b.Messages {
+		p = append(p, m.Role...)
+		p = append(p, 0)
+		p = append(p, m.Content[:min(len(m.Content), prefixBytes)]...)
+		p = append(p, 0)
+		if len(p) >= prefixBytes {
+			break
+		}
+	}
+	return p
+}
+
+// choosePool checks that the pool exists, is of the kind and is in the contract.
+func (r *request) choosePool(name string, kind config.Kind) error {
+	p, ok := r.cfg.Pools[name]
+	if !ok || p.Kind != kind {
+		return fault.New(fault.PoolUnknown, fault.NotRun, "there is no %s pool %q", kind, name)
+	}
+	if !r.allowed(name) {
+		return fault.New(fault.PoolNotAllowed, fault.NotRun, "the contract does not include pool %q", name)
+	}
+	r.pool = p
+	return nil
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -84,19 +83,3 @@
 	// NewID returns the id of a request.
 	NewID func() string
 }
-
-// Server serves callers.
-type Server struct{ o Options }
-
-// New returns a Server.
-func New(o Options) *Server { return &Server{o: o} }
-
-// Serve serves connections of ln until Shutdown.
-func (s *Server) Serve(ln net.Listener) error { return nil }
-
-// Shutdown stops accepting, waits for running requests and closes all connections.
-// When ctx ends first, running requests are cancelled.
-func (s *Server) Shutdown(ctx context.Context) error { return nil }
-
-// Running returns the number of requests being served.
-func (s *Server) Running() int { return 0 }
--- /dev/null
+++ b/internal/frontend/list.go
@@ -0,0 +1,67 @@
+package frontend
+
+import (
+	"encoding/json"
+	"net"
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/discovery"
+	"marigoldshunt/internal/fault"
+)
+
+// discover serves GET /v1/discover from the last known host list.
+func (s *Server) discover(r *request) error {
+	caller := r.ctx.RemoteAddr().String()
+	if host, _, err := net.SplitHostPort(caller); err == nil {
+		caller = host
+	}
+	q := discovery.Query{Account: r.account, Caller: caller, DataCentre: s.o.DataCentre}
+	return r.answerJSON(discovery.Select(r.cfg, s.o.Directory.Hosts(), q))
+}
+
+type modelEntry struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+// models serves GET /v1/models: the model pools of the contract.
+func (s *Server) models(r *request) error {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	names := slices.Clone(r.contract.Pools)
+	slices.Sort(names)
+	for _, n := range slices.Compact(names) {
+		if p, ok := r.cfg.Pools[n]; ok && p.Kind == config.KindModel {
+			list.Data = append(list.Data, modelEntry{ID: n, Object: "model"})
+		}
+	}
+	return r.answerJSON(list)
+}
+
+func (r *request) answerJSON(v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, fault.NotRun, "encode answer")
+	}
+	r.ctx.SetStatusCode(fasthttp.StatusOK)
+	r.ctx.SetContentType("application/json")
+	r.ctx.SetBody(b)
+	return nil
+}
+
+// health serves GET /healthz without a credential. It tells nothing but whether the
+// host accepts new requests.
+func (s *Server) health(r *request) error {
+	return s.gate(func(r *request) error {
+		r.ctx.SetContentType("text/plain")
+		r.ctx.SetBodyString("ok\n")
+		return nil
+	})(r)
+}
--- /dev/null
+++ b/internal/frontend/status.go
@@ -0,0 +1,108 @@
+package frontend
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"marigoldshunt/internal/fault"
+)
+
+// statusCallerGone is the conventional status for callers that closed their connection.
+// Nobody reads it; it only keeps the table total.
+const statusCallerGone = 499
+
+// statusByCode is the only place that maps failures to HTTP status codes.
+var statusByCode = map[fault.Code]int{
+	fault.BadRequest:        fasthttp.StatusBadRequest,
+	fault.KeyRequired:       fasthttp.StatusBadRequest,
+	fault.KeyInvalid:        fasthttp.StatusBadRequest,
+	fault.Unauthenticated:   fasthttp.StatusUnauthorized,
+	fault.Forbidden:         fasthttp.StatusForbidden,
+	fault.PoolNotAllowed:    fasthttp.StatusForbidden,
+	fault.NotFound:          fasthttp.StatusNotFound,
+	fault.PoolUnknown:       fasthttp.StatusNotFound,
+	fault.Timeout:           fasthttp.StatusRequestTimeout,
+	fault.ClaimOpen:         fasthttp.StatusConflict,
+	fault.AnswerNotKept:     fasthttp.StatusConflict,
+	fault.RevisionConflict:  fasthttp.StatusConflict,
+	fault.BodyTooLarge:      fasthttp.StatusRequestEntityTooLarge,
+	fault.KeyReused:         fasthttp.StatusUnprocessableEntity,
+	fault.KeyExpired:        fasthttp.StatusUnprocessableEntity,
+	fault.CrashesUpstreams:  fasthttp.StatusUnprocessableEntity,
+	fault.RateLimited:       fasthttp.StatusTooManyRequests,
+	fault.QueueFull:         fasthttp.StatusTooManyRequests,
+	fault.CallerGone:        statusCallerGone,
+	fault.UpstreamFailed:    fasthttp.StatusBadGateway,
+	fault.StreamCut:         fasthttp.StatusBadGateway,
+	fault.UpstreamRefused:   fasthttp.StatusServiceUnavailable,
+	fault.RetryBudgetSpent:  fasthttp.StatusServiceUnavailable,
+	fault.HostIsolated:      fasthttp.StatusServiceUnavailable,
+	fault.HostLeaving:       fasthttp.StatusServiceUnavailable,
+	fault.SchedulerLost:     fasthttp.StatusServiceUnavailable,
+	fault.ClaimUnavailable:  fasthttp.StatusServiceUnavailable,
+	fault.RegionUnreachable: fasthttp.StatusServiceUnavailable,
+	fault.NotLeader:         fasthttp.StatusServiceUnavailable,
+	fault.NoQuorum:          fasthttp.StatusServiceUnavailable,
+	fault.NotFormed:         fasthttp.StatusServiceUnavailable,
+	fault.WaitExpired:       fasthttp.StatusGatewayTimeout,
+	fault.RunExpired:        fasthttp.StatusGatewayTimeout,
+}
+
+// statusOf returns the status for a code; codes without an entry are internal errors.
+func statusOf(c fault.Code) int {
+	if s, ok := statusByCode[c]; ok {
+		return s
+	}
+	return fasthttp.StatusInternalServerError
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code         fault.Code     `json:"code"`
+	Message      string         `json:"message"`
+	RunState     fault.RunState `json:"run_state"`
+	RetryAfterMS int64          `json:"retry_after_ms"`
+}
+
+// encodeError returns the JSON body of a failure.
+func encodeError(e *fault.Error) []byte {
+	b, err := json.Marshal(errorBody{errorDetail{e.Code, e.Message(), runState(e), e.RetryAfter.Milliseconds()}})
+	if err != nil {
+		return []byte(`{"error":{"code":"internal","message":"","run_state":"may_have_run","retry_after_ms":0}}`)
+	}
+	return b
+}
+
+// runState treats a failure without a run state as one that may have run.
+func runState(e *fault.Error) fault.RunState {
+	if e.Run == "" {
+		return fault.MayHaveRun
+	}
+	return e.Run
+}
+
+// writeError answers with a typed failure.
+func writeError(ctx *fasthttp.RequestCtx, e *fault.Error) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(statusOf(e.Code))
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set("X-Error-Code", string(e.Code))
+	ctx.Response.Header.Set("X-Run-State", string(runState(e)))
+	if e.RetryAfter > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds(e.RetryAfter)))
+	}
+	if e.Code == fault.Unauthenticated {
+		ctx.Response.Header.Set("WWW-Authenticate", "Bearer")
+	}
+	ctx.SetBody(encodeError(e))
+}
+
+// seconds rounds up, so that a caller never comes back too early.
+func seconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
