Add load generator and tests of the upstream emulator

Cause: benchmarks and fault tests need bounded load with whole-answer checks and an emulator whose counters can be trusted. Change: load generator through discovery with seeded work, typed outcomes and series over time; emulator tests for crash, cold overload, hidden cold start, run counters, lag and gaps; answers carry the request's user field, so that foreign answers are detected.

--- a/internal/emulator/http.go
+++ b/internal/emulator/http.go
@@ -53,6 +53,9 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens int    `json:"max_tokens"`
+	// User comes back in every event, so that callers can detect an answer to another
+	// request.
+	User string `json:"user"`
 }
 
 type usage struct {
@@ -98,9 +101,9 @@
 	u := usage{len(body) / bytesPerToken, tokens, len(body)/bytesPerToken + tokens}
 	if q.Stream {
 		cut := strings.Contains(string(body), CutTrigger) && e.cutOnce(j.id)
-		whole = e.stream(w, j, u, offset, cut)
+		whole = e.stream(w, j, q.User, u, offset, cut)
 	} else {
-		whole = e.answer(w, j, u)
+		whole = e.answer(w, j, q.User, u)
 	}
 	if !whole {
 		panic(http.ErrAbortHandler)
@@ -130,13 +133,15 @@
 // every upstream, so that tests can detect answers to other requests.
 func Token(id string, n int) string { return fmt.Sprintf("%s/%d ", id, n) }
 
-func (e *Emulator) stream(w http.ResponseWriter, j *job, u usage, offset int, cut bool) bool {
+func (e *Emulator) stream(w http.ResponseWriter, j *job, user string, u usage, offset int, cut bool) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	if offset > 0 {
 		w.Header().Set("X-Resume-Offset", strconv.Itoa(offset))
 	}
 	e.head(w, j)
 	flush := http.NewResponseController(w).Flush
+	id, _ := json.Marshal(j.id)
+	name, _ := json.Marshal(user)
 	start := time.Now()
 	for n := offset; n < u.Completion; n++ {
 		if !j.pause(e.due(n+1-offset) - time.Since(start)) {
@@ -146,7 +151,7 @@
 			return false
 		}
 		text, _ := json.Marshal(Token(j.id, n))
-		if _, err := fmt.Fprintf(w, `data: {"id":%q,"choices":[{"index":0,"delta":{"content":%s}}]}`+"\n\n", j.id, text); err != nil {
+		if _, err := fmt.Fprintf(w, `data: {"id":%s,"user":%s,"choices":[{"index":0,"delta":{"content":%s}}]}`+"\n\n", id, name, text); err != nil {
 			return false
 		}
 		if flush() != nil {
@@ -155,7 +160,7 @@
 	}
 	last, _ := json.Marshal(u)
 	if offset <= u.Completion {
-		if _, err := fmt.Fprintf(w, `data: {"id":%q,"choices":[],"usage":%s}`+"\n\n", j.id, last); err != nil {
+		if _, err := fmt.Fprintf(w, `data: {"id":%s,"user":%s,"choices":[],"usage":%s}`+"\n\n", id, name, last); err != nil {
 			return false
 		}
 	}
@@ -163,7 +168,7 @@
 	return err == nil
 }
 
-func (e *Emulator) answer(w http.ResponseWriter, j *job, u usage) bool {
+func (e *Emulator) answer(w http.ResponseWriter, j *job, user string, u usage) bool {
 	if !j.pause(e.due(u.Completion)) {
 		return false
 	}
@@ -173,7 +178,7 @@
 		text.WriteString(Token(j.id, n))
 	}
 	writeJSON(w, map[string]any{
-		"id": j.id, "object": "chat.completion", "usage": u,
+		"id": j.id, "user": user, "object": "chat.completion", "usage": u,
 		"choices": []any{map[string]any{"index": 0, "message": map[string]string{"role": "assistant", "content": text.String()}}},
 	})
 	return true
--- /dev/null
+++ b/internal/loadgen/loadgen_test.go
@@ -0,0 +1,214 @@
+package loadgen
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/emulator"
+	"marigoldshunt/internal/engine"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/frontend"
+	"marigoldshunt/internal/wire"
+)
+
+// direct passes each call to one upstream without scheduling.
+type direct struct {
+	cfg       *config.Config
+	hosts     []wire.HostStatus
+	client    *engine.Client
+	upstreams map[string]string
+}
+
+func (d *direct) Config() *config.Config   { return d.cfg }
+func (d *direct) Current() bool            { return true }
+func (d *direct) Hosts() []wire.HostStatus { return d.hosts }
+func (d *direct) Leaving() bool            { return false }
+
+func (d *direct) Serve(ctx context.Context, c *frontend.Call, a frontend.Answer) error {
+	res := d.client.Do(ctx, &engine.Request{
+		Pool: d.cfg.Pools[c.Pool], Upstream: c.Pool, Address: d.upstreams[c.Pool], Method: c.Method, Path: c.Path, Query: c.Query,
+		ContentType: c.ContentType, Body: c.Body, ID: c.ID, Key: c.Key, Prefix: c.Prefix, Stream: c.Stream,
+	}, a)
+	if res.Err != nil {
+		return res.Err
+	}
+	return nil
+}
+
+func listen(c *qt.C) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	return ln
+}
+
+func emulate(c *qt.C, o emulator.Options) (*emulator.Emulator, string) {
+	ln := listen(c)
+	e := emulator.New(o)
+	go func() { _ = e.Serve(ln) }()
+	c.Cleanup(func() { _ = e.Close() })
+	return e, ln.Addr().String()
+}
+
+// fleet starts hosts in front of one emulator of each kind.
+func fleet(c *qt.C, hosts int) (*emulator.Emulator, *emulator.Emulator, []string) {
+	m, ma := emulate(c, emulator.Options{Slots: 64, TokensPerAnswer: 8})
+	s, sa := emulate(c, emulator.Options{Kind: config.KindService, Slots: 64})
+	cfg := config.New()
+	sum := sha256.Sum256([]byte("k1"))
+	cfg.Contracts["acme"] = config.Contract{Account: "acme", KeyHashes: []string{hex.EncodeToString(sum[:])}, MaxBodyBytes: 1 << 20, MaxRun: time.Minute, Pools: []string{"m", "s"}}
+	cfg.Pools["m"] = config.Pool{Name: "m", Kind: config.KindModel}
+	cfg.Pools["s"] = config.Pool{Name: "s", Kind: config.KindService, Routes: []config.Route{{Method: "POST", PathPrefix: "/orders"}}}
+	d := &direct{cfg: cfg, client: engine.New(engine.Options{}), upstreams: map[string]string{"m": ma, "s": sa}}
+	c.Cleanup(d.client.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var addresses []string
+	for i := range hosts {
+		name := string(rune('a' + i))
+		ln := listen(c)
+		addresses = append(addresses, ln.Addr().String())
+		cfg.Hosts[name] = config.Host{Name: name, DataCentre: name, CallerAddress: ln.Addr().String()}
+		d.hosts = append(d.hosts, wire.HostStatus{Host: name, Alive: true})
+		srv := frontend.New(frontend.Options{Host: name, DataCentre: name, Directory: d, Service: d, Log: log})
+		go func() { _ = srv.Serve(ln) }()
+		c.Cleanup(func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = srv.Shutdown(ctx)
+		})
+	}
+	return m, s, addresses
+}
+
+func accounts(mix ...Work) []Account {
+	return []Account{{Name: "acme", Key: "k1", Workers: 8, Mix: mix}}
+}
+
+// Guards the whole way from discovery to upstream and back: every answer is whole,
+// belongs to its request, and every request runs once.
+func TestRunThroughFleet(t *testing.T) {
+	c := qt.New(t)
+	m, s, hosts := fleet(c, 3)
+	r, err := Run(context.Background(), Options{
+		Hosts: []string{"127.0.0.1:1", hosts[0]}, Requests: 300, Seed: 7, Retries: 1,
+		Accounts: accounts(
+			Work{Pool: "m", Kind: config.KindModel, Stream: true, PromptBytes: 100},
+			Work{Pool: "m", Kind: config.KindModel, MaxTokens: 3},
+			Work{Pool: "s", Kind: config.KindService, Method: "POST", Path: "/orders", BodyBytes: 9, Keyed: true}),
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Total.Answered, qt.Equals, 300, qt.Commentf("%v", r.Total.Refused))
+	c.Assert(r.Accounts["acme"].Tokens > 0, qt.IsTrue)
+	c.Assert(r.Total.Discovery, qt.Equals, 1)
+	ran := 0
+	for _, e := range []*emulator.Emulator{m, s} {
+		d := e.Debug()
+		ran += d.Runs
+		for id, n := range d.Requests {
+			c.Assert(n, qt.Equals, 1, qt.Commentf("%s", id))
+		}
+	}
+	c.Assert(ran, qt.Equals, 300)
+	c.Assert(s.Debug().Keys, qt.HasLen, s.Debug().Runs)
+}
+
+// Guards against a generator that accepts cut, foreign or untyped answers as good.
+func TestFaultyAnswersAreDetected(t *testing.T) {
+	const good = `{"id":"x","user":"USER","choices":[{"message":{"content":"x/0 x/1 "}}],"usage":{"completion_tokens":2}}`
+	event := func(n string) string {
+		return `data: {"id":"x","user":"USER","choices":[{"delta":{"content":"x/` + n + ` "}}]}` + "\n\n"
+	}
+	const end = `data: {"id":"x","user":"USER","choices":[],"usage":{"completion_tokens":2}}` + "\n\ndata: [DONE]\n\n"
+	for _, tc := range []struct {
+		name, kind, body string
+		status           int
+		code             fault.Code
+	}{
+		{"good", "application/json", good, 200, ""},
+		{"missing token", "application/json", strings.Replace(good, "x/1 ", "", 1), 200, CodeNotWhole},
+		{"no usage", "application/json", strings.Replace(good, "usage", "other", 1), 200, CodeNotWhole},
+		{"foreign", "application/json", strings.Replace(good, "USER", "other", 1), 200, CodeForeign},
+		{"untyped", "text/plain", "busy", 503, CodeUntyped},
+		{"typed", "application/json", `{"error":{"code":"queue_full","run_state":"not_run"}}`, 429, fault.QueueFull},
+		{"good stream", "text/event-stream", event("0") + event("1") + end, 200, ""},
+		{"repeated event", "text/event-stream", event("0") + event("0") + end, 200, CodeNotWhole},
+		{"lost event", "text/event-stream", event("1") + end, 200, CodeNotWhole},
+		{"no done", "text/event-stream", event("0") + event("1"), 200, CodeNotWhole},
+		{"typed cut", "text/event-stream", event("0") + "event: error\ndata: {\"error\":{\"code\":\"stream_cut\",\"run_state\":\"may_have_run\"}}\n\n", 200, fault.StreamCut},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			j := &job{user: "USER", work: Work{Stream: tc.kind == "text/event-stream"}}
+			resp := &http.Response{StatusCode: tc.status, Header: http.Header{"Content-Type": {tc.kind}}}
+			var r Result
+			j.check(strings.NewReader(tc.body), resp, &r)
+			c.Assert(r.Code, qt.Equals, tc.code)
+		})
+	}
+}
+
+// Guards the bounds of a run: neither its requests nor its options may exceed them.
+func TestBounds(t *testing.T) {
+	c := qt.New(t)
+	_, _, hosts := fleet(c, 1)
+	var mu sync.Mutex
+	n := 0
+	o := Options{Hosts: hosts, Requests: 5, Duration: time.Hour, Accounts: accounts(Work{Pool: "m", Kind: config.KindModel})}
+	o.OnResult = func(string, Result) { mu.Lock(); n++; mu.Unlock() }
+	r, err := Run(context.Background(), o)
+	c.Assert(err, qt.IsNil)
+	c.Assert([]int{n, r.Total.Requests}, qt.DeepEquals, []int{5, 5})
+	o.Requests, o.Duration = 0, 0
+	_, err = Run(context.Background(), o)
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.InvalidSettings)
+	o.Requests, o.Hosts = 1, []string{"127.0.0.1:1"}
+	_, err = Run(context.Background(), o)
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.PeerUnreachable)
+}
+
+// BenchmarkAddedLatency compares a call through a host with a direct call.
+func BenchmarkAddedLatency(b *testing.B) {
+	c := qt.New(b)
+	_, _, hosts := fleet(c, 1)
+	rng := rand.New(rand.NewSource(1))
+	_, direct := emulate(c, emulator.Options{Kind: config.KindService, Slots: 64})
+	o := &Options{Hosts: hosts, Timeout: time.Minute, Now: time.Now}
+	cl := newClient(o, Account{Name: "acme", Key: "k1", Workers: 1}, time.Now())
+	j := &job{work: Work{Pool: "s", Kind: config.KindService}, method: "POST", path: "/orders/1"}
+	b.Run("host", func(b *testing.B) {
+		for b.Loop() {
+			j.key = newKey(rng, time.Now())
+			if r := cl.attempt(context.Background(), j, hosts[0]); r.Code != "" {
+				b.Fatal(r)
+			}
+		}
+	})
+	b.Run("direct", func(b *testing.B) {
+		for b.Loop() {
+			j.work.Kind, j.key = "", ""
+			req, err := j.request(context.Background(), direct, "")
+			if err != nil {
+				b.Fatal(err)
+			}
+			resp, err := cl.http.Do(req)
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	})
+}
