--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -71,6 +71,8 @@
 	n.Advance(n.Ready())
 	c.Assert(n.Step(Message{Kind: MsgAppendResp, From: 2, To: 1, Term: 3, Index: 2}), qt.IsNil)
 	c.Assert(n.Status().Commit, qt.Equals, uint64(1))
+	_, _, err = n.ProposeMembers(ms[:2])
+	c.Assert(err, qt.ErrorMatches, ".*has not committed an entry of term 3 yet")
 	for _, m := range []Message{{Kind: MsgHeartbeatResp, ReadSeq: 5}, {Kind: MsgAppendResp, Index: 3}, {Kind: MsgHeartbeatResp}, {Kind: MsgHeartbeatResp, ReadSeq: 1}} {
 		c.Assert(n.Ready().Reads, qt.HasLen, 0)
 		n.Advance(Ready{})
@@ -81,6 +83,41 @@
 	c.Assert(n.Status().Commit, qt.Equals, uint64(3))
 }
 
+// Guards against a commit index that covers entries of another leader, a vote that is not
+// saved, a learner that votes for an equal log, and a snapshot that drops entries which
+// were acknowledged.
+func TestFollowerSteps(t *testing.T) {
+	for name, tc := range map[string]struct {
+		m            Message
+		learner      bool
+		commit, last uint64
+		vote         ReplicaID
+		answers      int
+	}{
+		"commit beyond the matched entry": {m: Message{Kind: MsgAppend, Index: 1, LogTerm: 1, Commit: 3}, commit: 1, last: 3, answers: 1},
+		"commit up to the matched entry":  {m: Message{Kind: MsgAppend, Index: 3, LogTerm: 2, Commit: 3}, commit: 3, last: 3, answers: 1},
+		"vote in the current term":        {m: Message{Kind: MsgVote, Index: 3, LogTerm: 2}, commit: 1, last: 3, vote: 2, answers: 1},
+		"vote of a learner":               {m: Message{Kind: MsgVote, Index: 3, LogTerm: 2}, learner: true, commit: 1, last: 3},
+		"vote of a promoted learner":      {m: Message{Kind: MsgVote, Index: 4, LogTerm: 2}, learner: true, commit: 1, last: 3, vote: 2, answers: 1},
+		"snapshot inside of the log":      {m: Message{Kind: MsgSnapshot, Snapshot: &Snapshot{Index: 2, Term: 2}}, commit: 2, last: 3, answers: 1},
+		"snapshot of another log":         {m: Message{Kind: MsgSnapshot, Snapshot: &Snapshot{Index: 2, Term: 3}}, commit: 2, last: 2, answers: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			n, err := New(Config{ID: 1, HeartbeatTicks: 1, ElectionTicks: 3, Rand: rand.New(rand.NewSource(1))}, Restored{
+				Hard: HardState{Term: 3}, Snapshot: Bootstrap([]Member{{ID: 1, Learner: tc.learner}, {ID: 2}, {ID: 3}}),
+				Entries: []Entry{{Index: 2, Term: 2, Kind: EntryCommand}, {Index: 3, Term: 2, Kind: EntryCommand}},
+			})
+			c.Assert(err, qt.IsNil)
+			tc.m.From, tc.m.To, tc.m.Term = 2, 1, 3
+			c.Assert(n.Step(tc.m), qt.IsNil)
+			rd, st := n.Ready(), n.Status()
+			c.Assert([]uint64{st.Commit, st.Last, uint64(len(rd.Messages))}, qt.DeepEquals, []uint64{tc.commit, tc.last, uint64(tc.answers)})
+			c.Assert(rd.Hard != nil && rd.Hard.Vote == 2, qt.Equals, tc.vote == 2)
+		})
+	}
+}
+
 // Guards against disturbance: a replica that was cut off, one that was removed, one with
 // a higher term and a foreign one must not cost the group its leader.
 func TestLeaderIsNotDisturbed(t *testing.T) {
