--- /dev/null
+++ b/internal/wal/frame.go
@@ -0,0 +1,121 @@
+package wal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
+)
+
+// A record on disk is a frame:
+//
+//	length of payload  4 bytes, little endian
+//	CRC32C of payload  4 bytes
+//	CRC32C of header   4 bytes, over file number, offset, length and payload CRC
+//	payload            a message encoded by package wire
+//	end mark           4 bytes, none of them zero
+//
+// The header CRC makes the length trustworthy when the payload is not there. File number
+// and offset in it keep bytes inside of a payload, or of another file, from passing as a
+// frame.
+//
+// Torn tail or corruption. A record is acknowledged after a sync, and the next one is
+// written after that, so a crash damages at most the last record of the last segment:
+// it is missing, is cut short, or its last sectors are allocated but zero. A bad frame
+// is taken as a torn tail only if no valid frame follows and one of these holds:
+//
+//  1. fewer bytes than a header are left;
+//  2. the header is valid and the file ends before the frame does;
+//  3. everything from the frame, or from a sector boundary inside of it, to the end of
+//     the file is zero (at least two bytes, which a complete frame with its end mark
+//     can have only after more than one byte was damaged).
+//
+// A flipped byte in a complete frame meets none of them, also in the last frame: the
+// file is long enough, and a damaged length is caught by the header CRC. Everything else
+// is corruption. A crash that wrote the sectors of the last record out of order is also
+// reported as corruption; this refuses to start rather than drop a record that may have
+// been acknowledged.
+const (
+	headerBytes = 12
+	markBytes   = 4
+	sectorBytes = 512
+	// maxPayload bounds a frame; a snapshot is the largest payload.
+	maxPayload = 1 << 30
+)
+
+var (
+	endMark    = [markBytes]byte{0xc3, 0x5a, 0xa5, 0x3c}
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+)
+
+func headerCRC(file uint64, offset int, lengthAndCRC []byte) uint32 {
+	var salt [16]byte
+	binary.LittleEndian.PutUint64(salt[:8], file)
+	binary.LittleEndian.PutUint64(salt[8:], uint64(offset))
+	return crc32.Update(crc32.Checksum(salt[:], castagnoli), castagnoli, lengthAndCRC)
+}
+
+// encodeFrame returns v as a frame for the given offset of a file.
+func encodeFrame(file uint64, offset int, v any) ([]byte, error) {
+	payload, err := wire.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	if len(payload) > maxPayload {
+		return nil, fault.New(fault.Internal, "", "record of %d bytes exceeds %d", len(payload), maxPayload)
+	}
+	b := make([]byte, headerBytes, headerBytes+len(payload)+markBytes)
+	binary.LittleEndian.PutUint32(b[0:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(b[4:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(b[8:], headerCRC(file, offset, b[:8]))
+	return append(append(b, payload...), endMark[:]...), nil
+}
+
+// frameLength returns the length of the frame at offset if its header is valid, else 0.
+func frameLength(file uint64, data []byte, offset int) int {
+	if len(data)-offset < headerBytes {
+		return 0
+	}
+	h := data[offset : offset+headerBytes]
+	length := binary.LittleEndian.Uint32(h)
+	if length == 0 || length > maxPayload || binary.LittleEndian.Uint32(h[8:]) != headerCRC(file, offset, h[:8]) {
+		return 0
+	}
+	return headerBytes + int(length) + markBytes
+}
+
+// framePayload returns the payload of the frame at offset and the offset after it; ok is
+// false for a frame that is not valid.
+func framePayload(file uint64, data []byte, offset int) (payload []byte, next int, ok bool) {
+	n := frameLength(file, data, offset)
+	if n == 0 || n > len(data)-offset {
+		return nil, 0, false
+	}
+	next = offset + n
+	payload = data[offset+headerBytes : next-markBytes]
+	ok = crc32.Checksum(payload, castagnoli) == binary.LittleEndian.Uint32(data[offset+4:]) &&
+		bytes.Equal(data[next-markBytes:next], endMark[:])
+	return payload, next, ok
+}
+
+// isTornTail reports whether the bad frame at offset is what a crash left of the last
+// record, by the rules above.
+func isTornTail(file uint64, data []byte, offset int) bool {
+	for o := offset + 1; o+headerBytes <= len(data); o++ {
+		if _, _, ok := framePayload(file, data, o); ok {
+			return false
+		}
+	}
+	n := frameLength(file, data, offset)
+	if len(data)-offset < headerBytes || n > len(data)-offset {
+		return true
+	}
+	zeroFrom := len(bytes.TrimRight(data, "\x00"))
+	if zeroFrom <= offset {
+		return true
+	}
+	sector := (zeroFrom + sectorBytes - 1) / sectorBytes * sectorBytes
+	return len(data)-sector >= 2
+}
