Answer unstreamed calls in one piece and begin streams with their first event

Cause: a failure after Begin cut an unstreamed answer where a typed refusal is possible; a stream that broke before its first event could not be repeated; kept connections to removed upstreams stayed open. Change: calls without stream run on the connection's goroutine and are sent when the service has returned; Begin of a stream waits for the first event; unused connections are swept; end-to-end response headers pass; a leaving host is left out of its own discovery answers; drains above the connection limit are bounded.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -60,6 +60,7 @@
 	o      *Options
 	mu     sync.Mutex
 	idle   map[string][]*conn
+	swept  time.Time
 	closed bool
 }
 
@@ -87,6 +88,7 @@
 func (p *pool) put(address string, c *conn) {
 	c.since = p.o.Now()
 	p.mu.Lock()
+	p.sweepLocked(c.since)
 	if p.closed || len(p.idle[address]) >= p.o.MaxIdlePerAddress {
 		p.mu.Unlock()
 		c.Close()
@@ -96,6 +98,28 @@
 	p.mu.Unlock()
 }
 
+// sweepLocked closes connections that were unused for too long, also to upstreams that
+// get no calls any more.
+func (p *pool) sweepLocked(now time.Time) {
+	if now.Sub(p.swept) < p.o.KeepIdle {
+		return
+	}
+	p.swept = now
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.since) < p.o.KeepIdle {
+				kept = append(kept, c)
+				continue
+			}
+			c.Close()
+		}
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
 // dial opens a connection within the connect timeout.
 func (p *pool) dial(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{Timeout: p.o.ConnectTimeout}
--- a/internal/engine/do.go
+++ b/internal/engine/do.go
@@ -27,8 +27,15 @@
 	headerPrefix    = "X-Prefix-Digest"
 	headerKey       = "Idempotency-Key"
 	eventStream     = "text/event-stream"
+	userAgent       = "marigoldshunt"
 )
 
+// passedHeaders are the response headers that callers of plain services receive.
+var passedHeaders = []string{
+	"Location", "ETag", "Last-Modified", "Cache-Control", "Content-Encoding",
+	"Content-Language", "Content-Disposition", "Retry-After",
+}
+
 // attempt is the state of one call of Do.
 type attempt struct {
 	c     *Client
@@ -93,6 +100,8 @@
 // fill writes the request head and body.
 func (r *Request) fill(req *fasthttp.Request) {
 	req.Header.SetMethod(r.Method)
+	req.Header.SetUserAgent(userAgent)
+	req.Header.SetNoDefaultContentType(true)
 	uri := r.Path
 	if r.Query != "" {
 		uri += "?" + r.Query
@@ -150,10 +159,7 @@
 		return
 	}
 	a.output = len(body) / bytesPerToken
-	length := strconv.Itoa(len(body))
-	a.res.Began = true
-	if err := a.s.Begin(a.res.Status, a.contentType(), [][2]string{{"Content-Length", length}}); err != nil {
-		a.end(wire.OutcomeCancelled, callerGone(err))
+	if !a.begin([2]string{"Content-Length", strconv.Itoa(len(body))}) {
 		return
 	}
 	if len(body) > 0 {
@@ -165,18 +171,29 @@
 	a.end(wire.OutcomeDone, nil)
 }
 
-// stream passes on server-sent events one by one up to [DONE].
+// begin gives the head of the answer to the sink.
+func (a *attempt) begin(header ...[2]string) bool {
+	for _, name := range passedHeaders {
+		if v := a.x.header(name); v != "" {
+			header = append(header, [2]string{name, v})
+		}
+	}
+	a.res.Began = true
+	if err := a.s.Begin(a.res.Status, a.contentType(), header); err != nil {
+		a.end(wire.OutcomeCancelled, callerGone(err))
+		return false
+	}
+	return true
+}
+
+// stream passes on server-sent events one by one up to [DONE]. The answer begins with
+// the first event, so that a stream that breaks before it can still be repeated.
 func (a *attempt) stream() {
 	// An engine that ignores the offset would deliver events twice.
 	if a.r.Offset > 0 && a.x.header(headerOffset) != strconv.Itoa(a.r.Offset) {
 		a.end(wire.OutcomeBroken, fault.New(fault.StreamCut, fault.MayHaveRun, "upstream %s did not resume at event %d", a.r.Upstream, a.r.Offset))
 		return
 	}
-	a.res.Began = true
-	if err := a.s.Begin(a.res.Status, a.contentType(), nil); err != nil {
-		a.end(wire.OutcomeCancelled, callerGone(err))
-		return
-	}
 	er := eventReader{br: bufio.NewReader(a.x.body), limit: a.c.o.MaxEventBytes}
 	for {
 		event, data, err := er.next()
@@ -184,6 +201,12 @@
 			a.cut(err)
 			return
 		}
+		if !a.res.Began {
+			a.res.FirstByte = a.c.o.Now().Sub(a.start)
+			if !a.begin() {
+				return
+			}
+		}
 		if u, ok := parseUsage(data); ok {
 			a.used, a.hasUse = u, true
 		}
@@ -250,6 +273,11 @@
 		a.res.Cost = ms
 		return
 	}
+	if a.r.Offset > 0 {
+		// Usage covers the whole answer; the earlier attempts were charged already.
+		a.res.Cost = float64(a.output)
+		return
+	}
 	if a.hasUse {
 		a.res.Cost = a.used.cost()
 		return
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -41,7 +41,8 @@
 // Sink receives the answer. An error means that the caller went away.
 type Sink interface {
 	// Begin is called at most once per attempt, also for a resumed one; a sink that
-	// spans several attempts passes on only the first call.
+	// spans several attempts passes on only the first call. A stream begins with its
+	// first event, another answer after its last byte has arrived.
 	Begin(status int, contentType string, header [][2]string) error
 	// Write receives whole events of a stream, or the whole body of another answer.
 	// Answers that are not streamed carry their Content-Length in Begin's header.
@@ -54,7 +55,9 @@
 	Outcome wire.Outcome
 	Status  int
 	// Cost is in the pool's cost unit.
-	Cost      float64
+	Cost float64
+	// FirstByte is the time to the first event of a stream, or to the header of another
+	// answer.
 	FirstByte time.Duration
 	Run       time.Duration
 	// Instance is the upstream's instance identity, empty when unknown.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -124,7 +124,8 @@
 		{"whole stream", okStream + "a\r\ndata: {}\n\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true, wire.OutcomeDone, "", "", 1, true},
 		{"stream ends without done", okStream + "a\r\ndata: {}\n\n\r\n0\r\n\r\n", true, wire.OutcomeBroken, fault.StreamCut, fault.MayHaveRun, 1, true},
 		{"stream cut inside an event", okStream + "a\r\ndata: {}\n\n\r\n6\r\ndata: " + closeMark, true, wire.OutcomeBroken, fault.StreamCut, fault.MayHaveRun, 1, true},
-		{"huge event", okStream + "fffff\r\ndata: " + strings.Repeat("x", 9000), true, wire.OutcomeBroken, fault.StreamCut, fault.MayHaveRun, 0, true},
+		{"huge event", okStream + "fffff\r\ndata: " + strings.Repeat("x", 9000), true, wire.OutcomeBroken, fault.UpstreamFailed, fault.MayHaveRun, 0, false},
+		{"stream without events", okStream + "0\r\n\r\n", true, wire.OutcomeBroken, fault.UpstreamFailed, fault.MayHaveRun, 0, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -239,6 +240,19 @@
 	<-u.gone
 }
 
+// Guards against connections that stay open to upstreams without calls.
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	cl := New(Options{Now: func() time.Time { return now }})
+	defer cl.Close()
+	old, other := script(t, okJSON), script(t, okJSON)
+	c.Assert(cl.Do(context.Background(), chat(old.address, false), &sink{}).Outcome, qt.Equals, wire.OutcomeDone)
+	now = now.Add(defaultKeepIdle)
+	c.Assert(cl.Do(context.Background(), chat(other.address, false), &sink{}).Outcome, qt.Equals, wire.OutcomeDone)
+	<-old.gone
+}
+
 func emulate(t testing.TB, o emulator.Options) (*emulator.Emulator, string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -270,6 +284,7 @@
 			continue
 		}
 		c.Assert(res.Outcome, qt.Equals, wire.OutcomeDone)
+		c.Assert(res.Cost, qt.Equals, 6.0)
 		c.Assert(strings.Count(s.body.String(), "data: "), qt.Equals, 12)
 		for n := range 10 {
 			c.Assert(strings.Count(s.body.String(), `"`+emulator.Token("r1", n)+`"`), qt.Equals, 1)
--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -164,14 +164,14 @@
 	if !strings.HasPrefix(a.contentType, eventStream) {
 		return nil
 	}
-	e := a.failure()
+	e := failure(a.ctx, a.err)
 	return append(append([]byte("event: error\ndata: "), encodeError(e)...), "\n\n"...)
 }
 
 // failure returns the service's error; a call that the host itself ended names that.
-func (a *answer) failure() *fault.Error {
-	e := fault.As(a.err)
-	if cause := context.Cause(a.ctx); fault.CodeOf(cause) == fault.HostLeaving && e.Code == fault.CallerGone {
+func failure(ctx context.Context, err error) *fault.Error {
+	e := fault.As(err)
+	if cause := context.Cause(ctx); fault.CodeOf(cause) == fault.HostLeaving && e.Code == fault.CallerGone {
 		return fault.New(fault.HostLeaving, runState(e), "host stopped before the request ended")
 	}
 	return e
--- a/internal/frontend/chat.go
+++ b/internal/frontend/chat.go
@@ -38,6 +38,9 @@
 	}
 	c := r.call(chatPath)
 	c.Stream = b.Stream
+	if c.ContentType == "" {
+		c.ContentType = "application/json"
+	}
 	c.Idempotent = true
 	c.Prefix = prefixDigest(r.account, b.Model, b.prefix())
 	c.InputCost = float64(len(r.body)) / inputBytesPerCost
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -1,14 +1,18 @@
 package frontend
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"marigoldshunt/internal/fault"
 )
 
@@ -20,10 +24,23 @@
 	lingerBytes = 256 << 10
 )
 
+// maxLingering bounds the connections above the limit that are drained at once; more
+// are closed without a drain.
+const maxLingering = 256
+
 // tooMany is the whole answer on a connection above the limit.
-const tooMany = "HTTP/1.1 429 Too Many Requests\r\nConnection: close\r\nContent-Type: application/json\r\n" +
-	"X-Error-Code: queue_full\r\nX-Run-State: not_run\r\nRetry-After: 1\r\nContent-Length: 111\r\n\r\n" +
-	`{"error":{"code":"queue_full","message":"too many connections","run_state":"not_run","retry_after_ms":1000   }}`
+var tooMany = rawRefusal(fault.New(fault.QueueFull, fault.NotRun, "too many connections").After(time.Second))
+
+// rawRefusal encodes a typed failure as an HTTP answer that ends its connection.
+func rawRefusal(e *fault.Error) []byte {
+	var resp fasthttp.Response
+	resp.SetStatusCode(statusOf(e.Code))
+	setError(&resp, e)
+	resp.SetConnectionClose()
+	var b bytes.Buffer
+	_, _ = resp.WriteTo(&b)
+	return b.Bytes()
+}
 
 // listener bounds the number of connections and keeps track of them.
 type listener struct {
@@ -33,7 +50,8 @@
 	mu    sync.Mutex
 	open  map[*callerConn]struct{}
 	// changed signals that a connection was removed.
-	changed chan struct{}
+	changed   chan struct{}
+	lingering atomic.Int64
 }
 
 // Accept returns the next connection within the limit. Connections above it get a
@@ -48,12 +66,25 @@
 		if l.add(c) {
 			return c, nil
 		}
-		_ = nc.SetDeadline(time.Now().Add(lingerTime))
-		_, _ = io.WriteString(nc, tooMany)
-		go linger(nc)
+		l.refuse(nc)
 	}
 }
 
+// refuse answers a connection above the limit.
+func (l *listener) refuse(nc net.Conn) {
+	_ = nc.SetDeadline(time.Now().Add(lingerTime))
+	_, _ = nc.Write(tooMany)
+	if l.lingering.Add(1) > maxLingering {
+		l.lingering.Add(-1)
+		nc.Close()
+		return
+	}
+	go func() {
+		defer l.lingering.Add(-1)
+		linger(nc)
+	}()
+}
+
 func (l *listener) add(c *callerConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -40,13 +40,14 @@
 	// Begin sends status and header; later calls of one answer are ignored. A
 	// Content-Length in header makes the answer one of that fixed length.
 	Begin(status int, contentType string, header [][2]string) error
-	// Write sends p and flushes it. It must follow Begin.
+	// Write sends p. It must follow Begin. A stream is flushed before Write returns.
 	Write(p []byte) error
 }
 
 // Service serves calls. An error before Begin becomes a typed refusal. An error after
-// Begin ends the answer visibly incomplete: a stream gets a typed error event, and the
-// connection is closed without the terminating chunk.
+// Begin ends a stream visibly incomplete: it gets a typed error event, and the
+// connection is closed without the terminating chunk. Answers to calls that are not
+// streamed are sent when Serve has returned, so any error of theirs is a typed refusal.
 type Service interface {
 	Serve(ctx context.Context, call *Call, a Answer) error
 }
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	cfg     *config.Config
 	current bool
+	leaving bool
 }
 
 func (d *directory) Config() *config.Config {
@@ -38,7 +39,7 @@
 }
 func (d *directory) Current() bool            { d.mu.Lock(); defer d.mu.Unlock(); return d.current }
 func (d *directory) Hosts() []wire.HostStatus { return []wire.HostStatus{{Host: "h1", Alive: true}} }
-func (d *directory) Leaving() bool            { return false }
+func (d *directory) Leaving() bool            { d.mu.Lock(); defer d.mu.Unlock(); return d.leaving }
 
 type serviceFunc func(ctx context.Context, call *Call, a Answer) error
 
@@ -73,7 +74,7 @@
 	address string
 }
 
-func start(t *testing.T, o Options, f serviceFunc) *bench {
+func start(t testing.TB, o Options, f serviceFunc) *bench {
 	c := qt.New(t)
 	d := &directory{cfg: testConfig("acme", "k1"), current: true}
 	o.Directory, o.Service, o.DataCentre = d, f, "a"
@@ -277,6 +278,19 @@
 	b.wantError(b.send("GET", "/v1/models", auth, ""), 401, fault.Unauthenticated, fault.NotRun)
 }
 
+// Guards against sending callers to a host that leaves, while it serves those it has.
+func TestLeavingHost(t *testing.T) {
+	b := start(t, Options{Host: "h1"}, echo)
+	b.d.mu.Lock()
+	b.d.leaving = true
+	b.d.mu.Unlock()
+	body, err := io.ReadAll(b.send("GET", "/v1/discover", auth, "").Body)
+	b.Assert(err, qt.IsNil)
+	b.Assert(string(body), qt.Equals, `{"addresses":[],"keep_for_ms":10000}`)
+	b.Assert(b.send("POST", chatPath, auth, chatText).StatusCode, qt.Equals, 200)
+	b.wantError(b.send("GET", "/healthz", "Host: x\r\n", ""), 503, fault.HostLeaving, fault.NotRun)
+}
+
 // Guards the typed refusal of the service, with its retry delay rounded up.
 func TestServiceRefusal(t *testing.T) {
 	b := start(t, Options{}, func(context.Context, *Call, Answer) error {
@@ -333,9 +347,26 @@
 	}
 }
 
+// Guards against a half answer to a call that is not streamed.
+func TestFailureAfterBeginIsTyped(t *testing.T) {
+	b := start(t, Options{}, func(_ context.Context, _ *Call, a Answer) error {
+		_ = a.Begin(200, "text/plain", [][2]string{{"Content-Length", "9"}, {"ETag", "x"}})
+		_ = a.Write([]byte("half"))
+		return fault.New(fault.StreamCut, fault.MayHaveRun, "cut")
+	})
+	r := b.send("POST", chatPath, auth, strings.Replace(chatText, "true", "false", 1))
+	b.Assert(r.Header.Get("ETag"), qt.Equals, "")
+	b.Assert(r.Header.Get("X-Request-Id"), qt.Not(qt.Equals), "")
+	b.wantError(r, 502, fault.StreamCut, fault.MayHaveRun)
+}
+
 // Guards against work for callers that left, before and after the answer began.
 func TestDisconnectCancels(t *testing.T) {
-	for _, begin := range []bool{false, true} {
+	for i, begin := range []bool{false, false, true} {
+		text := chatText
+		if i == 0 {
+			text = strings.Replace(chatText, "true", "null", 1)
+		}
 		arrived, cancelled := make(chan struct{}), make(chan error)
 		b := start(t, Options{}, func(ctx context.Context, _ *Call, a Answer) error {
 			if begin {
@@ -348,7 +379,7 @@
 			return errGone
 		})
 		nc := b.dial()
-		_, _ = fmt.Fprintf(nc, "POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", chatPath, auth, len(chatText), chatText)
+		_, _ = fmt.Fprintf(nc, "POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", chatPath, auth, len(text), text)
 		<-arrived
 		b.Assert(b.s.Running(), qt.Equals, 1)
 		nc.Close()
@@ -408,3 +439,25 @@
 	b.wantError(r, 429, fault.QueueFull, fault.NotRun)
 	b.Assert(b.raw(kept, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").StatusCode, qt.Equals, 200)
 }
+
+// BenchmarkCall measures one call on a kept connection without an upstream.
+func BenchmarkCall(b *testing.B) {
+	for _, mode := range []string{"true", "false"} {
+		b.Run("stream="+mode, func(tb *testing.B) {
+			bb := start(tb, Options{}, echo)
+			nc := bb.dial()
+			br := bufio.NewReader(nc)
+			body := strings.Replace(chatText, "true", mode, 1)
+			text := fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", chatPath, auth, len(body), body)
+			tb.ReportAllocs()
+			for tb.Loop() {
+				_, _ = io.WriteString(nc, text)
+				r, err := http.ReadResponse(br, nil)
+				if err != nil {
+					tb.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+		})
+	}
+}
--- a/internal/frontend/list.go
+++ b/internal/frontend/list.go
@@ -10,6 +10,7 @@
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/discovery"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
 )
 
 // discover serves GET /v1/discover from the last known host list.
@@ -19,7 +20,21 @@
 		caller = host
 	}
 	q := discovery.Query{Account: r.account, Caller: caller, DataCentre: s.o.DataCentre}
-	return r.answerJSON(discovery.Select(r.cfg, s.o.Directory.Hosts(), q))
+	return r.answerJSON(discovery.Select(r.cfg, s.hosts(), q))
+}
+
+// hosts returns the host list. This host's own leaving is known here before the list
+// says so.
+func (s *Server) hosts() []wire.HostStatus {
+	list := s.o.Directory.Hosts()
+	if !s.o.Directory.Leaving() {
+		return list
+	}
+	list = slices.Clone(list)
+	for i := range list {
+		list[i].Leaving = list[i].Leaving || list[i].Host == s.o.Host
+	}
+	return list
 }
 
 type modelEntry struct {
@@ -57,8 +72,11 @@
 }
 
 // health serves GET /healthz without a credential. It tells nothing but whether the
-// host accepts new requests.
+// host wants new callers.
 func (s *Server) health(r *request) error {
+	if s.o.Directory.Leaving() {
+		return fault.New(fault.HostLeaving, fault.NotRun, "host is leaving")
+	}
 	return s.gate(func(r *request) error {
 		r.ctx.SetContentType("text/plain")
 		r.ctx.SetBodyString("ok\n")
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -164,9 +164,12 @@
 	return fault.New(fault.NotFound, fault.NotRun, "there is no such path and method")
 }
 
-// serveCall runs the service in its own goroutine, because the server sends a streamed
-// answer only after the handler has returned.
+// serveCall runs the service for one call. A stream needs a goroutine of its own,
+// because the server sends it only after the handler has returned.
 func (s *Server) serveCall(r *request, c *Call) error {
+	if !c.Stream {
+		return s.serveBuffered(r, c)
+	}
 	ctx, cancel := context.WithCancelCause(s.base)
 	a := newAnswer(ctx, cancel, r.ctx.IsHead())
 	a.watch = watchCaller(r.ctx.Conn(), func() { cancel(errGone) })
@@ -195,7 +198,7 @@
 	if callerGone(ctx) {
 		r.ctx.SetConnectionClose()
 	}
-	return a.failure()
+	return failure(ctx, a.err)
 }
 
 func (s *Server) count(code fault.Code) {
--- a/internal/frontend/status.go
+++ b/internal/frontend/status.go
@@ -92,16 +92,21 @@
 func writeError(ctx *fasthttp.RequestCtx, e *fault.Error) {
 	ctx.Response.ResetBody()
 	ctx.SetStatusCode(statusOf(e.Code))
-	ctx.SetContentType("application/json")
-	ctx.Response.Header.Set("X-Error-Code", string(e.Code))
-	ctx.Response.Header.Set("X-Run-State", string(runState(e)))
+	setError(&ctx.Response, e)
+}
+
+// setError sets the header and the body of a typed failure.
+func setError(resp *fasthttp.Response, e *fault.Error) {
+	resp.Header.SetContentType("application/json")
+	resp.Header.Set("X-Error-Code", string(e.Code))
+	resp.Header.Set("X-Run-State", string(runState(e)))
 	if e.RetryAfter > 0 {
-		ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds(e.RetryAfter)))
+		resp.Header.Set("Retry-After", strconv.Itoa(seconds(e.RetryAfter)))
 	}
 	if e.Code == fault.Unauthenticated {
-		ctx.Response.Header.Set("WWW-Authenticate", "Bearer")
+		resp.Header.Set("WWW-Authenticate", "Bearer")
 	}
-	ctx.SetBody(encodeError(e))
+	resp.SetBody(encodeError(e))
 }
 
 // seconds rounds up, so that a caller never comes back too early.
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -62,9 +62,11 @@
 	return e, ln.Addr().String()
 }
 
+var quick = emulator.Options{Slots: 64, TokensPerAnswer: 8}
+
 // fleet starts hosts in front of one emulator of each kind.
-func fleet(c *qt.C, hosts int) (*emulator.Emulator, *emulator.Emulator, []string) {
-	m, ma := emulate(c, emulator.Options{Slots: 64, TokensPerAnswer: 8})
+func fleet(c *qt.C, hosts int, model emulator.Options) (*emulator.Emulator, *emulator.Emulator, []string) {
+	m, ma := emulate(c, model)
 	s, sa := emulate(c, emulator.Options{Kind: config.KindService, Slots: 64})
 	cfg := config.New()
 	sum := sha256.Sum256([]byte("k1"))
@@ -101,7 +103,7 @@
 // belongs to its request, and every request runs once.
 func TestRunThroughFleet(t *testing.T) {
 	c := qt.New(t)
-	m, s, hosts := fleet(c, 3)
+	m, s, hosts := fleet(c, 3, quick)
 	r, err := Run(context.Background(), Options{
 		Hosts: []string{"127.0.0.1:1", hosts[0]}, Requests: 300, Seed: 7, Retries: 1,
 		Accounts: accounts(
@@ -125,6 +127,33 @@
 	c.Assert(s.Debug().Keys, qt.HasLen, s.Debug().Runs)
 }
 
+// Guards against upstream work for a caller that left, over the whole way.
+func TestCallerDisconnectEndsUpstreamRun(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		c := qt.New(t)
+		m, _, hosts := fleet(c, 1, emulator.Options{TokensPerAnswer: 1000, TokensPerSecond: 1})
+		ctx, cancel := context.WithCancel(context.Background())
+		o := Options{Hosts: hosts, Requests: 1, Accounts: accounts(Work{Pool: "m", Kind: config.KindModel, Stream: stream})}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = Run(ctx, o)
+		}()
+		until(func() bool { return m.Debug().MaxRunning == 1 })
+		cancel()
+		<-done
+		until(func() bool { return m.Debug().Cancelled == 1 })
+		c.Assert(m.Debug().Ended, qt.Equals, 0)
+	}
+}
+
+// until waits for a state of an emulator, which has no notification.
+func until(ok func() bool) {
+	for !ok() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Guards against a generator that accepts cut, foreign or untyped answers as good.
 func TestFaultyAnswersAreDetected(t *testing.T) {
 	const good = `{"id":"x","user":"USER","choices":[{"message":{"content":"x/0 x/1 "}}],"usage":{"completion_tokens":2}}`
@@ -163,7 +192,7 @@
 // Guards the bounds of a run: neither its requests nor its options may exceed them.
 func TestBounds(t *testing.T) {
 	c := qt.New(t)
-	_, _, hosts := fleet(c, 1)
+	_, _, hosts := fleet(c, 1, quick)
 	var mu sync.Mutex
 	n := 0
 	o := Options{Hosts: hosts, Requests: 5, Duration: time.Hour, Accounts: accounts(Work{Pool: "m", Kind: config.KindModel})}
@@ -182,7 +211,7 @@
 // BenchmarkAddedLatency compares a call through a host with a direct call.
 func BenchmarkAddedLatency(b *testing.B) {
 	c := qt.New(b)
-	_, _, hosts := fleet(c, 1)
+	_, _, hosts := fleet(c, 1, quick)
 	rng := rand.New(rand.NewSource(1))
 	_, direct := emulate(c, emulator.Options{Kind: config.KindService, Slots: 64})
 	o := &Options{Hosts: hosts, Timeout: time.Minute, Now: time.Now}
