--- /dev/null
+++ b/internal/scheduler/ports.go
@@ -0,0 +1,59 @@
+// Package scheduler runs the decision core of one pool on one host while the host holds
+// the pool's lease. It turns peer messages into calls of the core, sends grants and
+// refusals, and polls the upstreams for load and cache events.
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"marigoldshunt/internal/wire"
+)
+
+// Sender queues a message for another host. It must not block for long.
+type Sender interface {
+	Send(to string, kind wire.Kind, msg any) error
+}
+
+// Lease tells until when, on the process's monotonic clock, this host holds a pool's
+// lease.
+type Lease interface {
+	HeldUntil(pool string) (fence uint64, until time.Duration, ok bool)
+}
+
+// LoadReport is an upstream's answer about its load.
+type LoadReport struct {
+	Instance string
+	Running  int
+	Queued   int
+	// Age is how old the values were when the upstream answered, 0 when unknown.
+	Age time.Duration
+}
+
+// CacheEvent lists the prefixes that an upstream's cache gained and lost.
+type CacheEvent struct {
+	Seq            uint64
+	Added, Removed []wire.Digest
+}
+
+// CacheBatch is a list of cache events in order of their sequence numbers.
+type CacheBatch struct {
+	Events []CacheEvent
+}
+
+// LoadSource asks an upstream for its load and for the cache events after a sequence
+// number.
+type LoadSource interface {
+	Load(ctx context.Context, address string) (LoadReport, error)
+	CacheEvents(ctx context.Context, address string, since uint64) (CacheBatch, error)
+}
+
+// CrashStore writes a crash mark to the replicated state.
+type CrashStore interface {
+	MarkCrash(ctx context.Context, pool string, fp wire.Digest, upstream string)
+}
+
+// Clock is the process's monotonic clock.
+type Clock interface {
+	Now() time.Duration
+}
