--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,6 +36,7 @@
 type Client struct {
 	o      ClientOptions
 	inbox  chan event
+	queued atomic.Int64
 	chunks *chunker
 
 	mu sync.Mutex
@@ -119,6 +121,7 @@
 		case <-c.o.Ticks:
 			c.tick()
 		case e := <-c.inbox:
+			c.queued.Add(-int64(len(e.payload)))
 			c.event(e)
 		}
 	}
@@ -130,12 +133,7 @@
 	c.post(event{from: from, boot: boot, kind: kind, payload: payload})
 }
 
-func (c *Client) post(e event) {
-	select {
-	case c.inbox <- e:
-	default:
-	}
-}
+func (c *Client) post(e event) { postEvent(c.inbox, &c.queued, e) }
 
 // lock begins a change of the client's state at the current time.
 func (c *Client) lock() {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -43,6 +43,8 @@
 type Node struct {
 	o     NodeOptions
 	inbox chan event
+	// queued is the number of payload bytes in the inbox.
+	queued atomic.Int64
 	// dropped counts events that found the inbox full.
 	dropped atomic.Uint64
 	status  atomic.Pointer[Status]
@@ -169,13 +171,25 @@
 }
 
 func (n *Node) post(e event) bool {
-	select {
-	case n.inbox <- e:
+	if postEvent(n.inbox, &n.queued, e) {
 		return true
-	default:
-		n.dropped.Add(1)
-		return false
 	}
+	n.dropped.Add(1)
+	return false
+}
+
+// postEvent adds an event to a queue that is bounded in length and in bytes.
+func postEvent(inbox chan<- event, queued *atomic.Int64, e event) bool {
+	size := int64(len(e.payload))
+	if queued.Add(size) <= inboxBytes {
+		select {
+		case inbox <- e:
+			return true
+		default:
+		}
+	}
+	queued.Add(-size)
+	return false
 }
 
 // Run works until ctx ends. It returns a StorageFailed or StorageCorrupt error when the
@@ -190,7 +204,7 @@
 		case <-n.o.Ticks:
 			n.tick()
 		case e := <-n.inbox:
-			n.event(e)
+			n.take(e)
 		}
 		n.drain()
 		if err := n.process(); err != nil {
@@ -204,13 +218,18 @@
 	for range maxDrain {
 		select {
 		case e := <-n.inbox:
-			n.event(e)
+			n.take(e)
 		default:
 			return
 		}
 	}
 }
 
+func (n *Node) take(e event) {
+	n.queued.Add(-int64(len(e.payload)))
+	n.event(e)
+}
+
 // shutdown answers everything that waits and leaves a final status.
 func (n *Node) shutdown(cause error) {
 	n.failure = cause
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -57,6 +57,7 @@
 // Bounds of queues and messages.
 const (
 	inboxLength = 8_192
+	inboxBytes  = 64 << 20
 	// maxDrain is the number of events handled before the log is written, so that one
 	// sync serves many proposals.
 	maxDrain           = 2_048
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -66,6 +66,7 @@
 
 type packet struct {
 	from, to string
+	due      time.Duration
 	kind     wire.Kind
 	payload  []byte
 }
@@ -87,6 +88,8 @@
 	cut     map[string]bool
 	// drop loses matching packets.
 	drop func(packet) bool
+	// delay is the time that a message to another host takes; nil means none.
+	delay func() time.Duration
 	// check runs after each delivery and each tick.
 	check  func()
 	ledger map[string][]span
@@ -114,7 +117,11 @@
 	if len(payload) > 1<<20-1024 {
 		return fault.New(fault.FrameTooLarge, "", "%d bytes", len(payload))
 	}
-	p.w.queue = append(p.w.queue, packet{p.host, to, kind, payload})
+	due := p.w.now
+	if p.w.delay != nil && to != p.host {
+		due += p.w.delay()
+	}
+	p.w.queue = append(p.w.queue, packet{p.host, to, due, kind, payload})
 	return nil
 }
 
@@ -166,6 +173,9 @@
 			w.work(h, n)
 		}
 		if c := w.clients[h]; c != nil {
+			for len(c.inbox) > 0 {
+				c.event(<-c.inbox)
+			}
 			c.tick()
 		}
 	}
@@ -197,12 +207,18 @@
 }
 
 func (w *world) deliver() {
+	var later []packet
+	defer func() { w.queue = append(later, w.queue...) }()
 	for rounds := 0; len(w.queue) > 0; rounds++ {
 		if rounds > 200_000 {
 			w.t.Fatal("messages circulate without end")
 		}
 		p := w.queue[0]
 		w.queue = w.queue[1:]
+		if p.due > w.now {
+			later = append(later, p)
+			continue
+		}
 		if p.from != p.to && (w.cut[p.from] || w.cut[p.to]) || w.drop != nil && w.drop(p) {
 			continue
 		}
@@ -238,6 +254,14 @@
 					w.t.Fatalf("at %v pool %s is held by %s (fence %d) and %s (fence %d)", w.now, pool, host, fence, other, f)
 				}
 			}
+			if spans := w.ledger[pool]; len(spans) > 0 {
+				if last := &spans[len(spans)-1]; last.host == host && last.fence == fence {
+					last.to = until
+					continue
+				} else if last.fence >= fence {
+					w.t.Fatalf("pool %s passed from fence %d to %d", pool, last.fence, fence)
+				}
+			}
 			w.ledger[pool] = append(w.ledger[pool], span{host, fence, w.now, until})
 		}
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -310,3 +310,14 @@
 		w.do(Command{Unclaim: &ClaimRelease{Account: fmt.Sprint("a", i%1000), Key: k, Attempt: k}})
 	}
 }
+
+// Guards against a change of Command that makes IsOrder miss orders, so that two of
+// them share a log index.
+func TestIsOrder(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(IsOrder(encode(Command{Order: &OrderIssue{RequestID: "o"}})), qt.IsTrue)
+	for _, cmd := range []Command{{}, {Config: &ConfigChange{}}, {Acquire: &LeaseAcquire{}}, {Release: &LeaseRelease{}}, {Claim: &ClaimRequest{}},
+		{Finish: &ClaimFinish{}}, {Unclaim: &ClaimRelease{}}, {Mark: &Mark{}}, {OrderDone: &OrderDone{}}} {
+		c.Assert(IsOrder(encode(cmd)), qt.IsFalse)
+	}
+}
