--- /dev/null
+++ b/internal/control/inspect.go
@@ -0,0 +1,22 @@
+package control
+
+import "time"
+
+// Leader returns the host that the client takes for the control leader.
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.target
+}
+
+// ConfigAge returns the time since the configuration was confirmed, counted from before
+// the confirmed Renew was sent; -1 ms before the first confirmation.
+func (c *Client) ConfigAge() time.Duration {
+	now := c.o.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.confirmed {
+		return -time.Millisecond
+	}
+	return now - c.confirmedAt
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,259 @@
+// Package daemon wires the parts of a host together: the peer transport, the control
+// role and its client, the pool schedulers, the router, and the servers towards callers
+// and operators.
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"marigoldshunt/internal/admin"
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/control"
+	"marigoldshunt/internal/engine"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/frontend"
+	"marigoldshunt/internal/hlc"
+	"marigoldshunt/internal/peer"
+	"marigoldshunt/internal/platform"
+	"marigoldshunt/internal/router"
+	"marigoldshunt/internal/settings"
+	"marigoldshunt/internal/timeline"
+	"marigoldshunt/internal/wire"
+)
+
+// Options configures a Daemon. Only Settings is required.
+type Options struct {
+	Settings *settings.Settings
+	Log      *logrus.Logger
+	Version  string
+	// Dial opens peer connections; nil means TCP from the host's own peer address.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// PeerAddress maps a host's configured peer address; nil means the address itself.
+	PeerAddress func(address string) string
+}
+
+// monotonic is the process's monotonic clock.
+type monotonic struct{ start time.Time }
+
+// Now returns the time since the start of the process.
+func (m monotonic) Now() time.Duration { return time.Since(m.start) }
+
+// Daemon is one host of the fleet.
+type Daemon struct {
+	o        Options
+	s        *settings.Settings
+	log      *logrus.Entry
+	registry metrics.Registry
+	boot     uint64
+	clock    monotonic
+
+	hlc      *hlc.Clock
+	timeline *timeline.Ring
+	peers    *peer.Node
+	client   *control.Client
+	role     *controlRole
+	engine   *engine.Client
+	router   *router.Router
+	pools    *schedulers
+	callers  *frontend.Server
+	admin    *admin.Server
+	platform *platform.Reader
+	events   *recorder
+}
+
+// New builds a daemon. It opens the data folder but no network port.
+func New(o Options) *Daemon {
+	if o.Log == nil {
+		o.Log = logrus.New()
+	}
+	s := o.Settings
+	d := &Daemon{
+		o: o, s: s, log: o.Log.WithField("part", "daemon"),
+		registry: metrics.NewRegistry(),
+		boot:     uint64(time.Now().UnixMilli()),
+		clock:    monotonic{time.Now()},
+		hlc:      hlc.New(time.Now),
+	}
+	d.timeline = timeline.NewRing(s.Host, d.hlc)
+	d.events = newRecorder(d.timeline)
+	d.peers = peer.New(peer.Options{
+		Host: s.Host, Boot: d.boot, Key: s.PeerKey, Clock: d.hlc, Resolve: d.resolve,
+		Dial: d.dialer(), Log: o.Log, Registry: d.registry,
+	})
+	d.client = control.NewClient(control.ClientOptions{
+		Host: s.Host, Boot: d.boot, ControlHosts: names(s.ControlHosts), Transport: d.peers,
+		Clock: d.clock, Ticks: time.Tick(control.TickInterval), Log: d.part("control"),
+	})
+	d.engine = engine.New(engine.Options{Metrics: d.registry})
+	d.role = d.newControlRole()
+	d.router = router.New(router.Options{
+		Host: s.Host, Boot: d.boot, DataCentre: s.DataCentre, Sender: d.peers, Engine: d.engine,
+		Control: d.client, Clock: d.clock, Timeline: d.timeline, Log: d.part("router"), Registry: d.registry,
+	})
+	d.pools = newSchedulers(d)
+	d.platform = platform.New(platform.Options{Source: s.PlatformHosts, Log: o.Log, Registry: d.registry})
+	d.callers = d.newFrontend()
+	d.admin = admin.New(admin.Options{
+		Host: s.Host, Controller: operatorActions{d}, Timeline: d.timeline, Metrics: d.registry,
+		Clock: d.hlc, BootstrapHashes: s.OperatorKeyHashes, Log: o.Log, Registry: d.registry,
+	})
+	d.connect()
+	return d
+}
+
+func (d *Daemon) newFrontend() *frontend.Server {
+	return frontend.New(frontend.Options{
+		Host: d.s.Host, DataCentre: d.s.DataCentre, Directory: directory{d}, Service: d.router,
+		MaxConnections: d.s.CallerLimits.MaxConnections, MaxHeaderBytes: d.s.CallerLimits.HeaderBytes,
+		HeaderTimeout: d.s.CallerLimits.ReadTimeout, BodyTimeout: d.s.CallerLimits.ReadTimeout,
+		Metrics: d.registry, Log: d.o.Log,
+	})
+}
+
+func (d *Daemon) part(name string) *logrus.Entry { return d.o.Log.WithField("part", name) }
+
+func names(hosts []settings.ControlHost) []string {
+	var out []string
+	for _, h := range hosts {
+		out = append(out, h.Name)
+	}
+	return out
+}
+
+// resolve returns the peer address of a host: from the settings for control hosts,
+// since they must be found before there is a configuration, else from the
+// configuration.
+func (d *Daemon) resolve(host string) (string, bool) {
+	address := ""
+	for _, h := range d.s.ControlHosts {
+		if h.Name == host {
+			address = h.Address
+		}
+	}
+	if address == "" {
+		address = d.client.Config().Hosts[host].PeerAddress
+	}
+	if address != "" && d.o.PeerAddress != nil {
+		address = d.o.PeerAddress(address)
+	}
+	return address, address != ""
+}
+
+// dialer opens peer connections from the host's own address, so that the other side
+// and filters between hosts see which host connects.
+func (d *Daemon) dialer() func(ctx context.Context, address string) (net.Conn, error) {
+	if d.o.Dial != nil {
+		return d.o.Dial
+	}
+	local := &net.TCPAddr{}
+	if a, err := net.ResolveTCPAddr("tcp", d.s.PeerAddress); err == nil {
+		local.IP = a.IP
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{LocalAddr: local}).DialContext(ctx, "tcp", address)
+	}
+}
+
+// connect routes messages and events between the parts.
+func (d *Daemon) connect() {
+	toPools := func(from string, boot uint64, kind wire.Kind, payload []byte) {
+		d.pools.handle(from, boot, kind, payload)
+	}
+	for _, k := range []wire.Kind{wire.KindTicket, wire.KindCancel, wire.KindFinish, wire.KindBeat, wire.KindSync, wire.KindGrantReturn} {
+		d.peers.Handle(k, toPools)
+	}
+	for _, k := range []wire.Kind{wire.KindGrant, wire.KindRefuse, wire.KindSyncRequest} {
+		d.peers.Handle(k, d.router.Handle)
+	}
+	for _, k := range []wire.Kind{wire.KindRenewAck, wire.KindProposeAck, wire.KindSnapshotChunk} {
+		d.peers.Handle(k, d.client.Handle)
+	}
+	d.role.connect(d.peers, d.client)
+	d.peers.OnPeer(func(host string, _ uint64, up bool) {
+		if up {
+			d.router.PeerUp(host)
+		}
+	})
+	d.client.OnConfig(func(c *config.Config) {
+		d.events.config(c)
+		d.pools.configChanged(c)
+	})
+	d.client.OnLeases(func(held, all []wire.Lease) {
+		d.events.leases(held)
+		d.pools.leasesChanged(held)
+		d.router.LeasesChanged(all)
+	})
+	d.client.OnHosts(func(hosts []wire.HostStatus) {
+		d.events.hosts(hosts)
+		d.pools.hostsChanged(hosts)
+	})
+}
+
+// listeners are the open ports of a host.
+type listeners struct{ callers, admin, peer net.Listener }
+
+func (d *Daemon) listen() (l listeners, err error) {
+	for _, o := range []struct {
+		address string
+		ln      *net.Listener
+	}{{d.s.PeerAddress, &l.peer}, {d.s.AdminAddress, &l.admin}, {d.s.CallerAddress, &l.callers}} {
+		if *o.ln, err = net.Listen("tcp", o.address); err != nil {
+			l.close()
+			return l, fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", o.address)
+		}
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.admin, l.peer} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// Run serves until leave ends and the graceful shutdown is complete, or until abort
+// ends. It returns the first failure of a part.
+func (d *Daemon) Run(leave, abort context.Context) error {
+	l, err := d.listen()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(abort)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return ignoreClosed(ctx, d.peers.Serve(l.peer)) })
+	g.Go(func() error { return ignoreClosed(ctx, d.admin.Serve(l.admin)) })
+	g.Go(func() error { return ignoreClosed(leave, d.callers.Serve(l.callers)) })
+	g.Go(func() error { return d.peers.Run(ctx) })
+	g.Go(func() error { return d.client.Run(ctx) })
+	g.Go(func() error { return d.role.run(ctx) })
+	g.Go(func() error { return d.router.Run(ctx) })
+	g.Go(func() error { return d.pools.run(ctx) })
+	g.Go(func() error { return d.platform.Run(ctx) })
+	g.Go(func() error {
+		defer cancel()
+		return d.shutdown(leave, ctx)
+	})
+	d.timeline.Add("daemon", "started", "version", d.o.Version)
+	d.log.WithField("host", d.s.Host).Info("Host started.")
+	err = g.Wait()
+	d.role.close()
+	d.log.Info("Host stopped.")
+	return err
+}
+
+// ignoreClosed drops the error of a server that was closed on purpose.
+func ignoreClosed(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/daemon/operator.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+
+	"marigoldshunt/internal/admin"
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/state"
+	"marigoldshunt/internal/wire"
+)
+
+// operatorActions carries out the requests of operators. It implements
+// admin.Controller.
+type operatorActions struct{ d *Daemon }
+
+// Config implements admin.Controller.
+func (a operatorActions) Config() *config.Config { return a.d.client.Config() }
+
+// Change implements admin.Controller.
+func (a operatorActions) Change(ctx context.Context, requestID, operator string, changes []config.Change) (uint64, error) {
+	return a.d.client.Change(ctx, requestID, operator, changes)
+}
+
+// Init implements admin.Controller.
+func (a operatorActions) Init(ctx context.Context, hosts []string) error {
+	if a.d.role.node == nil {
+		return a.noRole()
+	}
+	return a.d.role.node.Form(ctx, uuid.NewString(), hosts)
+}
+
+// Replace implements admin.Controller. The new replica is on the same host.
+func (a operatorActions) Replace(ctx context.Context, host string) error {
+	if a.d.role.node == nil {
+		return a.noRole()
+	}
+	return a.d.role.node.Replace(ctx, uuid.NewString(), host, host)
+}
+
+func (a operatorActions) noRole() error {
+	if a.d.role.failure != nil {
+		return a.d.role.failure
+	}
+	return fault.New(fault.NotLeader, fault.NotRun, "host %s has no control role", a.d.s.Host)
+}
+
+// Order implements admin.Controller.
+func (a operatorActions) Order(ctx context.Context, requestID, _ string, o admin.Order) (admin.OrderAnswer, error) {
+	r, err := a.d.client.Order(ctx, requestID, state.Order{Upstream: o.Upstream, Kind: state.OrderKind(o.Kind), Name: o.Name})
+	return admin.OrderAnswer{Fence: r.Fence, Status: string(r.Status), Message: r.Message}, err
+}
+
+// Status implements admin.Controller.
+func (a operatorActions) Status() any { return a.d.status() }
+
+// directory is the view of the fleet that the callers' server needs. The platform's
+// list only adds hints: a host that the platform takes away is not named to callers.
+type directory struct{ d *Daemon }
+
+// Config implements frontend.Directory.
+func (v directory) Config() *config.Config { return v.d.client.Config() }
+
+// Current implements frontend.Directory.
+func (v directory) Current() bool { return v.d.client.Current() }
+
+// Leaving implements frontend.Directory.
+func (v directory) Leaving() bool { return v.d.client.Leaving() }
+
+// Hosts implements frontend.Directory.
+func (v directory) Hosts() []wire.HostStatus {
+	hosts := v.d.client.Hosts()
+	list := v.d.platform.List()
+	for i := range hosts {
+		if list.Leaving(hosts[i].Host) {
+			hosts[i].Leaving = true
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/daemon/schedulers.go
@@ -0,0 +1,196 @@
+package daemon
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/engine"
+	"marigoldshunt/internal/scheduler"
+	"marigoldshunt/internal/state"
+	"marigoldshunt/internal/wire"
+)
+
+// markDuration is how long a crash mark of the replicated state counts.
+const markDuration = time.Hour
+
+// schedulers holds one scheduler for each pool of the configuration. All of them know
+// the configuration; only those with a lease grant.
+type schedulers struct {
+	d *Daemon
+
+	mu     sync.Mutex
+	ctx    context.Context
+	group  *errgroup.Group
+	byPool map[string]*scheduler.Scheduler
+	held   map[string]uint64
+	config *config.Config
+	hosts  []wire.HostStatus
+}
+
+func newSchedulers(d *Daemon) *schedulers {
+	return &schedulers{d: d, byPool: map[string]*scheduler.Scheduler{}, held: map[string]uint64{}, config: config.New()}
+}
+
+// run keeps the schedulers working until ctx ends.
+func (p *schedulers) run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	p.mu.Lock()
+	p.ctx, p.group = ctx, g
+	for _, s := range p.byPool {
+		g.Go(func() error { return s.Run(ctx) })
+	}
+	p.mu.Unlock()
+	g.Go(func() error { <-ctx.Done(); return nil })
+	return g.Wait()
+}
+
+func (p *schedulers) configChanged(c *config.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.config = c
+	for name := range c.Pools {
+		if p.byPool[name] == nil {
+			p.add(name)
+		}
+	}
+	for _, s := range p.byPool {
+		s.ConfigChanged(c)
+	}
+}
+
+// add creates the scheduler of a pool. p.mu is held.
+func (p *schedulers) add(name string) {
+	s := scheduler.New(scheduler.Options{
+		Pool: name, Clock: p.d.clock, Sender: p.d.peers, Lease: p.d.client,
+		Load: loadSource{p.d.engine}, Crash: p.d.client, Seed: seed(name, p.d.boot),
+	})
+	p.byPool[name] = s
+	s.HostsChanged(p.hosts)
+	if p.group != nil && p.ctx.Err() == nil {
+		ctx := p.ctx
+		p.group.Go(func() error { return s.Run(ctx) })
+	}
+}
+
+func seed(name string, boot uint64) int64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return int64(h.Sum64() ^ boot)
+}
+
+func (p *schedulers) hostsChanged(hosts []wire.HostStatus) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = hosts
+	for _, s := range p.byPool {
+		s.HostsChanged(hosts)
+	}
+}
+
+// leasesChanged starts and ends the terms of this host's schedulers.
+func (p *schedulers) leasesChanged(held []wire.Lease) {
+	marks := p.d.client.Marks()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := map[string]uint64{}
+	for _, l := range held {
+		now[l.Pool] = l.Fence
+	}
+	for pool, s := range p.byPool {
+		fence, has := now[pool]
+		if old, had := p.held[pool]; had && (!has || old != fence) {
+			s.LeaseLost(pool)
+		}
+		if old, had := p.held[pool]; has && (!had || old != fence) {
+			p.restoreMarks(pool, s, marks)
+			s.LeaseGained(pool, fence)
+		}
+	}
+	p.held = now
+}
+
+// restoreMarks gives a new scheduler the crash marks of its predecessors.
+func (p *schedulers) restoreMarks(pool string, s *scheduler.Scheduler, marks []state.Mark) {
+	for _, m := range marks {
+		if m.Pool == pool {
+			age := time.Since(time.UnixMilli(m.At))
+			s.RestoreMark(m.Fingerprint, m.Upstream, p.d.clock.Now()+markDuration-age)
+		}
+	}
+}
+
+// poolOf decodes only the pool's name, which every message to a scheduler has.
+func poolOf(kind wire.Kind, payload []byte) string {
+	switch kind {
+	case wire.KindTicket:
+		return decoded[wire.Ticket](payload).Pool
+	case wire.KindCancel:
+		return decoded[wire.Cancel](payload).Pool
+	case wire.KindFinish:
+		return decoded[wire.Finish](payload).Pool
+	case wire.KindBeat:
+		return decoded[wire.Beat](payload).Pool
+	case wire.KindSync:
+		return decoded[wire.Sync](payload).Pool
+	case wire.KindGrantReturn:
+		return decoded[wire.GrantReturn](payload).Pool
+	}
+	return ""
+}
+
+func decoded[T any](payload []byte) T {
+	var v T
+	if wire.Unmarshal(payload, &v) != nil {
+		var zero T
+		return zero
+	}
+	return v
+}
+
+func (p *schedulers) handle(from string, boot uint64, kind wire.Kind, payload []byte) {
+	p.mu.Lock()
+	s := p.byPool[poolOf(kind, payload)]
+	p.mu.Unlock()
+	if s != nil {
+		s.Handle(from, boot, kind, payload)
+	}
+}
+
+func (p *schedulers) status() []scheduler.Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []scheduler.Status
+	for _, s := range p.byPool {
+		if st := s.Status(); st.Held {
+			out = append(out, st)
+		}
+	}
+	return out
+}
+
+// loadSource reads load reports and cache events of upstreams.
+type loadSource struct{ c *engine.Client }
+
+// Load implements scheduler.LoadSource.
+func (l loadSource) Load(ctx context.Context, address string) (scheduler.LoadReport, error) {
+	r, err := l.c.Load(ctx, address)
+	return scheduler.LoadReport{Instance: r.Instance, Running: r.Running, Queued: r.Queued}, err
+}
+
+// CacheEvents implements scheduler.LoadSource.
+func (l loadSource) CacheEvents(ctx context.Context, address string, since uint64) (scheduler.CacheBatch, error) {
+	b, err := l.c.CacheEvents(ctx, address, since)
+	if err != nil {
+		return scheduler.CacheBatch{}, err
+	}
+	var out scheduler.CacheBatch
+	for _, e := range b.Events {
+		out.Events = append(out.Events, scheduler.CacheEvent{Seq: e.Seq, Added: digests(e.Added), Removed: digests(e.Removed)})
+	}
+	return out, nil
+}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -52,6 +52,7 @@
 
 func testConfig(account, key string) *config.Config {
 	cfg := config.New()
+	cfg.Policy.KeepFor = 10 * time.Second
 	cfg.Contracts[account] = config.Contract{
 		Account: account, KeyHashes: []string{hash(key)}, MaxBodyBytes: 4096,
 		MaxRun: time.Minute, MaxWait: time.Second, Pools: []string{"m", "s"},
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -134,3 +134,26 @@
 		}
 	}
 }
+
+// Status describes the router's open requests.
+type Status struct {
+	Waiting    int
+	Running    int
+	ByUpstream map[string]int
+}
+
+// Status returns the number of open requests, and of running ones per upstream.
+func (r *Router) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st := Status{ByUpstream: map[string]int{}}
+	for _, q := range r.open {
+		if q.upstream == "" {
+			st.Waiting++
+			continue
+		}
+		st.Running++
+		st.ByUpstream[q.upstream]++
+	}
+	return st
+}
--- /dev/null
+++ b/internal/state/main_test.go
@@ -0,0 +1,9 @@
+package state
+
+import (
+	"testing"
+
+	"marigoldshunt/internal/seedtest"
+)
+
+func TestMain(m *testing.M) { seedtest.Main(m) }
--- /dev/null
+++ b/internal/timeline/main_test.go
@@ -0,0 +1,9 @@
+package timeline
+
+import (
+	"testing"
+
+	"marigoldshunt/internal/seedtest"
+)
+
+func TestMain(m *testing.M) { seedtest.Main(m) }
