Record the failure of a claimed request

Cause: an order that ran and failed left its claim open, so a resend was told that it may have run instead of the known outcome. Change: the failure's code and message are stored with the claim and replayed. Measured: the new test fails on the earlier code, where the record never comes, and passes now; package tests pass under the race detector. Conclusion: a resend of a failed order gets the first answer.

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -18,6 +17,9 @@
 	ContentType string
 	Header      [][2]string
 	Body        []byte
+	// Code and Message are set when the request ran and the upstream reported a failure.
+	Code    fault.Code
+	Message string
 }
 
 // replayedHeader marks an answer that comes from the record and not from a new run.
@@ -44,10 +46,13 @@
 		return nil
 	}
 	f := fault.As(err)
-	if f.Run != fault.NotRun {
-		return f
+	switch f.Run {
+	case fault.NotRun:
+		return r.release(u, attempt, f)
+	case fault.RanAndFailed:
+		r.record(u, keptAnswer{Code: f.Code, Message: f.Message()})
 	}
-	return r.release(u, attempt, f)
+	return f
 }
 
 // claim opens the claim. When the outcome is unknown the request is not sent: only the
@@ -100,12 +105,17 @@
 	}
 }
 
-// recordAnswer commits the end of a claimed request with its answer, so that a resend
-// gets the same answer. The caller gets the answer even if this fails.
+// recordAnswer records the upstream's answer to a claimed request.
 func (r *Router) recordAnswer(u *run) {
 	s := u.sink
+	r.record(u, keptAnswer{Status: s.status, ContentType: s.contentType, Header: s.header, Body: s.held})
+}
+
+// record commits the end of a claimed request with its answer, so that a resend gets
+// the same answer. The caller gets the answer even if this fails.
+func (r *Router) record(u *run, k keptAnswer) {
 	finish := state.ClaimFinish{Account: u.call.Account, Key: u.call.Key, Attempt: u.attempt}
-	b, err := wire.Marshal(keptAnswer{Status: s.status, ContentType: s.contentType, Header: s.header, Body: s.held})
+	b, err := wire.Marshal(k)
 	if err != nil || len(b) > maxKeptAnswer {
 		finish.TooLarge = true
 	} else {
@@ -123,8 +133,8 @@
 	if err := wire.Unmarshal(stored, &k); err != nil {
 		return fault.Wrap(err, fault.AnswerNotKept, fault.MayHaveRun, "stored answer is unreadable")
 	}
-	if k.Status == 0 {
-		k.Status = http.StatusOK
+	if k.Code != "" {
+		return fault.New(k.Code, fault.RanAndFailed, "%s", k.Message)
 	}
 	header := append([][2]string{{replayedHeader, "true"}}, k.Header...)
 	if err := u.sink.answer.Begin(k.Status, k.ContentType, header); err != nil {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -339,6 +339,19 @@
 		f.Assert(f.next(wire.KindFinish).kind, qt.Equals, wire.KindFinish)
 		f.Assert(f.sent, qt.HasLen, 0)
 	})
+	t.Run("failure of the upstream is recorded and replayed", func(t *testing.T) {
+		f := newFixture(t)
+		f.engine = func(*engine.Request, engine.Sink) engine.Result { return engine.Result{Outcome: wire.OutcomeFailed} }
+		_, end := f.serve(order())
+		f.deliver(wire.KindGrant, f.grant(f.ticket(), "u1"))
+		fin := <-f.done
+		f.Assert(fault.As(<-end).Run, qt.Equals, fault.RanAndFailed)
+		f.claim = func(state.ClaimRequest) (state.ClaimAnswer, error) {
+			return state.ClaimAnswer{Answer: fin.Answer}, nil
+		}
+		_, end = f.serve(order())
+		f.Assert(fault.CodeOf(<-end), qt.Equals, fault.UpstreamFailed)
+	})
 	t.Run("unconfirmed claim is not sent and is released", func(t *testing.T) {
 		f := newFixture(t)
 		f.claim = func(state.ClaimRequest) (state.ClaimAnswer, error) {
