Pass prefix digests to engines and conditions to plain services

Cause: the router did not pass the prompt prefix on, so cache events could not name it and affinity came only from own grants; callers' conditional headers were lost. Change: engine requests carry the prefix digest and a fixed list of the caller's headers; credentials and connection headers are never passed. Conclusion: affinity can use the engines' own events.

--- a/internal/engine/do.go
+++ b/internal/engine/do.go
@@ -118,6 +118,9 @@
 	if r.Offset > 0 {
 		req.Header.Set(headerOffset, strconv.Itoa(r.Offset))
 	}
+	for _, h := range r.Header {
+		req.Header.Set(h[0], h[1])
+	}
 	if r.ContentType != "" {
 		req.Header.SetContentType(r.ContentType)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -26,6 +26,8 @@
 	Query       string
 	ContentType string
 	Body        []byte
+	// Header holds request headers of the caller that are passed on.
+	Header [][2]string
 	// ID identifies the request to the engine, also when its stream is resumed.
 	ID string
 	// Key is the idempotency key, which plain services receive unchanged.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -162,6 +163,23 @@
 	c.Assert(s.header, qt.DeepEquals, [][2]string{{"Content-Length", "52"}})
 }
 
+// Guards against an upstream that does not see the caller's headers, or a prompt prefix
+// that its cache events cannot name.
+func TestRequestHeaders(t *testing.T) {
+	c := qt.New(t)
+	got := make(chan http.Header, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r.Header }))
+	defer srv.Close()
+	cl := New(Options{})
+	defer cl.Close()
+	r := chat(srv.Listener.Addr().String(), false)
+	r.Header, r.Prefix = [][2]string{{"If-Match", "v7"}}, wire.Digest{1}
+	c.Assert(cl.Do(context.Background(), r, &sink{}).Outcome, qt.Equals, wire.OutcomeDone)
+	h := <-got
+	c.Assert(h.Get("If-Match"), qt.Equals, "v7")
+	c.Assert(h.Get("X-Prefix-Digest"), qt.Equals, "01000000000000000000000000000000")
+}
+
 // Guards against silent repetition and against a false "not run": a kept connection
 // that the upstream closes on the second request may have run it.
 func TestNoSilentRetryOnKeptConnection(t *testing.T) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -23,6 +23,8 @@
 	Query       string
 	ContentType string
 	Body        []byte
+	// Header holds the headers of the caller that plain services receive.
+	Header [][2]string
 	// Stream is true when the caller asked for server-sent events.
 	Stream     bool
 	Idempotent bool
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -267,6 +267,19 @@
 	b.Assert(two.Fingerprint != one.Fingerprint, qt.IsTrue)
 	three := get("", strings.Replace(chatText, "hi", "ho", 1))
 	b.Assert(three.Prefix != one.Prefix, qt.IsTrue)
+	b.Assert(one.Header, qt.HasLen, 0)
+}
+
+// Guards against a caller's conditions that get lost, and against its credential or
+// connection headers reaching a plain service.
+func TestServiceCallHeaders(t *testing.T) {
+	calls := make(chan *Call, 1)
+	b := start(t, Options{}, func(_ context.Context, c *Call, a Answer) error {
+		calls <- c
+		return a.Begin(204, "", [][2]string{{"Content-Length", "0"}})
+	})
+	b.send("GET", "/services/s/x", auth+"If-None-Match: v7\r\nX-Other: y\r\n", "")
+	b.Assert((<-calls).Header, qt.DeepEquals, [][2]string{{"If-None-Match", "v7"}})
 }
 
 // Guards against an index that keeps a revoked credential.
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -79,9 +79,27 @@
 	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
 }
 
+// passedHeaders are the request headers that plain services receive.
+var passedHeaders = []string{
+	"Accept", "Accept-Encoding", "Accept-Language", "If-Match", "If-None-Match",
+	"If-Modified-Since", "If-Unmodified-Since", "Traceparent", "Tracestate",
+}
+
+// passedHeader returns the caller's values of the passed headers.
+func (r *request) passedHeader() [][2]string {
+	var out [][2]string
+	for _, name := range passedHeaders {
+		if v := r.ctx.Request.Header.Peek(name); len(v) > 0 {
+			out = append(out, [2]string{name, string(v)})
+		}
+	}
+	return out
+}
+
 // plain serves a call of a plain service.
 func (s *Server) plain(r *request) error {
 	c := r.call(r.path)
 	c.Idempotent, c.Key = r.idempotent, r.key
+	c.Header = r.passedHeader()
 	return s.serveCall(r, c)
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -153,8 +153,8 @@
 	res := r.o.Engine.Do(runCtx, &engine.Request{
 		Pool: u.pool, Upstream: g.Upstream, Address: g.Address,
 		Method: u.call.Method, Path: u.call.Path, Query: u.call.Query,
-		ContentType: u.call.ContentType, Body: u.call.Body,
-		ID: u.call.ID, Key: u.call.Key, Offset: u.offset, Stream: u.call.Stream,
+		ContentType: u.call.ContentType, Body: u.call.Body, Header: u.call.Header,
+		ID: u.call.ID, Key: u.call.Key, Prefix: u.call.Prefix, Offset: u.offset, Stream: u.call.Stream,
 	}, u.sink)
 	if res.Outcome == wire.OutcomeCancelled {
 		res.Err = cancelReason(ctx, runCtx, res.Err)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -156,7 +156,14 @@
 // Guards against an answer or a cost report that goes missing on the plain path.
 func TestGrantedRequestIsAnsweredAndReported(t *testing.T) {
 	f := newFixture(t)
-	a, end := f.serve(idempotent())
+	call := idempotent()
+	call.Prefix, call.Header = wire.Digest{9}, [][2]string{{"Accept", "text/plain"}}
+	f.engine = func(r *engine.Request, s engine.Sink) engine.Result {
+		f.Check(r.Prefix, qt.Equals, wire.Digest{9})
+		f.Check(r.Header, qt.HasLen, 1)
+		return whole(s)
+	}
+	a, end := f.serve(call)
 	f.deliver(wire.KindGrant, f.grant(f.ticket(), "u1"))
 	fin := f.next(wire.KindFinish).msg.(wire.Finish)
 	f.Assert(fin.Cost, qt.Equals, 7.0)
