--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -278,7 +278,7 @@
 		calls <- c
 		return a.Begin(204, "", [][2]string{{"Content-Length", "0"}})
 	})
-	b.send("GET", "/services/s/x", auth+"If-None-Match: v7\r\nX-Other: y\r\n", "")
+	b.send("GET", "/services/s/orders", auth+"If-None-Match: v7\r\nX-Other: y\r\n", "")
 	b.Assert((<-calls).Header, qt.DeepEquals, [][2]string{{"If-None-Match", "v7"}})
 }
 
