--- a/internal/sched/fingerprint.go
+++ b/internal/sched/fingerprint.go
@@ -167,11 +167,13 @@
 }
 
 // mark records that the fingerprint crashed the upstream. Two grants that one crash cut
-// off give one mark.
+// off give one mark. A quarantined fingerprint still gets marks for further upstreams,
+// because the replicated state keeps one mark per upstream and a later scheduler must
+// find two.
 func (p *Pool) mark(now time.Duration, f *fingerprint, u *upstream, granted time.Duration, eff *Effects) {
 	f.lapse(now)
 	s := f.find(u.name)
-	if f.quarantined() || (s != nil && s.marked && granted <= s.markedAt) {
+	if s != nil && s.marked && (f.quarantined() || granted <= s.markedAt) {
 		return
 	}
 	p.setMark(f, u.name, now, now+markDuration)
--- a/internal/sched/protect_test.go
+++ b/internal/sched/protect_test.go
@@ -354,4 +354,50 @@
 	w = newWorld(fixed(1), 1)
 	w.submit("a", avoid)
 	c.Check(w.drain(), qt.HasLen, 1)
+
+	// The end of another account's request is enough to try a held ticket again.
+	w = newWorld(fixed(1), 2)
+	w.submit("b", avoid)
+	busy := w.drain()
+	w.submit("a", avoid)
+	c.Assert(w.drain(), qt.HasLen, 0)
+	w.finish(busy[0], wire.OutcomeDone, 1)
+	c.Check(w.drain(), qt.HasLen, 1)
+}
+
+// Guards against a third upstream for a fingerprint whose broken connections have no
+// verdict yet, and for a marked one that ran elsewhere without success.
+func TestNoThirdUpstream(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(fixed(1), 4)
+	for name := range w.cfg.Upstreams {
+		w.report(name, "i", 0, 0)
+	}
+	// All upstreams are equally far, so that the choice among them is random.
+	far := func(t *wire.Ticket) { t.DataCentre = "elsewhere" }
+	var used []string
+	for range 2 {
+		w.submit("a", withFP(1), far)
+		g := w.drain()[0]
+		used = append(used, g.Upstream)
+		w.finish(g, wire.OutcomeBroken, 1)
+	}
+	c.Assert(used[0] != used[1], qt.IsTrue)
+	w.submit("a", withFP(1), far)
+	c.Check(w.drain(), qt.HasLen, 0)
+	w.now += time.Millisecond
+	c.Assert(w.report(used[0], "restarted", 0, 0).Marks, qt.HasLen, 1)
+	c.Assert(w.report(used[1], "i", 0, 0).Marks, qt.HasLen, 0)
+	other := ""
+	for range 8 {
+		gs := w.drain()
+		c.Assert(gs, qt.HasLen, 1)
+		c.Assert(gs[0].Upstream != used[0], qt.IsTrue)
+		if other == "" {
+			other = gs[0].Upstream
+		}
+		c.Assert(gs[0].Upstream, qt.Equals, other)
+		w.finish(gs[0], wire.OutcomeFailed, 1)
+		w.submit("a", withFP(1), far)
+	}
 }
--- a/internal/sched/sync.go
+++ b/internal/sched/sync.go
@@ -126,8 +126,9 @@
 	}
 	it.adopted, it.weight = true, 1
 	p.run(now, it, u)
-	// The epoch at the start is unknown, so its success does not warm the upstream.
-	it.epoch, it.instance = u.epoch-1, ""
+	// The start is unknown, so a success does not warm the upstream, and a crash counts as
+	// the one of a mark that is already known.
+	it.epoch, it.instance, it.granted = u.epoch-1, "", 0
 	u.other = max(u.other-1, 0)
 	p.update(it.account, true)
 }
