Drive the fairness gap by misleading estimates

Cause: random costs do not show how far the gap moves when estimates are wrong in one direction for one account and in the other for another one. Change: a directed test in which 6 requests of one account cost more and 6 of another one less than estimated, then the reverse, with both accounts backlogged and below their limits throughout.

--- /dev/null
+++ b/internal/sched/bound_test.go
@@ -0,0 +1,151 @@
+package sched
+
+import (
+	"testing"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/wire"
+)
+
+// boundTrial drives three accounts, two of which alternate between requests that cost
+// their estimate, less (over) and more (under) than it.
+type boundTrial struct {
+	t       *testing.T
+	w       *world
+	next    map[string][]wire.TicketID
+	filler  []Grant
+	service map[string]float64
+	// least and most are the extremes of the gap between a and b.
+	least, most float64
+}
+
+const (
+	exact = "exact"
+	under = "under"
+	over  = "over"
+)
+
+// want replaces the waiting tickets of an account without leaving it idle.
+func (b *boundTrial) want(account, kind string) {
+	old := b.next[account]
+	b.next[account] = nil
+	for range 2 {
+		id, code := b.w.submit(account, func(t *wire.Ticket) {
+			if kind != under {
+				t.InputCost = 100
+			}
+		})
+		if code != "" {
+			b.t.Fatalf("refused: %s", code)
+		}
+		b.next[account] = append(b.next[account], id)
+	}
+	for _, id := range old {
+		b.w.p.Cancel(b.w.now, id)
+	}
+}
+
+// grant takes the next grant and counts its true cost at dispatch.
+func (b *boundTrial) grant(kinds map[string]string) (Grant, string) {
+	g, ok := b.w.p.Next(b.w.now)
+	if !ok {
+		b.t.Fatal("no grant")
+	}
+	kind := kinds[g.Account]
+	if kind != over {
+		b.service[g.Account] += 100
+	}
+	b.want(g.Account, kind)
+	for _, n := range []string{"a", "b"} {
+		if s := b.w.account(n); s.Waiting == 0 || s.Blocked {
+			b.t.Fatalf("account %s is not eligible all the time", n)
+		}
+	}
+	gap := b.service["a"] - b.service["b"]
+	b.least, b.most = min(b.least, gap), max(b.most, gap)
+	return g, kind
+}
+
+// end finishes a request without an effect on the account's mean.
+func (b *boundTrial) end(g Grant, kind string) {
+	cost := 100.0
+	if kind == over {
+		cost = 0
+	}
+	b.w.finish(g, wire.OutcomeCancelled, cost)
+}
+
+// collect runs until the account holds n requests of the kind. All others end at once.
+func (b *boundTrial) collect(account, kind string, n int) []Grant {
+	var held []Grant
+	for len(held) < n {
+		b.want(account, kind)
+		g, k := b.grant(map[string]string{"a": exact, "b": exact, "c": exact, account: kind})
+		if g.Account != account {
+			b.end(g, k)
+			continue
+		}
+		held = append(held, g)
+		b.end(b.filler[0], exact)
+		b.filler = b.filler[1:]
+	}
+	b.want(account, exact)
+	return held
+}
+
+// phase lets one account run n requests that cost more than estimated while another one
+// runs n that cost less, and then serves everybody until the tags are level.
+func (b *boundTrial) phase(cheap, dear string, n int) {
+	overs := b.collect(cheap, over, n)
+	unders := b.collect(dear, under, n)
+	b.t.Logf("%s runs %d requests above and %s %d below their estimate: gap %.0f",
+		dear, n, cheap, n, b.service["a"]-b.service["b"])
+	for i := range n {
+		b.end(overs[i], over)
+		b.end(unders[i], under)
+	}
+	for range 100 {
+		g, k := b.grant(map[string]string{"a": exact, "b": exact, "c": exact})
+		b.end(g, k)
+	}
+	b.t.Logf("tags level: gap %.0f", b.service["a"]-b.service["b"])
+	for range 2 * n {
+		g, _ := b.grant(map[string]string{"a": exact, "b": exact, "c": exact})
+		for g.Account != "c" {
+			b.end(g, exact)
+			g, _ = b.grant(map[string]string{"a": exact, "b": exact, "c": exact})
+		}
+		b.filler = append(b.filler, g)
+	}
+}
+
+// misleadingGap returns how far the gap between a and b moved, and the contract of both.
+func misleadingGap(t *testing.T) (float64, config.Contract) {
+	b := &boundTrial{t: t, w: newWorld(fixed(16), 1), next: map[string][]wire.TicketID{}, service: map[string]float64{}}
+	pool := b.w.cfg.Pools["m"]
+	pool.DefaultCost = 0
+	b.w.cfg.Pools["m"] = pool
+	for _, n := range []string{"a", "b"} {
+		b.w.edit(n, func(ct *config.Contract) { ct.Concurrency = 8 })
+	}
+	b.w.submitN("c", 15, func(t *wire.Ticket) { t.InputCost = 100 })
+	b.filler = b.w.drain()
+	for _, n := range []string{"a", "b", "c"} {
+		b.want(n, exact)
+	}
+	b.phase("b", "a", 6)
+	b.phase("a", "b", 6)
+	return b.most - b.least, b.w.cfg.Contracts["a"]
+}
+
+// Guards against a fairness gap without bound. Estimates that are too low for one account
+// and too high for the other move the gap by K c / w for each account in one direction;
+// opposite errors later in the interval move it as far in the other direction. Within
+// one interval that makes (2K + 1) c / w per account.
+func TestGapWithMisleadingEstimates(t *testing.T) {
+	gap, ct := misleadingGap(t)
+	limit := 2 * float64(2*ct.Concurrency+1) * 100 / ct.Weight
+	if gap > limit || gap < 1000 {
+		t.Fatalf("gap moved by %.0f, want between 1000 and %.0f", gap, limit)
+	}
+}
