Bound how often held accounts are tried again

Cause: Expire runs after every message and tried all held accounts again each time, although only freed slots and elapsed time can help them. Change: Expire tries them at most every 20 ms; freed slots are still tried at once, also when a slot is freed by the longest run time. The lease port states which locks it must not take. Conclusion: a message costs no pass over held accounts.

--- a/internal/sched/finish.go
+++ b/internal/sched/finish.go
@@ -150,17 +150,22 @@
 
 // expireSlots frees slots whose request must have ended by the longest run time.
 func (p *Pool) expireSlots(now time.Duration) {
+	freed := false
 	for _, u := range p.order {
 		if u.other > 0 && now >= u.otherUntil {
 			u.other = 0
+			freed = true
 		}
 	}
-	if p.orphans == 0 {
-		return
-	}
-	for _, it := range p.items {
-		if it.orphan && now >= it.orphanEnd {
-			p.release(it, false)
+	if p.orphans > 0 {
+		for _, it := range p.items {
+			if it.orphan && now >= it.orphanEnd {
+				p.release(it, false)
+				freed = true
+			}
 		}
 	}
+	if freed {
+		p.wakeHeld()
+	}
 }
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -19,6 +19,9 @@
 	// avoidHold bounds how long a ticket waits for an upstream other than the one to
 	// avoid while another one is in service but full.
 	avoidHold = time.Second
+	// wakeInterval bounds how often Expire tries held accounts again for the sake of
+	// avoidHold and lapsed marks. Freed slots are tried at once.
+	wakeInterval = 20 * time.Millisecond
 	// defaultMaxWait and defaultMaxRun stand in for limits that neither the ticket nor the
 	// contract states.
 	defaultMaxWait = 30 * time.Second
@@ -57,6 +60,8 @@
 	// resend lists grants that a router has not received.
 	resend  []wire.TicketID
 	refused []wire.Refuse
+	// nextWake is when Expire tries the held accounts again.
+	nextWake time.Duration
 
 	fingerprints map[wire.Digest]*fingerprint
 	proven       fpList
@@ -348,7 +353,10 @@
 func (p *Pool) Expire(now time.Duration, out []wire.Refuse) []wire.Refuse {
 	p.expireDue(now)
 	p.expireSlots(now)
-	p.wakeHeld()
+	if now >= p.nextWake {
+		p.nextWake = now + wakeInterval
+		p.wakeHeld()
+	}
 	out = append(out, p.refused...)
 	p.refused = p.refused[:0]
 	return out
--- a/internal/scheduler/ports.go
+++ b/internal/scheduler/ports.go
@@ -16,7 +16,8 @@
 }
 
 // Lease tells until when, on the process's monotonic clock, this host holds a pool's
-// lease.
+// lease. It is called with the lock scheduler.pool held, so it must not take a lock that
+// the design orders before it, such as control.node.
 type Lease interface {
 	HeldUntil(pool string) (fence uint64, until time.Duration, ok bool)
 }
