--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -210,7 +210,7 @@
 		w.startNode(lost)
 		w.startClient(lost)
 		w.run(2 * time.Second)
-		c.Assert(w.nodes[lost].formed(), qt.IsFalse)
+		c.Assert(w.nodes[lost].raft, qt.IsNil)
 		err := w.onNode(w.leader(), func(n *Node) error { return n.Replace(t.Context(), "rep", lost, lost) })
 		c.Assert(err, qt.IsNil)
 		c.Assert(w.nodes[w.leader()].Status().Members, qt.HasLen, 3)
@@ -246,6 +246,36 @@
 	c.Assert(w.nodes["h4"].formed(), qt.IsFalse)
 }
 
+// Guards against a late commit of the formation that resets a replica which already
+// follows the group.
+func TestLateFormCommit(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 22, "h1", "h2", "h3")
+	var late []packet
+	w.drop = func(p packet) bool {
+		var m wire.Form
+		if p.to == "h3" && p.kind == wire.KindForm && wire.Unmarshal(p.payload, &m) == nil && m.Op == wire.FormCommit && len(late) < 20 {
+			late = append(late, p)
+			return true
+		}
+		return p.to == "h3" && p.kind == wire.KindRaft && len(late) == 0
+	}
+	n := w.nodes["h1"]
+	done := make(chan error, 1)
+	go func() { done <- n.Form(t.Context(), "init", w.control) }()
+	n.event(<-n.inbox)
+	w.until("h3 follows the log", 6*time.Second, func() bool { return w.nodes["h3"].raft != nil && w.nodes["h3"].applied > 1 })
+	applied := w.nodes["h3"].applied
+	c.Assert(len(late) > 0, qt.IsTrue)
+	w.queue = append(w.queue, late[0])
+	w.drop = nil
+	w.until("formed", 5*time.Second, func() bool { return n.form == nil })
+	c.Assert(<-done, qt.IsNil)
+	c.Assert(w.nodes["h3"].applied >= applied, qt.IsTrue)
+	c.Assert(w.nodes["h3"].formed(), qt.IsTrue)
+	c.Assert(w.nodes["h3"].st.FormedBy(), qt.Equals, "init")
+}
+
 // Guards against a host that acknowledges what it could not write.
 func TestStorageFailure(t *testing.T) {
 	c := qt.New(t)
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -51,7 +51,7 @@
 	case err := <-done:
 		return err
 	case <-n.stopped:
-		return fault.New(fault.StorageFailed, fault.MayHaveRun, "the control role has ended")
+		return fault.Wrap(n.failure, fault.CodeOf(n.failure), fault.MayHaveRun, "the control role has ended")
 	case <-ctx.Done():
 		return fault.New(fault.Timeout, fault.MayHaveRun, "not all control hosts answered in time")
 	}
@@ -148,6 +148,9 @@
 	if err := n.checkFormed(m.RequestID); err != nil || n.formed() {
 		return err
 	}
+	if n.raft != nil && (n.promise == nil || n.promise.RequestID != m.RequestID) {
+		return fault.New(fault.AlreadyFormed, fault.NotRun, "host %q is joining a group", n.o.Host)
+	}
 	// Another request for the same hosts forms the same group, so it may take over.
 	if p := n.promise; p != nil && p.RequestID != m.RequestID && !slices.Equal(p.Hosts, m.Hosts) {
 		return fault.New(fault.MembershipConflict, fault.NotRun, "host %q takes part in another formation", n.o.Host)
@@ -163,6 +166,11 @@
 	if p := n.promise; p == nil || p.RequestID != m.RequestID {
 		return fault.New(fault.MembershipConflict, fault.NotRun, "host %q has not promised this formation", n.o.Host)
 	}
+	if n.raft != nil {
+		// The other replicas have formed the group and send their log already. A second
+		// start from the first snapshot would drop entries that this replica acknowledged.
+		return nil
+	}
 	if !slices.Contains(m.Members, wire.FormMember{ID: uint64(n.o.Storage.ReplicaID()), Host: n.o.Host}) {
 		return fault.New(fault.MembershipConflict, fault.NotRun, "the membership lacks the replica of host %q", n.o.Host)
 	}
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -126,7 +126,7 @@
 		if err := n.st.Restore(s.Data); err != nil {
 			return err
 		}
-		n.applied, n.snapIndex, n.logBytes = s.Index, s.Index, 0
+		n.applied, n.snapIndex, n.snapBytes, n.logBytes = s.Index, s.Index, len(s.Data), 0
 		n.st.Skip(s.Index)
 	}
 	for _, e := range rd.Committed {
@@ -149,9 +149,22 @@
 	return nil
 }
 
+// snapshotDue spaces snapshots so that their cost stays in proportion to the log: the
+// log has to reach the size of the last snapshot, or 16 times the usual entries.
+func (n *Node) snapshotDue() bool {
+	entries := n.applied - n.snapIndex
+	switch {
+	case entries == 0:
+		return false
+	case n.logBytes >= maxLogBytes || entries >= 16*n.o.SnapshotEntries:
+		return true
+	}
+	return entries >= n.o.SnapshotEntries && n.logBytes >= n.snapBytes
+}
+
 // compact takes a snapshot when enough entries were applied since the last one.
 func (n *Node) compact() error {
-	if n.applied == n.snapIndex || (n.applied-n.snapIndex < n.o.SnapshotEntries && n.logBytes < maxLogBytes) {
+	if !n.snapshotDue() {
 		return nil
 	}
 	data, err := n.st.Snapshot()
@@ -171,7 +184,7 @@
 	if err := n.o.Storage.Release(s.Index); err != nil {
 		return storageFault(err)
 	}
-	n.snapIndex, n.logBytes = s.Index, 0
+	n.snapIndex, n.snapBytes, n.logBytes = s.Index, len(s.Data), 0
 	return nil
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -48,6 +48,7 @@
 	// dropped counts events that found the inbox full.
 	dropped atomic.Uint64
 	status  atomic.Pointer[Status]
+	// stopped is closed when Run has ended and failure says why.
 	stopped chan struct{}
 
 	// The fields below belong to the goroutine of Run.
@@ -67,7 +68,9 @@
 	applied     uint64
 	appliedTerm uint64
 	snapIndex   uint64
-	logBytes    int
+	// snapBytes is the size of the last snapshot, logBytes that of the log since.
+	snapBytes int
+	logBytes  int
 
 	queue   []proposal
 	pending map[uint64]pendingBatch
@@ -158,7 +161,10 @@
 		return err
 	}
 	n.raft = node
-	n.applied, n.snapIndex = r.Snapshot.Index, r.Snapshot.Index
+	n.applied, n.snapIndex, n.snapBytes = r.Snapshot.Index, r.Snapshot.Index, len(r.Snapshot.Data)
+	for _, e := range r.Entries {
+		n.logBytes += len(e.Data)
+	}
 	n.st.Skip(n.applied)
 	n.observe()
 	return nil
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -126,8 +126,19 @@
 	if err != nil {
 		return err
 	}
+	l.deliver(l.Host, l.Boot, kind, payload)
+	return nil
+}
+
+func (l *Loopback) deliver(from string, boot uint64, kind wire.Kind, payload []byte) {
 	for _, h := range l.handlers[kind] {
-		h(l.Host, l.Boot, kind, payload)
+		h(from, boot, kind, payload)
 	}
-	return nil
 }
+
+// NodeKinds and ClientKinds are the kinds of messages that a Node and a Client handle.
+// On a control host both get every KindSnapshotChunk and ignore what is not theirs.
+var (
+	NodeKinds   = []wire.Kind{wire.KindRaft, wire.KindRenew, wire.KindPropose, wire.KindForm, wire.KindFormAck, wire.KindSnapshotChunk}
+	ClientKinds = []wire.Kind{wire.KindRenewAck, wire.KindProposeAck, wire.KindSnapshotChunk}
+)
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -84,8 +84,10 @@
 	control []string
 	snapN   uint64
 	orders  OrderSender
-	queue   []packet
-	cut     map[string]bool
+	// spawn runs what may block; nil runs it at once.
+	spawn func(func())
+	queue []packet
+	cut   map[string]bool
 	// drop loses matching packets.
 	drop func(packet) bool
 	// delay is the time that a message to another host takes; nil means none.
@@ -144,9 +146,13 @@
 
 func (w *world) startNode(h string) {
 	w.boots++
+	spawn := w.spawn
+	if spawn == nil {
+		spawn = func(f func()) { f() }
+	}
 	n, err := NewNode(NodeOptions{Host: h, Boot: w.boots, Storage: w.disks[h], Restored: w.disks[h].restored(), Transport: port{w, h},
 		Clock: w, Wall: func() time.Time { return w.wall.Add(w.now) }, Rand: rand.New(rand.NewSource(w.rng.Int63())),
-		Orders: w.orders, SnapshotEntries: w.snapN, Log: quiet(), spawn: func(f func()) { f() }})
+		Orders: w.orders, SnapshotEntries: w.snapN, Log: quiet(), spawn: spawn})
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -160,6 +160,9 @@
 	c.Assert(n, qt.Equals, 0)
 	w.now = start
 	c.Assert(open("t4").Code, qt.Equals, fault.KeyExpired)
+	// The state's time has not gone back, so the clock of the old leader still counts.
+	fresh := key(start+24*3_600_000+6*60_000, 2)
+	c.Assert(w.do(Command{Claim: &ClaimRequest{Account: "a", Key: fresh, Attempt: "t6"}}).Err(), qt.IsNil)
 	p := config.DefaultPolicy
 	p.ClaimRetention = 7 * 24 * time.Hour
 	r := w.do(Command{Config: &ConfigChange{RequestID: "x", Operator: "op", Changes: []config.Change{{Policy: &p}}}})
@@ -167,6 +170,22 @@
 	c.Assert(open("t5").Code, qt.Equals, fault.KeyExpired)
 }
 
+// Guards against one account that takes all the room for claims and answers.
+func TestClaimBounds(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	claim := func(account string, n int) Result {
+		return w.do(Command{Claim: &ClaimRequest{Account: account, Key: key(start, n), Attempt: fmt.Sprint(account, n)}})
+	}
+	w.s.claims.use["a"] = accountUse{claims: MaxClaimsPerAccount}
+	c.Assert(claim("a", 1).Code, qt.Equals, fault.ClaimUnavailable)
+	c.Assert(claim("a", 1).Run, qt.Equals, fault.NotRun)
+	c.Assert(claim("b", 1).Err(), qt.IsNil)
+	w.s.claims.use["b"] = accountUse{claims: 1, kept: MaxKeptBytesPerAccount}
+	c.Assert(w.do(Command{Finish: &ClaimFinish{Account: "b", Key: key(start, 1), Attempt: "b1", Answer: []byte("x")}}).Err(), qt.IsNil)
+	c.Assert(w.do(Command{Claim: &ClaimRequest{Account: "b", Key: key(start, 1), Attempt: "b2"}}).Code, qt.Equals, fault.AnswerNotKept)
+}
+
 // Guards against two leases of one pool with the same fence, and against a late
 // acquisition that replaces a newer lease.
 func TestLeases(t *testing.T) {
@@ -321,3 +340,31 @@
 		c.Assert(IsOrder(encode(cmd)), qt.IsFalse)
 	}
 }
+
+// BenchmarkSnapshot measures the state of the target scale with 100,000 claims, a tenth
+// of them with an answer of 1 KiB.
+func BenchmarkSnapshot(b *testing.B) {
+	w := newWorld()
+	w.setup()
+	chs := make([]config.Change, 6800)
+	for i := range chs {
+		chs[i] = config.Change{Contract: &config.Contract{Account: fmt.Sprint("a", i), KeyHashes: []string{fmt.Sprintf("%064x", i)}, Weight: 1,
+			RequestsPerSecond: 1, Burst: 1, Concurrency: 1, MaxBodyBytes: 1, MaxRun: time.Second, MaxWait: time.Second, Pools: []string{"p"}}}
+	}
+	w.do(Command{Config: &ConfigChange{RequestID: "many", Operator: "op", Changes: chs}})
+	for i := range 100_000 {
+		account, k := fmt.Sprint("a", i%6800), key(start, i)
+		w.do(Command{Claim: &ClaimRequest{Account: account, Key: k, Attempt: k}})
+		if i%10 == 0 {
+			w.do(Command{Finish: &ClaimFinish{Account: account, Key: k, Attempt: k, Answer: make([]byte, 1024)}})
+		}
+	}
+	for b.Loop() {
+		data, err := w.s.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.SetBytes(int64(len(data)))
+		b.ReportMetric(float64(len(data)), "bytes")
+	}
+}
