--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,155 @@
+// Package bench measures a fleet of daemons, emulated upstreams and callers in one
+// process over loopback TCP, beside a baseline of independent routers.
+package bench
+
+import (
+	"context"
+	"io"
+	"log"
+	"time"
+
+	"github.com/google/uuid"
+
+	"marigoldshunt/internal/fault"
+)
+
+// Parts of the measurement.
+const (
+	partFairness = iota + 1
+	partUtilisation
+	partTraffic
+	partDataCentre
+	partLatency
+	partConfig
+	partRecovery
+	partClaims
+	partDecision
+)
+
+// Options bound and shape a run.
+type Options struct {
+	// Profiles are the names of the example configurations in the folder Examples.
+	Profiles []string
+	Examples string
+	// Seconds is the length of one load phase.
+	Seconds int
+	Seed    int64
+	// Part selects one part; 0 means all.
+	Part int
+	// Changes is the number of configuration changes before the restart.
+	Changes int
+	// Progress is told what runs; nil means nothing.
+	Progress func(text string)
+}
+
+// Bounds and defaults of Options.
+const (
+	// MaxSeconds bounds a phase, so that the counters of the emulators stay small.
+	MaxSeconds     = 600
+	defaultChanges = 1000
+)
+
+func (o *Options) check() error {
+	switch {
+	case len(o.Profiles) == 0:
+		return fault.New(fault.InvalidSettings, "", "no profile given")
+	case o.Seconds < 1 || o.Seconds > MaxSeconds:
+		return fault.New(fault.InvalidSettings, "", "seconds: %d is not between 1 and %d", o.Seconds, MaxSeconds)
+	case o.Part < 0 || o.Part > partDecision:
+		return fault.New(fault.InvalidSettings, "", "part: %d is not between 0 and %d", o.Part, partDecision)
+	}
+	if o.Changes <= 0 {
+		o.Changes = defaultChanges
+	}
+	if o.Progress == nil {
+		o.Progress = func(string) {}
+	}
+	return nil
+}
+
+// run is one profile under measurement.
+type run struct {
+	*fleet
+	o    Options
+	rows []Row
+}
+
+// Run measures and returns the report. It returns the report so far with an error.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	rep := &Report{Seed: o.Seed, Seconds: o.Seconds}
+	for _, name := range o.Profiles {
+		p, err := loadProfile(o.Examples, name)
+		if err != nil {
+			return rep, err
+		}
+		if o.Part == partDecision {
+			break
+		}
+		rows, err := measure(ctx, o, p)
+		rep.Rows = append(rep.Rows, rows...)
+		if err != nil {
+			return rep, err
+		}
+	}
+	return rep, nil
+}
+
+// measure runs the parts of one profile on one fleet.
+func measure(ctx context.Context, o Options, p *profile) ([]Row, error) {
+	f, err := startFleet(ctx, p, o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	r := &run{fleet: f, o: o}
+	for _, step := range []struct {
+		name  string
+		parts []int
+		f     func(context.Context) error
+	}{
+		{"idle traffic", []int{partTraffic}, r.idleTraffic},
+		{"warm-up", []int{partFairness, partUtilisation, partTraffic, partDataCentre, partLatency}, r.warm},
+		{"fairness, utilisation, traffic", []int{partFairness, partUtilisation, partTraffic}, r.contention},
+		{"configuration", []int{partConfig}, r.configuration},
+	} {
+		if !o.wants(step.parts...) {
+			continue
+		}
+		o.Progress(p.name + ": " + step.name)
+		if err := step.f(ctx); err != nil {
+			return r.rows, fault.Wrap(err, fault.Internal, "", "%s: %s", p.name, step.name)
+		}
+	}
+	return r.rows, nil
+}
+
+// wants says whether one of the parts is selected.
+func (o *Options) wants(parts ...int) bool {
+	for _, p := range parts {
+		if o.Part == 0 || o.Part == p {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) warm(ctx context.Context) error { return r.warmUp(ctx, r.o.Seed) }
+
+// phase is the length of one load phase.
+func (r *run) phase() time.Duration { return time.Duration(r.o.Seconds) * time.Second }
+
+// add appends a row of a part if it is selected.
+func (r *run) add(part int, row Row) {
+	if r.o.wants(part) {
+		row.Profile, row.Part = r.profile.name, part
+		r.rows = append(r.rows, row)
+	}
+}
+
+func requestID() string { return uuid.NewString() }
+
+// silent drops the connection errors that net/http prints; the results count them.
+func silent() *log.Logger { return log.New(io.Discard, "", 0) }
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,60 @@
+package bench
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// at builds a sample with the service of accounts; NaN means that the account does not
+// contend.
+func at(ms int, service ...float64) sample {
+	s := sample{At: time.Duration(ms) * time.Millisecond}
+	for _, v := range service {
+		s.Accounts = append(s.Accounts, accountSample{Service: v, Contends: !math.IsNaN(v), Bound: 50})
+	}
+	return s
+}
+
+// Guards against a gap that counts service from before or after the time in which both
+// accounts contend, or that misses an interval which starts in the middle.
+func TestGapOverIntervals(t *testing.T) {
+	c := qt.New(t)
+	none := math.NaN()
+	g := fairnessGap([]sample{
+		at(0, 0, 0), at(10, 5, 1), at(20, 6, 12), // the difference goes 0, 4, -6
+		at(30, none, 40), at(40, 90, 41), at(50, 95, 45), // 49, 50 after an interruption
+	})
+	c.Assert(g, qt.Equals, gap{Largest: 10, First: 0, Second: 1, Bound: 100, Share: 0.1, Pairs: 1, Longest: 20 * time.Millisecond})
+	c.Assert(fairnessGap([]sample{at(0, 1, none), at(1, 2, none)}), qt.Equals, gap{})
+	c.Assert(fairnessGap(nil), qt.Equals, gap{})
+	series := gapSeries([]sample{at(0, 0, 0), at(10, 3, 0), at(20, 3, 0), at(30, 3, 7)}, 20*time.Millisecond)
+	c.Assert(series, qt.DeepEquals, []float64{3, 7})
+}
+
+// Guards against a percentile that interpolates or reads outside of the values.
+func TestPercentile(t *testing.T) {
+	c := qt.New(t)
+	var v []time.Duration
+	for i := 20; i > 0; i-- {
+		v = append(v, time.Duration(i))
+	}
+	c.Assert([]float64{percentile(v, 0), percentile(v, 0.5), percentile(v, 0.95), percentile(v, 1)}, qt.DeepEquals, []float64{1, 10, 19, 20})
+	c.Assert(math.IsNaN(percentile([]float64{}, 0.5)), qt.IsTrue)
+}
+
+// Guards against counting time in which no account waits.
+func TestUtilisation(t *testing.T) {
+	c := qt.New(t)
+	step := func(ms, waiting, busy, limit int) sample {
+		return sample{At: time.Duration(ms) * time.Millisecond, Waiting: waiting, Busy: time.Duration(busy) * time.Millisecond, Limit: limit}
+	}
+	use, waiting := utilisation([]sample{step(0, 1, 0, 4), step(10, 1, 30, 4), step(20, 0, 30, 4), step(30, 2, 30, 2), step(40, 2, 50, 2)})
+	c.Assert(waiting, qt.Equals, 20*time.Millisecond)
+	c.Assert(math.Abs(use-50.0/60) < 1e-9, qt.IsTrue, qt.Commentf("%v", use))
+	use, waiting = utilisation([]sample{step(0, 0, 0, 4), step(10, 1, 9, 4)})
+	c.Assert(math.IsNaN(use), qt.IsTrue)
+	c.Assert(waiting, qt.Equals, time.Duration(0))
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,150 @@
+package bench
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"net"
+	"sync"
+	"time"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/loadgen"
+	"marigoldshunt/internal/sched"
+)
+
+// answerTokens are the answer lengths, in tokens. Each request takes one at random.
+var answerTokens = []int{6, 12, 24, 48}
+
+// chatMix returns streamed requests to the model pool.
+func chatMix(pool string) []loadgen.Work {
+	var mix []loadgen.Work
+	for i, n := range answerTokens {
+		mix = append(mix, loadgen.Work{
+			Pool: pool, Kind: config.KindModel, Stream: true, PromptBytes: 200 << i, MaxTokens: n, Prefixes: 8,
+		})
+	}
+	return mix
+}
+
+// credential is the published credential of the example configurations.
+func credential(account string) string { return account + "-example-credential" }
+
+// callerAddresses are the callers' addresses of the routers, by their order in the
+// configuration.
+func (f *fleet) callerAddresses() []string {
+	var out []string
+	for _, h := range f.hosts {
+		out = append(out, h.settings.CallerAddress)
+	}
+	return out
+}
+
+// uneven chooses an account's routers: three quarters of the requests go to one router,
+// and two accounts share most routers while others have one or none of their own.
+func uneven(routers []string, i int) []string {
+	first := routers[i*i%len(routers)]
+	return []string{first, first, first, routers[(i*i+i+1)%len(routers)]}
+}
+
+// contendingLoad keeps every account backlogged. The last account floods one router
+// with many times the requests of the others.
+func (f *fleet) contendingLoad(routers []string) []loadgen.Account {
+	var out []loadgen.Account
+	contracts := f.accounts()
+	slots, weights := f.slots(f.profile.model), 0.0
+	for _, c := range contracts {
+		weights += c.Weight
+	}
+	for i, c := range contracts {
+		share := int(math.Ceil(float64(slots) * c.Weight / weights))
+		a := loadgen.Account{
+			Name: c.Account, Key: credential(c.Account), Workers: share + 6,
+			Mix: chatMix(f.profile.model), Addresses: uneven(routers, i),
+		}
+		if i == len(contracts)-1 {
+			a.Workers = 10 * (share + 6)
+			a.Addresses = a.Addresses[:1]
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// slots is the number of slots of a pool when all its upstreams are warm.
+func (f *fleet) slots(pool string) int {
+	return len(f.upstreams(pool)) * f.hosts[0].daemon.Config().Pools[pool].Profile.MaxConcurrency
+}
+
+// dialCaller opens a connection of the load side.
+func (f *fleet) dialCaller(ctx context.Context, _, address string) (net.Conn, error) {
+	return f.network.dial(ctx, address, f.profile.toClients)
+}
+
+// results collects the outcomes of a load.
+type results struct {
+	mu   sync.Mutex
+	list []loadgen.Result
+}
+
+func (r *results) add(_ string, res loadgen.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, res)
+}
+
+// loadUntil sends requests for d and breaks off the requests that run then.
+func (f *fleet) loadUntil(ctx context.Context, accounts []loadgen.Account, d time.Duration, seed int64) (*loadgen.Report, error) {
+	cut, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	_, rep, err := f.load(cut, accounts, 2*d, seed)
+	return rep, cmp.Or(err, ctx.Err())
+}
+
+// load sends requests for d and waits for their answers.
+func (f *fleet) load(ctx context.Context, accounts []loadgen.Account, d time.Duration, seed int64) ([]loadgen.Result, *loadgen.Report, error) {
+	var r results
+	rep, err := loadgen.Run(ctx, loadgen.Options{
+		Accounts: accounts, Duration: d, Seed: seed, OnResult: r.add, Dial: f.dialCaller,
+	})
+	return r.list, rep, err
+}
+
+// warmUp sends load until every upstream of the model pool is warm.
+func (f *fleet) warmUp(ctx context.Context, seed int64) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	loadCtx, stop := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := f.load(loadCtx, f.contendingLoad(f.callerAddresses()), time.Minute, seed)
+		done <- err
+	}()
+	err := f.await(ctx, "all upstreams warm", f.warm)
+	stop()
+	if loadErr := <-done; err == nil {
+		err = loadErr
+	}
+	return err
+}
+
+// warm says whether all upstreams of the model pool are warm with their full limit.
+func (f *fleet) warm() bool {
+	h := f.holder(f.profile.model)
+	if h == nil {
+		return false
+	}
+	core := h.core(f.profile.model)
+	if core == nil {
+		return false
+	}
+	limit := 0
+	for _, u := range core.Upstreams {
+		if u.State != sched.StateWarm {
+			return false
+		}
+		limit += u.Limit
+	}
+	// The limit follows the engines' queues, so it may be a little below the full one.
+	return limit*100 >= f.slots(f.profile.model)*90
+}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -97,6 +97,7 @@
 	queued   int
 	slots    chan struct{}
 	samples  []sample
+	busy     time.Duration
 	cache    cache
 	orders   []Order
 	maxFence uint64
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -18,6 +18,7 @@
 // sampleLocked records the present load and drops samples that no report needs.
 func (e *Emulator) sampleLocked() {
 	now := time.Now()
+	e.busy = e.busyLocked(now)
 	e.samples = append(e.samples, sample{now, e.instance, e.running, e.queued})
 	old := 0
 	for old+1 < len(e.samples) && now.Sub(e.samples[old+1].at) >= e.o.ReportLag {
@@ -26,6 +27,33 @@
 	e.samples = e.samples[old:]
 }
 
+// busyLocked returns the slot time in use since the start: the running count integrated
+// over time.
+func (e *Emulator) busyLocked(now time.Time) time.Duration {
+	if len(e.samples) == 0 {
+		return e.busy
+	}
+	last := e.samples[len(e.samples)-1]
+	return e.busy + time.Duration(last.Running)*now.Sub(last.at)
+}
+
+// Load is the present load of an emulator, without lag.
+type Load struct {
+	Running int
+	Queued  int
+	// Runs counts the runs since the start.
+	Runs int
+	// Busy is the running count integrated over time.
+	Busy time.Duration
+}
+
+// Load returns the present load.
+func (e *Emulator) Load() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Load{Running: e.running, Queued: e.queued, Runs: e.debug.Runs, Busy: e.busyLocked(time.Now())}
+}
+
 func (e *Emulator) handleLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	s := e.samples[0]
--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -40,8 +40,12 @@
 	if a.Origin != "" {
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(a.Origin)}
 	}
+	dial := d.DialContext
+	if o.Dial != nil {
+		dial = o.Dial
+	}
 	return &client{o: o, account: a, start: start, next: start, known: slices.Clone(o.Hosts), http: &http.Client{Transport: &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: a.Workers,
 		DisableCompression:  true,
 	}}}
@@ -113,6 +117,11 @@
 // address returns the next address in turn, after asking again when the answer is old.
 func (c *client) address(ctx context.Context) string {
 	c.mu.Lock()
+	if fixed := c.account.Addresses; len(fixed) > 0 {
+		defer c.mu.Unlock()
+		c.turn++
+		return fixed[c.turn%len(fixed)]
+	}
 	old := !c.o.Now().Before(c.until)
 	if old {
 		// One worker asks; the others keep the old answer meanwhile.
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand"
+	"net"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -50,6 +51,9 @@
 	Mix  []Work  `json:"mix"`
 	// Origin is the source IP address of the connections; empty means any.
 	Origin string `json:"origin"`
+	// Addresses, when given, replace discovery. An address that occurs more often gets
+	// more of the requests.
+	Addresses []string `json:"addresses"`
 }
 
 // Options bound and shape a run.
@@ -72,7 +76,9 @@
 	Seed   int64
 	// OnResult is called after each request, from several goroutines.
 	OnResult func(account string, r Result)
-	Now      func() time.Time
+	// Dial opens connections; nil means TCP from the account's origin.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Now  func() time.Time
 }
 
 // Limits and defaults of Options.
@@ -97,6 +103,9 @@
 	for i, a := range o.Accounts {
 		clients[i] = newClient(&o, a, start)
 		defer clients[i].close()
+		if len(a.Addresses) > 0 {
+			continue
+		}
 		if err := clients[i].refresh(ctx); err != nil {
 			return nil, err
 		}
@@ -122,10 +131,11 @@
 		if a.Workers <= 0 || len(a.Mix) == 0 {
 			return bad("account %q needs workers and a mix", a.Name)
 		}
+		if len(o.Hosts) == 0 && len(a.Addresses) == 0 {
+			return bad("no hosts given")
+		}
 	}
 	switch {
-	case len(o.Hosts) == 0:
-		return bad("no hosts given")
 	case len(o.Accounts) == 0:
 		return bad("no accounts given")
 	case workers > maxWorkers:
