Measure data centre changes, latency, recovery, claims and decision cost

Cause: parts 4, 5, 7, 8 and 9 of the measures had no code. Change: marigoldshunt-bench has all nine parts. A tiny run in the tests yields every part and the baseline of parts 1, 2, 4 and 5.

--- a/cmd/marigoldshunt-bench/main.go
+++ b/cmd/marigoldshunt-bench/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/sirupsen/logrus"
@@ -23,7 +24,7 @@
 	profile := fs.String("profile", "all", "vunimoli, chimehollow or all")
 	o := bench.Options{Progress: func(text string) { log.Info(text) }}
 	fs.StringVar(&o.Examples, "examples", "examples", "folder with the profiles' configurations")
-	fs.IntVar(&o.Seconds, "seconds", 5, "length of one load phase")
+	seconds := fs.Int("seconds", 5, "length of one load phase")
 	fs.Int64Var(&o.Seed, "seed", 1, "seed of load and emulators")
 	fs.IntVar(&o.Part, "part", 0, "one part, 1 to 9; 0 for all")
 	asJSON := fs.Bool("json", false, "print JSON instead of a table")
@@ -33,6 +34,7 @@
 	case err != nil:
 		log.WithError(err).Fatal("Bad flags.")
 	}
+	o.Phase = time.Duration(*seconds) * time.Second
 	o.Profiles = []string{*profile}
 	if *profile == "all" {
 		o.Profiles = []string{"vunimoli", "chimehollow"}
--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -62,7 +62,7 @@
 		}
 		r := &baselineRouter{b: b, addr: ln.Addr().String(), slots: make(chan struct{}, max(b.limit/len(f.hosts), 1))}
 		r.proxy = &httputil.ReverseProxy{
-			Rewrite: r.rewrite, FlushInterval: -1, ErrorHandler: refuseBroken,
+			Rewrite: r.rewrite, FlushInterval: -1, ErrorHandler: refuseBroken, ErrorLog: silent(),
 			Transport: &http.Transport{MaxIdleConnsPerHost: b.limit, DisableCompression: true},
 		}
 		r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute, ErrorLog: silent()}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -31,11 +31,15 @@
 	// Profiles are the names of the example configurations in the folder Examples.
 	Profiles []string
 	Examples string
-	// Seconds is the length of one load phase.
-	Seconds int
-	Seed    int64
+	// Phase is the length of one load phase.
+	Phase time.Duration
+	Seed  int64
 	// Part selects one part; 0 means all.
 	Part int
+	// TokensPerSecond is the speed of the emulated engines.
+	TokensPerSecond float64
+	// Grace is the time after which no run may begin at an upstream that leaves.
+	Grace time.Duration
 	// Changes is the number of configuration changes before the restart.
 	Changes int
 	// Progress is told what runs; nil means nothing.
@@ -44,23 +48,32 @@
 
 // Bounds and defaults of Options.
 const (
-	// MaxSeconds bounds a phase, so that the counters of the emulators stay small.
-	MaxSeconds     = 600
-	defaultChanges = 1000
+	// MaxPhase bounds a phase, so that the counters of the emulators stay small.
+	MaxPhase               = 10 * time.Minute
+	defaultChanges         = 1000
+	defaultTokensPerSecond = 50
+	// defaultGrace is the time of invariants I4 and I8.
+	defaultGrace = 4 * time.Second
 )
 
 func (o *Options) check() error {
 	switch {
 	case len(o.Profiles) == 0:
 		return fault.New(fault.InvalidSettings, "", "no profile given")
-	case o.Seconds < 1 || o.Seconds > MaxSeconds:
-		return fault.New(fault.InvalidSettings, "", "seconds: %d is not between 1 and %d", o.Seconds, MaxSeconds)
+	case o.Phase <= 0 || o.Phase > MaxPhase:
+		return fault.New(fault.InvalidSettings, "", "phase: %s is not between 0 and %s", o.Phase, MaxPhase)
 	case o.Part < 0 || o.Part > partDecision:
 		return fault.New(fault.InvalidSettings, "", "part: %d is not between 0 and %d", o.Part, partDecision)
 	}
 	if o.Changes <= 0 {
 		o.Changes = defaultChanges
 	}
+	if o.TokensPerSecond <= 0 {
+		o.TokensPerSecond = defaultTokensPerSecond
+	}
+	if o.Grace <= 0 {
+		o.Grace = defaultGrace
+	}
 	if o.Progress == nil {
 		o.Progress = func(string) {}
 	}
@@ -79,7 +92,7 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	rep := &Report{Seed: o.Seed, Seconds: o.Seconds}
+	rep := &Report{Seed: o.Seed, Phase: o.Phase.Seconds()}
 	for _, name := range o.Profiles {
 		p, err := loadProfile(o.Examples, name)
 		if err != nil {
@@ -94,12 +107,16 @@
 			return rep, err
 		}
 	}
+	if o.Part == 0 || o.Part == partDecision {
+		o.Progress("decision cost")
+		rep.Rows = append(rep.Rows, decisionRows()...)
+	}
 	return rep, nil
 }
 
 // measure runs the parts of one profile on one fleet.
 func measure(ctx context.Context, o Options, p *profile) ([]Row, error) {
-	f, err := startFleet(ctx, p, o.Seed)
+	f, err := startFleet(ctx, p, o)
 	if err != nil {
 		return nil, err
 	}
@@ -111,9 +128,13 @@
 		f     func(context.Context) error
 	}{
 		{"idle traffic", []int{partTraffic}, r.idleTraffic},
-		{"warm-up", []int{partFairness, partUtilisation, partTraffic, partDataCentre, partLatency}, r.warm},
+		{"warm-up", []int{partFairness, partUtilisation, partTraffic, partDataCentre}, r.warm},
 		{"fairness, utilisation, traffic", []int{partFairness, partUtilisation, partTraffic}, r.contention},
+		{"data centre", []int{partDataCentre}, r.dataCentre},
 		{"configuration", []int{partConfig}, r.configuration},
+		{"claims", []int{partClaims}, r.claims},
+		{"recovery", []int{partRecovery}, r.recovery},
+		{"latency", []int{partLatency}, r.latency},
 	} {
 		if !o.wants(step.parts...) {
 			continue
@@ -139,7 +160,7 @@
 func (r *run) warm(ctx context.Context) error { return r.warmUp(ctx, r.o.Seed) }
 
 // phase is the length of one load phase.
-func (r *run) phase() time.Duration { return time.Duration(r.o.Seconds) * time.Second }
+func (r *run) phase() time.Duration { return r.o.Phase }
 
 // add appends a row of a part if it is selected.
 func (r *run) add(part int, row Row) {
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -1,11 +1,17 @@
 package bench
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/fault"
 )
 
 // at builds a sample with the service of accounts; NaN means that the account does not
@@ -58,3 +64,51 @@
 	c.Assert(math.IsNaN(use), qt.IsTrue)
 	c.Assert(waiting, qt.Equals, time.Duration(0))
 }
+
+// Guards against a part that prints nothing or ends with an error. The run is far too
+// short for its figures to mean anything, so they are not checked.
+func TestTinyRunHasAllParts(t *testing.T) {
+	c := qt.New(t)
+	rep, err := Run(context.Background(), Options{
+		Profiles: []string{"chimehollow"}, Examples: "../../examples", Seed: 1, Phase: 200 * time.Millisecond,
+		TokensPerSecond: 1000, Grace: 300 * time.Millisecond, Changes: 20,
+	})
+	c.Assert(err, qt.IsNil)
+	parts, withBaseline := map[int]bool{}, map[int]bool{}
+	for _, r := range rep.Rows {
+		parts[r.Part] = true
+		withBaseline[r.Part] = withBaseline[r.Part] || r.Baseline != nil
+		c.Check(r.Measure != "" && r.Unit != "" && (r.Target == "") == (r.Met == ""), qt.IsTrue, qt.Commentf("%+v", r))
+	}
+	for p := partFairness; p <= partDecision; p++ {
+		c.Check(parts[p], qt.IsTrue, qt.Commentf("part %d", p))
+	}
+	for _, p := range []int{partFairness, partUtilisation, partDataCentre, partLatency} {
+		c.Check(withBaseline[p], qt.IsTrue, qt.Commentf("baseline of part %d", p))
+	}
+	var text, data bytes.Buffer
+	c.Assert(rep.WriteTable(&text), qt.IsNil)
+	c.Assert(rep.WriteJSON(&data), qt.IsNil)
+	c.Assert(strings.Count(text.String(), "\n") > len(rep.Rows), qt.IsTrue)
+	var read struct{ Rows []map[string]any }
+	c.Assert(json.Unmarshal(data.Bytes(), &read), qt.IsNil)
+	c.Assert(len(read.Rows), qt.Equals, len(rep.Rows))
+}
+
+// Guards against bad options that start a fleet.
+func TestBadOptionsAreRefused(t *testing.T) {
+	c := qt.New(t)
+	good := Options{Profiles: []string{"vunimoli"}, Examples: "../../examples", Phase: time.Second}
+	for _, edit := range []func(*Options){
+		func(o *Options) { o.Profiles = nil },
+		func(o *Options) { o.Profiles = []string{"nowhere"} },
+		func(o *Options) { o.Phase = 0 },
+		func(o *Options) { o.Part = 10 },
+		func(o *Options) { o.Examples = "nowhere" },
+	} {
+		o := good
+		edit(&o)
+		_, err := Run(context.Background(), o)
+		c.Check(fault.CodeOf(err), qt.Equals, fault.InvalidSettings)
+	}
+}
--- /dev/null
+++ b/internal/bench/decision.go
@@ -0,0 +1,128 @@
+package bench
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/sched"
+	"marigoldshunt/internal/wire"
+)
+
+const (
+	decisionUpstreams = 12
+	decisionSlots     = 8
+	decisionGrants    = 40000
+)
+
+// decisionCost is the cost of one grant.
+type decisionCost struct {
+	// next is the time of the decision, cycle that of submit, decision and finish.
+	next, cycle time.Duration
+	// allocations are those of the decision.
+	allocations float64
+}
+
+// decisionRows measures part 9.
+func decisionRows() []Row {
+	var rows []Row
+	first := decisionCost{}
+	for _, n := range []int{16, 680, 6800} {
+		c := measureDecision(n)
+		if n == 16 {
+			first = c
+		}
+		add := func(r Row) { r.Profile, r.Part = "all", partDecision; rows = append(rows, r) }
+		// Logarithmic growth from 16 accounts: log n / log 16.
+		growth := map[int]float64{16: 1, 680: 2.35, 6800: 3.18}[n]
+		add(Row{Measure: fmt.Sprintf("decision per grant, %d accounts", n), Value: float64(c.next.Nanoseconds()), Unit: "ns",
+			Note: fmt.Sprintf("submit, decision and finish together %d ns; target log n times the cost at 16 accounts", c.cycle.Nanoseconds()),
+		}.atMost(growth * float64(first.next.Nanoseconds())))
+		add(Row{Measure: fmt.Sprintf("allocations per grant, %d accounts", n), Value: c.allocations, Unit: "allocations"}.atMost(0))
+	}
+	return rows
+}
+
+// measureDecision keeps n accounts backlogged, and fills and empties all slots of a pool
+// in turn.
+func measureDecision(n int) decisionCost {
+	cfg := config.New()
+	cfg.DataCentres["d"] = config.DataCentre{Name: "d"}
+	cfg.Pools["m"] = config.Pool{Name: "m", Kind: config.KindModel, MaxCost: 4096, DefaultCost: 256,
+		Profile: config.Profile{ColdConcurrency: decisionSlots, MaxConcurrency: decisionSlots, WarmAfter: 1}}
+	for i := range decisionUpstreams {
+		name := fmt.Sprintf("u%02d", i)
+		cfg.Upstreams[name] = config.Upstream{Name: name, Pool: "m", DataCentre: "d", Address: "127.0.0.1:1"}
+	}
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("account-%d", i)
+		cfg.Contracts[names[i]] = config.Contract{Account: names[i], Weight: float64(1 + i%4), RequestsPerSecond: 1e9, Burst: 1 << 30,
+			Concurrency: 1 << 20, QueueLength: 1 << 20, MaxRun: time.Hour, MaxWait: time.Hour, Pools: []string{"m"}}
+	}
+	w := &decisionWorld{pool: sched.New(sched.Options{Pool: cfg.Pools["m"], Policy: cfg.Policy, Seed: 1})}
+	w.pool.Configure(0, cfg)
+	for range 2 + decisionUpstreams*decisionSlots/n {
+		for _, a := range names {
+			w.submit(a)
+		}
+	}
+	w.measure(decisionGrants / 4)
+	return w.measure(decisionGrants)
+}
+
+type decisionWorld struct {
+	pool *sched.Pool
+	now  time.Duration
+	seq  uint64
+}
+
+func (w *decisionWorld) submit(account string) {
+	w.seq++
+	id := w.seq
+	// Every request has its own fingerprint, as those of callers have.
+	var fp wire.Digest
+	for i := range 8 {
+		fp[i] = byte(id >> (8 * i))
+	}
+	w.pool.Submit(w.now, &wire.Ticket{ID: wire.TicketID{Host: "r", Boot: 1, Seq: id}, Pool: "m", Account: account,
+		DataCentre: "d", InputCost: 10, Fingerprint: fp})
+}
+
+// measure makes at least this many grants.
+func (w *decisionWorld) measure(grants int) decisionCost {
+	var c decisionCost
+	var before, after runtime.MemStats
+	batch := make([]sched.Grant, 0, decisionUpstreams*decisionSlots)
+	total, allocations := 0, uint64(0)
+	var outside time.Duration
+	begin := time.Now()
+	for total < grants {
+		w.now += time.Millisecond
+		batch = batch[:0]
+		pause := time.Now()
+		runtime.ReadMemStats(&before)
+		start := time.Now()
+		outside += start.Sub(pause)
+		for g, ok := w.pool.Next(w.now); ok; g, ok = w.pool.Next(w.now) {
+			batch = append(batch, g)
+		}
+		end := time.Now()
+		c.next += end.Sub(start)
+		runtime.ReadMemStats(&after)
+		outside += time.Since(end)
+		allocations += after.Mallocs - before.Mallocs
+		total += len(batch)
+		for i, g := range batch {
+			cost := 10 + float64(i%7)*20
+			w.pool.Finish(w.now, &wire.Finish{ID: g.ID, Pool: "m", Upstream: g.Upstream, Outcome: wire.OutcomeDone, Cost: cost, Queued: -1})
+			w.submit(g.Account)
+		}
+	}
+	n := time.Duration(total)
+	c.cycle = (time.Since(begin) - outside) / n
+	c.next /= n
+	c.allocations = float64(allocations) / float64(total)
+	return c
+}
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -79,11 +79,12 @@
 
 // fleet is a running fleet with its upstreams.
 type fleet struct {
-	profile   *profile
-	network   *network
-	folder    string
-	hosts     []*host
-	emulators map[string]*emulator.Emulator
+	profile         *profile
+	network         *network
+	folder          string
+	hosts           []*host
+	emulators       map[string]*emulator.Emulator
+	tokensPerSecond float64
 	// sites maps the peer addresses to data centres.
 	sites  map[string]string
 	logger *logrus.Logger
@@ -91,9 +92,9 @@
 }
 
 // startFleet starts emulators and hosts and applies the profile's configuration.
-func startFleet(ctx context.Context, p *profile, seed int64) (*fleet, error) {
+func startFleet(ctx context.Context, p *profile, o Options) (*fleet, error) {
 	f := &fleet{
-		profile: p, network: newNetwork(), emulators: map[string]*emulator.Emulator{},
+		profile: p, tokensPerSecond: o.TokensPerSecond, network: newNetwork(), emulators: map[string]*emulator.Emulator{},
 		sites: map[string]string{}, logger: logrus.New(), failed: make(chan error, 64),
 	}
 	f.logger.SetOutput(io.Discard)
@@ -101,7 +102,7 @@
 	if f.folder, err = os.MkdirTemp("", "marigoldshunt-bench-"); err != nil {
 		return nil, fault.Wrap(err, fault.StorageFailed, "", "temporary folder")
 	}
-	if err := f.begin(ctx, seed); err != nil {
+	if err := f.begin(ctx, o.Seed); err != nil {
 		f.close()
 		return nil, err
 	}
@@ -190,13 +191,12 @@
 // Behaviour of the emulated upstreams. Answers have at most the length that the request
 // asks for, which varies per request.
 const (
-	tokensPerSecond = 50
-	maxTokens       = 4096
-	prefill         = 20 * time.Millisecond
-	workTime        = 10 * time.Millisecond
-	reportLag       = 500 * time.Millisecond
-	eventLag        = 700 * time.Millisecond
-	eventGap        = 0.1
+	maxTokens = 4096
+	prefill   = 20 * time.Millisecond
+	workTime  = 10 * time.Millisecond
+	reportLag = 500 * time.Millisecond
+	eventLag  = 700 * time.Millisecond
+	eventGap  = 0.1
 )
 
 func (f *fleet) placeUpstream(u config.Upstream, p config.Pool, seed int64) (config.Change, error) {
@@ -206,7 +206,7 @@
 	}
 	e := emulator.New(emulator.Options{
 		Kind: p.Kind, Name: u.Name, Slots: p.Profile.MaxConcurrency,
-		TokensPerSecond: tokensPerSecond, TokensPerAnswer: maxTokens, Prefill: prefill, WorkTime: workTime,
+		TokensPerSecond: f.tokensPerSecond, TokensPerAnswer: maxTokens, Prefill: prefill, WorkTime: workTime,
 		ColdCapacity: p.Profile.ColdConcurrency, WarmAfter: p.Profile.WarmAfter,
 		ReportLag: reportLag, EventLag: eventLag, EventGap: eventGap,
 		Resume: p.Resume, ChecksFence: u.ChecksFence, Seed: seed + int64(len(f.emulators)), Log: f.logger,
--- /dev/null
+++ b/internal/bench/latency.go
@@ -0,0 +1,134 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/emulator"
+	"marigoldshunt/internal/fault"
+)
+
+// latencyPool has one upstream that answers at once, so that all paths of part 5 end at
+// the same place.
+const latencyPool = "bench-latency"
+
+// latencyCalls is the number of calls on each path per second of a load phase.
+const latencyCalls = 50
+
+// latency measures part 5 with the delays of the profile and without.
+func (r *run) latency(ctx context.Context) error {
+	upstream, err := r.addLatencyPool(ctx)
+	if err != nil {
+		return err
+	}
+	if err := r.latencyRows(ctx, "with delays", upstream); err != nil {
+		return err
+	}
+	r.network.off.Store(true)
+	defer r.network.off.Store(false)
+	revision := r.hosts[0].daemon.Config().Revision
+	if err := r.stopHosts(); err != nil {
+		return err
+	}
+	r.startHosts()
+	err = r.await(ctx, "the fleet without delays", func() bool { return r.current(revision) && r.scheduled() })
+	if err != nil {
+		return err
+	}
+	return r.latencyRows(ctx, "without delays", upstream)
+}
+
+func (r *run) addLatencyPool(ctx context.Context) (config.Upstream, error) {
+	ln, err := net.Listen("tcp", "127.0.0.101:0")
+	if err != nil {
+		return config.Upstream{}, fault.Wrap(err, fault.InvalidSettings, "", "no free port")
+	}
+	e := emulator.New(emulator.Options{Name: latencyPool, ReportLag: reportLag, Seed: r.o.Seed, Log: r.logger})
+	go func() { _ = e.Serve(ln) }()
+	r.emulators[latencyPool] = e
+	h := r.hosts[0]
+	model := h.daemon.Config().Pools[r.profile.model]
+	model.Name, model.Profile.ColdConcurrency = latencyPool, model.Profile.MaxConcurrency
+	u := config.Upstream{Name: latencyPool, Pool: latencyPool, DataCentre: h.settings.DataCentre, Address: ln.Addr().String()}
+	c := r.accounts()[0]
+	revision := c.Revision
+	c.Pools = append([]string{latencyPool}, c.Pools...)
+	c.RequestsPerSecond, c.Burst = claimRate, claimRate
+	last, err := h.daemon.Change(ctx, requestID(), operator, []config.Change{
+		{Pool: &model}, {Upstream: &u}, {Contract: &c, IfRevision: revision},
+	})
+	if err != nil {
+		return u, err
+	}
+	return u, r.await(ctx, "the pool for latency", func() bool { return r.current(last) && r.scheduled() })
+}
+
+// latencyRows calls the upstream on each path in turn, one call at a time, and compares.
+func (r *run) latencyRows(ctx context.Context, when string, u config.Upstream) error {
+	b, err := r.startBaseline()
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	b.setUpstreams([]config.Upstream{u})
+	client := &http.Client{Transport: &http.Transport{DialContext: r.dialCaller, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	routers, others := r.callerAddresses(), b.addresses()
+	var direct, routed, base []time.Duration
+	// The first turn over the routers opens connections and is not counted.
+	calls := int(latencyCalls*r.phase().Seconds()) + len(routers)
+	for i := range calls {
+		for _, path := range []struct {
+			address string
+			times   *[]time.Duration
+		}{{u.Address, &direct}, {routers[i%len(routers)], &routed}, {others[i%len(others)], &base}} {
+			d, err := r.call(ctx, client, path.address)
+			if err != nil {
+				return err
+			}
+			if i >= len(routers) {
+				*path.times = append(*path.times, d)
+			}
+		}
+	}
+	for _, p := range []float64{0.5, 0.95} {
+		d := percentile(direct, p)
+		value, other := milliseconds(percentile(routed, p)), milliseconds(percentile(base, p))
+		r.add(partLatency, Row{
+			Measure: fmt.Sprintf("added latency p%.0f, %s", 100*p, when), Value: value - milliseconds(d), Unit: "ms",
+			Note: fmt.Sprintf("direct %s ms, through a router %s ms, through the baseline %s ms; %d calls each",
+				number(milliseconds(d)), number(value), number(other), len(direct)),
+		}.against(other-milliseconds(d)))
+	}
+	return nil
+}
+
+// call sends one request and returns the time to the end of its answer.
+func (r *run) call(ctx context.Context, client *http.Client, address string) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":1,"user":%q,"messages":[]}`, latencyPool, requestID())
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, err
+	}
+	q.Header.Set("Authorization", "Bearer "+credential(r.accounts()[0].Account))
+	q.Header.Set("Content-Type", "application/json")
+	begin := time.Now()
+	resp, err := client.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fault.New(fault.UpstreamFailed, "", "%s answered with status %d: %s", address, resp.StatusCode, text)
+	}
+	return time.Since(begin), err
+}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -76,9 +76,10 @@
 
 // Report is the outcome of a run.
 type Report struct {
-	Seed    int64 `json:"seed"`
-	Seconds int   `json:"seconds"`
-	Rows    []Row `json:"rows"`
+	Seed int64 `json:"seed"`
+	// Phase is the length of one load phase in seconds.
+	Phase float64 `json:"phase_seconds"`
+	Rows  []Row   `json:"rows"`
 }
 
 // WriteJSON writes the report as JSON.
@@ -90,7 +91,7 @@
 
 // WriteTable writes the report as a table.
 func (r *Report) WriteTable(w io.Writer) error {
-	fmt.Fprintf(w, "seed %d, %d s per load phase\n", r.Seed, r.Seconds)
+	fmt.Fprintf(w, "seed %d, %s s per load phase\n", r.Seed, number(r.Phase))
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "profile\tpart\tmeasure\tvalue\tunit\ttarget or bound\tmet\tbaseline\tratio\tnote")
 	for _, row := range r.Rows {
