--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -125,7 +125,7 @@
 		return false
 	}
 	r.counters.grants.Inc(1)
-	q.upstream = g.Upstream
+	q.upstream, q.estimate = g.Upstream, g.Estimate
 	if t, ok := p.tags[q.ticket.Account]; !ok || g.Tag > t {
 		p.tags[q.ticket.Account] = g.Tag
 	}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -21,12 +21,24 @@
 	syncedAt time.Duration
 	tags     map[string]float64
 	virtual  float64
+	// limits are the latest limits of upstreams, for the next scheduler.
+	limits map[string]seenLimit
+}
+
+// limitMaxAge is how long the limit of an upstream is worth passing on.
+const limitMaxAge = 10 * time.Second
+
+// seenLimit is an upstream's limit as the latest grant named it.
+type seenLimit struct {
+	instance string
+	limit    int
+	at       time.Duration
 }
 
 func (r *Router) pool(name string) *poolView {
 	p := r.pools[name]
 	if p == nil {
-		p = &poolView{name: name, tags: map[string]float64{}, virtual: math.Inf(-1)}
+		p = &poolView{name: name, tags: map[string]float64{}, limits: map[string]seenLimit{}, virtual: math.Inf(-1)}
 		r.pools[name] = p
 	}
 	return p
@@ -70,7 +82,7 @@
 	for _, q := range r.openIn(p.name) {
 		t := q.ticketAt(now)
 		if q.upstream != "" {
-			s.Running = append(s.Running, wire.Running{Ticket: t, Upstream: q.upstream})
+			s.Running = append(s.Running, wire.Running{Ticket: t, Upstream: q.upstream, Estimate: q.estimate})
 		} else {
 			s.Waiting = append(s.Waiting, t)
 		}
@@ -81,6 +93,7 @@
 	if !math.IsInf(p.virtual, -1) {
 		s.Virtual = p.virtual
 	}
+	s.Limits = p.limitsAt(now)
 	r.send(p.scheduler, wire.KindSync, s)
 }
 
@@ -166,7 +179,7 @@
 	if g.Fence > p.fence {
 		p.fence, p.scheduler = g.Fence, from
 	}
-	p.note(g)
+	p.note(g, r.o.Clock.Now())
 	q := r.open[g.ID.Seq]
 	if q == nil || g.ID != q.ticket.ID || q.upstream != "" || q.granted {
 		r.counters.dropped.Inc(1)
@@ -179,14 +192,28 @@
 	q.events <- event{grant: &g}
 }
 
-// note keeps the highest tag of an account and the pool's virtual time, which a later
+// note keeps the pool's virtual time and the limits of upstreams, which a later
 // scheduler continues from.
-func (p *poolView) note(g wire.Grant) {
-	if g.Virtual > p.virtual {
-		p.virtual = g.Virtual
+func (p *poolView) note(g wire.Grant, now time.Duration) {
+	p.virtual = max(p.virtual, g.Virtual)
+	if g.Instance != "" {
+		p.limits[g.Upstream] = seenLimit{g.Instance, g.Limit, now}
 	}
 }
 
+// limitsAt returns the limits that are young enough, and forgets the others.
+func (p *poolView) limitsAt(now time.Duration) []wire.UpstreamLimit {
+	var out []wire.UpstreamLimit
+	for name, l := range p.limits {
+		if age := now - l.at; age <= limitMaxAge {
+			out = append(out, wire.UpstreamLimit{Upstream: name, Instance: l.instance, Limit: l.limit, Age: age})
+		} else {
+			delete(p.limits, name)
+		}
+	}
+	return out
+}
+
 func (r *Router) onRefuse(from string, f wire.Refuse) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -26,6 +26,8 @@
 	granted bool
 	// upstream is set from the moment the request is sent.
 	upstream string
+	// estimate is the cost that the grant was charged.
+	estimate float64
 	events   chan event
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -92,6 +92,12 @@
 	// Tag and Virtual let a later scheduler continue the account's share.
 	Tag     float64
 	Virtual float64
+	// Estimate is the cost that was charged at dispatch.
+	Estimate float64
+	// Instance and Limit are the upstream's identity and concurrency limit, which a
+	// later scheduler takes over.
+	Instance string
+	Limit    int
 }
 
 // GrantReturn gives back a grant that the router did not use.
@@ -155,6 +161,17 @@
 type Running struct {
 	Ticket   Ticket
 	Upstream string
+	// Estimate is the cost that the account was charged at dispatch.
+	Estimate float64
+}
+
+// UpstreamLimit is the latest limit of an upstream that a router has seen in a grant.
+type UpstreamLimit struct {
+	Upstream string
+	Instance string
+	Limit    int
+	// Age is the time since the grant.
+	Age time.Duration
 }
 
 // AccountTag is the highest share tag that a router has seen for an account.
@@ -172,6 +189,8 @@
 	Running     []Running
 	Tags        []AccountTag
 	Virtual     float64
+	// Limits are the limits of the pool's upstreams, at most 10 s old.
+	Limits []UpstreamLimit
 }
 
 // SyncRequest asks a router for a Sync, because the scheduler does not know its view.
