End the bootstrap credential in the replicated state

Cause: a host with an empty memory has no operators yet, so it accepts the bootstrap credential of its settings and could pass a change on after operators were configured. The daemon also dropped the operator's name of orders. Change: the replicated state refuses changes and orders of the bootstrap operator once operators exist; a resend of its first change still gets its answer. Conclusion: the bootstrap credential is of no use in a configured fleet.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -61,10 +61,6 @@
 	Message string `json:"message,omitempty"`
 }
 
-// BootstrapOperator is the name of the holder of a bootstrap credential. It can't be
-// the name of an operator in the configuration, because names have no parentheses.
-const BootstrapOperator = "(bootstrap)"
-
 // Limits of the server.
 const (
 	// maxBodyBytes holds a request with 6,800 contracts.
--- a/internal/admin/auth.go
+++ b/internal/admin/auth.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/fault"
 )
 
@@ -41,7 +42,7 @@
 	}
 	if !configured {
 		for _, hash := range s.o.BootstrapHashes {
-			match(BootstrapOperator, hash)
+			match(config.BootstrapOperator, hash)
 		}
 	}
 	return name, found == 1
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -107,6 +107,10 @@
 	Revision  uint64   `toml:"-" json:"revision" msgpack:"v"`
 }
 
+// BootstrapOperator is the name of the holder of a credential from a host's settings.
+// It can't be the name of a configured operator, because names have no parentheses.
+const BootstrapOperator = "(bootstrap)"
+
 // Policy holds the fleet-wide settings that are not part of a contract.
 type Policy struct {
 	// KeepFor is how long callers may keep an answer of discovery.
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -48,8 +48,8 @@
 }
 
 // Order implements admin.Controller.
-func (a operatorActions) Order(ctx context.Context, requestID, _ string, o admin.Order) (admin.OrderAnswer, error) {
-	r, err := a.d.client.Order(ctx, requestID, state.Order{Upstream: o.Upstream, Kind: state.OrderKind(o.Kind), Name: o.Name})
+func (a operatorActions) Order(ctx context.Context, requestID, operator string, o admin.Order) (admin.OrderAnswer, error) {
+	r, err := a.d.client.Order(ctx, requestID, state.Order{Upstream: o.Upstream, Kind: state.OrderKind(o.Kind), Name: o.Name, Operator: operator})
 	return admin.OrderAnswer{Fence: r.Fence, Status: string(r.Status), Message: r.Message}, err
 }
 
--- a/internal/state/orders.go
+++ b/internal/state/orders.go
@@ -8,6 +8,9 @@
 )
 
 func (s *State) issue(index uint64, key string, o *OrderIssue) Result {
+	if r, refused := s.refuseBootstrap(o.Order.Operator); refused {
+		return r
+	}
 	if _, ok := s.config.Upstreams[o.Order.Upstream]; !ok {
 		return refuse(fault.NotFound, fault.NotRun, "the upstream does not exist")
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -156,7 +156,19 @@
 	return r
 }
 
+// refuseBootstrap refuses a bootstrap credential once operators are configured. A host
+// that has not learnt the configuration yet still accepts that credential.
+func (s *State) refuseBootstrap(operator string) (Result, bool) {
+	if operator != config.BootstrapOperator || len(s.config.Operators) == 0 {
+		return Result{}, false
+	}
+	return refuse(fault.Forbidden, fault.NotRun, "the configuration has operators; the bootstrap credential has ended"), true
+}
+
 func (s *State) change(c *ConfigChange) Result {
+	if r, refused := s.refuseBootstrap(c.Operator); refused {
+		return r
+	}
 	if n := len(c.Changes); n == 0 || n > maxChanges {
 		return refuse(fault.InvalidConfig, fault.NotRun, "a request holds between 1 and 20000 changes")
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -290,6 +291,23 @@
 	return b
 }
 
+// Guards against a bootstrap credential that a host with an empty memory still accepts
+// after operators were configured. A resend of the change that added them is answered.
+func TestBootstrapOperatorEnds(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	first := Command{Config: &ConfigChange{RequestID: "a", Operator: config.BootstrapOperator, Changes: []config.Change{
+		{Operator: &config.Operator{Name: "op", KeyHashes: []string{strings.Repeat("0", 64)}}}}}}
+	r := w.do(first)
+	c.Assert(r.Err(), qt.IsNil)
+	c.Assert(w.do(first), qt.DeepEquals, r)
+	late := Command{Config: &ConfigChange{RequestID: "b", Operator: config.BootstrapOperator, Changes: []config.Change{
+		{DataCentre: &config.DataCentre{Name: "x"}}}}}
+	c.Assert(w.do(late).Code, qt.Equals, fault.Forbidden)
+	order := Command{Order: &OrderIssue{RequestID: "c", Order: Order{Upstream: "u", Kind: OrderDrain, Operator: config.BootstrapOperator}}}
+	c.Assert(w.do(order).Code, qt.Equals, fault.Forbidden)
+}
+
 // Guards against a panic or a half restored state on damaged input.
 func TestDamagedInput(t *testing.T) {
 	c := qt.New(t)
