--- a/cmd/upstream-emulator/main.go
+++ b/cmd/upstream-emulator/main.go
@@ -2,63 +2,9 @@
 package main
 
 import (
-	"flag"
-	"net"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
-	"github.com/peterbourgon/ff/v3"
-	"github.com/sirupsen/logrus"
-
-	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/emulator"
 )
 
-func main() {
-	log := logrus.WithField("part", "emulator")
-	var o emulator.Options
-	fs := flag.NewFlagSet("upstream-emulator", flag.ExitOnError)
-	address := fs.String("address", "127.0.0.1:0", "IP address and port to listen on")
-	kind := fs.String("kind", string(config.KindModel), "model or service")
-	fs.StringVar(&o.Name, "name", "upstream", "beginning of the instance identity")
-	fs.IntVar(&o.Slots, "slots", 8, "requests that run at once")
-	fs.Float64Var(&o.TokensPerSecond, "tokens-per-second", 50, "speed of one stream, 0 for no delay")
-	fs.IntVar(&o.TokensPerAnswer, "tokens-per-answer", 16, "output tokens of an answer")
-	fs.DurationVar(&o.Prefill, "prefill", 0, "delay of the first token without a cached prefix")
-	fs.DurationVar(&o.WorkTime, "work-time", 10*time.Millisecond, "run time of a service call")
-	fs.IntVar(&o.ColdCapacity, "cold-capacity", 0, "requests that a cold upstream bears, 0 for no limit")
-	fs.DurationVar(&o.ColdTime, "cold-time", 0, "end of the cold start by time, 0 for none")
-	fs.IntVar(&o.WarmAfter, "warm-after", 0, "successes that double the capacity of a cold upstream")
-	fs.DurationVar(&o.ReportLag, "report-lag", 0, "age of load reports")
-	fs.DurationVar(&o.EventLag, "event-lag", 0, "age at which cache events are published")
-	fs.Float64Var(&o.EventGap, "event-gap", 0, "share of cache events that are lost")
-	fs.IntVar(&o.CacheEntries, "cache-entries", 256, "prefixes in the cache")
-	fs.BoolVar(&o.Resume, "resume", true, "honour X-Resume-Offset")
-	fs.BoolVar(&o.ChecksFence, "checks-fence", true, "refuse orders with an old fencing number")
-	fs.DurationVar(&o.CrashDown, "crash-down", 500*time.Millisecond, "refusal of connections after a crash")
-	fs.Int64Var(&o.Seed, "seed", time.Now().UnixNano(), "seed of the random numbers and the instance identity")
-	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("UPSTREAM_EMULATOR")); err != nil {
-		log.WithError(err).Fatal("Bad flags.")
-	}
-	o.Kind = config.Kind(*kind)
-	if o.Kind != config.KindModel && o.Kind != config.KindService {
-		log.Fatalf("Unknown kind %q.", *kind)
-	}
-	ln, err := net.Listen("tcp", *address)
-	if err != nil {
-		log.WithError(err).Fatal("Cannot listen.")
-	}
-	e := emulator.New(o)
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
-	go func() {
-		<-stop
-		_ = e.Close()
-	}()
-	log.WithField("address", ln.Addr().String()).WithField("instance", e.Instance()).Info("Serving.")
-	if err := e.Serve(ln); err != nil {
-		log.WithError(err).Fatal("Stopped.")
-	}
-}
+func main() { emulator.Main(os.Args[1:]) }
