Record the time of runs in the emulator; count overloads of one cold start alike

Cause: checks of I4 and I8 need the time of the latest run. Change: the debug counters have last_run_ms. A fall of a warm or hidden upstream starts the 1 s in which granted work may still arrive; further falls don't extend it, so that an upstream that falls again and again is counted. A fall is logged with its causes.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -84,7 +84,8 @@
 	downTill time.Time
 	notRun   time.Time
 	// hidden is true from TurnCold until shown, when an answer or report first carried
-	// the new instance identity.
+	// the new instance identity. A fall of a warm upstream also shows it; a further fall of
+	// a cold one doesn't move shown.
 	hidden   bool
 	shown    time.Time
 	boots    int
@@ -232,10 +233,16 @@
 
 // fallOverLocked closes all connections and turns cold with a new instance.
 func (e *Emulator) fallOverLocked() {
+	known := e.shown
+	if e.hidden || e.capacityLocked() == unlimited {
+		// The closed connections show the fleet from now on that the upstream is cold.
+		known = time.Now()
+	}
 	for c := range e.conns {
 		c.Close()
 	}
 	e.reborn()
+	e.shown = known
 }
 
 // crashLocked is a fall that also refuses connections for a while.
--- a/internal/emulator/work.go
+++ b/internal/emulator/work.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // CrashTrigger in a body makes the upstream crash.
@@ -26,13 +28,16 @@
 	Requests map[string]int `json:"requests"`
 	Keys     map[string]int `json:"keys"`
 	Runs     int            `json:"runs"`
+	// LastRunMS is when the latest run or resumption began, in milliseconds of Unix time.
+	LastRunMS int64 `json:"last_run_ms"`
 	// Ended counts runs whose whole answer was written, Cancelled those whose
 	// connection ended before.
 	Ended     int `json:"ended"`
 	Cancelled int `json:"cancelled"`
 	Resumed   int `json:"resumed"`
 	// ColdOverloads counts falls because of more work than a cold upstream bears.
-	// HiddenOverloads counts those soon after TurnCold, which the fleet could not know.
+	// HiddenOverloads counts those soon after TurnCold or a fall, by work that was granted
+	// before the fleet could know.
 	ColdOverloads   int `json:"cold_overloads"`
 	HiddenOverloads int `json:"hidden_overloads"`
 	Crashes         int `json:"crashes"`
@@ -99,6 +104,10 @@
 	if limit := e.capacityLocked(); e.running+e.queued+1 > limit {
 		e.countRun(r, offset)
 		e.countOverloadLocked()
+		e.log.WithFields(logrus.Fields{
+			"running": e.running, "queued": e.queued, "capacity": limit, "instance": e.instance, "hidden": e.hidden,
+			"cold_for": time.Since(e.coldAt), "shown_for": time.Since(e.shown),
+		}).Warn("Fell over from more work than a cold upstream bears.")
 		e.fallOverLocked()
 		e.mu.Unlock()
 		panic(http.ErrAbortHandler)
@@ -118,6 +127,7 @@
 
 // countRun counts a run that is not the resumption of a stream.
 func (e *Emulator) countRun(r *http.Request, offset int) {
+	e.debug.LastRunMS = time.Now().UnixMilli()
 	if offset > 0 {
 		e.debug.Resumed++
 		return
