--- /dev/null
+++ b/internal/scenario/relay_test.go
@@ -0,0 +1,144 @@
+package scenario
+
+import (
+	"net"
+	"sync"
+)
+
+// network forwards the peer connections between hosts, so that links can be cut. Each
+// host is reached through its own relay; the source address tells which host connects.
+type network struct {
+	mu     sync.Mutex
+	change *sync.Cond
+	closed bool
+	cuts   map[[2]string]bool
+	hosts  map[string]string
+	conns  map[net.Conn][2]string
+	relays []net.Listener
+}
+
+func newNetwork() *network {
+	n := &network{cuts: map[[2]string]bool{}, hosts: map[string]string{}, conns: map[net.Conn][2]string{}}
+	n.change = sync.NewCond(&n.mu)
+	return n
+}
+
+func link(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// relay forwards connections at ln to the peer address of a host.
+func (n *network) relay(host, ip, address string, ln net.Listener) {
+	n.mu.Lock()
+	n.hosts[ip] = host
+	n.relays = append(n.relays, ln)
+	n.mu.Unlock()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go n.forward(c, host, address)
+		}
+	}()
+}
+
+func (n *network) forward(in net.Conn, to, address string) {
+	defer in.Close()
+	source := in.RemoteAddr().(*net.TCPAddr).IP.String()
+	n.mu.Lock()
+	l := link(n.hosts[source], to)
+	n.mu.Unlock()
+	if !n.pass(l) {
+		return
+	}
+	out, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	n.track(l, in, out)
+	defer n.untrack(in, out)
+	done := make(chan struct{}, 2)
+	go func() { n.pump(l, out, in); done <- struct{}{} }()
+	go func() { n.pump(l, in, out); done <- struct{}{} }()
+	<-done
+}
+
+// pump copies until one side ends. While the link is cut it holds what it read,
+// including the end of the connection, as a network that loses packets does.
+func (n *network) pump(l [2]string, to, from net.Conn) {
+	buf := make([]byte, 64<<10)
+	for {
+		k, err := from.Read(buf)
+		if !n.pass(l) || err != nil {
+			return
+		}
+		if _, err := to.Write(buf[:k]); err != nil {
+			return
+		}
+	}
+}
+
+// pass waits while the link is cut. It returns false when the network is closed.
+func (n *network) pass(l [2]string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for n.cuts[l] && !n.closed {
+		n.change.Wait()
+	}
+	return !n.closed
+}
+
+func (n *network) track(l [2]string, conns ...net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range conns {
+		n.conns[c] = l
+	}
+}
+
+func (n *network) untrack(conns ...net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range conns {
+		delete(n.conns, c)
+	}
+}
+
+// cut stops a link. With reset, open connections are reset first.
+func (n *network) cut(a, b string, reset bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[link(a, b)] = true
+	for c, l := range n.conns {
+		if reset && l == link(a, b) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}
+}
+
+func (n *network) heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, link(a, b))
+	n.change.Broadcast()
+}
+
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	n.change.Broadcast()
+	for _, ln := range n.relays {
+		ln.Close()
+	}
+	for c := range n.conns {
+		c.Close()
+	}
+}
