Use the corrected fairness bound of the design

Cause: (K+1) c/w per account holds only when every estimate is the same constant. Learned estimates can be too low at one end of an interval and too high at the other, so the error of up to K outstanding estimates counts twice.

The derivation was checked: with F = T - E (tag less the error of outstanding estimates), F changes only at a dispatch or when a tag is raised to V, and every account that may start has |F - V| <= K c/w. Three conditions: K counts requests that run on after their upstream left or the concurrency was lowered (share now takes the larger of the two), an account held back by quarantine limits or an upstream to avoid is not competing, and a request whose end is never reported counts with its estimate.

--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -95,7 +95,7 @@
 	Tag     float64 `json:"tag"`
 	// Blocked is true while the account's own limits prevent its next start.
 	Blocked bool `json:"blocked"`
-	// Bound is this account's share of the fairness bound, (K+1) c / w.
+	// Bound is this account's share of the fairness bound, (2K+1) c / w.
 	Bound float64 `json:"bound"`
 }
 
--- a/internal/sched/sync.go
+++ b/internal/sched/sync.go
@@ -175,10 +175,13 @@
 
 func finite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
 
-// share is the account's part of the fairness bound, (K+1) c / w.
+// share is the account's part of the fairness bound, (2K+1) c / w: each of the K
+// outstanding estimates may be too low at one end of an interval and too high at the
+// other. Requests that run on after their upstream left or the concurrency was lowered
+// count too.
 func (p *Pool) share(a *account) float64 {
-	k := min(a.contract.Concurrency, p.slots())
-	return float64(k+1) * p.maxCost() / a.weight()
+	k := max(min(a.contract.Concurrency, p.slots()), a.running)
+	return float64(2*k+1) * p.maxCost() / a.weight()
 }
 
 // slots is the number of slots of the pool when all upstreams in service are warm.
