Correct adopted requests by the estimate that was charged

Cause: a new scheduler did not know the estimates that its predecessor had charged, so adopted requests were not corrected at their end and the gap could grow with each change of scheduler.

Change: grants carry the estimate, and an adopted request is corrected by the one its router states. Zero, negative and non-finite values mean unknown and leave the tag as before. The account's service counts the estimate until the end, as for a request granted here.

--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -31,6 +31,8 @@
 	Tag float64
 	// Virtual is the pool's virtual time at this grant, in cost units per weight.
 	Virtual float64
+	// Estimate is the cost that the account was charged at dispatch.
+	Estimate float64
 }
 
 // LoadReport is an upstream's own statement of its load.
--- a/internal/sched/bound_test.go
+++ b/internal/sched/bound_test.go
@@ -151,8 +151,7 @@
 }
 
 // Guards against a fairness gap that exceeds the bound over an interval with a change of
-// the scheduler. An adopted request's estimate is unknown to the new scheduler, so it is
-// not corrected at its end.
+// the scheduler, for example because adopted requests are not corrected at their end.
 func TestGapAcrossSchedulerChanges(t *testing.T) {
 	for _, seed := range []uint64{0, 1, 2, 3, 156, 501, 559} {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
--- a/internal/sched/finish.go
+++ b/internal/sched/finish.go
@@ -73,8 +73,8 @@
 // end frees the slot of a granted item and charges the difference to the estimate.
 func (p *Pool) end(it *item, cost float64, notRun bool) {
 	a := it.account
-	if it.adopted {
-		// The estimate was charged to the tag by an earlier scheduler and is unknown here.
+	if it.uncharged {
+		// An earlier scheduler charged the tag with an estimate that is unknown here.
 		a.service += cost
 	} else {
 		p.charge(a, cost-it.estimate, it.weight)
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -16,6 +16,7 @@
 	router   string
 	upstream string
 	cost     float64
+	estimate float64
 	epoch    int
 	orphan   bool
 }
@@ -263,7 +264,7 @@
 				s.Waiting = append(s.Waiting, t.Ticket)
 			default:
 				t.epoch = -1
-				s.Running = append(s.Running, wire.Running{Ticket: t.Ticket, Upstream: t.upstream})
+				s.Running = append(s.Running, wire.Running{Ticket: t.Ticket, Upstream: t.upstream, Estimate: t.estimate})
 			}
 		}
 		for _, a := range m.names {
@@ -407,7 +408,7 @@
 		a.running++
 		a.service += t.cost
 		u.running++
-		t.upstream, t.epoch = g.Upstream, u.epoch
+		t.upstream, t.epoch, t.estimate = g.Upstream, u.epoch, g.Estimate
 		m.tags[t.router][t.Account] = max(m.tags[t.router][t.Account], g.Tag)
 		m.virtual[t.router] = max(m.virtual[t.router], g.Virtual)
 		m.checkGrant(t, a, u)
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -240,7 +240,7 @@
 	return Grant{
 		ID: it.ticket.ID, Account: it.account.name,
 		Upstream: it.upstream.name, Address: it.upstream.address,
-		Tag: it.account.tag, Virtual: p.virtual,
+		Tag: it.account.tag, Virtual: p.virtual, Estimate: it.estimate,
 	}
 }
 
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -20,13 +20,14 @@
 	dueIndex int
 
 	// The remaining fields describe a grant; upstream is nil while the item waits.
-	upstream  *upstream
-	granted   time.Duration
-	estimate  float64
-	weight    float64
-	epoch     uint64
-	instance  string
-	adopted   bool
+	upstream *upstream
+	granted  time.Duration
+	estimate float64
+	weight   float64
+	epoch    uint64
+	instance string
+	// uncharged is true for an adopted request whose estimate is not known here.
+	uncharged bool
 	orphan    bool
 	orphanEnd time.Duration
 	// fpGeneration is the fingerprint's generation when the grant took one of its
--- a/internal/sched/sync.go
+++ b/internal/sched/sync.go
@@ -124,7 +124,11 @@
 		}
 		it = p.newItem(&r.Ticket, a)
 	}
-	it.adopted, it.weight = true, 1
+	// The tag already contains the estimate, which another scheduler charged. Zero comes
+	// from a host that does not know it. Service has no such charge, so it starts here.
+	it.estimate, it.weight = p.trueCost(r.Estimate, 0), it.account.weight()
+	it.uncharged = it.estimate == 0
+	it.account.service += it.estimate
 	p.run(now, it, u)
 	// The start is unknown, so a success does not warm the upstream, and a crash counts as
 	// the one of a mark that is already known.
--- a/internal/sched/sync_test.go
+++ b/internal/sched/sync_test.go
@@ -14,13 +14,14 @@
 func running(gs []Grant, tickets map[uint64]wire.Ticket) []wire.Running {
 	var out []wire.Running
 	for _, g := range gs {
-		out = append(out, wire.Running{Ticket: tickets[g.ID.Seq], Upstream: g.Upstream})
+		out = append(out, wire.Running{Ticket: tickets[g.ID.Seq], Upstream: g.Upstream, Estimate: g.Estimate})
 	}
 	return out
 }
 
-// Guards against shares that start anew, and slots that are counted as free, after a
-// change of the scheduler.
+// Guards against shares that start anew, slots that are counted as free, and estimates
+// that are not corrected or corrected by a wrong value, after a change of the scheduler.
+// The first request comes from a host that does not state its estimate.
 func TestSyncIntoFreshPool(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(fixed(2), 1)
@@ -42,6 +43,7 @@
 		Waiting: []wire.Ticket{tickets[waiting.Seq]}, Running: running(gs, tickets),
 		Tags: []wire.AccountTag{{Account: "a", Tag: tag}}, Virtual: virtual,
 	}
+	s.Running[0].Estimate = 0
 	for range 2 {
 		w.p.Sync(w.now, "r", 1, s)
 		c.Check(w.drain(), qt.HasLen, 0)
@@ -51,8 +53,19 @@
 	c.Check(w.account("b").Tag, qt.Equals, virtual)
 	w.finish(gs[0], wire.OutcomeDone, 55)
 	c.Check(w.account("a").Tag, qt.Equals, tag)
-	c.Check(w.account("a").Service, qt.Equals, 55.0)
+	c.Check(w.account("a").Service, qt.Equals, 65.0)
 	c.Check(accounts(w.drain()), qt.Equals, "b")
+	c.Check(gs[1].Estimate, qt.Equals, 10.0)
+	w.finish(gs[1], wire.OutcomeDone, 55)
+	c.Check(w.account("a").Tag, qt.Equals, tag+45)
+	c.Check(w.account("a").Service, qt.Equals, 110.0)
+	for _, bad := range []float64{math.NaN(), math.Inf(-1), -1} {
+		w.restart()
+		s.Running[0].Estimate = bad
+		w.p.Sync(w.now, "r", 1, s)
+		w.finish(gs[0], wire.OutcomeDone, 55)
+		c.Check(w.account("a").Tag, qt.Equals, tag, qt.Commentf("estimate %v", bad))
+	}
 }
 
 // Guards against a faulty Sync that locks an account out or breaks the arithmetic, and
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -189,7 +189,7 @@
 	gs, _, _ := b.take()
 	b.c.Assert(gs, qt.HasLen, 2)
 	b.c.Check(*gs[0], qt.DeepEquals, wire.Grant{ID: first.ID, Pool: "m", Upstream: "u", Address: "127.0.0.1:1",
-		Fence: 12, Echo: 99 * time.Second, Tag: 10})
+		Fence: 12, Echo: 99 * time.Second, Tag: 10, Estimate: 10})
 	b.c.Check(gs[1].Echo, qt.Equals, 2*time.Second)
 }
 
