Take over the limits of upstreams after a change of scheduler

Cause: a new scheduler started every upstream cold, so each change of scheduler cut the throughput to the cold limits until the upstreams were warm again.

Change: grants carry the upstream's instance and limit. A scheduler keeps the youngest limit of at most 10 s that routers return in Sync, and applies it once a load report of its own shows the same instance. Another instance, a cold start in between (refused connection, 503, return into service) or no instance leaves the upstream cold. Limits of its own grants, which come back after a reconnect, are ignored. The first address of an upstream is no longer taken for a move to another address.

Figures: with a profile of 2 to 10, limit 2 until the report and 10 after it, and 10 requests run; 2 with another instance.

Conclusion: a change of scheduler keeps warm upstreams warm. Left: a cold start by 503 or slow answers that no later grant carried is not known to the next scheduler when the instance is the same, since the limit travels in grants only.

--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -33,6 +33,10 @@
 	Virtual float64
 	// Estimate is the cost that the account was charged at dispatch.
 	Estimate float64
+	// Instance and Limit are the upstream's identity and concurrency limit, which a later
+	// scheduler takes over. Instance is empty when unknown.
+	Instance string
+	Limit    int
 }
 
 // LoadReport is an upstream's own statement of its load.
--- a/internal/sched/configure.go
+++ b/internal/sched/configure.go
@@ -58,7 +58,7 @@
 
 func (p *Pool) configureUpstream(u *upstream, cu config.Upstream, out bool) {
 	returns := u.out && !out
-	moved := u.address != cu.Address
+	moved := u.address != "" && u.address != cu.Address
 	u.removed, u.out = false, out
 	u.dataCentre, u.address = cu.DataCentre, cu.Address
 	if returns || moved {
@@ -78,6 +78,7 @@
 		u.cache = newPrefixSet()
 	}
 	p.cool(u)
+	u.inherited.closed = false
 	p.upstreams[name] = u
 	i := sort.Search(len(p.order), func(i int) bool { return p.order[i].name >= name })
 	p.order = slices.Insert(p.order, i, u)
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -51,6 +51,8 @@
 	ups     map[string]*modelUpstream
 	tags    map[string]map[string]float64
 	virtual map[string]float64
+	// limits are what the routers know of the upstreams' limits; Age holds the time.
+	limits map[string]map[string]wire.UpstreamLimit
 	// crashed holds the upstreams that each fingerprint crashed, and marks what the
 	// replicated state keeps for the next scheduler.
 	crashed map[wire.Digest]map[string]bool
@@ -83,7 +85,7 @@
 		t: t, w: newWorld(randomProfile, 4), rng: rand.New(rand.NewPCG(seed, 1)),
 		names: []string{"a", "b", "c", "d"}, acc: map[string]*modelAccount{}, ups: map[string]*modelUpstream{},
 		tags: map[string]map[string]float64{}, virtual: map[string]float64{},
-		crashed: map[wire.Digest]map[string]bool{}, spans: map[[2]string]*span{},
+		limits: map[string]map[string]wire.UpstreamLimit{}, crashed: map[wire.Digest]map[string]bool{}, spans: map[[2]string]*span{},
 	}
 	for _, n := range append(m.names, "x") {
 		ct := contract(n, []float64{1, 1, 2, 5}[m.rng.IntN(4)])
@@ -95,7 +97,7 @@
 		m.ups[n] = &modelUpstream{limit: 1, instance: 1}
 	}
 	for _, r := range routerNames {
-		m.tags[r] = map[string]float64{}
+		m.tags[r], m.limits[r] = map[string]float64{}, map[string]wire.UpstreamLimit{}
 	}
 	m.w.p.Configure(m.w.now, m.w.cfg)
 	for _, n := range upstreamNames {
@@ -270,11 +272,39 @@
 		for _, a := range m.names {
 			s.Tags = append(s.Tags, wire.AccountTag{Account: a, Tag: m.tags[r][a]})
 		}
+		for _, n := range upstreamNames {
+			if l, ok := m.limits[r][n]; ok {
+				l.Age = m.w.now - l.Age
+				s.Limits = append(s.Limits, l)
+			}
+		}
 		m.w.p.Sync(m.w.now, r, 1, s)
 	}
+	for _, n := range upstreamNames {
+		m.inherit(n)
+	}
 	m.refusals()
 }
 
+// inherit applies the youngest limit of an upstream if it belongs to the instance that the
+// load report before the Sync showed.
+func (m *model) inherit(name string) {
+	u, at := m.ups[name], m.w.now-limitMaxAge-1
+	for _, r := range routerNames {
+		l := m.limits[r][name]
+		if l.Instance == "" || l.Age <= at || u.out {
+			continue
+		}
+		at, u.limit = l.Age, randomProfile.ColdConcurrency
+		if l.Instance == fmt.Sprint("i", u.instance) {
+			u.limit = l.Limit
+		}
+	}
+	if got := m.w.upstream(name); got.Limit != u.limit && !u.out {
+		m.failf("%s has limit %d after the change, want %d", name, got.Limit, u.limit)
+	}
+}
+
 // refusals applies what Expire returns; only the crashing requests may be refused.
 func (m *model) refusals() {
 	for _, r := range m.w.p.Expire(m.w.now, nil) {
@@ -410,6 +440,7 @@
 		u.running++
 		t.upstream, t.epoch, t.estimate = g.Upstream, u.epoch, g.Estimate
 		m.tags[t.router][t.Account] = max(m.tags[t.router][t.Account], g.Tag)
+		m.limits[t.router][g.Upstream] = wire.UpstreamLimit{Upstream: g.Upstream, Instance: g.Instance, Limit: g.Limit, Age: m.w.now}
 		m.virtual[t.router] = max(m.virtual[t.router], g.Virtual)
 		m.checkGrant(t, a, u)
 	}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -241,6 +241,7 @@
 		ID: it.ticket.ID, Account: it.account.name,
 		Upstream: it.upstream.name, Address: it.upstream.address,
 		Tag: it.account.tag, Virtual: p.virtual, Estimate: it.estimate,
+		Instance: it.upstream.instance, Limit: it.upstream.limit,
 	}
 }
 
@@ -252,6 +253,9 @@
 	p.dequeue(it)
 	it.estimate = p.estimate(a, it.ticket.InputCost)
 	it.weight = a.weight()
+	if !u.granted {
+		u.granted, u.grantedAt = true, now
+	}
 	p.run(now, it, u)
 	p.charge(a, it.estimate, it.weight)
 	a.issued = max(a.issued, a.tag)
--- a/internal/sched/sync.go
+++ b/internal/sched/sync.go
@@ -24,7 +24,7 @@
 }
 
 // Sync replaces what the pool knows about a router with the router's own view, and
-// continues from the highest tags and virtual time that the router has seen. Tickets of
+// continues from the highest tags, the virtual time and the limits that the router has seen. Tickets of
 // earlier boots of the router go as in DropRouter; a Sync of an earlier boot than the
 // pool knows is ignored.
 func (p *Pool) Sync(now time.Duration, router string, boot uint64, s *wire.Sync) {
@@ -44,6 +44,7 @@
 		p.DropRouter(now, router, boot-1)
 	}
 	p.continueFrom(s)
+	p.inherit(now, s.Limits)
 	for id, it := range p.items {
 		if id.Host == router && id.Boot == boot && !listed[id] {
 			p.lost(it)
--- a/internal/sched/sync_test.go
+++ b/internal/sched/sync_test.go
@@ -169,3 +169,81 @@
 	w.p.Report(w.now, LoadReport{Upstream: "u0", Running: 4, At: sampled})
 	c.Check(w.upstream("u0").Other, qt.Equals, 0)
 }
+
+// Guards against warm upstreams that a change of the scheduler starts cold, and against
+// limits that are taken over for another instance, by their age, from an own grant, or
+// before a load report confirms the instance.
+func TestLimitsOutliveTheScheduler(t *testing.T) {
+	limit := func(instance string, limit int, age time.Duration) wire.Sync {
+		return wire.Sync{Limits: []wire.UpstreamLimit{{Upstream: "u0", Instance: instance, Limit: limit, Age: age}}}
+	}
+	sync := func(w *world, router string, s wire.Sync) { w.p.Sync(w.now, router, 1, &s) }
+	for _, tc := range []struct {
+		name string
+		run  func(w *world, g Grant)
+		want int
+	}{
+		{"same instance", func(w *world, g Grant) { w.report("u0", "i1", 0, 0) }, 10},
+		{"no report", func(w *world, g Grant) {}, 2},
+		{"report without instance", func(w *world, g Grant) { w.report("u0", "", 0, 0) }, 2},
+		{"answer only", func(w *world, g Grant) { w.finish(g, wire.OutcomeDone, 1, withInstance("i1")) }, 2},
+		{"other instance", func(w *world, g Grant) { w.report("u0", "i2", 0, 0) }, 2},
+		{"other instance, then the old one late", func(w *world, g Grant) {
+			w.report("u0", "i2", 0, 0)
+			w.report("u0", "i1", 0, 0)
+		}, 2},
+		{"report too late", func(w *world, g Grant) { w.now += limitMaxAge; w.report("u0", "i1", 0, 0) }, 2},
+		{"refused before the report", func(w *world, g Grant) {
+			w.finish(g, wire.OutcomeRefused, 0)
+			w.report("u0", "i1", 0, 0)
+		}, 2},
+		{"younger and lower limit", func(w *world, g Grant) {
+			w.report("u0", "i1", 0, 0)
+			sync(w, "r2", limit("i1", 7, 0))
+			sync(w, "r3", limit("i1", 9, 5*time.Second))
+		}, 7},
+		{"younger limit of another instance", func(w *world, g Grant) {
+			sync(w, "r2", limit("i0", 7, 0))
+			w.report("u0", "i1", 0, 0)
+		}, 2},
+		{"too old, absurd or unknown", func(w *world, g Grant) {
+			w.restart()
+			sync(w, "r1", limit("i1", 9, limitMaxAge+1))
+			sync(w, "r2", limit("i1", 9, -1))
+			sync(w, "r3", limit("i1", -1, 0))
+			sync(w, "r4", limit("", 9, 0))
+			w.report("u0", "i1", 0, 0)
+		}, 2},
+		{"above the maximum", func(w *world, g Grant) { sync(w, "r2", limit("i1", 99, 0)); w.report("u0", "i1", 0, 0) }, 10},
+		{"own grant after a cold start", func(w *world, g Grant) {
+			w.report("u0", "i1", 0, 0)
+			w.submit("a")
+			w.drain()
+			w.finish(g, wire.OutcomeRefused, 0)
+			w.now += time.Second
+			sync(w, "r2", limit("i1", 10, time.Second))
+		}, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(ramp, 1)
+			w.warmUp(c)
+			tk := w.ticket("a")
+			c.Assert(w.p.Submit(w.now, &tk), qt.IsNil)
+			g := w.drain()[0]
+			c.Assert([]any{g.Instance, g.Limit}, qt.DeepEquals, []any{"i1", 10})
+			w.restart()
+			w.now += 300 * time.Millisecond
+			s := limit(g.Instance, g.Limit, 300*time.Millisecond)
+			s.Running = []wire.Running{{Ticket: tk, Upstream: "u0"}}
+			sync(w, "r", s)
+			c.Check(w.upstream("u0").Limit, qt.Equals, 2)
+			tc.run(w, g)
+			c.Check(w.upstream("u0").Limit, qt.Equals, tc.want)
+			w.submitN("b", 30)
+			w.drain()
+			u := w.upstream("u0")
+			c.Check(u.Running+u.Other, qt.Equals, tc.want)
+		})
+	}
+}
--- a/internal/sched/upstream.go
+++ b/internal/sched/upstream.go
@@ -60,6 +60,10 @@
 	live, orphans, other int
 	otherUntil           time.Duration
 	window               liveWindow
+	// grantedAt is the time of the first grant by this scheduler, if there was one.
+	granted   bool
+	grantedAt time.Duration
+	inherited inherited
 
 	latency     float64
 	latencySeen int
@@ -94,6 +98,7 @@
 // cool returns an upstream to cold start.
 func (p *Pool) cool(u *upstream) {
 	u.epoch++
+	u.inherited.closed = true
 	u.state = StateCold
 	u.limit = p.coldLimit()
 	u.successes = 0
@@ -240,6 +245,10 @@
 	}
 	u.reportAt = r.At
 	p.noteInstance(now, u, r.Instance, &eff)
+	if r.Instance != "" && r.Instance == u.instance {
+		u.inherited.confirmed = true
+		p.takeOver(now, u)
+	}
 	if u.suspect && r.At >= u.suspectAt {
 		u.suspect = false
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -373,6 +373,7 @@
 		m := &wire.Grant{
 			ID: g.ID, Pool: s.o.Pool, Upstream: g.Upstream, Address: g.Address,
 			Fence: s.term.fence, Tag: g.Tag, Virtual: g.Virtual, Estimate: g.Estimate,
+			Instance: g.Instance, Limit: g.Limit,
 		}
 		if r := s.term.routers[g.ID.Host]; r != nil && r.boot == g.ID.Boot {
 			m.Echo = r.clock
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -175,10 +175,12 @@
 }
 
 // Guards against a grant without the fence or the echo of the router's latest clock, by
-// which routers reject grants of isolated schedulers.
+// which routers reject grants of isolated schedulers, or without what the next scheduler
+// continues from.
 func TestGrantCarriesFenceAndEcho(t *testing.T) {
 	b := newBed(t)
 	b.hold(12, true)
+	b.s.applyLoad(pollJob{fence: 12, upstream: "u"}, b.clock.Now(), LoadReport{Instance: "i1"})
 	first := b.submit("r1")
 	b.submit("r2")
 	b.c.Check(b.grants(), qt.Equals, 0)
@@ -189,7 +191,7 @@
 	gs, _, _ := b.take()
 	b.c.Assert(gs, qt.HasLen, 2)
 	b.c.Check(*gs[0], qt.DeepEquals, wire.Grant{ID: first.ID, Pool: "m", Upstream: "u", Address: "127.0.0.1:1",
-		Fence: 12, Echo: 99 * time.Second, Tag: 10, Estimate: 10})
+		Fence: 12, Echo: 99 * time.Second, Tag: 10, Estimate: 10, Instance: "i1", Limit: 2})
 	b.c.Check(gs[1].Echo, qt.Equals, 2*time.Second)
 }
 
