Run suspected requests one at a time at an upstream

Cause: all requests that an upstream's crash cut off get a mark. Their repeats could share the next upstream with the one that crashes, and then all of them got their second mark and were quarantined.

Change: an upstream runs at most one suspected fingerprint at a time. Suspected means marked, or with a broken connection whose verdict is open: callers repeat at once, before the load report that shows the restart, so marks alone come too late. Items that run at an upstream are linked, so the check costs nothing for other requests and at most the upstream's slots for a suspected one.

Left: identical copies of both requests that already run on two upstreams at the first crash can still meet.

--- a/internal/sched/fingerprint.go
+++ b/internal/sched/fingerprint.go
@@ -49,6 +49,12 @@
 
 func (f *fingerprint) quarantined() bool { return f.crashes >= quarantineMarks }
 
+// suspected reports whether the fingerprint has a crash mark or a broken connection that
+// may become one. Its caller repeats the request before the verdict.
+func (f *fingerprint) suspected() bool {
+	return f.crashes > 0 || f.places[0].pending > 0 || f.places[1].pending > 0
+}
+
 func (f *fingerprint) find(upstream string) *place {
 	for i := range f.places {
 		if f.places[i].upstream == upstream {
@@ -103,13 +109,15 @@
 }
 
 // allows reports whether the fingerprint's limits admit the upstream. A marked upstream
-// gets the request again only when the pool has no other one in service.
+// gets the request again only when the pool has no other one in service. A suspected
+// fingerprint does not run beside another one, since the crash of one would give the
+// other, innocent one its second mark.
 func (p *Pool) allows(now time.Duration, f *fingerprint, u *upstream) bool {
 	if f == nil {
 		return true
 	}
 	f.lapse(now)
-	if f.quarantined() {
+	if f.quarantined() || f.suspected() && u.runsSuspected(f) {
 		return false
 	}
 	if f.proven {
--- a/internal/sched/finish.go
+++ b/internal/sched/finish.go
@@ -87,6 +87,7 @@
 func (p *Pool) release(it *item, notRun bool) {
 	a, u := it.account, it.upstream
 	p.vacate(it, notRun)
+	u.detach(it)
 	if it.orphan {
 		u.orphans--
 		p.orphans--
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -270,6 +270,7 @@
 	it.account.running++
 	p.running++
 	u.live++
+	u.attach(it)
 	p.occupy(it, u)
 }
 
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -30,6 +30,8 @@
 	uncharged bool
 	orphan    bool
 	orphanEnd time.Duration
+	// before and after link the items that run at the same upstream.
+	before, after *item
 	// fpGeneration is the fingerprint's generation when the grant took one of its
 	// places, 0 when it took none.
 	fpGeneration uint32
--- a/internal/sched/upstream.go
+++ b/internal/sched/upstream.go
@@ -59,7 +59,9 @@
 	// reported requests that no known grant explains.
 	live, orphans, other int
 	otherUntil           time.Duration
-	window               liveWindow
+	// first is the latest of the items that run here.
+	first  *item
+	window liveWindow
 	// grantedAt is the time of the first grant by this scheduler, if there was one.
 	granted   bool
 	grantedAt time.Duration
@@ -77,6 +79,38 @@
 
 func (u *upstream) occupied() int { return u.live + u.orphans + u.other }
 
+// attach adds an item that runs here.
+func (u *upstream) attach(it *item) {
+	it.after = u.first
+	if u.first != nil {
+		u.first.before = it
+	}
+	u.first = it
+}
+
+// detach removes an item that ran here.
+func (u *upstream) detach(it *item) {
+	if it.before != nil {
+		it.before.after = it.after
+	} else {
+		u.first = it.after
+	}
+	if it.after != nil {
+		it.after.before = it.before
+	}
+	it.before, it.after = nil, nil
+}
+
+// runsSuspected reports whether a suspected fingerprint other than f runs here.
+func (u *upstream) runsSuspected(f *fingerprint) bool {
+	for it := u.first; it != nil; it = it.after {
+		if it.fp != nil && it.fp != f && it.fp.suspected() {
+			return true
+		}
+	}
+	return false
+}
+
 func (u *upstream) usable() bool { return !u.out && !u.suspect }
 
 func (u *upstream) free() bool { return u.usable() && u.occupied() < u.limit }
