--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -31,6 +31,12 @@
 	Tag float64
 	// Virtual is the pool's virtual time at this grant, in cost units per weight.
 	Virtual float64
+	// Estimate is the cost that the account was charged at dispatch.
+	Estimate float64
+	// Instance and Limit are the upstream's identity and concurrency limit, which a later
+	// scheduler takes over. Instance is empty when unknown.
+	Instance string
+	Limit    int
 }
 
 // LoadReport is an upstream's own statement of its load.
@@ -95,7 +101,7 @@
 	Tag     float64 `json:"tag"`
 	// Blocked is true while the account's own limits prevent its next start.
 	Blocked bool `json:"blocked"`
-	// Bound is this account's share of the fairness bound, (K+1) c / w.
+	// Bound is this account's share of the fairness bound, (2K+1) c / w.
 	Bound float64 `json:"bound"`
 }
 
--- a/internal/sched/sync.go
+++ b/internal/sched/sync.go
@@ -24,7 +24,7 @@
 }
 
 // Sync replaces what the pool knows about a router with the router's own view, and
-// continues from the highest tags and virtual time that the router has seen. Tickets of
+// continues from the highest tags, the virtual time and the limits that the router has seen. Tickets of
 // earlier boots of the router go as in DropRouter; a Sync of an earlier boot than the
 // pool knows is ignored.
 func (p *Pool) Sync(now time.Duration, router string, boot uint64, s *wire.Sync) {
@@ -44,6 +44,7 @@
 		p.DropRouter(now, router, boot-1)
 	}
 	p.continueFrom(s)
+	p.inherit(now, s.Limits)
 	for id, it := range p.items {
 		if id.Host == router && id.Boot == boot && !listed[id] {
 			p.lost(it)
@@ -124,7 +125,11 @@
 		}
 		it = p.newItem(&r.Ticket, a)
 	}
-	it.adopted, it.weight = true, 1
+	// The tag already contains the estimate, which another scheduler charged. Zero comes
+	// from a host that does not know it. Service has no such charge, so it starts here.
+	it.estimate, it.weight = p.trueCost(r.Estimate, 0), it.account.weight()
+	it.uncharged = it.estimate == 0
+	it.account.service += it.estimate
 	p.run(now, it, u)
 	// The start is unknown, so a success does not warm the upstream, and a crash counts as
 	// the one of a mark that is already known.
@@ -175,10 +180,13 @@
 
 func finite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
 
-// share is the account's part of the fairness bound, (K+1) c / w.
+// share is the account's part of the fairness bound, (2K+1) c / w: each of the K
+// outstanding estimates may be too low at one end of an interval and too high at the
+// other. Requests that run on after their upstream left or the concurrency was lowered
+// count too.
 func (p *Pool) share(a *account) float64 {
-	k := min(a.contract.Concurrency, p.slots())
-	return float64(k+1) * p.maxCost() / a.weight()
+	k := max(min(a.contract.Concurrency, p.slots()), a.running)
+	return float64(2*k+1) * p.maxCost() / a.weight()
 }
 
 // slots is the number of slots of the pool when all upstreams in service are warm.
