Refuse a spent rate at the router

Cause: each request of a flooding account cost a ticket and a refusal between router and scheduler. The refused callers also got the same delay and came back together. Change: after a rate_limited refusal the router refuses the account's next requests in that pool by itself, until the scheduler has a token again and for at most 250 ms. A changed contract or a new scheduler ends this. Each refused caller is told to come one token later than the one before. What is left at the flooded router includes refusals by queue_full, which end at any Finish and so are not refused early.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -15,6 +15,9 @@
 // attempt was not sent to an upstream.
 func (r *Router) attempt(ctx context.Context, u *run, retry bool) (attemptResult, error) {
 	for {
+		if err := r.gated(u, retry); err != nil {
+			return attemptResult{}, err
+		}
 		q := r.openTicket(u, retry)
 		g, err := r.awaitGrant(ctx, q)
 		if err != nil {
@@ -35,7 +38,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seq++
-	q := &request{waitUntil: u.waitUntil, events: make(chan event, 1)}
+	q := &request{
+		waitUntil: u.waitUntil, rate: u.contract.RequestsPerSecond, revision: u.contract.Revision,
+		events: make(chan event, 1),
+	}
 	q.ticket = wire.Ticket{
 		ID:          wire.TicketID{Host: r.o.Host, Boot: r.o.Boot, Seq: r.seq},
 		Pool:        u.call.Pool,
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -21,12 +21,14 @@
 	syncedAt time.Duration
 	tags     map[string]float64
 	virtual  float64
+	// gates holds the accounts that have spent their rate.
+	gates map[string]*rateGate
 }
 
 func (r *Router) pool(name string) *poolView {
 	p := r.pools[name]
 	if p == nil {
-		p = &poolView{name: name, tags: map[string]float64{}, virtual: math.Inf(-1)}
+		p = &poolView{name: name, tags: map[string]float64{}, virtual: math.Inf(-1), gates: map[string]*rateGate{}}
 		r.pools[name] = p
 	}
 	return p
@@ -64,6 +66,8 @@
 	if p.scheduler == "" {
 		return
 	}
+	// A new scheduler counts the rates anew.
+	clear(p.gates)
 	now := r.o.Clock.Now()
 	p.syncedAt = now
 	s := wire.Sync{Pool: p.name, Fence: p.fence, RouterClock: now}
@@ -196,6 +200,7 @@
 		r.counters.dropped.Inc(1)
 		return
 	}
+	r.noteLimit(p, q, &f)
 	q.granted = true
 	q.events <- event{refuse: &f}
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -22,6 +22,9 @@
 	ticket wire.Ticket
 	// waitUntil is the router clock at which the ticket's wait ends.
 	waitUntil time.Duration
+	// rate and revision are those of the account's contract.
+	rate     float64
+	revision uint64
 	// granted is true once a decision was handed to the request.
 	granted bool
 	// upstream is set from the moment the request is sent.
