Measure traffic in steady load and latency without a restart

Cause: traffic included the burst at the start and the withdrawals at the end of a phase, the flooded router was counted among others, and the load of part 4 left most routers of the baseline idle. Change: traffic is taken within the phase, the flooded router has a row, part 4 spreads an account over four routers as discovery does, and the latency without delays is measured after the delayed connections were replaced.

--- a/cmd/marigoldshunt-bench/main.go
+++ b/cmd/marigoldshunt-bench/main.go
@@ -24,7 +24,7 @@
 	profile := fs.String("profile", "all", "vunimoli, chimehollow or all")
 	o := bench.Options{Progress: func(text string) { log.Info(text) }}
 	fs.StringVar(&o.Examples, "examples", "examples", "folder with the profiles' configurations")
-	seconds := fs.Int("seconds", 5, "length of one load phase")
+	seconds := fs.Int("seconds", 4, "length of one load phase")
 	fs.Int64Var(&o.Seed, "seed", 1, "seed of load and emulators")
 	fs.IntVar(&o.Part, "part", 0, "one part, 1 to 9; 0 for all")
 	asJSON := fs.Bool("json", false, "print JSON instead of a table")
--- a/internal/bench/contention.go
+++ b/internal/bench/contention.go
@@ -21,9 +21,10 @@
 // contend loads routers for d and samples them.
 func (r *run) contend(ctx context.Context, routers []string, read source, d time.Duration, seed int64) (contended, error) {
 	s := startSampler(read)
-	before, begin := r.traffic(), time.Now()
+	bytes := make(chan map[string]traffic, 1)
+	go func() { bytes <- r.steadyTraffic(d) }()
 	rep, err := r.loadUntil(ctx, r.contendingLoad(routers), d, seed)
-	c := contended{perHost: perSecond(before, r.traffic(), time.Since(begin))}
+	c := contended{perHost: <-bytes}
 	c.samples = s.stop()
 	// The accounts become backlogged one after the other in the first moments, and
 	// nothing is sent after the end of the phase.
@@ -34,6 +35,16 @@
 	return c, err
 }
 
+// steadyTraffic measures the traffic within a phase, without the burst of its first
+// requests and the withdrawals at its end.
+func (r *run) steadyTraffic(d time.Duration) map[string]traffic {
+	begin := time.Now()
+	time.Sleep(settle(d))
+	before, at := r.traffic(), time.Now()
+	time.Sleep(d*9/10 - time.Since(begin))
+	return perSecond(before, r.traffic(), time.Since(at))
+}
+
 // settle is the part of a phase that is not measured.
 func settle(d time.Duration) time.Duration { return min(d/5, time.Second) }
 
@@ -54,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	r.trafficRows("16 backlogged accounts", first.perHost)
+	r.trafficRows("16 backlogged accounts", first.perHost, r.flooded())
 	if !r.o.wants(partFairness, partUtilisation) {
 		return nil
 	}
@@ -138,7 +149,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	r.trafficRows("idle", perSecond(before, r.traffic(), time.Since(begin)))
+	r.trafficRows("idle", perSecond(before, r.traffic(), time.Since(begin)), -1)
 	return nil
 }
 
@@ -147,7 +158,7 @@
 
 // trafficRows prints the mean per host, for hosts that schedule a pool or lead the
 // control group, the other members of the group, and plain routers.
-func (r *run) trafficRows(when string, perHost map[string]traffic) {
+func (r *run) trafficRows(when string, perHost map[string]traffic, flooded int) {
 	groups := map[string][]traffic{}
 	for i, h := range r.hosts {
 		kind := "plain routers"
@@ -156,10 +167,12 @@
 			kind = "schedulers and leader"
 		case i < controlHosts:
 			kind = "control followers"
+		case i == flooded:
+			kind = "flooded router"
 		}
 		groups[kind] = append(groups[kind], perHost[h.settings.Host])
 	}
-	for _, kind := range []string{"plain routers", "control followers", "schedulers and leader"} {
+	for _, kind := range []string{"plain routers", "flooded router", "control followers", "schedulers and leader"} {
 		var total traffic
 		largest := 0.0
 		for _, t := range groups[kind] {
--- a/internal/bench/datacentre.go
+++ b/internal/bench/datacentre.go
@@ -40,7 +40,7 @@
 		out = append(out, loadgen.Account{
 			Name: c.Account, Key: credential(c.Account), Rate: rate,
 			Workers: int(math.Ceil(4*rate*f.meanRun().Seconds())) + 4,
-			Mix:     chatMix(f.profile.model), Addresses: uneven(routers, i),
+			Mix:     chatMix(f.profile.model), Addresses: spread(routers, i),
 		})
 	}
 	return out
--- a/internal/bench/delay.go
+++ b/internal/bench/delay.go
@@ -15,10 +15,34 @@
 	done  chan struct{}
 	mu    sync.Mutex
 	lines map[time.Duration]*line
+	open  map[net.Conn]struct{}
 }
 
 func newNetwork() *network {
-	return &network{done: make(chan struct{}), lines: map[time.Duration]*line{}}
+	return &network{done: make(chan struct{}), lines: map[time.Duration]*line{}, open: map[net.Conn]struct{}{}}
+}
+
+// endDelays breaks all delayed connections; those that replace them have no delay.
+func (n *network) endDelays() {
+	n.off.Store(true)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.open {
+		c.Close()
+	}
+}
+
+// hold registers an open connection, and removes it when its copy has ended.
+func (n *network) hold(c net.Conn, copying func()) {
+	n.mu.Lock()
+	n.open[c] = struct{}{}
+	n.mu.Unlock()
+	go func() {
+		copying()
+		n.mu.Lock()
+		delete(n.open, c)
+		n.mu.Unlock()
+	}()
 }
 
 // dial opens a TCP connection whose data takes d longer in each direction.
@@ -31,7 +55,7 @@
 	near, far := net.Pipe()
 	l := n.line(d)
 	go l.pump(far, raw)
-	go l.pump(raw, far)
+	n.hold(raw, func() { l.pump(raw, far) })
 	return delayedConn{near, raw}, nil
 }
 
--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -21,6 +21,9 @@
 // latencyCalls is the number of calls on each path per second of a load phase.
 const latencyCalls = 50
 
+// reconnectTime covers the longest pause before the peers connect again.
+const reconnectTime = time.Second
+
 // latency measures part 5 with the delays of the profile and without.
 func (r *run) latency(ctx context.Context) error {
 	upstream, err := r.addLatencyPool(ctx)
@@ -30,20 +33,25 @@
 	if err := r.latencyRows(ctx, "with delays", upstream); err != nil {
 		return err
 	}
-	r.network.off.Store(true)
-	defer r.network.off.Store(false)
+	// The hosts connect again by themselves.
+	r.network.endDelays()
 	revision := r.hosts[0].daemon.Config().Revision
-	if err := r.stopHosts(); err != nil {
-		return err
-	}
-	r.startHosts()
-	err = r.await(ctx, "the fleet without delays", func() bool { return r.current(revision) && r.scheduled() })
-	if err != nil {
+	if err := r.settleDown(ctx, revision); err != nil {
 		return err
 	}
 	return r.latencyRows(ctx, "without delays", upstream)
 }
 
+// settleDown waits until the fleet works steadily after all connections broke.
+func (r *run) settleDown(ctx context.Context, revision uint64) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(reconnectTime):
+	}
+	return r.await(ctx, "the fleet without delays", func() bool { return r.current(revision) && r.scheduled() })
+}
+
 func (r *run) addLatencyPool(ctx context.Context) (config.Upstream, error) {
 	ln, err := net.Listen("tcp", "127.0.0.101:0")
 	if err != nil {
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -47,6 +47,26 @@
 	return []string{first, first, first, routers[(i*i+i+1)%len(routers)]}
 }
 
+// spread gives an account four routers, as discovery does.
+func spread(routers []string, i int) []string {
+	var out []string
+	for k := range 4 {
+		out = append(out, routers[(i+k*len(routers)/4)%len(routers)])
+	}
+	return out
+}
+
+// flooded is the index of the router that the flooding account uses: the last one that
+// schedules no pool and has no control role, so that its traffic can be told apart.
+func (f *fleet) flooded() int {
+	for i := len(f.hosts) - 1; i >= controlHosts; i-- {
+		if len(f.hosts[i].daemon.Schedulers()) == 0 {
+			return i
+		}
+	}
+	return len(f.hosts) - 1
+}
+
 // contendingLoad keeps every account backlogged. The last account floods one router
 // with many times the requests of the others.
 func (f *fleet) contendingLoad(routers []string) []loadgen.Account {
@@ -64,7 +84,7 @@
 		}
 		if i == len(contracts)-1 {
 			a.Workers = 10 * (share + 6)
-			a.Addresses = a.Addresses[:1]
+			a.Addresses = []string{routers[f.flooded()]}
 		}
 		out = append(out, a)
 	}
