--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -21,6 +21,8 @@
 	syncedAt time.Duration
 	tags     map[string]float64
 	virtual  float64
+	// gates holds the accounts that have spent their rate.
+	gates map[string]*rateGate
 	// limits are the latest limits of upstreams, for the next scheduler.
 	limits map[string]seenLimit
 }
@@ -38,7 +40,10 @@
 func (r *Router) pool(name string) *poolView {
 	p := r.pools[name]
 	if p == nil {
-		p = &poolView{name: name, tags: map[string]float64{}, limits: map[string]seenLimit{}, virtual: math.Inf(-1)}
+		p = &poolView{
+			name: name, tags: map[string]float64{}, limits: map[string]seenLimit{},
+			gates: map[string]*rateGate{}, virtual: math.Inf(-1),
+		}
 		r.pools[name] = p
 	}
 	return p
@@ -76,6 +81,8 @@
 	if p.scheduler == "" {
 		return
 	}
+	// A new scheduler counts the rates anew.
+	clear(p.gates)
 	now := r.o.Clock.Now()
 	p.syncedAt = now
 	s := wire.Sync{Pool: p.name, Fence: p.fence, RouterClock: now}
@@ -223,6 +230,7 @@
 		r.counters.dropped.Inc(1)
 		return
 	}
+	r.noteLimit(p, q, &f)
 	q.granted = true
 	q.events <- event{refuse: &f}
 }
