--- /dev/null
+++ b/internal/config/bench_test.go
@@ -0,0 +1,25 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkApply changes one contract of a configuration.
+func BenchmarkApply(b *testing.B) {
+	for _, accounts := range []int{16, 680, 6800} {
+		b.Run(fmt.Sprint("contracts=", accounts), func(b *testing.B) {
+			c := base(b, accounts)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				o := contract(i % accounts)
+				next, err := c.Apply(Change{Contract: o, IfRevision: c.Contracts[o.Account].Revision}, c.Revision+1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				c = next
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/frontend/bench_test.go
@@ -0,0 +1,45 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+)
+
+// BenchmarkTokens streams an answer to a caller over loopback, one event at a time.
+func BenchmarkTokens(b *testing.B) {
+	const event = `data: {"id":"c1","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":" word"}}]}` + "\n\n"
+	for _, tokens := range []int{16, 271, 2048} {
+		b.Run(fmt.Sprint("tokens=", tokens), func(b *testing.B) {
+			bb := start(b, Options{}, func(_ context.Context, _ *Call, a Answer) error {
+				if err := a.Begin(200, "text/event-stream", nil); err != nil {
+					return err
+				}
+				for range tokens {
+					if err := a.Write([]byte(event)); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+			nc := bb.dial()
+			br := bufio.NewReader(nc)
+			text := fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", chatPath, auth, len(chatText), chatText)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = io.WriteString(nc, text)
+				r, err := http.ReadResponse(br, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if n, err := io.Copy(io.Discard, r.Body); err != nil || n != int64(tokens*len(event)) {
+					b.Fatal(n, err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(tokens), "ns/token")
+		})
+	}
+}
--- /dev/null
+++ b/internal/sched/size_bench_test.go
@@ -0,0 +1,123 @@
+package sched
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"marigoldshunt/internal/wire"
+)
+
+// BenchmarkGrantUpstreams measures one submit, one finish and one grant with 680
+// backlogged accounts, since the choice of an upstream depends on their number.
+func BenchmarkGrantUpstreams(b *testing.B) {
+	for _, upstreams := range []int{12, 120, 810} {
+		b.Run(fmt.Sprint("upstreams=", upstreams), func(b *testing.B) {
+			w, running := backlogged(680, 8, upstreams, 2)
+			t := wire.Ticket{ID: wire.TicketID{Host: "r", Boot: 1, Seq: 1 << 40}, Pool: "m", DataCentre: "d0"}
+			f := wire.Finish{Outcome: wire.OutcomeDone, Queued: -1, FirstByte: 5 * time.Millisecond}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				w.now += 100 * time.Microsecond
+				g := &running[i%len(running)]
+				t.ID.Seq++
+				t.Account = g.Account
+				t.Fingerprint = wire.Digest{3, byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
+				if r := w.p.Submit(w.now, &t); r != nil {
+					b.Fatal(r.Code)
+				}
+				f.ID, f.Cost = g.ID, float64(1+i%50)
+				w.p.Finish(w.now, &f)
+				next, ok := w.p.Next(w.now)
+				if !ok {
+					b.Fatal("no grant")
+				}
+				*g = next
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkMemory reports the heap of a pool and its configuration per element, as the
+// difference between a pool with n and one with 2 n of them.
+func BenchmarkMemory(b *testing.B) {
+	for _, c := range []struct {
+		what  string
+		sizes []int
+		build func(n int) *world
+	}{
+		{"account", []int{16, 680, 6800}, func(n int) *world { w, _ := backlogged(n, 0, 12, 1); return w }},
+		{"ticket", []int{680, 6800, 68000}, func(n int) *world { w, _ := backlogged(680, n/680, 12, 1); return w }},
+		{"upstream", []int{12, 120, 810}, func(n int) *world { w, _ := backlogged(16, 0, n, 1); return w }},
+	} {
+		for _, n := range c.sizes {
+			b.Run(fmt.Sprintf("%s=%d", c.what, n), func(b *testing.B) {
+				var per float64
+				for range b.N {
+					start := heap()
+					one := c.build(n)
+					middle := heap()
+					two := c.build(2 * n)
+					end := heap()
+					per = (float64(end) - 2*float64(middle) + float64(start)) / float64(n)
+					runtime.KeepAlive(one)
+					runtime.KeepAlive(two)
+				}
+				b.ReportMetric(per, "B/"+c.what)
+			})
+		}
+	}
+}
+
+// BenchmarkSyncSize takes over the running requests of one router, and drops them by an
+// empty Sync.
+func BenchmarkSyncSize(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint("running=", n), func(b *testing.B) {
+			w, _ := backlogged(680, 0, 120, 16)
+			s := &wire.Sync{Pool: "m"}
+			for i := range n {
+				t := w.ticket(fmt.Sprintf("acc%05d", i%680))
+				s.Running = append(s.Running, wire.Running{Ticket: t, Upstream: fmt.Sprintf("up%02d", i%120), Estimate: 10})
+			}
+			none := &wire.Sync{Pool: "m"}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				w.p.Sync(w.now, "r", 1, s)
+				w.p.Sync(w.now, "r", 1, none)
+			}
+			b.StopTimer()
+			if n := w.p.Status(w.now).Running; n != 0 {
+				b.Fatal(n, " requests after an empty Sync")
+			}
+		})
+	}
+}
+
+// BenchmarkReportAll applies one load report of every upstream.
+func BenchmarkReportAll(b *testing.B) {
+	for _, upstreams := range []int{12, 120, 810} {
+		b.Run(fmt.Sprint("upstreams=", upstreams), func(b *testing.B) {
+			w, _ := backlogged(680, 2, upstreams, 2)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				w.now += 250 * time.Millisecond
+				for i := range upstreams {
+					w.p.Report(w.now, LoadReport{Upstream: fmt.Sprintf("up%02d", i), Instance: "i", Running: 2, At: w.now})
+				}
+			}
+		})
+	}
+}
