Thin out heartbeats to schedulers where requests only run

The clock that a heartbeat carries is needed only while a ticket waits: a new ticket carries the clock itself.

Change: a pool of the router without a waiting ticket gets every third heartbeat. The scheduler drops a router after 2 s of silence, so one in 750 ms still allows one lost heartbeat.

--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -109,16 +109,23 @@
 	return out
 }
 
-// beat sends a heartbeat to the scheduler of every pool with an open request.
+// beat sends a heartbeat to the scheduler of every pool with an open request. A pool
+// without a waiting ticket gets only every runningBeats-th: no grant can be void for an
+// old echo there, since the next ticket carries the clock itself.
 func (r *Router) beat() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	busy := map[string]bool{}
+	r.beats++
+	waiting := map[string]bool{}
 	for _, q := range r.open {
-		busy[q.ticket.Pool] = true
+		pool := q.ticket.Pool
+		waiting[pool] = waiting[pool] || q.upstream == ""
 	}
 	now := r.o.Clock.Now()
-	for name := range busy {
+	for name, waits := range waiting {
+		if !waits && r.beats%runningBeats != 0 {
+			continue
+		}
 		if p := r.pools[name]; p != nil && p.scheduler != "" {
 			r.send(p.scheduler, wire.KindBeat, wire.Beat{Pool: name, Fence: p.fence, RouterClock: now})
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,9 @@
 	GrantMaxAge = time.Second
 	// beatInterval is the time between heartbeats to a scheduler with open requests.
 	beatInterval = 250 * time.Millisecond
+	// runningBeats thins out the heartbeats to a scheduler where requests only run. One
+	// in 750 ms leaves two before the scheduler drops a router that was silent for 2 s.
+	runningBeats = 3
 	// maxAttempts bounds the attempts of one request, the first one included.
 	maxAttempts = 4
 	// claimTimeout bounds the wait for a claim to be committed.
@@ -90,6 +93,7 @@
 	// mu is the lock router.table. It is never held over I/O; Sender does not block.
 	mu    sync.Mutex
 	seq   uint64
+	beats uint64
 	pools map[string]*poolView
 	open  map[uint64]*request
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -423,3 +423,29 @@
 	f.Assert(f.next(wire.KindFinish).to, qt.Equals, "s2")
 	f.Assert(<-end, qt.IsNil)
 }
+
+// Guards against heartbeats that are too rare for the echo of waiting tickets, and
+// against a silence of the length after which the scheduler drops running requests.
+func TestBeats(t *testing.T) {
+	f := newFixture(t)
+	f.cfg.Pools["p2"] = config.Pool{Name: "p2", Kind: config.KindService}
+	f.r.LeasesChanged([]wire.Lease{{Pool: "p2", Host: "s", Fence: 6}})
+	f.next(wire.KindSync)
+	f.r.open[101] = &request{ticket: wire.Ticket{Pool: "p"}}
+	f.r.open[102] = &request{ticket: wire.Ticket{Pool: "p2"}, upstream: "u1"}
+	last := map[string]time.Duration{"p": f.Now(), "p2": f.Now()}
+	longest := map[string]time.Duration{}
+	for range 40 {
+		f.advance(beatInterval)
+		f.r.beat()
+		for len(f.sent) > 0 {
+			m := f.next(wire.KindBeat).msg.(wire.Beat)
+			f.Assert(m.RouterClock, qt.Equals, f.Now())
+			longest[m.Pool] = max(longest[m.Pool], f.Now()-last[m.Pool])
+			last[m.Pool] = f.Now()
+		}
+	}
+	f.Assert(longest["p"], qt.Equals, beatInterval)
+	f.Assert(longest["p2"] > beatInterval, qt.IsTrue)
+	f.Assert(2*longest["p2"] < 2*time.Second, qt.IsTrue)
+}
