Ask routers for their view with a SyncRequest

Cause: a scheduler asked a router for its view by sending an empty Sync, which routers do not handle. A router that returned after a silence was never synced, and a new scheduler depended on routers to hear of the lease by themselves.

Change: the scheduler sends SyncRequest with pool and fence. When the lease is gained it asks every live host, once per term and boot, and later hosts when they become known.

Figures: before, 0 SyncRequest messages; after, one per live host of a new term (test: 2 of 3 hosts, then the restarted and the revived one). Messages per change of scheduler: one more per live host.

--- a/internal/scheduler/handle.go
+++ b/internal/scheduler/handle.go
@@ -122,15 +122,36 @@
 	return r
 }
 
-// askSync asks a router for its Sync by an empty one. A router that was silent for so
-// long that it was dropped does not know that its tickets are gone here. During the
-// window routers send it by themselves.
+// askSync asks a router for its Sync. A router that was silent for so long that it was
+// dropped does not know that its tickets are gone here. During the window the live hosts
+// have been asked already.
 func (s *Scheduler) askSync(now time.Duration, name string, r *router, out []outgoing) []outgoing {
 	if r.synced || !s.term.granting || now-r.asked < askInterval {
 		return out
 	}
 	r.asked = now
-	return append(out, outgoing{name, wire.KindSync, &wire.Sync{Pool: s.o.Pool, Fence: s.term.fence}})
+	return append(out, s.syncRequest(name))
+}
+
+func (s *Scheduler) syncRequest(host string) outgoing {
+	return outgoing{host, wire.KindSyncRequest, &wire.SyncRequest{Pool: s.o.Pool, Fence: s.term.fence}}
+}
+
+// askLive asks every live host once per term and boot for its Sync, so that the window
+// does not depend on when the routers hear of the lease. Hosts that become known later
+// are asked then.
+func (s *Scheduler) askLive(out []outgoing) []outgoing {
+	t := s.term
+	if t == nil {
+		return out
+	}
+	for _, h := range s.hosts {
+		if boot, asked := t.asked[h.Host]; h.Alive && (!asked || boot < h.Boot) {
+			t.asked[h.Host] = h.Boot
+			out = append(out, s.syncRequest(h.Host))
+		}
+	}
+	return out
 }
 
 func (s *Scheduler) decode(m message, v any) bool { return wire.Unmarshal(m.payload, v) == nil }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -88,8 +88,10 @@
 	windowEnd time.Duration
 	granting  bool
 	routers   map[string]*router
-	polls     map[string]*pollState
-	refused   []wire.Refuse
+	// asked holds the boots of the hosts that were asked for their Sync.
+	asked   map[string]uint64
+	polls   map[string]*pollState
+	refused []wire.Refuse
 }
 
 // router is what the scheduler knows of one router.
@@ -157,7 +159,8 @@
 	}
 }
 
-// LeaseGained starts a term with empty memory. The routers' Sync messages fill it.
+// LeaseGained starts a term with empty memory and asks the live hosts for the Sync
+// messages that fill it.
 func (s *Scheduler) LeaseGained(pool string, fence uint64) {
 	if pool != s.o.Pool {
 		return
@@ -170,9 +173,9 @@
 	}
 	s.term = &term{
 		fence: fence, windowEnd: now + SyncWindow,
-		routers: map[string]*router{}, polls: map[string]*pollState{},
+		asked: map[string]uint64{}, routers: map[string]*router{}, polls: map[string]*pollState{},
 	}
-	out := s.pump(s.startPool(now, nil))
+	out := s.pump(s.startPool(now, s.askLive(nil)))
 	s.mu.Unlock()
 	s.send(out)
 }
@@ -237,7 +240,7 @@
 func (s *Scheduler) HostsChanged(hosts []wire.HostStatus) {
 	s.mu.Lock()
 	s.hosts = append([]wire.HostStatus(nil), hosts...)
-	out := s.pump(nil)
+	out := s.pump(s.askLive(nil))
 	s.mu.Unlock()
 	s.send(out)
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -160,7 +160,9 @@
 			case *wire.Refuse:
 				b.c.Check(m.to, qt.Equals, v.ID.Host)
 				refused = append(refused, v)
-			case *wire.Sync:
+			case *wire.SyncRequest:
+				b.c.Check(m.kind, qt.Equals, wire.KindSyncRequest)
+				b.c.Check(*v, qt.Equals, wire.SyncRequest{Pool: "m", Fence: b.lease.fence})
 				asked++
 			}
 		default:
@@ -238,6 +240,30 @@
 	b.c.Check(b.grants(), qt.Equals, 1)
 }
 
+// Guards against live hosts that a new scheduler does not ask for their view, and against
+// dead ones or the same ones that it asks again and again.
+func TestLiveHostsAreAskedForSync(t *testing.T) {
+	b := newBed(t)
+	ask := func() (to []string) {
+		for len(b.out.out) > 0 {
+			m := <-b.out.out
+			b.c.Check(*m.msg.(*wire.SyncRequest), qt.Equals, wire.SyncRequest{Pool: "m", Fence: 7})
+			to = append(to, m.to)
+		}
+		return to
+	}
+	hosts := []wire.HostStatus{{Host: "r1", Boot: 1, Alive: true}, {Host: "r2", Boot: 1, Alive: true, Leaving: true}, {Host: "r3", Boot: 1}}
+	b.s.HostsChanged(hosts)
+	b.c.Check(ask(), qt.HasLen, 0)
+	b.hold(7, true)
+	b.c.Check(ask(), qt.DeepEquals, []string{"r1", "r2"})
+	b.s.HostsChanged(hosts)
+	b.c.Check(ask(), qt.HasLen, 0)
+	hosts[0].Boot, hosts[2].Alive = 2, true
+	b.s.HostsChanged(hosts)
+	b.c.Check(ask(), qt.DeepEquals, []string{"r1", "r3"})
+}
+
 // Guards against a Sync that is lost because the router heard of the lease before this
 // host did, with the configuration still missing.
 func TestMessagesBeforeTheLeaseAreKept(t *testing.T) {
@@ -367,7 +393,7 @@
 	b.c.Check(<-b.load.since, qt.Equals, uint64(0))
 	crasher := b.submit("r")
 	m := <-b.out.out
-	b.c.Assert(m.kind, qt.Equals, wire.KindSync)
+	b.c.Assert(m.kind, qt.Equals, wire.KindSyncRequest)
 	m = <-b.out.out
 	b.c.Assert(m.kind, qt.Equals, wire.KindGrant)
 	b.clock.advance(PollInterval)
