Measure a data centre with and without the scheduler; unbind the claims

Cause: part 4 could not tell the leave of a data centre from the change of scheduler; the slots of the emulated service bounded the claims (48 slots at 10 ms each are 4,800 calls/s); the allocations of a stopped fleet counted as those of grants. Change: part 4 takes out the scheduler's data centre, then another one; the emulated service works 1 ms; the decision cost is measured before the fleets.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -93,6 +93,12 @@
 		return nil, err
 	}
 	rep := &Report{Seed: o.Seed, Phase: o.Phase.Seconds()}
+	// The decision cost is measured first, because the allocations of a fleet would count.
+	var decision []Row
+	if o.wants(partDecision) {
+		o.Progress("decision cost")
+		decision = decisionRows()
+	}
 	for _, name := range o.Profiles {
 		p, err := loadProfile(o.Examples, name)
 		if err != nil {
@@ -107,10 +113,7 @@
 			return rep, err
 		}
 	}
-	if o.Part == 0 || o.Part == partDecision {
-		o.Progress("decision cost")
-		rep.Rows = append(rep.Rows, decisionRows()...)
-	}
+	rep.Rows = append(rep.Rows, decision...)
 	return rep, nil
 }
 
--- a/internal/bench/contention.go
+++ b/internal/bench/contention.go
@@ -109,7 +109,7 @@
 		Note:   fmt.Sprintf("%s times the gap of the shorter run; longest interval %.1f s", number(g2.Largest/g1.Largest), g2.Longest.Seconds()),
 		Series: gapSeries(second.samples, time.Second)}.atMost(g2.Bound))
 	r.add(partFairness, Row{Measure: "largest share of the pair's bound", Value: max(g1.Share, g2.Share), Unit: "x"}.atMost(1))
-	r.add(partFairness, Row{Measure: "largest gap of the baseline, series", Value: gb.Largest, Unit: "units/weight",
+	r.add(partFairness, Row{Measure: "largest gap of the baseline", Value: gb.Largest, Unit: "units/weight",
 		Note: fmt.Sprintf("%d pairs contended, longest interval %.1f s", gb.Pairs, gb.Longest.Seconds()), Series: gapSeries(base.samples, time.Second)})
 }
 
--- a/internal/bench/datacentre.go
+++ b/internal/bench/datacentre.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math"
-	"slices"
 	"time"
 
 	"marigoldshunt/internal/config"
@@ -60,7 +59,7 @@
 // excursion loads routers while set takes a data centre out and back. Its upstreams
 // restart meanwhile, so that they return cold.
 func (r *run) excursion(ctx context.Context, routers []string, away []config.Upstream, set func(out bool) error, seed int64) (e excursion, err error) {
-	before, after := r.phase(), r.phase()
+	before, after := r.phase()/2, r.phase()
 	absent := r.o.Grace + r.phase()/2
 	type outcome struct {
 		list []loadgen.Result
@@ -111,37 +110,73 @@
 	return n
 }
 
-// dataCentre measures part 4. The data centre that leaves is that of the scheduler of
-// the model pool, so the scheduler changes as well.
+// dataCentre measures part 4 twice: with the data centre of the model pool's scheduler,
+// so that the scheduler changes as well, and with another one. The baseline has no
+// scheduler and runs once.
 func (r *run) dataCentre(ctx context.Context) error {
-	site := r.holder(r.profile.model).settings.DataCentre
-	all := r.upstreams(r.profile.model)
-	away := slices.DeleteFunc(slices.Clone(all), func(u config.Upstream) bool { return u.DataCentre != site })
-	stay := slices.DeleteFunc(slices.Clone(all), func(u config.Upstream) bool { return u.DataCentre == site })
-	e, err := r.excursion(ctx, r.callerAddresses(), away, func(out bool) error { return r.setSite(ctx, site, out) }, r.o.Seed+3)
+	first := r.holder(r.profile.model).settings.DataCentre
+	e, err := r.leaveAndReturn(ctx, first)
 	if err != nil {
 		return err
 	}
 	if err := r.warmUp(ctx, r.o.Seed+4); err != nil {
 		return err
 	}
-	b, err := r.startBaseline()
+	other := r.holder(r.profile.model).settings.DataCentre
+	for _, h := range r.hosts {
+		if d := h.settings.DataCentre; d != other {
+			other = d
+			break
+		}
+	}
+	quiet, err := r.leaveAndReturn(ctx, other)
+	if err != nil {
+		return err
+	}
+	if err := r.warmUp(ctx, r.o.Seed+5); err != nil {
+		return err
+	}
+	base, err := r.baselineExcursion(ctx, first)
 	if err != nil {
 		return err
 	}
+	r.excursionRows("scheduler's site", first, e, base)
+	r.excursionRows("other site", other, quiet, base)
+	return nil
+}
+
+// split returns the model upstreams in a data centre and the others.
+func (r *run) split(site string) (away, stay []config.Upstream) {
+	for _, u := range r.upstreams(r.profile.model) {
+		if u.DataCentre == site {
+			away = append(away, u)
+		} else {
+			stay = append(stay, u)
+		}
+	}
+	return away, stay
+}
+
+func (r *run) leaveAndReturn(ctx context.Context, site string) (excursion, error) {
+	away, _ := r.split(site)
+	return r.excursion(ctx, r.callerAddresses(), away, func(out bool) error { return r.setSite(ctx, site, out) }, r.o.Seed+3)
+}
+
+func (r *run) baselineExcursion(ctx context.Context, site string) (excursion, error) {
+	b, err := r.startBaseline()
+	if err != nil {
+		return excursion{}, err
+	}
 	defer b.close()
-	base, err := r.excursion(ctx, b.addresses(), away, func(out bool) error {
-		b.setUpstreams(all)
+	away, stay := r.split(site)
+	return r.excursion(ctx, b.addresses(), away, func(out bool) error {
 		if out {
 			b.setUpstreams(stay)
+		} else {
+			b.setUpstreams(r.upstreams(r.profile.model))
 		}
 		return nil
 	}, r.o.Seed+3)
-	if err != nil {
-		return err
-	}
-	r.excursionRows(site, e, base)
-	return nil
 }
 
 func (r *run) setSite(ctx context.Context, site string, out bool) error {
@@ -152,7 +187,7 @@
 	return err
 }
 
-func (r *run) excursionRows(site string, e, base excursion) {
+func (r *run) excursionRows(which, site string, e, base excursion) {
 	for i, name := range []string{"before", "during", "after"} {
 		rate, wait := e.phase(i)
 		baseRate, baseWait := base.phase(i)
@@ -160,14 +195,14 @@
 		if i == 1 {
 			note = fmt.Sprintf("%s away for %.1f s", site, (e.back - e.out).Seconds())
 		}
-		r.add(partDataCentre, Row{Measure: "answered, " + name, Value: rate, Unit: "1/s", Note: note}.against(baseRate))
-		r.add(partDataCentre, Row{Measure: "wait p95, " + name, Value: wait, Unit: "ms"}.against(baseWait))
+		r.add(partDataCentre, Row{Measure: which + ", answered, " + name, Value: rate, Unit: "1/s", Note: note}.against(baseRate))
+		r.add(partDataCentre, Row{Measure: which + ", wait p95, " + name, Value: wait, Unit: "ms"}.against(baseWait))
 	}
-	r.add(partDataCentre, Row{Measure: "runs begun there later than 4 s", Value: float64(e.late), Unit: "runs"}.atMost(0).against(float64(base.late)))
+	r.add(partDataCentre, Row{Measure: which + ", runs begun there later than 4 s", Value: float64(e.late), Unit: "runs"}.atMost(0).against(float64(base.late)))
 	cut, note := e.cut()
 	baseCut, _ := base.cut()
-	r.add(partDataCentre, Row{Measure: "requests cut off", Value: float64(cut), Unit: "requests", Note: note}.atMost(0).against(float64(baseCut)))
-	r.add(partDataCentre, Row{Measure: "falls of cold upstreams", Value: float64(e.falls), Unit: "falls"}.atMost(0).against(float64(base.falls)))
+	r.add(partDataCentre, Row{Measure: which + ", requests cut off", Value: float64(cut), Unit: "requests", Note: note}.atMost(0).against(float64(baseCut)))
+	r.add(partDataCentre, Row{Measure: which + ", falls of cold upstreams", Value: float64(e.falls), Unit: "falls"}.atMost(0).against(float64(base.falls)))
 }
 
 // phase returns the answers per second and the 95th percentile of the wait for the
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -193,7 +193,8 @@
 const (
 	maxTokens = 4096
 	prefill   = 20 * time.Millisecond
-	workTime  = 10 * time.Millisecond
+	// workTime is short, so that the slots of the service do not bound part 8.
+	workTime  = time.Millisecond
 	reportLag = 500 * time.Millisecond
 	eventLag  = 700 * time.Millisecond
 	eventGap  = 0.1
