Correct a data race between a new connection and Close

Cause: connect replaced the variable that the function for a closing node had captured. When the node closed at that moment, the race detector saw a read beside the write, and the connection to close was undefined.

Change: the function captures the dialled connection in a variable of its own.

--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -99,14 +99,14 @@
 	}
 	ctx, cancel := context.WithTimeout(r.n.ctx, dialTimeout)
 	defer cancel()
-	nc, err := r.n.o.Dial(ctx, address)
+	dialled, err := r.n.o.Dial(ctx, address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.PeerUnreachable, "", "connect to host %s", r.host)
 	}
 	// A closing node must not wait for the deadline of the handshake.
-	stop := context.AfterFunc(r.n.ctx, func() { nc.Close() })
+	stop := context.AfterFunc(r.n.ctx, func() { dialled.Close() })
 	defer stop()
-	nc = &countedConn{Conn: nc, t: &r.traffic}
+	nc := &countedConn{Conn: dialled, t: &r.traffic}
 	nc.SetDeadline(time.Now().Add(r.n.o.Handshake))
 	c, err := r.n.dialHandshake(nc, r.host)
 	if err != nil {
