Send keepalives once per pair of hosts and direction

Cause: a pair of hosts that send to each other has two connections, and each carried keepalives both ways: 80 bytes/s per pair and direction. A scheduler of a fleet of 370 hosts spent 30 KB/s in each direction on them.

Change: the acceptor of a connection leaves out its keepalives while the session has its own outgoing connection, where it sends them already. The dialler takes silence on its outgoing connection as a loss only without an incoming one. Each direction of a pair still carries a keepalive every 500 ms and is read with the deadline of 2 s, so a frozen peer is detected as fast as before.

Sessions without messages are still never closed.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -60,7 +60,7 @@
 
 // Defaults of Options.
 const (
-	// DefaultKeepAlive costs an idle connection 40 bytes per second and direction.
+	// DefaultKeepAlive costs an idle pair of hosts 40 bytes per second and direction.
 	DefaultKeepAlive = 500 * time.Millisecond
 	// DefaultDead is four keepalive intervals, and below the 3 s in which work passes to
 	// another scheduler.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -327,6 +327,34 @@
 	c.Assert(a.next(t), qt.Equals, "b/2 up=false")
 }
 
+// Guards against a session with both connections that is taken as lost because the
+// acceptors leave out their keepalives, and against a frozen peer that this hides.
+func TestFrozenPeerOfWholeSession(t *testing.T) {
+	c := qt.New(t)
+	w := pair()
+	cut := &cutter{}
+	o := Options{Host: "a", Boot: 1, KeepAlive: 20 * time.Millisecond, Dead: 500 * time.Millisecond}
+	a := w.start(t, o, any0)
+	o.Host, o.Boot, o.Dial = "b", 2, cut.dial
+	b := w.start(t, o, any0)
+	a.send(t, "b", "1")
+	b.send(t, "a", "2")
+	c.Assert(b.next(t), qt.Equals, "a/1 up=true")
+	c.Assert(b.next(t), qt.Equals, "a/1 1")
+	c.Assert(a.next(t), qt.Equals, "b/2 up=true")
+	c.Assert(a.next(t), qt.Equals, "b/2 2")
+	// 75 keepalives of 20 ms are three times the silence that ends a session.
+	waitFor(t, func() bool {
+		return a.Bytes()["b"].KeepalivesReceived > 75 && b.Bytes()["a"].KeepalivesReceived > 75
+	})
+	c.Assert(len(a.events)+len(b.events), qt.Equals, 0)
+	cut.mu.Lock()
+	cut.frozen = true
+	cut.mu.Unlock()
+	c.Assert(a.next(t), qt.Equals, "b/2 up=false")
+	c.Assert(b.next(t), qt.Equals, "a/1 up=false")
+}
+
 // Guards against silent or talkative strangers that lock out peers or use memory.
 func TestUnauthenticatedBounds(t *testing.T) {
 	c := qt.New(t)
--- a/internal/peer/receiver.go
+++ b/internal/peer/receiver.go
@@ -137,7 +137,8 @@
 	}
 }
 
-// sendKeepalives lets the dialler see that this end is alive.
+// sendKeepalives lets the dialler see that this end is alive, unless the connection of
+// the other direction shows it already.
 func (r *remote) sendKeepalives(c *conn, done chan struct{}) {
 	defer r.lost(c)
 	t := time.NewTicker(r.n.o.KeepAlive)
@@ -147,9 +148,17 @@
 		case <-done:
 			return
 		case <-t.C:
-			if r.writeKeepalive(c) != nil {
+			if !r.speaks(c) && r.writeKeepalive(c) != nil {
 				return
 			}
 		}
 	}
 }
+
+// speaks reports whether the session of the incoming connection c has an outgoing one,
+// on which this end sends keepalives.
+func (r *remote) speaks(c *conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.in == c && r.out != nil
+}
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"time"
 
 	"marigoldshunt/internal/fault"
@@ -184,10 +186,19 @@
 }
 
 // readKeepalives detects the loss of an outgoing connection: the acceptor sends nothing
-// but keepalives on it.
+// but keepalives on it, and only while it has no outgoing connection of its own. With
+// one, its keepalives there show that it is alive, so silence here is no loss.
 func (r *remote) readKeepalives(c *conn) {
 	defer r.lost(c)
 	for {
+		c.SetReadDeadline(time.Now().Add(r.n.o.Dead))
+		// A deadline that ends in Peek leaves the reader at the begin of a frame.
+		if _, err := c.r.r.Peek(1); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && r.hears(c) {
+				continue
+			}
+			return
+		}
 		c.SetReadDeadline(time.Now().Add(r.n.o.Dead))
 		body, err := c.r.read()
 		if err == nil && len(body) != 0 {
@@ -201,6 +212,14 @@
 	}
 }
 
+// hears reports whether the session of the outgoing connection c has an incoming one,
+// whose own read deadline detects a silent peer.
+func (r *remote) hears(c *conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.out == c && r.in != nil
+}
+
 // countedConn counts the bytes of a connection.
 type countedConn struct {
 	net.Conn
