Use smaller buffers for connections between hosts

Cause: each end of a session with both connections holds four buffers of 8 KiB. A pool scheduler or control leader of 370 hosts needs 20 MB for its sessions, of a target of 32 MB for everything.

Change: 4 KiB for the direction that carries messages, 256 bytes for the direction that carries keepalives only.

--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,3 +100,45 @@
 		})
 	}
 }
+
+// BenchmarkPeerMemory reports heap and stacks of one end of a session with both
+// connections, from nodes with 1, 10 and 100 peers in one process.
+func BenchmarkPeerMemory(b *testing.B) {
+	for _, peers := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint("peers=", peers), func(b *testing.B) {
+			var per float64
+			for range b.N {
+				w := pair()
+				x := w.bench(b, Options{Host: "x", Boot: 1})
+				var got atomic.Int64
+				count := func(string, uint64, wire.Kind, []byte) { got.Add(1) }
+				x.Handle(wire.KindCancel, count)
+				ys := make([]*Node, peers)
+				for i := range ys {
+					ys[i] = w.bench(b, Options{Host: fmt.Sprint("y", i), Boot: 2})
+					ys[i].Handle(wire.KindCancel, count)
+				}
+				before := memory()
+				for i, y := range ys {
+					if y.Send("x", wire.KindCancel, wire.Cancel{}) != nil || x.Send(fmt.Sprint("y", i), wire.KindCancel, wire.Cancel{}) != nil {
+						b.Fatal("not sent")
+					}
+					// One after the other: more than maxPending handshakes at once evict each other.
+					for got.Load() < int64(2*(i+1)) {
+						time.Sleep(time.Millisecond)
+					}
+				}
+				per = (memory() - before) / float64(2*peers)
+			}
+			b.ReportMetric(per, "B/end")
+		})
+	}
+}
+
+func memory() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) + float64(m.StackInuse)
+}
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -34,7 +34,11 @@
 	labelForward       = "marigoldshunt dialler to acceptor"
 	labelBackward      = "marigoldshunt acceptor to dialler"
 
-	bufferBytes = 8 << 10
+	// messageBuffer holds some twenty messages of a request; larger frames pass by it.
+	messageBuffer = 4 << 10
+	// keepaliveBuffer is that of the direction from acceptor to dialler, which carries
+	// keepalives of overheadBytes only. A host with hundreds of peers has as many buffers.
+	keepaliveBuffer = 256
 )
 
 type hello struct {
@@ -101,11 +105,12 @@
 	w    frameWriter
 }
 
-func newConn(nc net.Conn, peer hello, sendKey, receiveKey []byte) *conn {
+// newConn returns a connection whose reader and writer have buffers of the given sizes.
+func newConn(nc net.Conn, peer hello, sendKey, receiveKey []byte, readBytes, writeBytes int) *conn {
 	return &conn{
 		Conn: nc, host: peer.from, boot: peer.boot,
-		r: frameReader{r: bufio.NewReaderSize(nc, bufferBytes), seal: newSealer(receiveKey)},
-		w: frameWriter{w: bufio.NewWriterSize(nc, bufferBytes), seal: newSealer(sendKey)},
+		r: frameReader{r: bufio.NewReaderSize(nc, readBytes), seal: newSealer(receiveKey)},
+		w: frameWriter{w: bufio.NewWriterSize(nc, writeBytes), seal: newSealer(sendKey)},
 	}
 }
 
@@ -137,7 +142,8 @@
 	if err := writePlain(nc, derive(n.key, labelDiallerProof, transcript)); err != nil {
 		return nil, err
 	}
-	return newConn(nc, theirs, derive(n.key, labelForward, transcript), derive(n.key, labelBackward, transcript)), nil
+	return newConn(nc, theirs, derive(n.key, labelForward, transcript), derive(n.key, labelBackward, transcript),
+		keepaliveBuffer, messageBuffer), nil
 }
 
 // acceptHandshake authenticates an incoming connection. Deadlines are the caller's.
@@ -169,5 +175,6 @@
 	if !hmac.Equal(answer, derive(n.key, labelDiallerProof, transcript)) {
 		return nil, fault.New(fault.PeerUnauthorised, "", "peer at %s did not prove knowledge of the peer key", nc.RemoteAddr())
 	}
-	return newConn(nc, theirs, derive(n.key, labelBackward, transcript), derive(n.key, labelForward, transcript)), nil
+	return newConn(nc, theirs, derive(n.key, labelBackward, transcript), derive(n.key, labelForward, transcript),
+		messageBuffer, keepaliveBuffer), nil
 }
