--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,7 +45,7 @@
 echo "== form the control group and apply the configuration"
 retry marigoldshuntctl control init h1,h2,h3
 retry marigoldshuntctl config apply examples/demo.toml
-echo "== load through discovery"
+echo "== six streamed answers through discovery"
 retry marigoldshunt-load -hosts 127.0.0.2:7100 -accounts demo:demo-account-credential:2 -pool assistant -requests 6 -duration 10s >"$work/load.json"
 grep -o '"\(answered\|requests\|tokens\|incomplete\)": *[0-9]*' "$work/load.json" | sort -u || cat "$work/load.json"
 echo "== operator change: engine-1 out and back"
