Bound the connect time to upstreams within the departure limit

Cause: the lease of 2 s, the age of a grant of 1 s and a connect timeout of 1 s together reached the 4 s after which a departed data centre may get no new work. Conclusion: half a second of margin.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,11 @@
 	"marigoldshunt/internal/wire"
 )
 
+// upstreamConnectTimeout bounds the time between the check of a grant and the first byte
+// to the upstream. Together with the lease of a scheduler and the longest age of a grant
+// it is part of the time in which a data centre that was taken out may still get work.
+const upstreamConnectTimeout = 500 * time.Millisecond
+
 // Options configures a Daemon. Only Settings is required.
 type Options struct {
 	Settings *settings.Settings
@@ -90,7 +95,7 @@
 		Host: s.Host, Boot: d.boot, ControlHosts: names(s.ControlHosts), Transport: d.peers,
 		Clock: d.clock, Ticks: time.Tick(control.TickInterval), Log: d.part("control"),
 	})
-	d.engine = engine.New(engine.Options{Metrics: d.registry})
+	d.engine = engine.New(engine.Options{Metrics: d.registry, ConnectTimeout: upstreamConnectTimeout})
 	d.role = d.newControlRole()
 	d.router = router.New(router.Options{
 		Host: s.Host, Boot: d.boot, DataCentre: s.DataCentre, Sender: d.peers, Engine: d.engine,
