Clear a suspicion by any answer of the load path

Cause: an upstream that is suspect waited for a load report. A plain service that answers 404, an error page or text on its load path stayed suspect until the next change of scheduler.

Change: engine.Load returns counts of -1 when an upstream answers with anything but a load report; the core then clears the suspicion of the upstream and of the requests whose connections broke there, as a report without an instance did, and leaves slots and limit alone. A cut answer, no answer and 503 remain errors: 503 is how an upstream refuses work.

Figures: of 8 kinds of answers on the load path in the test, 4 that were errors now count as answers (404, 500, text, negative counts), 3 stay errors (503, no answer, cut answer) and 1 is a report. After a broken connection the core grants again at the first such answer sampled later. Tests of the packages pass with the race detector.

Conclusion: plain services return from suspicion within one poll.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -75,7 +75,8 @@
 	Err *fault.Error
 }
 
-// Load is a load report of an upstream.
+// Load is a load report of an upstream. Counts of -1 mean that the upstream answered
+// without a report.
 type Load struct {
 	Instance string `json:"instance"`
 	Running  int    `json:"running"`
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -334,6 +335,34 @@
 	c.Assert(e.Debug().Orders, qt.HasLen, 1)
 }
 
+// Guards against a reachable upstream without load reports that counts as unreachable, and
+// against one that refuses work or does not answer and counts as reachable.
+func TestLoadWithoutReport(t *testing.T) {
+	answer := func(status, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	}
+	for _, tc := range []struct {
+		answer string
+		want   Load
+		fails  bool
+	}{
+		{answer("200 OK", `{"instance":"i","running":2,"queued":1}`), Load{"i", 2, 1}, false},
+		{answer("404 Not Found", "no such page"), noReport, false},
+		{answer("500 Internal Server Error", ""), noReport, false},
+		{answer("200 OK", "hello"), noReport, false},
+		{answer("200 OK", `{"running":-3}`), noReport, false},
+		{answer("503 Service Unavailable", ""), Load{}, true},
+		{closeMark, Load{}, true},
+		{"HTTP/1.1 404 Not Found\r\nContent-Length: 9\r\n\r\ncut" + closeMark, Load{}, true},
+	} {
+		cl := New(Options{})
+		l, err := cl.Load(context.Background(), script(t, tc.answer).address)
+		qt.Check(t, l, qt.Equals, tc.want, qt.Commentf("%q", tc.answer))
+		qt.Check(t, err != nil, qt.Equals, tc.fails, qt.Commentf("%q: %v", tc.answer, err))
+		cl.Close()
+	}
+}
+
 // BenchmarkDo measures the cost of one attempt on a kept connection.
 func BenchmarkDo(b *testing.B) {
 	u := script(b, okJSON)
--- a/internal/engine/side.go
+++ b/internal/engine/side.go
@@ -10,14 +10,23 @@
 	"marigoldshunt/internal/fault"
 )
 
-// Load asks an upstream for its load report.
+// noReport stands for an answer that is not a load report.
+var noReport = Load{Running: -1, Queued: -1}
+
+// Load asks an upstream for its load report. An answer that is not a load report, like
+// 404 from a plain service, shows that the upstream is reachable and gives a Load with
+// counts of -1. No answer and 503, by which an upstream refuses work, are errors.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
-	var l Load
-	if err := c.get(ctx, address, "/load", &l); err != nil {
-		return Load{}, err
+	status, body, err := c.side(ctx, address, fasthttp.MethodGet, "/load", nil)
+	if err != nil {
+		return Load{}, fault.Wrap(err, fault.UpstreamFailed, "", "GET %s/load", address)
 	}
-	if l.Running < 0 || l.Queued < 0 {
-		return Load{}, fault.New(fault.UpstreamFailed, "", "load report of %s has negative counts", address)
+	if status == fasthttp.StatusServiceUnavailable {
+		return Load{}, fault.New(fault.UpstreamFailed, "", "GET %s/load: status %d", address, status)
+	}
+	var l Load
+	if status != fasthttp.StatusOK || json.Unmarshal(body, &l) != nil || l.Running < 0 || l.Queued < 0 {
+		return noReport, nil
 	}
 	return l, nil
 }
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -44,8 +44,9 @@
 	Upstream string
 	// Instance is the identity of the running instance, empty when unknown.
 	Instance string
-	Running  int
-	Queued   int
+	// Running and Queued are negative when the upstream answered without a report.
+	Running int
+	Queued  int
 	// At is the time at which the load was sampled, on the caller's clock. A caller that
 	// knows only when it sent the request uses that time.
 	At time.Duration
--- a/internal/sched/protect_test.go
+++ b/internal/sched/protect_test.go
@@ -141,6 +141,31 @@
 	c.Check(w.upstream("u0").State, qt.Equals, StateOut)
 }
 
+// Guards against a plain service without load reports that stays suspect for ever, or
+// whose slots or limit change by an answer that says nothing about them.
+func TestAnswerWithoutReport(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(ramp, 1)
+	w.warmUp(c)
+	w.now += 10 * time.Second
+	w.report("u0", "i1", 3, 0)
+	w.submitN("a", 20, withFP(1))
+	gs := w.drain()
+	c.Assert(gs, qt.HasLen, 7)
+	w.finish(gs[0], wire.OutcomeBroken, 1)
+	before := w.upstream("u0")
+	c.Assert(before.State, qt.Equals, StateSuspect)
+	none := LoadReport{Upstream: "u0", Running: -1, Queued: -1, At: w.now - time.Millisecond}
+	w.p.Report(w.now, none)
+	c.Check(w.upstream("u0"), qt.Equals, before)
+	none.At = w.now
+	c.Check(w.p.Report(w.now, none).Marks, qt.HasLen, 0)
+	before.State = StateWarm
+	c.Check(w.upstream("u0"), qt.Equals, before)
+	c.Check(w.p.fingerprints[wire.Digest{1}].suspected(), qt.IsFalse)
+	c.Check(w.drain(), qt.HasLen, 1)
+}
+
 // Guards against a warm limit that does not follow the engine's queue, and against
 // reports that are too old to mean anything.
 func TestLimitAdaptation(t *testing.T) {
--- a/internal/sched/upstream.go
+++ b/internal/sched/upstream.go
@@ -269,7 +269,8 @@
 }
 
 // Report applies a load report. Reports older than 2 s or older than the last one are
-// ignored.
+// ignored. An answer without a report clears the suspicion, on the upstream and on the
+// requests whose connections broke there, and changes neither slots nor limit.
 func (p *Pool) Report(now time.Duration, r LoadReport) Effects {
 	var eff Effects
 	u := p.upstreams[r.Upstream]
@@ -287,8 +288,10 @@
 		u.suspect = false
 	}
 	p.acquit(u, r.At)
-	p.explain(now, u, max(r.Running, 0)+max(r.Queued, 0), r.At)
-	p.adapt(now, u, r.Queued)
+	if r.Running >= 0 && r.Queued >= 0 {
+		p.explain(now, u, r.Running+r.Queued, r.At)
+		p.adapt(now, u, r.Queued)
+	}
 	p.wakeHeld()
 	return eff
 }
--- a/internal/scheduler/ports.go
+++ b/internal/scheduler/ports.go
@@ -22,7 +22,8 @@
 	HeldUntil(pool string) (fence uint64, until time.Duration, ok bool)
 }
 
-// LoadReport is an upstream's answer about its load.
+// LoadReport is an upstream's answer about its load. Counts of -1 mean an answer without
+// a report.
 type LoadReport struct {
 	Instance string
 	Running  int
