Share fixtures of the scheduler tests

Every check stays; some that let the test go on after a failure now end it.

Full tests pass with the race detector.

--- a/internal/sched/fair_test.go
+++ b/internal/sched/fair_test.go
@@ -15,15 +15,13 @@
 
 // Guards against shares that do not follow the weights.
 func TestSharesFollowWeights(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 1)
+	c, w := begin(t, fixed(1), 1)
 	w.edit("a", func(ct *config.Contract) { ct.Weight = 3 })
 	w.submitN("a", 400)
 	w.submitN("b", 400)
 	order := ""
 	for range 400 {
-		gs := w.drain()
-		c.Assert(gs, qt.HasLen, 1)
+		gs := w.drainN(c, 1)
 		order += gs[0].Account
 		w.finish(gs[0], wire.OutcomeDone, 10)
 	}
@@ -33,8 +31,7 @@
 
 // Guards against an account that gets ahead because its requests cost more than estimated.
 func TestCorrectionAtTheEnd(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 1)
+	c, w := begin(t, fixed(1), 1)
 	w.submitN("a", 1000)
 	w.submitN("b", 1000)
 	service := map[string]float64{}
@@ -54,8 +51,7 @@
 // Guards against credit for idle time: an account that was idle while another one was
 // served shares equally from then on and gets no burst.
 func TestIdleTimeEarnsNoCredit(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 1)
+	c, w := begin(t, fixed(1), 1)
 	w.submitN("b", 1000)
 	for range 500 {
 		w.finish(w.drain()[0], wire.OutcomeDone, 10)
@@ -75,8 +71,7 @@
 // Guards against credit for time at the account's own concurrency limit, and against
 // a refund that is lost while the account is blocked.
 func TestBlockedAccountKeepsItsDistance(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(2), 1)
+	c, w := begin(t, fixed(2), 1)
 	w.edit("a", func(ct *config.Contract) { ct.Concurrency = 1 })
 	w.submitN("a", 50)
 	w.submitN("b", 500)
@@ -118,27 +113,22 @@
 	}{
 		{"rate with burst", func(ct *config.Contract) { ct.RequestsPerSecond, ct.Burst = 2, 3 }, func(c *qt.C, w *world) {
 			for range 3 {
-				_, code := w.submit("a")
-				c.Assert(code, qt.Equals, fault.Code(""))
+				w.submitWant(c, fault.Code(""), "a")
 			}
 			tk := w.ticket("a")
 			r := w.p.Submit(w.now, &tk)
 			c.Assert(r.Code, qt.Equals, fault.RateLimited)
 			c.Check(r.RetryAfter, qt.Equals, 500*time.Millisecond)
 			w.now += 500 * time.Millisecond
-			_, code := w.submit("a")
-			c.Check(code, qt.Equals, fault.Code(""))
-			_, code = w.submit("a")
-			c.Check(code, qt.Equals, fault.RateLimited)
+			w.submitWant(c, fault.Code(""), "a")
+			w.submitWant(c, fault.RateLimited, "a")
 		}},
 		{"rate 0", func(ct *config.Contract) { ct.RequestsPerSecond = 0 }, func(c *qt.C, w *world) {
-			_, code := w.submit("a")
-			c.Check(code, qt.Equals, fault.RateLimited)
+			w.submitWant(c, fault.RateLimited, "a")
 		}},
 		{"concurrency", func(ct *config.Contract) { ct.Concurrency = 2 }, func(c *qt.C, w *world) {
 			w.submitN("a", 5)
-			gs := w.drain()
-			c.Assert(gs, qt.HasLen, 2)
+			gs := w.drainN(c, 2)
 			w.finish(gs[0], wire.OutcomeDone, 1)
 			c.Check(w.drain(), qt.HasLen, 1)
 			w.edit("a", func(ct *config.Contract) { ct.Concurrency = 3 })
@@ -146,11 +136,9 @@
 		}},
 		{"queue length", func(ct *config.Contract) { ct.QueueLength = 2 }, func(c *qt.C, w *world) {
 			w.submitN("a", 2)
-			_, code := w.submit("a")
-			c.Check(code, qt.Equals, fault.QueueFull)
+			w.submitWant(c, fault.QueueFull, "a")
 			w.drain()
-			_, code = w.submit("a")
-			c.Check(code, qt.Equals, fault.Code(""))
+			w.submitWant(c, fault.Code(""), "a")
 		}},
 		{"wait", func(ct *config.Contract) { ct.MaxWait, ct.Concurrency = time.Second, 0 }, func(c *qt.C, w *world) {
 			short, _ := w.submit("a", func(t *wire.Ticket) { t.MaxWait = 100 * time.Millisecond })
@@ -164,8 +152,7 @@
 			c.Check(w.p.Status(w.now).Waiting, qt.Equals, 0)
 		}},
 		{"pool not allowed", func(ct *config.Contract) { ct.Pools = nil }, func(c *qt.C, w *world) {
-			_, code := w.submit("a")
-			c.Check(code, qt.Equals, fault.PoolNotAllowed)
+			w.submitWant(c, fault.PoolNotAllowed, "a")
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -179,13 +166,11 @@
 // Guards against a repeated ticket that runs twice, and against repeated ends that free
 // more slots than were taken.
 func TestRepeatsAreHarmless(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 1)
+	c, w := begin(t, fixed(1), 1)
 	tk := w.ticket("a")
 	c.Check(w.p.Submit(w.now, &tk), qt.IsNil)
 	c.Check(w.p.Submit(w.now, &tk), qt.IsNil)
-	gs := w.drain()
-	c.Assert(gs, qt.HasLen, 1)
+	gs := w.drainN(c, 1)
 	c.Check(w.p.Submit(w.now, &tk), qt.IsNil)
 	w.submitN("b", 3)
 	for range 3 {
@@ -224,8 +209,7 @@
 
 // Guards against estimates that ignore the known input or grow past the maximum.
 func TestEstimates(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 1)
+	c, w := begin(t, fixed(1), 1)
 	a := w.p.accounts["a"]
 	c.Check(w.p.estimate(a, 0), qt.Equals, 10.0)
 	c.Check(w.p.estimate(a, 25), qt.Equals, 25.0)
@@ -243,12 +227,10 @@
 // Guards against tickets that are lost silently when their account is removed, and
 // against a concurrency limit that forgets running requests when the account returns.
 func TestAccountRemovedAndBack(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(2), 1)
+	c, w := begin(t, fixed(2), 1)
 	w.edit("a", func(ct *config.Contract) { ct.Concurrency = 1 })
 	w.submitN("a", 3)
-	gs := w.drain()
-	c.Assert(gs, qt.HasLen, 1)
+	gs := w.drainN(c, 1)
 	kept := w.cfg.Contracts["a"]
 	delete(w.cfg.Contracts, "a")
 	w.p.Configure(w.now, w.cfg)
@@ -269,14 +251,10 @@
 
 // Guards against retries beyond the budget.
 func TestRetryBudget(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 1)
+	c, w := begin(t, fixed(1), 1)
 	again := func(t *wire.Ticket) { t.Retry = true }
-	_, code := w.submit("a", again)
-	c.Check(code, qt.Equals, fault.RetryBudgetSpent)
+	w.submitWant(c, fault.RetryBudgetSpent, "a", again)
 	w.submitN("a", 10)
-	_, code = w.submit("a", again)
-	c.Check(code, qt.Equals, fault.Code(""))
-	_, code = w.submit("a", again)
-	c.Check(code, qt.Equals, fault.RetryBudgetSpent)
+	w.submitWant(c, fault.Code(""), "a", again)
+	w.submitWant(c, fault.RetryBudgetSpent, "a", again)
 }
--- a/internal/sched/helpers_test.go
+++ b/internal/sched/helpers_test.go
@@ -1,8 +1,11 @@
 package sched
 
 import (
+	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/wire"
@@ -47,6 +50,11 @@
 	return w
 }
 
+// begin returns a checker and a newWorld.
+func begin(t *testing.T, profile config.Profile, upstreams int) (*qt.C, *world) {
+	return qt.New(t), newWorld(profile, upstreams)
+}
+
 // restart replaces the pool by one with empty memory.
 func (w *world) restart() {
 	w.p = New(w.opts)
@@ -78,6 +86,12 @@
 	return t.ID, ""
 }
 
+// submitWant requires the code of the refusal, empty when the ticket is queued.
+func (w *world) submitWant(c *qt.C, want fault.Code, account string, edits ...func(*wire.Ticket)) {
+	_, code := w.submit(account, edits...)
+	c.Assert(code, qt.Equals, want)
+}
+
 func (w *world) submitN(account string, n int, edits ...func(*wire.Ticket)) {
 	for range n {
 		w.submit(account, edits...)
@@ -95,6 +109,13 @@
 	}
 }
 
+// drainN requires n grants.
+func (w *world) drainN(c *qt.C, n int) []Grant {
+	gs := w.drain()
+	c.Assert(gs, qt.HasLen, n)
+	return gs
+}
+
 // accounts lists whom the grants went to.
 func accounts(gs []Grant) string {
 	s := ""
@@ -116,6 +137,13 @@
 	return w.p.Report(w.now, LoadReport{Upstream: upstream, Instance: instance, Running: running, Queued: queued, At: w.now})
 }
 
+// reportAll reports every upstream as empty and running the instance.
+func (w *world) reportAll(instance string) {
+	for name := range w.cfg.Upstreams {
+		w.report(name, instance, 0, 0)
+	}
+}
+
 func (w *world) upstream(name string) UpstreamStatus {
 	for _, u := range w.p.Status(w.now).Upstreams {
 		if u.Name == name {
--- a/internal/sched/protect_test.go
+++ b/internal/sched/protect_test.go
@@ -32,8 +32,7 @@
 
 // Guards against a cold upstream that gets more than its profile allows.
 func TestColdStartDoubles(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(ramp, 1)
+	c, w := begin(t, ramp, 1)
 	w.submitN("a", 100)
 	running := w.drain()
 	var limits []int
@@ -82,12 +81,10 @@
 		{"same instance", func(w *world, gs []Grant) { w.report("u0", "i1", 10, 0) }, StateWarm},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			c := qt.New(t)
-			w := newWorld(ramp, 1)
+			c, w := begin(t, ramp, 1)
 			w.warmUp(c)
 			w.submitN("a", 50)
-			gs := w.drain()
-			c.Assert(gs, qt.HasLen, 10)
+			gs := w.drainN(c, 10)
 			tc.run(w, gs)
 			c.Check(w.upstream("u0").State, qt.Equals, tc.want)
 			if tc.want == StateCold {
@@ -100,12 +97,10 @@
 // Guards against new work on an upstream whose connection failed or that is out of
 // service, and against a return that is not cold.
 func TestSuspectAndOut(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(ramp, 2)
+	c, w := begin(t, ramp, 2)
 	w.warmUp(c)
 	w.submitN("a", 100)
-	gs := w.drain()
-	c.Assert(gs, qt.HasLen, 20)
+	gs := w.drainN(c, 20)
 	var mine Grant
 	for _, g := range gs {
 		if g.Upstream == "u0" {
@@ -144,14 +139,12 @@
 // Guards against a plain service without load reports that stays suspect for ever, or
 // whose slots or limit change by an answer that says nothing about them.
 func TestAnswerWithoutReport(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(ramp, 1)
+	c, w := begin(t, ramp, 1)
 	w.warmUp(c)
 	w.now += 10 * time.Second
 	w.report("u0", "i1", 3, 0)
 	w.submitN("a", 20, withFP(1))
-	gs := w.drain()
-	c.Assert(gs, qt.HasLen, 7)
+	gs := w.drainN(c, 7)
 	w.finish(gs[0], wire.OutcomeBroken, 1)
 	before := w.upstream("u0")
 	c.Assert(before.State, qt.Equals, StateSuspect)
@@ -169,12 +162,10 @@
 // Guards against a warm limit that does not follow the engine's queue, and against
 // reports that are too old to mean anything.
 func TestLimitAdaptation(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(config.Profile{ColdConcurrency: 4, MaxConcurrency: 40, WarmAfter: 1}, 1)
+	c, w := begin(t, config.Profile{ColdConcurrency: 4, MaxConcurrency: 40, WarmAfter: 1}, 1)
 	w.warmUp(c)
 	w.submitN("a", 100)
-	gs := w.drain()
-	c.Assert(gs, qt.HasLen, 40)
+	gs := w.drainN(c, 40)
 	w.report("u0", "i1", 36, 4)
 	c.Check(w.upstream("u0").Limit, qt.Equals, 36)
 	w.p.Report(w.now+3*time.Second, LoadReport{Upstream: "u0", Running: 36, Queued: 4, At: w.now})
@@ -195,14 +186,12 @@
 // Guards against a choice that ignores affinity, distance or load, or that leaves a far
 // slot idle.
 func TestChoiceOfUpstream(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(2), 4) // u0 and u2 are near, u1 and u3 far
+	c, w := begin(t, fixed(2), 4) // u0 and u2 are near, u1 and u3 far
 	w.p.CacheEvent(w.now, "u2", 1, []wire.Digest{{7}}, nil)
 	w.p.CacheEvent(w.now, "u1", 1, []wire.Digest{{8}}, nil)
 	one := func(edits ...func(*wire.Ticket)) string {
 		w.submit("a", edits...)
-		gs := w.drain()
-		c.Assert(gs, qt.HasLen, 1)
+		gs := w.drainN(c, 1)
 		return gs[0].Upstream
 	}
 	c.Check(one(withPrefix(7)), qt.Equals, "u2")
@@ -220,8 +209,7 @@
 // Guards against cache knowledge that survives a gap in the events, a restart of the
 // upstream or its removal from the cache, and against late events.
 func TestCacheEvents(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(2), 1)
+	c, w := begin(t, fixed(2), 1)
 	u := w.p.upstreams["u0"]
 	d := func(n byte) []wire.Digest { return []wire.Digest{{n}} }
 	w.p.CacheEvent(w.now, "u0", 5, d(1), nil)
@@ -274,30 +262,23 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			c := qt.New(t)
-			w := newWorld(fixed(2), 4)
-			for name := range w.cfg.Upstreams {
-				w.report(name, "before", 0, 0)
-			}
+			c, w := begin(t, fixed(2), 4)
+			w.reportAll("before")
 			used := map[string]bool{}
 			for range 2 {
 				w.submit("a", withFP(1))
-				gs := w.drain()
-				c.Assert(gs, qt.HasLen, 1)
+				gs := w.drainN(c, 1)
 				c.Assert(used[gs[0].Upstream], qt.IsFalse)
 				used[gs[0].Upstream] = true
 				w.now += 10 * time.Millisecond
 				marks := tc.crash(w, gs[0])
 				c.Assert(marks, qt.DeepEquals, []CrashMark{{Fingerprint: wire.Digest{1}, Upstream: gs[0].Upstream, Until: w.now + time.Hour}})
 			}
-			_, code := w.submit("a", withFP(1))
-			c.Check(code, qt.Equals, fault.CrashesUpstreams)
-			_, code = w.submit("a", withFP(2))
-			c.Check(code, qt.Equals, fault.Code(""))
+			w.submitWant(c, fault.CrashesUpstreams, "a", withFP(1))
+			w.submitWant(c, fault.Code(""), "a", withFP(2))
 			c.Check(w.p.Status(w.now).Quarantined, qt.Equals, 1)
 			w.now += time.Hour
-			_, code = w.submit("a", withFP(1))
-			c.Check(code, qt.Equals, fault.Code(""))
+			w.submitWant(c, fault.Code(""), "a", withFP(1))
 		})
 	}
 }
@@ -305,19 +286,14 @@
 // Guards against innocent requests that stay limited: a break without a restart is no
 // crash, and a success clears a mark and the limit of two upstreams.
 func TestInnocentRequests(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 4)
-	for name := range w.cfg.Upstreams {
-		w.report(name, "i", 0, 0)
-	}
+	c, w := begin(t, fixed(1), 4)
+	w.reportAll("i")
 	w.submitN("a", 4, withFP(1))
-	gs := w.drain()
-	c.Assert(gs, qt.HasLen, 2) // unproven: two upstreams at the same time
+	gs := w.drainN(c, 2) // unproven: two upstreams at the same time
 	c.Check(w.finish(gs[0], wire.OutcomeBroken, 1).Marks, qt.HasLen, 0)
 	c.Check(w.report(gs[0].Upstream, "i", 0, 0).Marks, qt.HasLen, 0)
 	w.finish(gs[1], wire.OutcomeDone, 1)
-	gs = w.drain()
-	c.Assert(gs, qt.HasLen, 2)
+	gs = w.drainN(c, 2)
 	w.submitN("a", 2, withFP(1))
 	c.Assert(w.drain(), qt.HasLen, 2) // proven: no limit
 	w.submit("b", withFP(3))
@@ -331,8 +307,7 @@
 // Guards against a flood of fingerprints that takes memory without bound or pushes out
 // crash marks.
 func TestFingerprintsAreBounded(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 1)
+	c, w := begin(t, fixed(1), 1)
 	digest := func(kind byte, i int) wire.Digest { return wire.Digest{kind, byte(i), byte(i >> 8)} }
 	w.p.RestoreMark(wire.Digest{200}, "u7", w.now+time.Hour)
 	w.p.RestoreMark(wire.Digest{200}, "u8", w.now+time.Hour)
@@ -341,8 +316,7 @@
 		w.finish(w.drain()[0], wire.OutcomeDone, 1)
 	}
 	c.Check(len(w.p.fingerprints), qt.Equals, maxProven+1)
-	_, code := w.submit("a", withFP(200))
-	c.Check(code, qt.Equals, fault.CrashesUpstreams)
+	w.submitWant(c, fault.CrashesUpstreams, "a", withFP(200))
 	for i := range 20000 {
 		w.p.RestoreMark(digest(2, i), "u7", w.now+time.Hour)
 	}
@@ -353,12 +327,10 @@
 // against an upstream to avoid that is used although another one has a slot, or that
 // holds a request back for ever.
 func TestHeadOfLineAndAvoid(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(2), 3)
+	c, w := begin(t, fixed(2), 3)
 	w.submitN("a", 5, withFP(1))
 	behind, _ := w.submit("a")
-	gs := w.drain()
-	c.Assert(gs, qt.HasLen, 5) // four on two upstreams, and the plain one on the third
+	gs := w.drainN(c, 5) // four on two upstreams, and the plain one on the third
 	c.Check(gs[4].ID, qt.Equals, behind)
 	c.Check(w.account("a").Blocked, qt.IsTrue)
 	w.submit("b")
@@ -372,8 +344,7 @@
 	c.Check(w.drain(), qt.HasLen, 0)
 	w.now += avoidHold
 	w.p.Expire(w.now, nil)
-	gs = w.drain()
-	c.Assert(gs, qt.HasLen, 1)
+	gs = w.drainN(c, 1)
 	c.Check(gs[0].Upstream, qt.Equals, "u0")
 
 	w = newWorld(fixed(1), 1)
@@ -393,11 +364,8 @@
 // Guards against a third upstream for a fingerprint whose broken connections have no
 // verdict yet, and for a marked one that ran elsewhere without success.
 func TestNoThirdUpstream(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 4)
-	for name := range w.cfg.Upstreams {
-		w.report(name, "i", 0, 0)
-	}
+	c, w := begin(t, fixed(1), 4)
+	w.reportAll("i")
 	// All upstreams are equally far, so that the choice among them is random.
 	far := func(t *wire.Ticket) { t.DataCentre = "elsewhere" }
 	var used []string
@@ -415,8 +383,7 @@
 	c.Assert(w.report(used[1], "i", 0, 0).Marks, qt.HasLen, 0)
 	other := ""
 	for range 8 {
-		gs := w.drain()
-		c.Assert(gs, qt.HasLen, 1)
+		gs := w.drainN(c, 1)
 		c.Assert(gs[0].Upstream != used[0], qt.IsTrue)
 		if other == "" {
 			other = gs[0].Upstream
--- a/internal/sched/sync_test.go
+++ b/internal/sched/sync_test.go
@@ -23,8 +23,7 @@
 // that are not corrected or corrected by a wrong value, after a change of the scheduler.
 // The first request comes from a host that does not state its estimate.
 func TestSyncIntoFreshPool(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(2), 1)
+	c, w := begin(t, fixed(2), 1)
 	tickets := map[uint64]wire.Ticket{}
 	keep := func(t *wire.Ticket) { tickets[t.ID.Seq] = *t }
 	w.submitN("a", 30, keep)
@@ -71,8 +70,7 @@
 // Guards against a faulty Sync that locks an account out or breaks the arithmetic, and
 // against refunds that a Sync to the same scheduler takes back.
 func TestSyncTagsAreBounded(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(1), 1)
+	c, w := begin(t, fixed(1), 1)
 	w.edit("a", func(ct *config.Contract) { ct.Concurrency = 1 })
 	w.p.Sync(w.now, "r", 1, &wire.Sync{Virtual: math.NaN(), Tags: []wire.AccountTag{
 		{Account: "a", Tag: 1e300}, {Account: "b", Tag: math.Inf(1)}, {Account: "c", Tag: math.NaN()}, {Account: "x", Tag: 1}}})
@@ -90,13 +88,11 @@
 // router still holds waiting is sent again, and one that the router does not know frees
 // its slot.
 func TestSyncAfterReconnect(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(2), 1)
+	c, w := begin(t, fixed(2), 1)
 	tickets := map[uint64]wire.Ticket{}
 	keep := func(t *wire.Ticket) { tickets[t.ID.Seq] = *t }
 	w.submitN("a", 4, keep)
-	gs := w.drain()
-	c.Assert(gs, qt.HasLen, 2)
+	gs := w.drainN(c, 2)
 	w.p.Sync(w.now, "r", 1, &wire.Sync{Waiting: []wire.Ticket{tickets[gs[0].ID.Seq], tickets[3]}})
 	again := w.drain()
 	c.Assert(again, qt.HasLen, 2)
@@ -145,13 +141,11 @@
 // Guards against reported requests of unknown routers that are ignored, and against a
 // lagging report that takes or frees a slot by its lag.
 func TestReportedRunning(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(fixed(4), 1)
+	c, w := begin(t, fixed(4), 1)
 	w.report("u0", "", 3, 0)
 	c.Check(w.upstream("u0").Other, qt.Equals, 3)
 	w.submitN("a", 20)
-	gs := w.drain()
-	c.Assert(gs, qt.HasLen, 1)
+	gs := w.drainN(c, 1)
 	w.now += 250 * time.Millisecond
 	w.report("u0", "", 3, 0) // the new request has not arrived yet, or one of three ended
 	c.Check(w.drain(), qt.HasLen, 0)
@@ -225,8 +219,7 @@
 		}, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			c := qt.New(t)
-			w := newWorld(ramp, 1)
+			c, w := begin(t, ramp, 1)
 			w.warmUp(c)
 			tk := w.ticket("a")
 			c.Assert(w.p.Submit(w.now, &tk), qt.IsNil)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -176,6 +176,20 @@
 	return len(g)
 }
 
+// grantsN requires n grants.
+func (b *bed) grantsN(n int) []*wire.Grant {
+	gs, _, _ := b.take()
+	b.c.Assert(gs, qt.HasLen, n)
+	return gs
+}
+
+// refusal requires one refusal.
+func (b *bed) refusal() *wire.Refuse {
+	_, refused, _ := b.take()
+	b.c.Assert(refused, qt.HasLen, 1)
+	return refused[0]
+}
+
 // Guards against a grant without the fence or the echo of the router's latest clock, by
 // which routers reject grants of isolated schedulers, or without what the next scheduler
 // continues from.
@@ -190,8 +204,7 @@
 	b.handle("r1", 1, wire.KindBeat, &wire.Beat{Pool: "m", RouterClock: 98 * time.Second})
 	b.clock.advance(SyncWindow)
 	b.s.tick()
-	gs, _, _ := b.take()
-	b.c.Assert(gs, qt.HasLen, 2)
+	gs := b.grantsN(2)
 	b.c.Check(*gs[0], qt.DeepEquals, wire.Grant{ID: first.ID, Pool: "m", Upstream: "u", Address: "127.0.0.1:1",
 		Fence: 12, Echo: 99 * time.Second, Tag: 10, Estimate: 10, Instance: "i1", Limit: 2})
 	b.c.Check(gs[1].Echo, qt.Equals, 2*time.Second)
@@ -279,8 +292,7 @@
 	b.s.ConfigChanged(b.cfg)
 	b.clock.advance(SyncWindow)
 	b.s.tick()
-	gs, _, _ := b.take()
-	b.c.Assert(gs, qt.HasLen, 1)
+	gs := b.grantsN(1)
 	b.c.Check(gs[0].ID, qt.Equals, fresh.ID)
 }
 
@@ -324,9 +336,8 @@
 	stranger := b.ticket("r", 1)
 	stranger.Account = "nobody"
 	b.handle("r", 1, wire.KindTicket, &stranger)
-	_, refused, _ := b.take()
-	b.c.Assert(refused, qt.HasLen, 1)
-	b.c.Check(refused[0].Code, qt.Equals, fault.PoolNotAllowed)
+	refused := b.refusal()
+	b.c.Check(refused.Code, qt.Equals, fault.PoolNotAllowed)
 	b.handle("r", 1, wire.KindCancel, &wire.Cancel{ID: gone.ID, Pool: "m"})
 
 	invalid := b.s.Status().Counters.Invalid
@@ -340,8 +351,7 @@
 	b.c.Check(b.grants(), qt.Equals, 0)
 
 	b.handle("r", 1, wire.KindGrantReturn, &wire.GrantReturn{ID: one.ID, Pool: "m", Fence: 1})
-	gs, _, _ := b.take()
-	b.c.Assert(gs, qt.HasLen, 1)
+	gs := b.grantsN(1)
 	b.c.Check(gs[0].ID, qt.Equals, waiting.ID)
 	late := b.submit("r")
 	for range 11 {
@@ -349,9 +359,8 @@
 		b.handle("r", 1, wire.KindBeat, &wire.Beat{Pool: "m"})
 		b.s.tick()
 	}
-	_, refused, _ = b.take()
-	b.c.Assert(refused, qt.HasLen, 1)
-	b.c.Check(*refused[0], qt.Equals, wire.Refuse{ID: late.ID, Pool: "m", Code: fault.WaitExpired})
+	refused = b.refusal()
+	b.c.Check(*refused, qt.Equals, wire.Refuse{ID: late.ID, Pool: "m", Code: fault.WaitExpired})
 }
 
 // Guards against a configuration change that waits for other events, and against one
@@ -367,8 +376,7 @@
 	next.Revision = 6
 	next.Upstreams = map[string]config.Upstream{"u": b.cfg.Upstreams["u"], "v": {Name: "v", Pool: "m", Address: "127.0.0.1:2"}}
 	b.s.ConfigChanged(&next)
-	gs, _, _ := b.take()
-	b.c.Assert(gs, qt.HasLen, 1)
+	gs := b.grantsN(1)
 	b.c.Check(gs[0].Upstream, qt.Equals, "v")
 	b.s.ConfigChanged(b.cfg)
 	b.c.Check(b.s.Status().Core.Upstreams, qt.HasLen, 2)
@@ -430,9 +438,8 @@
 		tk := b.ticket("r", 1)
 		tk.Fingerprint = wire.Digest{1}
 		b.handle("r", 1, wire.KindTicket, &tk)
-		_, refused, _ := b.take()
-		b.c.Assert(refused, qt.HasLen, 1)
-		b.c.Check(refused[0].Code, qt.Equals, fault.CrashesUpstreams)
+		refused := b.refusal()
+		b.c.Check(refused.Code, qt.Equals, fault.CrashesUpstreams)
 		b.s.LeaseLost("m")
 	}
 	for i := range 2 * maxMarks {
