--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -34,6 +34,9 @@
 	peerKey      = "marigoldshunt-scenario-peer-shared-key"
 	// firstPort is below the range from which the system takes ports by itself.
 	firstPort, lastPort = 20000, 30000
+	// lockPort reserves a network for one test process.
+	lockPort                  = 19999
+	firstNetwork, lastNetwork = 64, 250
 )
 
 var (
@@ -78,9 +81,25 @@
 	orders  map[string]*orders
 }
 
+// network127 reserves a second byte of loopback addresses for this process, so that test
+// processes that run at the same time can't take each other's ports.
+var network127 = sync.OnceValue(func() int {
+	for i := range lastNetwork - firstNetwork {
+		n := firstNetwork + (os.Getpid()+i)%(lastNetwork-firstNetwork)
+		if ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, lockPort)); err == nil {
+			reservation = ln
+			return n
+		}
+	}
+	panic("no loopback network is free")
+})
+
+// reservation stays open as long as the process runs.
+var reservation net.Listener
+
 func newFleet(dir string) *fleet {
 	f := &fleet{
-		dir: dir, net: fmt.Sprintf("127.%d.%d.", 64+os.Getpid()%120, scripts.Add(1)), network: newNetwork(),
+		dir: dir, net: fmt.Sprintf("127.%d.%d.", network127(), scripts.Add(1)), network: newNetwork(),
 		hosts: map[string]*host{}, upstreams: map[string]*upstream{}, http: &http.Client{Timeout: requestLimit},
 		marks: map[string]time.Time{}, loads: map[string]*load{}, orders: map[string]*orders{},
 	}
--- a/internal/scenario/orders_test.go
+++ b/internal/scenario/orders_test.go
@@ -27,8 +27,8 @@
 	// answer of another request or a second run's answer.
 	answered, open, mixed int
 	resent                int
-	// refused are keys of which every attempt was refused as not run; a run of one of
-	// them would show that the refusal was false.
+	// refused are keys that were given up after a refusal as not run; a run of one of
+	// them would show that the refusal was false. Every second request gives up so.
 	refused []string
 	done    []string
 	codes   map[string]int
@@ -38,7 +38,7 @@
 const orderAttempts = 60
 
 // cmdOrders starts non-idempotent requests: orders NAME account=A pool=P count=N
-// workers=N [hosts=H,...].
+// workers=N [hosts=H,...] [timeout_ms=N].
 func cmdOrders(_ *testscript.TestScript, f *fleet, args []string) error {
 	o := parseOptions(args[1:])
 	s := &orders{codes: map[string]int{}}
@@ -49,13 +49,13 @@
 	count, workers := int64(o.number("count", 100)), o.number("workers", 4)
 	var next atomic.Int64
 	var wg sync.WaitGroup
-	client := &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+	client := &http.Client{Timeout: time.Duration(o.number("timeout_ms", 15000)) * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
 	for w := range workers {
 		rng := rand.New(rand.NewSource(int64(w)))
 		wg.Go(func() {
 			for n := next.Add(1); n <= count && f.ctx.Err() == nil; n = next.Add(1) {
 				j := &order{o: s, client: client, url: "/services/" + o["pool"] + "/orders/" + fmt.Sprint(n), account: o["account"],
-					key: uuid.Must(uuid.NewV7()).String(), body: strings.Repeat("x", int(n)%64+1)}
+					key: uuid.Must(uuid.NewV7()).String(), givesUp: n%2 == 0, body: strings.Repeat("x", int(n)%64+1)}
 				j.run(f.ctx, callers, rng)
 			}
 		})
@@ -75,6 +75,7 @@
 	o                       *orders
 	client                  *http.Client
 	url, account, key, body string
+	givesUp                 bool
 }
 
 // reply is the outcome of one attempt; code is empty for an answer.
@@ -99,19 +100,18 @@
 		case r.code == "":
 			j.again(ctx, callers, rng)
 			return
+		case j.givesUp && notRun:
+			j.o.mu.Lock()
+			defer j.o.mu.Unlock()
+			j.o.refused = append(j.o.refused, j.key)
+			return
 		case r.state == fault.MayHaveRun || r.state == fault.RanAndFailed:
 			j.o.add(&j.o.open)
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	j.o.mu.Lock()
-	defer j.o.mu.Unlock()
-	if notRun {
-		j.o.refused = append(j.o.refused, j.key)
-	} else {
-		j.o.open++
-	}
+	j.o.add(&j.o.open)
 }
 
 // again sends an answered request once more: a second answer must be the kept one.
@@ -178,9 +178,8 @@
 	return fmt.Sprintf("ended=%v answered=%d open=%d mixed=%d refused=%d attempts=%v", o.ended, o.answered, o.open, o.mixed, len(o.refused), o.codes)
 }
 
-// ordersValue returns ended, answered, open, mixed, untyped, broken, false_not_run (keys
-// that ran although every attempt was refused as not run) or lost (answered keys that did
-// not run exactly once).
+// ordersValue returns ended, answered, open, mixed, refused, untyped, broken, false_not_run
+// (runs of refused keys) or lost (answered keys that did not run exactly once).
 func (f *fleet) ordersValue(name, field string) (string, error) {
 	f.mu.Lock()
 	o := f.orders[name]
@@ -204,6 +203,8 @@
 		n = o.open
 	case "mixed":
 		n = o.mixed
+	case "refused":
+		n = len(o.refused)
 	case "untyped":
 		n = o.codes["/"+string(fault.NotRun)] + o.codes["/"+string(fault.MayHaveRun)]
 	case "broken":
