Ask another host when one has no configuration yet

Cause: a restarted host answers operators with an empty configuration until the control group confirms one. The tool took that for the truth: "datacentre back south" through such a host ended with not_found, although south was in the configuration. Change: the tool reads the configuration of another host when the first has none, and out and back are refused with host_isolated (not run), which the tool repeats at another host, while a host has no data centre at all. Conclusion: a restarted host no longer answers that an object is absent. A host that is cut off for long still answers with its old configuration; a change made from it gets revision_conflict.

--- a/internal/admin/actions.go
+++ b/internal/admin/actions.go
@@ -87,7 +87,12 @@
 		if err := decode(ctx, &r); err != nil {
 			return err
 		}
-		change, ok := build(s.o.Controller.Config(), name, out)
+		cfg := s.o.Controller.Config()
+		change, ok := build(cfg, name, out)
+		if !ok && len(cfg.DataCentres) == 0 {
+			// A restarted host doesn't know which objects exist.
+			return fault.New(fault.HostIsolated, fault.NotRun, "this host has no configuration yet")
+		}
 		if !ok {
 			return fault.New(fault.NotFound, fault.NotRun, "%q is not in the configuration", name)
 		}
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/valyala/fasthttp"
 
 	"marigoldshunt/internal/admin"
 	"marigoldshunt/internal/config"
@@ -21,6 +22,17 @@
 	if err := c.get(ctx, "/v1/config", cfg); err != nil {
 		return nil, err
 	}
+	if cfg.Revision > 0 {
+		return cfg, nil
+	}
+	// A restarted host has no configuration until the control group confirms it; another
+	// host may have one.
+	for _, host := range c.hosts {
+		other := config.New()
+		if c.attempt(ctx, host, fasthttp.MethodGet, "/v1/config", nil, other) == nil && other.Revision > 0 {
+			return other, nil
+		}
+	}
 	return cfg, nil
 }
 
--- a/internal/ctl/service.go
+++ b/internal/ctl/service.go
@@ -121,6 +121,9 @@
 		return nil, err
 	}
 	revision, isOut, ok := t.find(cfg, name)
+	if !ok && len(cfg.DataCentres) == 0 {
+		return nil, fault.New(fault.HostIsolated, fault.NotRun, "no host has a configuration yet")
+	}
 	if !ok {
 		return nil, fault.New(fault.NotFound, fault.NotRun, "%s %q is not in the configuration", t.noun, name)
 	}
