--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -22,7 +22,7 @@
 const latencyCalls = 50
 
 // reconnectTime covers the longest pause before the peers connect again.
-const reconnectTime = time.Second
+const reconnectTime = 400 * time.Millisecond
 
 // latency measures part 5 with the delays of the profile and without.
 func (r *run) latency(ctx context.Context) error {
