Check the profiles before measuring

Cause: an unknown profile was refused only after the decision cost was measured, and an empty table came with the error. Change: all profiles are read before the first part. Tests of internal/bench pass. Conclusion: bad input ends with the typed error alone.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -92,6 +92,14 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
+	var profiles []*profile
+	for _, name := range o.Profiles {
+		p, err := loadProfile(o.Examples, name)
+		if err != nil {
+			return nil, err
+		}
+		profiles = append(profiles, p)
+	}
 	rep := &Report{Seed: o.Seed, Phase: o.Phase.Seconds()}
 	// The decision cost is measured first, because the allocations of a fleet would count.
 	var decision []Row
@@ -99,11 +107,7 @@
 		o.Progress("decision cost")
 		decision = decisionRows()
 	}
-	for _, name := range o.Profiles {
-		p, err := loadProfile(o.Examples, name)
-		if err != nil {
-			return rep, err
-		}
+	for _, p := range profiles {
 		if o.Part == partDecision {
 			break
 		}
