Bound the whole configurations that the leader sends per tick

Cause: hosts that restart together, for example when a data centre returns, renew in one batch, and the leader encoded 986 KB for each within one step. With 6,800 contracts it sent no heartbeat for 1.2 s at 120 hosts and 2.7 s at 370, longer than the election timeout of 0.5 to 1 s, so the group would have lost its leader. The leader also encoded it again for a host whose transfer was not finished.

Change: at most four hosts get the whole configuration per tick of 50 ms, and a host with an open transfer none. The others get no answer, repeat their Renew after 400 ms, and serve nothing until then.

Conclusion: the leader keeps its heartbeats. A fleet that restarts whole takes 4.8 s instead of one interval to learn its configuration.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -25,9 +25,13 @@
 	spent, follower time.Duration
 	renews          int
 	in, out, group  int
+	// longest is the longest step of the leader, between which it handles nothing else.
+	longest time.Duration
+	// given and mostGiven count the configurations begun in this tick and in any tick.
+	given, mostGiven int
 }
 
-func newRenewFleet(b *testing.B, hosts, accounts int) *renewFleet {
+func newRenewFleet(b testing.TB, hosts, accounts int) *renewFleet {
 	w := formed(b, 1, 30)
 	clear(w.clients)
 	f := &renewFleet{world: w, lead: w.nodes[w.leader()], hosts: make([]wire.Renew, hosts), index: map[string]int{}}
@@ -51,7 +55,7 @@
 	if got := f.lead.st.Config(); len(got.Contracts) != accounts || f.hosts[0].Revision != got.Revision {
 		b.Fatalf("%d contracts, host at revision %d of %d", len(got.Contracts), f.hosts[0].Revision, got.Revision)
 	}
-	f.spent, f.follower, f.renews, f.in, f.out, f.group = 0, 0, 0, 0, 0, 0
+	f.spent, f.follower, f.renews, f.in, f.out, f.group, f.longest, f.mostGiven = 0, 0, 0, 0, 0, 0, 0, 0
 	return f
 }
 
@@ -72,6 +76,7 @@
 	}
 	if n == f.lead {
 		f.spent += time.Since(start)
+		f.longest = max(f.longest, time.Since(start))
 	} else {
 		f.follower += time.Since(start)
 	}
@@ -81,10 +86,7 @@
 func (f *renewFleet) interval() {
 	const ticks = int(RenewInterval / TickInterval)
 	for tick := range ticks {
-		f.now += TickInterval
-		for _, n := range f.nodes {
-			f.timed(n, n.tick)
-		}
+		f.tick()
 		for i := tick; i < len(f.hosts); i += ticks {
 			f.hosts[i].Seq++
 			f.give(hostName(i), wire.KindRenew, f.hosts[i])
@@ -95,6 +97,14 @@
 	}
 }
 
+func (f *renewFleet) tick() {
+	f.now += TickInterval
+	f.given = 0
+	for _, n := range f.nodes {
+		f.timed(n, n.tick)
+	}
+}
+
 // give hands a message of a host to the leader.
 func (f *renewFleet) give(from string, kind wire.Kind, msg any) {
 	payload, err := wire.Marshal(msg)
@@ -135,6 +145,10 @@
 		if wire.Unmarshal(p.payload, &c) != nil {
 			f.t.Fatal("chunk not readable")
 		}
+		if c.Part == 0 {
+			f.given++
+			f.mostGiven = max(f.mostGiven, f.given)
+		}
 		f.give(p.to, wire.KindSnapshotChunk, wire.Chunk{Inner: c.Inner, ID: c.ID, Part: c.Part + 1, Ack: true})
 		if c.Part+1 == c.Parts {
 			h.Revision = f.lead.st.Config().Revision
@@ -230,6 +244,7 @@
 			f := newRenewFleet(b, 370, accounts)
 			b.ResetTimer()
 			for i := range b.N {
+				f.tick()
 				h := i % len(f.hosts)
 				f.hosts[h] = wire.Renew{Seq: 1, Ready: true}
 				f.give(hostName(h), wire.KindRenew, f.hosts[h])
@@ -244,3 +259,45 @@
 		})
 	}
 }
+
+// restartAll lets all hosts start with empty memory and renew in the same tick.
+func (f *renewFleet) restartAll() (intervals int) {
+	for i := range f.hosts {
+		f.hosts[i] = wire.Renew{Seq: 1, Ready: true}
+		f.give(hostName(i), wire.KindRenew, f.hosts[i])
+	}
+	f.timed(f.lead, func() {})
+	f.deliver()
+	missing := func() bool {
+		for _, h := range f.hosts {
+			if h.Revision != f.lead.st.Config().Revision {
+				return true
+			}
+		}
+		return false
+	}
+	for ; missing(); intervals++ {
+		if intervals > 100 || !f.lead.leading() {
+			f.t.Fatal("hosts without a configuration")
+		}
+		f.interval()
+	}
+	return intervals
+}
+
+// BenchmarkRestartedFleet restarts all hosts at once with 6,800 contracts. longest-ms is
+// the longest time in which the leader sent no heartbeat.
+func BenchmarkRestartedFleet(b *testing.B) {
+	for _, hosts := range benchHosts {
+		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
+			f := newRenewFleet(b, hosts, 6800)
+			b.ResetTimer()
+			total := 0
+			for range b.N {
+				total += f.restartAll()
+			}
+			b.ReportMetric(f.longest.Seconds()*1000, "longest-ms")
+			b.ReportMetric(float64(total)/float64(b.N)*RenewInterval.Seconds(), "fleet-s")
+		})
+	}
+}
--- a/internal/control/chunk.go
+++ b/internal/control/chunk.go
@@ -61,7 +61,7 @@
 // this peer makes progress; the sender repeats the message later.
 func (c *chunker) start(to string, inner wire.Kind, data []byte, now time.Duration) {
 	key := transferKey{to, inner}
-	if c.out[key] != nil || len(c.out) >= maxTransfers {
+	if c.busy(to, inner) {
 		return
 	}
 	c.lastID++
@@ -73,6 +73,11 @@
 	c.pump(key, o)
 }
 
+// busy reports whether start would do nothing for this peer and kind.
+func (c *chunker) busy(to string, inner wire.Kind) bool {
+	return c.out[transferKey{to, inner}] != nil || len(c.out) >= maxTransfers
+}
+
 func (c *chunker) pump(key transferKey, o *outgoing) {
 	for ; o.next < o.parts && o.next < o.acked+chunkWindow; o.next++ {
 		part := o.data[o.next*chunkBytes : min((o.next+1)*chunkBytes, len(o.data))]
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -80,6 +80,8 @@
 	readSeq uint64
 	reads   map[uint64][]renewal
 	ready   []confirmedRead
+	// configsGiven counts the whole configurations sent since the last tick.
+	configsGiven int
 
 	lead leadership
 	// leasesSeen and fences tell which leases are new since the last applied entry.
@@ -247,6 +249,7 @@
 
 func (n *Node) tick() {
 	n.now = n.o.Clock.Now()
+	n.configsGiven = 0
 	n.chunks.tick(n.now)
 	if n.raft != nil {
 		n.raft.Tick()
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -50,6 +50,10 @@
 	// formResend is the interval of repeated formation messages.
 	formResend = 500 * time.Millisecond
 
+	// configsPerTick bounds the whole configurations that the leader sends per tick of
+	// 50 ms: about 40 ms of work at 6,800 contracts, and 80 restarted hosts per second.
+	configsPerTick = 4
+
 	heartbeatTicks = 2
 	electionTicks  = 10
 )
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -109,9 +109,12 @@
 		if d, ok := n.st.Delta(r.msg.Revision); ok {
 			ack.Delta = d
 			large = len(d.Changes) > 64
-		} else {
+		} else if n.mayGiveConfig(r.from) {
 			ack.Snapshot = n.st.Config()
 			large = true
+		} else {
+			// Without an answer the host repeats its Renew and serves nothing until then.
+			return
 		}
 	}
 	for _, l := range r.msg.Held {
@@ -139,6 +142,17 @@
 	n.send(r.from, wire.KindRenewAck, ack)
 }
 
+// mayGiveConfig reports whether a host can get the whole configuration now, and counts
+// it. One costs 10 ms at 6,800 contracts, so that the first Renews of many hosts at once
+// would keep the leader from its heartbeats for longer than an election timeout.
+func (n *Node) mayGiveConfig(host string) bool {
+	if n.configsGiven >= configsPerTick || n.chunks.busy(host, wire.KindRenewAck) {
+		return false
+	}
+	n.configsGiven++
+	return true
+}
+
 // addTables adds the lists that the host does not have in their current version.
 func (n *Node) addTables(ack *wire.RenewAck, m wire.Renew) {
 	n.addLeasesAndMarks(ack, m.LeasesVersion, m.MarksVersion)
--- a/internal/control/rules_test.go
+++ b/internal/control/rules_test.go
@@ -335,3 +335,13 @@
 	err := w.onNode(w.leader(), func(n *Node) error { return n.Replace(t.Context(), "rep2", "nowhere", "nohost") })
 	c.Assert(fault.CodeOf(err), qt.Equals, fault.NotFound)
 }
+
+// Guards against a leader that encodes the configuration for many restarted hosts at
+// once and misses its heartbeats, and against hosts that then never get it.
+func TestConfigurationsPerTick(t *testing.T) {
+	c := qt.New(t)
+	f := newRenewFleet(t, 40, 6800)
+	intervals := f.restartAll()
+	t.Logf("all hosts have the configuration after %d renewals", intervals)
+	c.Assert(f.mostGiven, qt.Equals, configsPerTick)
+}
