--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -121,15 +121,15 @@
 	if args[1] == "refuse" {
 		path = "/debug/refuse?for_ms=" + args[2]
 	}
-	resp, err := f.http.Post("http://"+u.address+path, "", nil)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("upstream answered with status %d", resp.StatusCode)
-	}
-	return nil
+	// A fall of the upstream closes this connection as well.
+	return f.await(func() (bool, string) {
+		resp, err := f.http.Post("http://"+u.address+path, "", nil)
+		if err != nil {
+			return false, err.Error()
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK, resp.Status
+	})
 }
 
 // cmdSend sends one request and prints its status, code and run state: send HOST
@@ -203,7 +203,8 @@
 		if slices.Equal(args, []string{"ready"}) {
 			return f.ready()
 		}
-		return f.holds(args)
+		ok, text, _ := f.holds(args)
+		return ok, text
 	})
 	ts.Logf("after %d ms", time.Since(start).Milliseconds())
 	return err
@@ -211,7 +212,17 @@
 
 // cmdAssert checks a condition once: assert VALUE OPERATOR VALUE.
 func cmdAssert(ts *testscript.TestScript, f *fleet, args []string) error {
-	ok, text := f.holds(args)
+	var ok bool
+	var text string
+	err := f.await(func() (bool, string) {
+		// An upstream that restarts can't be read for a moment.
+		var err error
+		ok, text, err = f.holds(args)
+		return err == nil, text
+	})
+	if err != nil {
+		return err
+	}
 	ts.Logf("%s", text)
 	if !ok {
 		return fmt.Errorf("the condition does not hold: %s", text)
--- a/internal/scenario/values_test.go
+++ b/internal/scenario/values_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -13,34 +14,35 @@
 )
 
 // holds evaluates VALUE OPERATOR VALUE. Words that name no value stand for themselves.
-func (f *fleet) holds(args []string) (bool, string) {
+// The error tells that a value could not be read.
+func (f *fleet) holds(args []string) (bool, string, error) {
 	if len(args) != 3 {
-		return false, "a condition is VALUE OPERATOR VALUE"
+		return false, "a condition is VALUE OPERATOR VALUE", nil
 	}
 	a, errA := f.value(args[0])
 	b, errB := f.value(args[2])
 	text := fmt.Sprintf("%s (%s) %s %s (%s)", args[0], a, args[1], args[2], b)
 	if errA != nil || errB != nil {
-		return false, fmt.Sprintf("%s: %v %v", text, errA, errB)
+		return false, fmt.Sprintf("%s: %v %v", text, errA, errB), errors.Join(errA, errB)
 	}
 	x, errX := strconv.ParseFloat(a, 64)
 	y, errY := strconv.ParseFloat(b, 64)
 	numbers := errX == nil && errY == nil
 	switch args[1] {
 	case "==":
-		return a == b, text
+		return a == b, text, nil
 	case "!=":
-		return a != b, text
+		return a != b, text, nil
 	case "<":
-		return numbers && x < y, text
+		return numbers && x < y, text, nil
 	case "<=":
-		return numbers && x <= y, text
+		return numbers && x <= y, text, nil
 	case ">":
-		return numbers && x > y, text
+		return numbers && x > y, text, nil
 	case ">=":
-		return numbers && x >= y, text
+		return numbers && x >= y, text, nil
 	}
-	return false, "unknown operator " + args[1]
+	return false, "unknown operator " + args[1], nil
 }
 
 // value returns the present value of a word.
