Use the field's terms for names in sched, router, frontend and emulator

Cause: some names were figures of speech (acquit, distrust, gate, reborn, verdict). Change: renamed; no change in behaviour. Conclusion: a newcomer reads the usual terms.

--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -47,14 +47,14 @@
 // atMost sets a target that the value must not exceed.
 func (r Row) atMost(limit float64) Row {
 	r.Target = fmt.Sprintf("<= %s %s", number(limit), r.Unit)
-	r.Met = verdict(r.Value <= limit)
+	r.Met = metOrNot(r.Value <= limit)
 	return r
 }
 
 // atLeast sets a target that the value must reach.
 func (r Row) atLeast(limit float64) Row {
 	r.Target = fmt.Sprintf(">= %s %s", number(limit), r.Unit)
-	r.Met = verdict(r.Value >= limit)
+	r.Met = metOrNot(r.Value >= limit)
 	return r
 }
 
@@ -67,7 +67,7 @@
 	return r
 }
 
-func verdict(ok bool) string {
+func metOrNot(ok bool) string {
 	if ok {
 		return "yes"
 	}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -134,13 +134,13 @@
 		debug: Debug{Requests: map[string]int{}, Keys: map[string]int{}}, cut: map[string]bool{},
 	}
 	e.log = o.Log.WithFields(logrus.Fields{"part": "emulator", "name": o.Name})
-	e.reborn()
+	e.restart()
 	return e
 }
 
-// reborn gives the emulator a new instance identity, a cold state and an empty cache.
+// restart gives the emulator a new instance identity, a cold state and an empty cache.
 // The caller holds mu, except in New.
-func (e *Emulator) reborn() {
+func (e *Emulator) restart() {
 	if e.kill != nil {
 		e.kill()
 	}
@@ -242,7 +242,7 @@
 	for c := range e.conns {
 		c.Close()
 	}
-	e.reborn()
+	e.restart()
 	e.shown = known
 }
 
@@ -263,7 +263,7 @@
 	kill := e.kill
 	e.kill = nil
 	running, slots := e.running, e.slots
-	e.reborn()
+	e.restart()
 	e.running, e.slots = running, slots
 	next := e.kill
 	e.kill = func() { kill(); next() }
--- a/internal/frontend/gate.go
+++ b/internal/frontend/admission.go
@@ -9,9 +9,9 @@
 // retryElsewhere is the delay suggested to callers that should ask another host.
 const retryElsewhere = time.Second
 
-// gate refuses new requests while the configuration is unconfirmed or the host stops.
+// admit refuses new requests while the configuration is unconfirmed or the host stops.
 // A host that is leaving still serves callers that keep its address.
-func (s *Server) gate(next handler) handler {
+func (s *Server) admit(next handler) handler {
 	return func(r *request) error {
 		if s.stopping.Load() {
 			return fault.New(fault.HostLeaving, fault.NotRun, "host is stopping").After(retryElsewhere)
--- a/internal/frontend/list.go
+++ b/internal/frontend/list.go
@@ -77,7 +77,7 @@
 	if s.o.Directory.Leaving() {
 		return fault.New(fault.HostLeaving, fault.NotRun, "host is leaving")
 	}
-	return s.gate(func(r *request) error {
+	return s.admit(func(r *request) error {
 		r.ctx.SetContentType("text/plain")
 		r.ctx.SetBodyString("ok\n")
 		return nil
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -66,8 +66,8 @@
 	}
 	s := &Server{o: o, log: o.Log.WithField("part", "frontend")}
 	s.base, s.stop = context.WithCancelCause(context.Background())
-	s.chatChain = chain(s.chat, s.authenticate, s.gate, s.deadline, s.readBody)
-	s.plainChain = chain(s.plain, s.authenticate, s.gate, s.deadline, s.route, s.requireKey, s.readBody)
+	s.chatChain = chain(s.chat, s.authenticate, s.admit, s.deadline, s.readBody)
+	s.plainChain = chain(s.plain, s.authenticate, s.admit, s.deadline, s.route, s.requireKey, s.readBody)
 	s.discoverChain = chain(s.discover, s.authenticate)
 	s.modelsChain = chain(s.models, s.authenticate)
 	s.http = &fasthttp.Server{
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -14,7 +14,7 @@
 // attempt waits for a slot and runs the request once. An error means that this
 // attempt was not sent to an upstream.
 func (r *Router) attempt(ctx context.Context, u *run, retry bool) (attemptResult, error) {
-	if err := r.gated(u, retry); err != nil {
+	if err := r.checkRate(u, retry); err != nil {
 		return attemptResult{}, err
 	}
 	for again := false; ; again = true {
--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -47,7 +47,7 @@
 
 // Guards against a router that goes on refusing after the reason is gone: a changed
 // contract, a new scheduler, or a long delay by an old revision of the contract.
-func TestGateOpens(t *testing.T) {
+func TestRateHoldEnds(t *testing.T) {
 	for name, open := range map[string]func(f *fixture){
 		"changed contract": func(f *fixture) {
 			ct := f.cfg.Contracts["a"]
@@ -58,7 +58,7 @@
 			f.r.LeasesChanged([]wire.Lease{{Pool: "p", Host: "s", Fence: 6}})
 			f.next(wire.KindSync)
 		},
-		"longest time": func(f *fixture) { f.advance(maxGate) },
+		"longest time": func(f *fixture) { f.advance(maxRateHold) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := limited(t, time.Hour/120)
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -21,8 +21,8 @@
 	syncedAt time.Duration
 	tags     map[string]float64
 	virtual  float64
-	// gates holds the accounts that have spent their rate.
-	gates map[string]*rateGate
+	// rateHolds holds the accounts that have spent their rate.
+	rateHolds map[string]*rateHold
 	// limits are the latest limits of upstreams, for the next scheduler.
 	limits map[string]seenLimit
 }
@@ -42,7 +42,7 @@
 	if p == nil {
 		p = &poolView{
 			name: name, tags: map[string]float64{}, limits: map[string]seenLimit{},
-			gates: map[string]*rateGate{}, virtual: math.Inf(-1),
+			rateHolds: map[string]*rateHold{}, virtual: math.Inf(-1),
 		}
 		r.pools[name] = p
 	}
@@ -82,7 +82,7 @@
 		return
 	}
 	// A new scheduler counts the rates anew.
-	clear(p.gates)
+	clear(p.rateHolds)
 	now := r.o.Clock.Now()
 	p.syncedAt = now
 	s := wire.Sync{Pool: p.name, Fence: p.fence, RouterClock: now}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -99,7 +99,7 @@
 }
 
 type counters struct {
-	requests, gated, grants, staleGrants, retries, claims, replays, resumes, dropped metrics.Counter
+	requests, rateLimited, grants, staleGrants, retries, claims, replays, resumes, dropped metrics.Counter
 }
 
 // New returns a Router that has no scheduler yet; see LeasesChanged.
@@ -107,7 +107,7 @@
 	r := &Router{o: o, pools: map[string]*poolView{}, open: map[uint64]*request{}}
 	r.counters = counters{
 		requests:    metrics.GetOrRegisterCounter("router.requests", o.Registry),
-		gated:       metrics.GetOrRegisterCounter("router.rate_limited_here", o.Registry),
+		rateLimited: metrics.GetOrRegisterCounter("router.rate_limited_here", o.Registry),
 		grants:      metrics.GetOrRegisterCounter("router.grants", o.Registry),
 		staleGrants: metrics.GetOrRegisterCounter("router.grants_rejected", o.Registry),
 		retries:     metrics.GetOrRegisterCounter("router.retries", o.Registry),
--- a/internal/sched/fingerprint.go
+++ b/internal/sched/fingerprint.go
@@ -21,7 +21,7 @@
 type place struct {
 	upstream string
 	running  int
-	// pending counts broken connections without a verdict yet.
+	// pending counts broken connections without a decision yet.
 	pending int
 	marked  bool
 	// markedAt is when the mark was set; a crash of an earlier grant is the same crash.
@@ -50,7 +50,7 @@
 func (f *fingerprint) quarantined() bool { return f.crashes >= quarantineMarks }
 
 // suspected reports whether the fingerprint has a crash mark or a broken connection that
-// may become one. Its caller repeats the request before the verdict.
+// may become one. Its caller repeats the request before the decision.
 func (f *fingerprint) suspected() bool {
 	return f.crashes > 0 || f.places[0].pending > 0 || f.places[1].pending > 0
 }
@@ -88,7 +88,7 @@
 	}
 }
 
-// suspectAt holds the upstream's place until the verdict on a broken connection.
+// suspectAt holds the upstream's place until the decision on a broken connection.
 func (f *fingerprint) suspectAt(upstream string) {
 	s := f.find(upstream)
 	if s == nil {
@@ -111,7 +111,7 @@
 // allows reports whether the fingerprint's limits admit the upstream. A marked upstream
 // gets the request again only when the pool has no other one in service. A suspected
 // fingerprint does not run beside another one, since the crash of one would give the
-// other, innocent one its second mark.
+// other request its second mark.
 func (p *Pool) allows(now time.Duration, f *fingerprint, u *upstream) bool {
 	if f == nil {
 		return true
--- a/internal/sched/finish.go
+++ b/internal/sched/finish.go
@@ -51,7 +51,7 @@
 	case wire.OutcomeUnreachable:
 		p.cool(u)
 		u.refusedAt = now
-		u.distrust(now)
+		u.markSuspect(now)
 		p.crashed(now, u, eff)
 	case wire.OutcomeBroken:
 		p.broke(now, it, eff)
--- a/internal/sched/upstream.go
+++ b/internal/sched/upstream.go
@@ -20,7 +20,7 @@
 	latencySamples = 8
 	// latencyWeight is the share of the newest answer in the moving mean.
 	latencyWeight = 1.0 / 8
-	// maxBroken bounds the broken connections of one upstream that wait for a verdict.
+	// maxBroken bounds the broken connections of one upstream that wait for a decision.
 	maxBroken = 256
 	// transit covers the way of a grant to the upstream and of a Finish back.
 	transit = 100 * time.Millisecond
@@ -192,8 +192,8 @@
 	u.adaptedAt = now
 }
 
-// distrust stops new work until a load report answers.
-func (u *upstream) distrust(now time.Duration) {
+// markSuspect stops new work until a load report answers.
+func (u *upstream) markSuspect(now time.Duration) {
 	u.suspect = true
 	u.suspectAt = now
 }
@@ -227,9 +227,9 @@
 	u.broken = u.broken[:0]
 }
 
-// acquit drops the broken connections from before the time: the same instance answers,
+// clearBroken drops the broken connections from before the time: the same instance answers,
 // so it did not crash.
-func (p *Pool) acquit(u *upstream, before time.Duration) {
+func (p *Pool) clearBroken(u *upstream, before time.Duration) {
 	kept := u.broken[:0]
 	for _, b := range u.broken {
 		if b.at > before {
@@ -264,7 +264,7 @@
 		u.broken = append(u.broken, broken{fp: fp, at: now, granted: it.granted})
 	}
 	if !restarted {
-		u.distrust(now)
+		u.markSuspect(now)
 	}
 }
 
@@ -287,7 +287,7 @@
 	if u.suspect && r.At >= u.suspectAt {
 		u.suspect = false
 	}
-	p.acquit(u, r.At)
+	p.clearBroken(u, r.At)
 	if r.Running >= 0 && r.Queued >= 0 {
 		p.explain(now, u, r.Running+r.Queued, r.At)
 		p.adapt(now, u, r.Queued)
