Use one indexed heap for accounts and deadlines

Cause: two heaps of the decision core had the same code, and two benchmarks the same loop. Change: a generic indexedHeap; one benchmark loop with parameters.

--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -33,37 +33,40 @@
 	return w, w.drain()
 }
 
-// BenchmarkGrant measures one submit, one finish and one grant with a backlog at every
+// benchmarkGrant measures one submit, one finish and one grant with a backlog at every
 // account.
+func benchmarkGrant(b *testing.B, accounts, upstreams, slots int) {
+	w, running := backlogged(accounts, 8, upstreams, slots)
+	t := wire.Ticket{ID: wire.TicketID{Host: "r", Boot: 1, Seq: 1 << 40}, Pool: "m", DataCentre: "d0"}
+	f := wire.Finish{Outcome: wire.OutcomeDone, Queued: -1, FirstByte: 5 * time.Millisecond}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		w.now += 100 * time.Microsecond
+		g := &running[i%len(running)]
+		t.ID.Seq++
+		t.Account = g.Account
+		t.Fingerprint = wire.Digest{3, byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
+		if r := w.p.Submit(w.now, &t); r != nil {
+			b.Fatal(r.Code)
+		}
+		f.ID, f.Cost = g.ID, float64(1+i%50)
+		w.p.Finish(w.now, &f)
+		next, ok := w.p.Next(w.now)
+		if !ok {
+			b.Fatal("no grant")
+		}
+		*g = next
+		if _, ok := w.p.Next(w.now); ok {
+			b.Fatal("more than one grant for one slot")
+		}
+	}
+}
+
+// BenchmarkGrant varies the number of backlogged accounts.
 func BenchmarkGrant(b *testing.B) {
-	for _, accounts := range []int{16, 680, 6800} {
-		b.Run(fmt.Sprint("accounts=", accounts), func(b *testing.B) {
-			w, running := backlogged(accounts, 8, 12, 8)
-			t := wire.Ticket{ID: wire.TicketID{Host: "r", Boot: 1, Seq: 1 << 40}, Pool: "m", DataCentre: "d0"}
-			f := wire.Finish{Outcome: wire.OutcomeDone, Queued: -1, FirstByte: 5 * time.Millisecond}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				w.now += 100 * time.Microsecond
-				g := &running[i%len(running)]
-				t.ID.Seq++
-				t.Account = g.Account
-				t.Fingerprint = wire.Digest{3, byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
-				if r := w.p.Submit(w.now, &t); r != nil {
-					b.Fatal(r.Code)
-				}
-				f.ID, f.Cost = g.ID, float64(1+i%50)
-				w.p.Finish(w.now, &f)
-				next, ok := w.p.Next(w.now)
-				if !ok {
-					b.Fatal("no grant")
-				}
-				*g = next
-				if _, ok := w.p.Next(w.now); ok {
-					b.Fatal("more than one grant for one slot")
-				}
-			}
-		})
+	for _, n := range []int{16, 680, 6800} {
+		b.Run(fmt.Sprint("accounts=", n), func(b *testing.B) { benchmarkGrant(b, n, 12, 8) })
 	}
 }
 
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -85,111 +85,71 @@
 	}
 }
 
-// accountHeap orders ready accounts by tag, then name.
-type accountHeap struct{ items []*account }
-
-func accountLess(a, b *account) bool {
-	if a.tag != b.tag {
-		return a.tag < b.tag
-	}
-	return a.name < b.name
+// element is an entry of an indexedHeap. It knows its order and keeps its position.
+type element[T any] interface {
+	// precedes says whether the entry leaves the heap before the other one.
+	precedes(T) bool
+	// heapPosition returns where the heap keeps the entry's index, -1 outside of it.
+	heapPosition() *int
 }
 
-func (h *accountHeap) push(a *account) {
-	h.items = append(h.items, a)
-	a.heapIndex = len(h.items) - 1
-	h.up(a.heapIndex)
-}
+// indexedHeap is a binary heap whose entries can be removed or moved in O(log n).
+type indexedHeap[T element[T]] struct{ items []T }
 
-func (h *accountHeap) remove(a *account) {
-	i, last := a.heapIndex, len(h.items)-1
-	h.swap(i, last)
-	h.items[last] = nil
-	h.items = h.items[:last]
-	a.heapIndex = -1
-	if i < last {
-		h.fix(h.items[i])
-	}
-}
-
-func (h *accountHeap) fix(a *account) {
-	if !h.down(a.heapIndex) {
-		h.up(a.heapIndex)
-	}
-}
+// accountHeap orders ready accounts by tag, then name; dueHeap waiting items by deadline.
+type (
+	accountHeap = indexedHeap[*account]
+	dueHeap     = indexedHeap[*item]
+)
 
-func (h *accountHeap) swap(i, j int) {
-	h.items[i], h.items[j] = h.items[j], h.items[i]
-	h.items[i].heapIndex = i
-	h.items[j].heapIndex = j
-}
+func (a *account) heapPosition() *int { return &a.heapIndex }
 
-func (h *accountHeap) up(i int) {
-	for i > 0 {
-		parent := (i - 1) / 2
-		if !accountLess(h.items[i], h.items[parent]) {
-			return
-		}
-		h.swap(i, parent)
-		i = parent
+func (a *account) precedes(b *account) bool {
+	if a.tag != b.tag {
+		return a.tag < b.tag
 	}
+	return a.name < b.name
 }
 
-func (h *accountHeap) down(i int) bool {
-	start := i
-	for {
-		child := 2*i + 1
-		if child >= len(h.items) {
-			break
-		}
-		if right := child + 1; right < len(h.items) && accountLess(h.items[right], h.items[child]) {
-			child = right
-		}
-		if !accountLess(h.items[child], h.items[i]) {
-			break
-		}
-		h.swap(i, child)
-		i = child
-	}
-	return i != start
-}
+func (it *item) heapPosition() *int { return &it.dueIndex }
 
-// dueHeap orders waiting items by deadline.
-type dueHeap struct{ items []*item }
+func (it *item) precedes(other *item) bool { return it.deadline < other.deadline }
 
-func (h *dueHeap) push(it *item) {
-	h.items = append(h.items, it)
-	it.dueIndex = len(h.items) - 1
-	h.up(it.dueIndex)
+func (h *indexedHeap[T]) push(e T) {
+	h.items = append(h.items, e)
+	i := len(h.items) - 1
+	*e.heapPosition() = i
+	h.up(i)
 }
 
-func (h *dueHeap) remove(it *item) {
-	i, last := it.dueIndex, len(h.items)-1
+func (h *indexedHeap[T]) remove(e T) {
+	i, last := *e.heapPosition(), len(h.items)-1
 	h.swap(i, last)
-	h.items[last] = nil
+	clear(h.items[last:])
 	h.items = h.items[:last]
-	it.dueIndex = -1
+	*e.heapPosition() = -1
 	if i < last {
 		h.fix(h.items[i])
 	}
 }
 
-func (h *dueHeap) fix(it *item) {
-	if !h.down(it.dueIndex) {
-		h.up(it.dueIndex)
+// fix restores the order after the order of one entry changed.
+func (h *indexedHeap[T]) fix(e T) {
+	if i := *e.heapPosition(); !h.down(i) {
+		h.up(i)
 	}
 }
 
-func (h *dueHeap) swap(i, j int) {
+func (h *indexedHeap[T]) swap(i, j int) {
 	h.items[i], h.items[j] = h.items[j], h.items[i]
-	h.items[i].dueIndex = i
-	h.items[j].dueIndex = j
+	*h.items[i].heapPosition() = i
+	*h.items[j].heapPosition() = j
 }
 
-func (h *dueHeap) up(i int) {
+func (h *indexedHeap[T]) up(i int) {
 	for i > 0 {
 		parent := (i - 1) / 2
-		if h.items[i].deadline >= h.items[parent].deadline {
+		if !h.items[i].precedes(h.items[parent]) {
 			return
 		}
 		h.swap(i, parent)
@@ -197,17 +157,17 @@
 	}
 }
 
-func (h *dueHeap) down(i int) bool {
+func (h *indexedHeap[T]) down(i int) bool {
 	start := i
 	for {
 		child := 2*i + 1
 		if child >= len(h.items) {
 			break
 		}
-		if right := child + 1; right < len(h.items) && h.items[right].deadline < h.items[child].deadline {
+		if right := child + 1; right < len(h.items) && h.items[right].precedes(h.items[child]) {
 			child = right
 		}
-		if h.items[child].deadline >= h.items[i].deadline {
+		if !h.items[child].precedes(h.items[i]) {
 			break
 		}
 		h.swap(i, child)
--- a/internal/sched/size_bench_test.go
+++ b/internal/sched/size_bench_test.go
@@ -9,34 +9,11 @@
 	"marigoldshunt/internal/wire"
 )
 
-// BenchmarkGrantUpstreams measures one submit, one finish and one grant with 680
-// backlogged accounts, since the choice of an upstream depends on their number.
+// BenchmarkGrantUpstreams varies the number of upstreams with 680 backlogged accounts,
+// since the choice of an upstream depends on it.
 func BenchmarkGrantUpstreams(b *testing.B) {
-	for _, upstreams := range []int{12, 120, 810} {
-		b.Run(fmt.Sprint("upstreams=", upstreams), func(b *testing.B) {
-			w, running := backlogged(680, 8, upstreams, 2)
-			t := wire.Ticket{ID: wire.TicketID{Host: "r", Boot: 1, Seq: 1 << 40}, Pool: "m", DataCentre: "d0"}
-			f := wire.Finish{Outcome: wire.OutcomeDone, Queued: -1, FirstByte: 5 * time.Millisecond}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				w.now += 100 * time.Microsecond
-				g := &running[i%len(running)]
-				t.ID.Seq++
-				t.Account = g.Account
-				t.Fingerprint = wire.Digest{3, byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
-				if r := w.p.Submit(w.now, &t); r != nil {
-					b.Fatal(r.Code)
-				}
-				f.ID, f.Cost = g.ID, float64(1+i%50)
-				w.p.Finish(w.now, &f)
-				next, ok := w.p.Next(w.now)
-				if !ok {
-					b.Fatal("no grant")
-				}
-				*g = next
-			}
-		})
+	for _, n := range []int{12, 120, 810} {
+		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) { benchmarkGrant(b, 680, n, 2) })
 	}
 }
 
