Tick schedulers without a lease once a second

Cause: every host has a scheduler for every pool, and each woke every 25 ms, with or without the lease. Change: 50 ms with the lease, 1 s without; gaining a lease starts the fast ticks. Tests of the package pass under the race detector.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -29,7 +29,10 @@
 	// pollWorkers bounds the polls that run at the same time.
 	pollWorkers = 8
 	// tickInterval is the resolution of waits, polls and silence.
-	tickInterval = 25 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
+	// idleInterval is the time between ticks without a lease, when only early messages
+	// are dropped.
+	idleInterval = time.Second
 	// maxEarly and earlyAge bound the messages that are kept when they arrive before the
 	// host knows of its lease. A router may hear of a new lease first, and sends its Sync
 	// only once.
@@ -70,6 +73,8 @@
 
 	jobs  chan pollJob
 	crash chan sched.CrashMark
+	// gained says that a term has begun.
+	gained chan struct{}
 	// ticks replaces the ticker in tests.
 	ticks <-chan time.Time
 	// stopped is set when Run ends, so that nothing is granted afterwards.
@@ -116,36 +121,44 @@
 	return &Scheduler{
 		o: o, marks: map[markKey]time.Duration{},
 		jobs:  make(chan pollJob, pollWorkers),
-		crash: make(chan sched.CrashMark, markQueue),
+		crash: make(chan sched.CrashMark, markQueue), gained: make(chan struct{}, 1),
 	}
 }
 
 // Run expires waits, drops silent routers and polls upstreams until the context ends. It
 // returns nil then.
 func (s *Scheduler) Run(ctx context.Context) error {
-	ticks := s.ticks
-	if ticks == nil {
-		t := time.NewTicker(tickInterval)
-		defer t.Stop()
-		ticks = t.C
-	}
 	defer s.stopped.Store(true)
 	g, ctx := errgroup.WithContext(ctx)
 	for range pollWorkers {
 		g.Go(func() error { return s.pollWorker(ctx) })
 	}
 	g.Go(func() error { return s.markWorker(ctx) })
-	g.Go(func() error {
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticks:
-				s.tick()
+	g.Go(func() error { return s.runTicks(ctx) })
+	return g.Wait()
+}
+
+// runTicks ticks fast while the lease is held and slowly otherwise, since every host has
+// a scheduler for every pool.
+func (s *Scheduler) runTicks(ctx context.Context) error {
+	t := time.NewTicker(idleInterval)
+	defer t.Stop()
+	ticks := s.ticks
+	if ticks == nil {
+		ticks = t.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.gained:
+			t.Reset(tickInterval)
+		case <-ticks:
+			if !s.tick() {
+				t.Reset(idleInterval)
 			}
 		}
-	})
-	return g.Wait()
+	}
 }
 
 func (s *Scheduler) markWorker(ctx context.Context) error {
@@ -177,6 +190,10 @@
 	}
 	out := s.pump(s.startPool(now, s.askLive(nil)))
 	s.mu.Unlock()
+	select {
+	case s.gained <- struct{}{}:
+	default:
+	}
 	s.send(out)
 }
 
@@ -285,7 +302,8 @@
 }
 
 // tick does what is due: end of the window, silence, expired waits, polls.
-func (s *Scheduler) tick() {
+// tick does the periodic work. It returns false without a term.
+func (s *Scheduler) tick() bool {
 	s.mu.Lock()
 	now := s.o.Clock.Now()
 	if s.term == nil {
@@ -293,13 +311,14 @@
 			s.early = s.early[1:]
 		}
 		s.mu.Unlock()
-		return
+		return false
 	}
 	s.dropSilent(now)
 	out := s.pump(s.expire(now, nil))
 	s.startPolls(now)
 	s.mu.Unlock()
 	s.send(out)
+	return true
 }
 
 func (s *Scheduler) dropSilent(now time.Duration) {
