Call the existing pieces for repeats, message kinds, bounds and the pool's name

Cause: reading the whole change showed rules that stood twice: the router decided on repeats beside package retry, the daemon listed the message kinds beside control, and two constants were repeated; every message to a scheduler was decoded twice; the router had an unused port. Change: the router calls retry.Repeatable and RunStateOf; the daemon uses control.NodeKinds and ClientKinds, sched.MarkDuration and state.MaxAnswerBytes; wire.PoolOf reads only the pool's name; the port is gone. Conclusion: one place for each rule.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -61,7 +61,7 @@
 	if r.node == nil {
 		return
 	}
-	for _, k := range []wire.Kind{wire.KindRenew, wire.KindPropose, wire.KindRaft, wire.KindForm, wire.KindFormAck} {
+	for _, k := range control.NodeKinds {
 		p.Handle(k, r.node.Handle)
 	}
 	p.Handle(wire.KindSnapshotChunk, func(from string, boot uint64, kind wire.Kind, payload []byte) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,7 +99,7 @@
 	d.role = d.newControlRole()
 	d.router = router.New(router.Options{
 		Host: s.Host, Boot: d.boot, DataCentre: s.DataCentre, Sender: d.peers, Engine: d.engine,
-		Control: d.client, Clock: d.clock, Timeline: d.timeline, Log: d.part("router"), Registry: d.registry,
+		Control: d.client, Clock: d.clock, Log: d.part("router"), Registry: d.registry,
 	})
 	d.pools = newSchedulers(d)
 	d.platform = platform.New(platform.Options{Source: s.PlatformHosts, Log: o.Log, Registry: d.registry})
@@ -176,7 +176,7 @@
 	for _, k := range []wire.Kind{wire.KindGrant, wire.KindRefuse, wire.KindSyncRequest} {
 		d.peers.Handle(k, d.router.Handle)
 	}
-	for _, k := range []wire.Kind{wire.KindRenewAck, wire.KindProposeAck, wire.KindSnapshotChunk} {
+	for _, k := range control.ClientKinds {
 		d.peers.Handle(k, d.client.Handle)
 	}
 	d.role.connect(d.peers, d.client)
--- a/internal/daemon/schedulers.go
+++ b/internal/daemon/schedulers.go
@@ -10,14 +10,12 @@
 
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/engine"
+	"marigoldshunt/internal/sched"
 	"marigoldshunt/internal/scheduler"
 	"marigoldshunt/internal/state"
 	"marigoldshunt/internal/wire"
 )
 
-// markDuration is how long a crash mark of the replicated state counts.
-const markDuration = time.Hour
-
 // schedulers holds one scheduler for each pool of the configuration. All of them know
 // the configuration; only those with a lease grant.
 type schedulers struct {
@@ -119,42 +117,14 @@
 	for _, m := range marks {
 		if m.Pool == pool {
 			age := time.Since(time.UnixMilli(m.At))
-			s.RestoreMark(m.Fingerprint, m.Upstream, p.d.clock.Now()+markDuration-age)
+			s.RestoreMark(m.Fingerprint, m.Upstream, p.d.clock.Now()+sched.MarkDuration-age)
 		}
 	}
 }
 
-// poolOf decodes only the pool's name, which every message to a scheduler has.
-func poolOf(kind wire.Kind, payload []byte) string {
-	switch kind {
-	case wire.KindTicket:
-		return decoded[wire.Ticket](payload).Pool
-	case wire.KindCancel:
-		return decoded[wire.Cancel](payload).Pool
-	case wire.KindFinish:
-		return decoded[wire.Finish](payload).Pool
-	case wire.KindBeat:
-		return decoded[wire.Beat](payload).Pool
-	case wire.KindSync:
-		return decoded[wire.Sync](payload).Pool
-	case wire.KindGrantReturn:
-		return decoded[wire.GrantReturn](payload).Pool
-	}
-	return ""
-}
-
-func decoded[T any](payload []byte) T {
-	var v T
-	if wire.Unmarshal(payload, &v) != nil {
-		var zero T
-		return zero
-	}
-	return v
-}
-
 func (p *schedulers) handle(from string, boot uint64, kind wire.Kind, payload []byte) {
 	p.mu.Lock()
-	s := p.byPool[poolOf(kind, payload)]
+	s := p.byPool[wire.PoolOf(kind, payload)]
 	p.mu.Unlock()
 	if s != nil {
 		s.Handle(from, boot, kind, payload)
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -116,7 +116,7 @@
 func (r *Router) record(u *run, k keptAnswer) {
 	finish := state.ClaimFinish{Account: u.call.Account, Key: u.call.Key, Attempt: u.attempt}
 	b, err := wire.Marshal(k)
-	if err != nil || len(b) > maxKeptAnswer {
+	if err != nil || len(b) > state.MaxAnswerBytes {
 		finish.TooLarge = true
 	} else {
 		finish.Answer = b
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -8,6 +8,7 @@
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/frontend"
+	"marigoldshunt/internal/retry"
 	"marigoldshunt/internal/wire"
 )
 
@@ -103,11 +104,7 @@
 		if res.Outcome == wire.OutcomeDone || res.Outcome == wire.OutcomeFailed && u.sink.began {
 			return r.deliver(u)
 		}
-		if !started(res.Outcome) {
-			u.avoid = res.upstream
-		} else {
-			u.mayHaveRun = true
-		}
+		u.mayHaveRun = u.mayHaveRun || started(res.Outcome)
 		if !r.mayRepeat(u, res, n) {
 			return u.failure(res)
 		}
@@ -131,21 +128,18 @@
 
 // started says whether an attempt with this outcome may have run at the upstream.
 func started(o wire.Outcome) bool {
-	return o != wire.OutcomeRefused && o != wire.OutcomeUnreachable
+	return retry.RunStateOf(o) != fault.NotRun
 }
 
 // mayRepeat decides on another attempt. A request that may have started is repeated
 // only if it is idempotent, and after part of the answer was passed on only if the
 // engine resumes streams.
 func (r *Router) mayRepeat(u *run, res attemptResult, n int) bool {
-	if n >= maxAttempts || r.o.Clock.Now() >= u.waitUntil && !started(res.Outcome) {
+	if n >= maxAttempts || !retry.Repeatable(res.Outcome, u.call.Idempotent) {
 		return false
 	}
 	if !started(res.Outcome) {
-		return true
-	}
-	if !u.call.Idempotent || res.Outcome != wire.OutcomeBroken {
-		return false
+		return r.o.Clock.Now() < u.waitUntil
 	}
 	if !u.sink.began {
 		return true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,8 +36,6 @@
 	// finishTimeout bounds the wait for the end of a claim to be committed before the
 	// caller gets the answer.
 	finishTimeout = 2 * time.Second
-	// maxKeptAnswer is the largest answer of a non-idempotent request that is stored, in bytes.
-	maxKeptAnswer = 16 << 10
 	// refusedPause is the wait before another attempt after an upstream refused work.
 	refusedPause = 20 * time.Millisecond
 )
@@ -66,11 +64,6 @@
 	Now() time.Duration
 }
 
-// Timeline records events.
-type Timeline interface {
-	Add(part, kind string, kv ...string)
-}
-
 // Options configures a Router.
 type Options struct {
 	Host       string
@@ -80,7 +73,6 @@
 	Engine     Engine
 	Control    Control
 	Clock      Clock
-	Timeline   Timeline
 	Log        *logrus.Entry
 	Registry   metrics.Registry
 }
--- a/internal/sched/fingerprint.go
+++ b/internal/sched/fingerprint.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// markDuration is how long a crash mark lasts.
-	markDuration = time.Hour
+	// MarkDuration is how long a crash mark lasts.
+	MarkDuration = time.Hour
 	// maxProven and maxMarked bound the fingerprints that are remembered without a ticket.
 	// They are kept apart, so that many successes do not push out a crash mark.
 	maxProven = 8192
@@ -184,8 +184,8 @@
 	if s != nil && s.marked && (f.quarantined() || granted <= s.markedAt) {
 		return
 	}
-	p.setMark(f, u.name, now, now+markDuration)
-	eff.Marks = append(eff.Marks, CrashMark{Fingerprint: f.digest, Upstream: u.name, Until: now + markDuration})
+	p.setMark(f, u.name, now, now+MarkDuration)
+	eff.Marks = append(eff.Marks, CrashMark{Fingerprint: f.digest, Upstream: u.name, Until: now + MarkDuration})
 }
 
 func (p *Pool) setMark(f *fingerprint, name string, now, until time.Duration) {
@@ -229,7 +229,7 @@
 	if s := f.find(upstream); f.quarantined() || (s != nil && s.marked) {
 		return
 	}
-	p.setMark(f, upstream, until-markDuration, until)
+	p.setMark(f, upstream, until-MarkDuration, until)
 }
 
 // refuseQuarantined refuses the waiting tickets of a quarantined fingerprint.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -31,3 +31,33 @@
 	}
 	return nil
 }
+
+// PoolOf returns the pool that a message to a scheduler names, without decoding the
+// rest of it; empty for other kinds and for bytes that are not such a message.
+func PoolOf(kind Kind, payload []byte) string {
+	skip := 0
+	switch kind {
+	case KindTicket, KindCancel, KindFinish, KindGrantReturn:
+		// The id comes first.
+		skip = 1
+	case KindBeat, KindSync:
+	default:
+		return ""
+	}
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(bytes.NewReader(payload))
+	if n, err := dec.DecodeArrayLen(); err != nil || n <= skip {
+		return ""
+	}
+	for range skip {
+		if dec.Skip() != nil {
+			return ""
+		}
+	}
+	pool, err := dec.DecodeString()
+	if err != nil {
+		return ""
+	}
+	return pool
+}
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -34,3 +34,22 @@
 	err := Unmarshal([]byte{0xc1, 0xff, 0x00}, &out)
 	c.Assert(fault.CodeOf(err), qt.Equals, fault.FrameInvalid)
 }
+
+// Guards against a field that moves in front of the pool, which would lose messages to
+// schedulers.
+func TestPoolOf(t *testing.T) {
+	c := qt.New(t)
+	id := TicketID{Host: "h", Boot: 1, Seq: 2}
+	for kind, msg := range map[Kind]any{
+		KindTicket: Ticket{ID: id, Pool: "p", Account: "a"}, KindCancel: Cancel{ID: id, Pool: "p"},
+		KindFinish: Finish{ID: id, Pool: "p", Upstream: "u"}, KindGrantReturn: GrantReturn{ID: id, Pool: "p"},
+		KindBeat: Beat{Pool: "p"}, KindSync: Sync{Pool: "p", Waiting: []Ticket{{ID: id}}},
+	} {
+		b, err := Marshal(msg)
+		c.Assert(err, qt.IsNil)
+		c.Assert(PoolOf(kind, b), qt.Equals, "p", qt.Commentf("%T", msg))
+		c.Assert(PoolOf(kind, b[:1]), qt.Equals, "")
+		c.Assert(PoolOf(kind, []byte{0xc1}), qt.Equals, "")
+		c.Assert(PoolOf(KindGrant, b), qt.Equals, "")
+	}
+}
