Add routing documents under an operator's own version

Cause: callers of plain routes name a pool today, and the configuration changes object by object. The users' operators replace routes, services and accounts as a whole and number the versions themselves.

Change: package routing holds the document, its checks and its look-ups. The replicated configuration keeps one document; the highest version wins whatever the order of arrival, a resend is accepted, other content under the version in force is a conflict. Deltas hold only the newest document, so that hundreds of them fit into small hosts.

Measured: TestRoutingDeltaHoldsOneDocument, 50 documents, one whole one in the delta. Ruled out: one object per route, since a change then needs hundreds of comparisons of revisions and readers could see half of it.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -16,6 +16,7 @@
 	ObjHost       = "host"
 	ObjOperator   = "operator"
 	ObjPolicy     = "policy"
+	ObjRouting    = "routing"
 )
 
 // indexThreshold is the number of changes from which a batch builds an index of the
@@ -76,6 +77,9 @@
 	if ch.Policy != nil {
 		refs = append(refs, ObjectRef{ObjPolicy, ""})
 	}
+	if ch.Routing != nil {
+		refs = append(refs, ObjectRef{ObjRouting, ""})
+	}
 	if ch.Delete != nil {
 		refs = append(refs, *ch.Delete)
 	}
@@ -109,6 +113,10 @@
 		return o.Revision, ok
 	case ObjPolicy:
 		return c.Policy.Revision, true
+	case ObjRouting:
+		if c.Routing != nil {
+			return c.Routing.Revision, true
+		}
 	}
 	return 0, false
 }
@@ -141,6 +149,9 @@
 		return invalid(ref, "", "the object occurs twice in one request")
 	}
 	e.seen[ref] = true
+	if ch.Routing != nil {
+		return e.putRouting(ch.Routing)
+	}
 	if err := e.compare(ref, ch); err != nil {
 		return err
 	}
@@ -339,6 +350,8 @@
 		c.Operators[ch.Operator.Name] = *ch.Operator
 	case ch.Policy != nil:
 		c.Policy = *ch.Policy
+	case ch.Routing != nil:
+		c.Routing = ch.Routing
 	case ch.Delete != nil:
 		return invalid(*ch.Delete, "", "a snapshot holds no deletions")
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,7 +5,11 @@
 // the revision of its last change.
 package config
 
-import "time"
+import (
+	"time"
+
+	"marigoldshunt/internal/routing"
+)
 
 // Kind distinguishes the two kinds of pools.
 type Kind string
@@ -134,6 +138,24 @@
 	Hosts       map[string]Host       `toml:"-" json:"hosts" msgpack:"h"`
 	Operators   map[string]Operator   `toml:"-" json:"operators" msgpack:"o"`
 	Policy      Policy                `toml:"-" json:"policy" msgpack:"y"`
+	// Routing is nil until an operator sets the first routing document.
+	Routing *Routing `toml:"-" json:"routing,omitempty" msgpack:"t"`
+}
+
+// Routing is the routing document in force. Its version is the operators' own and decides
+// which of two documents stays: the higher one, whatever the order of arrival.
+type Routing struct {
+	Version uint64 `json:"version" msgpack:"v"`
+	// Digest is the SHA-256 of Source. It tells a resend from other content under the
+	// same version.
+	Digest [32]byte `json:"-" msgpack:"g"`
+	// Source is the document as the operator sent it.
+	Source   []byte           `json:"-" msgpack:"s"`
+	Document routing.Document `json:"document" msgpack:"d"`
+	// Superseded marks an entry of a delta whose content a later entry of the same delta
+	// replaces. Only its revision counts.
+	Superseded bool   `json:"-" msgpack:"x"`
+	Revision   uint64 `json:"revision" msgpack:"r"`
 }
 
 // DefaultPolicy is in force until an operator sets another.
@@ -171,6 +193,9 @@
 	// IfRevision is the revision of the object that the change expects; 0 means that
 	// the object must not exist.
 	IfRevision uint64 `json:"if_revision" msgpack:"i"`
+	// Routing replaces the routing document. Its version is compared in place of
+	// IfRevision.
+	Routing *Routing `json:"routing,omitempty" msgpack:"t,omitempty"`
 }
 
 // ObjectRef names an object, for example {"contract", "district-4"}.
--- a/internal/config/unique.go
+++ b/internal/config/unique.go
@@ -185,6 +185,9 @@
 		o := c.Operators[n]
 		out = append(out, Change{Operator: &o})
 	}
+	if c.Routing != nil {
+		out = append(out, Change{Routing: c.Routing})
+	}
 	p := c.Policy
 	return append(out, Change{Policy: &p})
 }
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,84 @@
+package routing
+
+import "strings"
+
+// Table answers look-ups in one document. It is immutable.
+type Table struct {
+	Document *Document
+	byHost   map[string]map[string]*Route
+	services map[string]*Service
+	accounts map[string]*Account
+}
+
+// NewTable indexes a document, which must not change afterwards.
+func NewTable(d *Document) *Table {
+	t := &Table{Document: d, byHost: map[string]map[string]*Route{}, services: map[string]*Service{}, accounts: map[string]*Account{}}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		if t.byHost[host] == nil {
+			t.byHost[host] = map[string]*Route{}
+		}
+		t.byHost[host][r.PathPrefix] = r
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Accounts {
+		for _, c := range d.Accounts[i].Credentials {
+			t.accounts[c] = &d.Accounts[i]
+		}
+	}
+	return t
+}
+
+// Route returns the route with the longest prefix of path, or nil. host may carry a port.
+func (t *Table) Route(host, path string) *Route {
+	host = strings.ToLower(host)
+	prefixes := t.byHost[host]
+	if prefixes == nil {
+		if i := strings.LastIndexByte(host, ':'); i >= 0 {
+			prefixes = t.byHost[host[:i]]
+		}
+	}
+	if prefixes == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Account returns the holder of a credential, or nil.
+func (t *Table) Account(credential string) *Account {
+	if credential == "" {
+		return nil
+	}
+	return t.accounts[credential]
+}
+
+// NeedsCredential reports whether requests on r have to name their account.
+func (t *Table) NeedsCredential(r *Route) bool {
+	return len(t.Document.Accounts) > 0 && !r.Public
+}
+
+// Pick selects a service of the split; point is uniform in [0, 1).
+func (r *Route) Pick(point float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	at := int(point * float64(total))
+	for _, s := range r.Split {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- /dev/null
+++ b/internal/state/routing_test.go
@@ -0,0 +1,81 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/routing"
+)
+
+func routingCommand(c *qt.C, id string, version uint64, timeout time.Duration) []byte {
+	d := &routing.Document{
+		Version:  version,
+		Routes:   []routing.Route{{Name: "r", Host: "h", PathPrefix: "/", Kind: routing.Idempotent, Timeout: timeout, Split: []routing.Share{{Service: "s", Weight: 1}}}},
+		Services: []routing.Service{{Name: "s"}},
+	}
+	source := fmt.Appendf(nil, "version %d timeout %s", version, timeout)
+	cmd := Command{Config: &ConfigChange{RequestID: id, Operator: "op", Changes: []config.Change{{Routing: config.NewRouting(d, source)}}}}
+	data, err := cmd.Encode()
+	c.Assert(err, qt.IsNil)
+	return data
+}
+
+// Guards against an older document in force after a newer one, a refused resend, and
+// other content under a version that is in force.
+func TestHighestRoutingVersionWins(t *testing.T) {
+	c := qt.New(t)
+	s := New("f")
+	for i, step := range []struct {
+		version uint64
+		timeout time.Duration
+		code    fault.Code
+		want    uint64
+	}{
+		{7, time.Second, "", 7},
+		{5, time.Second, "", 7},
+		{7, time.Second, "", 7},
+		{7, time.Minute, fault.RevisionConflict, 7},
+		{12, 0, fault.InvalidConfig, 7},
+		{9, time.Second, "", 9},
+	} {
+		r := s.Apply(uint64(i+1), routingCommand(c, fmt.Sprint(i), step.version, step.timeout))
+		c.Assert(r.Code, qt.Equals, step.code, qt.Commentf("step %d: %s", i, r.Message))
+		c.Assert(s.Config().Routing.Version, qt.Equals, step.want)
+		c.Assert(s.Config().Routing.Document.Routes[0].Timeout, qt.Equals, time.Second)
+	}
+}
+
+// Guards against a follower that ends with another document than the leader, and against
+// deltas that hold every document of the day.
+func TestRoutingDeltaHoldsOneDocument(t *testing.T) {
+	c := qt.New(t)
+	s := New("f")
+	for v := range uint64(50) {
+		c.Assert(s.Apply(v+1, routingCommand(c, fmt.Sprint(v), v+1, time.Second)).Code, qt.Equals, fault.Code(""))
+	}
+	d, ok := s.Delta(0)
+	c.Assert(ok, qt.IsTrue)
+	whole := 0
+	next := config.New()
+	for _, a := range d.Changes {
+		if !a.Change.Routing.Superseded {
+			whole++
+		}
+		var err error
+		next, err = next.ApplyAll([]config.Change{a.Change}, a.Revision)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(whole, qt.Equals, 1)
+	c.Assert(next.Routing.Version, qt.Equals, uint64(50))
+
+	data, err := s.Snapshot()
+	c.Assert(err, qt.IsNil)
+	restored := New("")
+	c.Assert(restored.Restore(data), qt.IsNil)
+	c.Assert(restored.Config().Routing, qt.DeepEquals, s.Config().Routing)
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -178,6 +178,9 @@
 	}
 	s.config = next
 	for _, ch := range c.Changes {
+		if ch.Routing != nil {
+			s.supersedeRouting()
+		}
 		s.recent = append(s.recent, config.Applied{Revision: next.Revision, Change: ch})
 	}
 	if extra := len(s.recent) - maxRecent; extra > maxRecent/4 {
@@ -188,6 +191,22 @@
 	return Result{Revision: next.Revision}
 }
 
+// supersedeRouting drops the content of the last routing document among the recent
+// changes. A document is replaced as a whole, so a delta needs only the newest one, and
+// hundreds of whole documents would not fit into the memory of a small host.
+func (s *State) supersedeRouting() {
+	for i := len(s.recent) - 1; i >= 0; i-- {
+		r := s.recent[i].Change.Routing
+		if r == nil {
+			continue
+		}
+		if !r.Superseded {
+			s.recent[i].Change = config.Change{Routing: &config.Routing{Version: r.Version, Superseded: true}}
+		}
+		return
+	}
+}
+
 // maxRecent is the number of changes kept for deltas: 3,100 changes a day cover more
 // than a day, so that only hosts with an empty memory need a whole configuration.
 const maxRecent = 4_096
