Let the control group repair and grow by itself

Cause: control replace was typed by hand, members were listed by name, and a host whose disk was lost waited for an operator.

Change: a replica without membership asks the presumed leader to join. Clients follow the voters that the leader publishes; Confirm waits for an answer to a Renew sent after it.

Ruled out: removal by silence alone, which shrinks the group in a partition.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -19,10 +19,13 @@
 type ClientOptions struct {
 	Host string
 	Boot uint64
-	// ControlHosts are the hosts that may lead the control group.
+	// ControlHosts are the hosts that may lead the control group, or that know who does.
+	// The voters that a leader names are added to them.
 	ControlHosts []string
-	Transport    Transport
-	Clock        Clock
+	// DataCentre is where the host stands.
+	DataCentre string
+	Transport  Transport
+	Clock      Clock
 	// Ticks fires every TickInterval.
 	Ticks <-chan time.Time
 	// Ready reports whether the host can take leases; nil means always.
@@ -53,6 +56,8 @@
 	rebuild     bool
 	confirmed   bool
 	confirmedAt time.Duration
+	// onConfirm is closed with the next confirmation.
+	onConfirm chan struct{}
 
 	seq       uint64
 	renewed   time.Duration
@@ -99,6 +104,7 @@
 		seq:       o.Boot << 24,
 		sentRenew: map[uint64]sentRenew{},
 		held:      map[string]heldLease{},
+		onConfirm: make(chan struct{}),
 		dropped:   map[string]uint64{},
 		calls:     map[uint64]*call{},
 		now:       o.Clock.Now(),
@@ -225,6 +231,39 @@
 	return c.confirmed && now-c.confirmedAt <= ConfigMaxAge
 }
 
+// Confirm waits until the leader has confirmed the applied configuration by an answer to
+// a Renew that was sent after the call, and returns that configuration. It returns
+// HostIsolated when ctx ends first.
+func (c *Client) Confirm(ctx context.Context) (*config.Config, error) {
+	asked := c.o.Clock.Now()
+	c.post(event{run: func() { c.renewNow = true }})
+	for {
+		c.mu.Lock()
+		done, cfg, next := c.confirmed && c.confirmedAt >= asked, c.config, c.onConfirm
+		c.mu.Unlock()
+		if done {
+			return cfg, nil
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return nil, fault.New(fault.HostIsolated, fault.NotRun, "the control group did not confirm the configuration in time").After(RenewInterval)
+		}
+	}
+}
+
+// Membership returns the host that is presumed to lead, whether the voters of the group are
+// known, and whether this host is among them.
+func (c *Client) Membership() (leader string, known, listed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.hosts {
+		known = known || h.Voter
+		listed = listed || h.Voter && h.Host == c.o.Host
+	}
+	return c.target, known, listed
+}
+
 // Hosts returns the hosts as the control leader last published them.
 func (c *Client) Hosts() []wire.HostStatus {
 	c.mu.Lock()
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -35,6 +35,7 @@
 	c.sentRenew[c.seq] = sentRenew{at: c.now}
 	m := wire.Renew{
 		Seq: c.seq, Revision: c.config.Revision, Leaving: c.leaving,
+		DataCentre:   c.o.DataCentre,
 		Ready:        !c.leaving && (c.o.Ready == nil || c.o.Ready()),
 		HostsVersion: c.hostsVersion, LeasesVersion: c.leasesVersion, MarksVersion: c.marksVersion,
 		Held: c.wanted(),
@@ -47,13 +48,31 @@
 }
 
 func (c *Client) rotate() {
-	i := slices.Index(c.o.ControlHosts, c.target)
-	if n := len(c.o.ControlHosts); n > 0 {
-		c.target = c.o.ControlHosts[(i+1)%n]
+	hosts := c.controlHosts()
+	i := slices.Index(hosts, c.target)
+	if n := len(hosts); n > 0 {
+		c.target = hosts[(i+1)%n]
 		c.unanswered = 0
 	}
 }
 
+// controlHosts lists the voters that the last leader named and then the hosts of the
+// settings, which may be out of date.
+func (c *Client) controlHosts() []string {
+	var out []string
+	for _, h := range c.hosts {
+		if h.Voter {
+			out = append(out, h.Host)
+		}
+	}
+	for _, h := range c.o.ControlHosts {
+		if !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // redirect follows a hint to the leader, or tries the next control host without one.
 func (c *Client) redirect(from, leader string) {
 	if from != c.target {
@@ -106,6 +125,8 @@
 	}
 	if !c.confirmed || sent.at > c.confirmedAt {
 		c.confirmed, c.confirmedAt = true, sent.at
+		close(c.onConfirm)
+		c.onConfirm = make(chan struct{})
 	}
 	for _, l := range m.Renewed {
 		c.extendHeld(l, sent)
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -108,6 +108,10 @@
 	if !n.decode(e, &m) {
 		return
 	}
+	if m.Op == wire.FormJoin {
+		n.onJoin(e.from, m)
+		return
+	}
 	ack := wire.FormAck{Seq: m.Seq, Replica: uint64(n.o.Storage.ReplicaID())}
 	var err error
 	switch m.Op {
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/raft"
 	"marigoldshunt/internal/state"
@@ -24,6 +26,7 @@
 		clear(n.seen)
 	}
 	n.seen[m.From] = e.from
+	n.heardReplica(m.From)
 	if err := n.raft.Step(m); err != nil {
 		n.o.Log.WithError(err).WithField("from", e.from).Debug("raft message refused")
 	}
@@ -191,6 +194,9 @@
 // observe follows changes of role, term and membership.
 func (n *Node) observe() {
 	s := n.raft.Status()
+	if !slices.Equal(n.members, s.Members) {
+		n.memberChanges++
+	}
 	n.members = s.Members
 	n.leader = s.LeaderHost
 	if s.Role == n.role && s.Term == n.term {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -31,6 +31,10 @@
 	Rand  *rand.Rand
 	// Orders sends orders to upstreams; nil leaves them pending.
 	Orders OrderSender
+	// Membership tells the presumed leader, whether the members of the group are known,
+	// and whether this host is listed among them. With it the node joins the group by
+	// itself; nil leaves that to operators.
+	Membership func() (leader string, known, listed bool)
 	// SnapshotEntries is the number of entries between snapshots; 0 means 4,096.
 	SnapshotEntries uint64
 	Log             logrus.FieldLogger
@@ -60,10 +64,12 @@
 	failure error
 
 	members []raft.Member
-	seen    map[raft.ReplicaID]string
-	role    raft.Role
-	term    uint64
-	leader  string
+	// memberChanges counts the changes of members, for the version of the host list.
+	memberChanges uint64
+	seen          map[raft.ReplicaID]string
+	role          raft.Role
+	term          uint64
+	leader        string
 
 	applied     uint64
 	appliedTerm uint64
@@ -91,6 +97,8 @@
 	form    *formJob
 	promise *wire.Form
 	replace *replaceJob
+	// joinSent is when this replica last asked to join.
+	joinSent time.Duration
 }
 
 // event is a message from a host or a function to run on the node's goroutine.
@@ -113,6 +121,10 @@
 	acquiring map[string]string
 	orders    orderBook
 	pushed    pushed
+	// heard is when a message of each replica last arrived; joining holds the hosts that
+	// ask to be members.
+	heard   map[raft.ReplicaID]time.Duration
+	joining map[string]joinRequest
 }
 
 // NewNode returns a node with the restored state. It returns the error of the restored
@@ -258,11 +270,13 @@
 		n.observe()
 	}
 	n.tickForm()
+	n.tickJoin()
 	if n.leading() {
 		n.lead.hosts.Tick(n.now)
 		n.assignLeases()
 		n.sendOrders()
 		n.tickReplace()
+		n.tickRepair()
 	}
 }
 
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"marigoldshunt/internal/membership"
@@ -40,6 +41,8 @@
 		until:     map[string]time.Duration{},
 		acquiring: map[string]string{},
 		orders:    newOrderBook(),
+		heard:     map[raft.ReplicaID]time.Duration{},
+		joining:   map[string]joinRequest{},
 	}
 	// The holder of each lease may have renewed it with the previous leader until now,
 	// so a new leader waits one full lease for all of them.
@@ -60,7 +63,7 @@
 		n.redirectRenew(e.from, m.Seq)
 		return
 	}
-	n.lead.hosts.Heard(membership.Heartbeat{Host: e.from, Boot: e.boot, Leaving: m.Leaving, Ready: m.Ready}, n.now)
+	n.lead.hosts.Heard(membership.Heartbeat{Host: e.from, Boot: e.boot, Leaving: m.Leaving, Ready: m.Ready, DataCentre: m.DataCentre}, n.now)
 	n.renews = append(n.renews, renewal{e.from, e.boot, m})
 }
 
@@ -184,13 +187,18 @@
 
 // hostsVersion grows over terms, so that a host never goes back to the list of an
 // earlier leader.
-func (n *Node) hostsVersion() uint64 { return n.term<<32 | n.lead.hosts.Version()&0xffffffff }
+func (n *Node) hostsVersion() uint64 {
+	return n.term<<32 | (n.lead.hosts.Version()+n.memberChanges)&0xffffffff
+}
 
 func (n *Node) hostList() []wire.HostStatus {
 	tracked := n.lead.hosts.Hosts()
 	out := make([]wire.HostStatus, len(tracked))
 	for i, h := range tracked {
-		out[i] = wire.HostStatus{Host: h.Host, Boot: h.Boot, Alive: h.Alive, Leaving: h.Leaving}
+		out[i] = wire.HostStatus{
+			Host: h.Host, Boot: h.Boot, Alive: h.Alive, Leaving: h.Leaving, DataCentre: h.DataCentre,
+			Voter: slices.ContainsFunc(n.members, func(m raft.Member) bool { return m.Host == h.Host && !m.Learner }),
+		}
 	}
 	return out
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -29,6 +29,8 @@
 	Leaving bool
 	// Ready is true when the host can take work.
 	Ready bool
+	// DataCentre is where the host stands.
+	DataCentre string
 }
 
 // Status is the judgement about one host.
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -22,6 +22,8 @@
 	FormPromise
 	// FormCommit gives the membership to a replica that has promised.
 	FormCommit
+	// FormJoin asks the leader to take the sender's replica into the group.
+	FormJoin
 )
 
 // FormMember is one replica of a new group.
@@ -37,6 +39,8 @@
 	RequestID string
 	Hosts     []string
 	Members   []FormMember
+	// Replica is the sender's replica id in FormJoin.
+	Replica uint64
 }
 
 // FormAck answers a Form.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -30,6 +30,7 @@
 	KindFormAck
 	KindSnapshotChunk
 	KindSyncRequest
+	KindLoads
 )
 
 // Envelope carries one message between two hosts.
@@ -216,6 +217,10 @@
 	Boot    uint64
 	Alive   bool
 	Leaving bool
+	// DataCentre is where the host stands.
+	DataCentre string
+	// Voter is true for hosts with a vote in the control group.
+	Voter bool
 }
 
 // Renew is a host's heartbeat to the control leader.
@@ -234,6 +239,8 @@
 	LeasesVersion uint64
 	// MarksVersion is the version of the crash marks that the host has.
 	MarksVersion uint64
+	// DataCentre is where the host stands.
+	DataCentre string
 }
 
 // RenewAck answers a Renew.
@@ -263,6 +270,18 @@
 	HasMarks     bool
 }
 
+// InstanceLoad is what one host has under way at one upstream instance.
+type InstanceLoad struct {
+	ID      string
+	Born    int64
+	Running int
+	// Reading are the prompt tokens of requests without a first event.
+	Reading int
+}
+
+// Loads tells other hosts what a host has under way.
+type Loads struct{ Instances []InstanceLoad }
+
 // Propose carries a command for the replicated state to the leader.
 type Propose struct {
 	Seq     uint64
