Serve routed services through an installation's adapter

Cause: the users' platform has names and formats of its own; the product had no way to forward any method and path, to find upstreams from a list or to answer discovery without a credential.

Change: gateway forwards requests and streams and resumes streams; dispatch chooses the instance on each host from prompt parts, own and reported loads; catalog reads the list; engine.Forward keeps connections and matches answers by id; edge is the port, platform/ the adapter of the users' names and formats. Seeds form the control group. The clock of leases and of the configuration's age also runs while a machine is suspended.

Ruled out: fasthttp as the server of these callers, since it notices a caller that leaves only by a failing write and sends a stream after the handler has returned.

--- a/cmd/marigoldshuntd/main.go
+++ b/cmd/marigoldshuntd/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"marigoldshunt/internal/daemon"
+	"marigoldshunt/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:])) }
+func main() { os.Exit(daemon.Main(os.Args[1:], platform.Adapter{})) }
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/sirupsen/logrus"
 
+	"marigoldshunt/internal/edge"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/settings"
 )
@@ -32,9 +33,10 @@
 	version                                       bool
 }
 
-// Main runs the command marigoldshuntd and returns its exit code.
-func Main(args []string) int {
-	err := run(args)
+// Main runs the command marigoldshuntd with the adapter of an installation and returns
+// its exit code.
+func Main(args []string, adapter edge.Adapter) int {
+	err := run(args, adapter)
 	if err == nil {
 		return 0
 	}
@@ -45,7 +47,7 @@
 	return exitFailure
 }
 
-func run(args []string) error {
+func run(args []string, adapter edge.Adapter) error {
 	f, err := parseFlags(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return nil
@@ -65,7 +67,7 @@
 	log.SetLevel(s.LogLevel)
 	leave, abort, stop := signals()
 	defer stop()
-	return New(Options{Settings: s, Log: log, Version: version}).Run(leave, abort)
+	return New(Options{Settings: s, Log: log, Version: version, Adapter: adapter}).Run(leave, abort)
 }
 
 func parseFlags(args []string) (flags, error) {
@@ -141,6 +143,8 @@
 // signals returns a context that ends with the first SIGTERM or SIGINT and one that
 // ends with the second.
 func signals() (leave, abort context.Context, stop func()) {
+	// SIGHUP says that the settings file has changed; the daemon reads it again by itself.
+	signal.Ignore(syscall.SIGHUP)
 	ch := make(chan os.Signal, 2)
 	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
 	leave, cancelLeave := context.WithCancel(context.Background())
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -45,7 +45,7 @@
 		Host: r.d.s.Host, Boot: r.d.boot, Storage: log, Restored: restored, Transport: r.d.peers,
 		Clock: r.d.clock, Ticks: time.Tick(control.TickInterval),
 		Rand:   rand.New(rand.NewSource(int64(r.d.boot ^ uint64(log.ReplicaID())))),
-		Orders: orderSender{r.d.engine}, Log: r.d.part("control"),
+		Orders: orderSender{r.d.engine}, Log: r.d.part("control"), Membership: r.membership(),
 	})
 	if err != nil {
 		log.Close()
@@ -55,6 +55,14 @@
 	return nil
 }
 
+// membership lets the replica join its group by itself where seeds are set.
+func (r *controlRole) membership() func() (leader string, known, listed bool) {
+	if len(r.d.s.ControlSeeds) == 0 {
+		return nil
+	}
+	return r.d.client.Membership
+}
+
 // connect routes messages of the control group to the node. Chunks of large messages go
 // to node and client; each drops those that it did not ask for.
 func (r *controlRole) connect(p *peer.Node, c *control.Client) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,15 +6,18 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"marigoldshunt/internal/admin"
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/control"
+	"marigoldshunt/internal/edge"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/frontend"
@@ -41,13 +44,23 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// PeerAddress maps a host's configured peer address; nil means the address itself.
 	PeerAddress func(address string) string
+	// Adapter speaks the installation's formats; nil means that no edge is served.
+	Adapter edge.Adapter
 }
 
-// monotonic is the process's monotonic clock.
-type monotonic struct{ start time.Time }
+// bootClock is a monotonic clock that also runs while the machine is suspended. Leases
+// and the age of the configuration must not stand still during a suspension.
+type bootClock struct{}
 
-// Now returns the time since the start of the process.
-func (m monotonic) Now() time.Duration { return time.Since(m.start) }
+// Now returns the time since the start of the machine.
+func (bootClock) Now() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Only a kernel without this clock, older than Linux 2.6.39, refuses it.
+		panic(err)
+	}
+	return time.Duration(t.Nano())
+}
 
 // Daemon is one host of the fleet.
 type Daemon struct {
@@ -56,7 +69,7 @@
 	log      *logrus.Entry
 	registry metrics.Registry
 	boot     uint64
-	clock    monotonic
+	clock    bootClock
 
 	hlc      *hlc.Clock
 	timeline *timeline.Ring
@@ -70,6 +83,7 @@
 	admin    *admin.Server
 	platform *platform.Reader
 	events   *recorder
+	edge     *edgeRole
 }
 
 // New builds a daemon. It opens the data folder but no network port.
@@ -82,7 +96,6 @@
 		o: o, s: s, log: o.Log.WithField("part", "daemon"),
 		registry: metrics.NewRegistry(),
 		boot:     uint64(time.Now().UnixMilli()),
-		clock:    monotonic{time.Now()},
 		hlc:      hlc.New(time.Now),
 	}
 	d.timeline = timeline.NewRing(s.Host, d.hlc)
@@ -92,7 +105,7 @@
 		Dial: d.dialer(), Log: o.Log, Registry: d.registry,
 	})
 	d.client = control.NewClient(control.ClientOptions{
-		Host: s.Host, Boot: d.boot, ControlHosts: names(s.ControlHosts), Transport: d.peers,
+		Host: s.Host, Boot: d.boot, DataCentre: s.DataCentre, ControlHosts: controlHosts(s), Transport: d.peers,
 		Clock: d.clock, Ticks: time.Tick(control.TickInterval), Log: d.part("control"),
 	})
 	d.engine = engine.New(engine.Options{Metrics: d.registry, ConnectTimeout: upstreamConnectTimeout})
@@ -103,6 +116,7 @@
 	})
 	d.pools = newSchedulers(d)
 	d.platform = platform.New(platform.Options{Source: s.PlatformHosts, Log: o.Log, Registry: d.registry})
+	d.edge = d.newEdge()
 	d.callers = d.newFrontend()
 	d.admin = admin.New(admin.Options{
 		Host: s.Host, Controller: operatorActions{d}, Timeline: d.timeline, Metrics: d.registry,
@@ -123,11 +137,15 @@
 
 func (d *Daemon) part(name string) *logrus.Entry { return d.o.Log.WithField("part", name) }
 
-func names(hosts []settings.ControlHost) []string {
+// controlHosts lists the names of the hosts through which the control group is found.
+func controlHosts(s *settings.Settings) []string {
 	var out []string
-	for _, h := range hosts {
+	for _, h := range s.ControlHosts {
 		out = append(out, h.Name)
 	}
+	for _, a := range s.ControlSeeds {
+		out = append(out, a.Addr().String())
+	}
 	return out
 }
 
@@ -141,6 +159,9 @@
 			address = h.Address
 		}
 	}
+	if address == "" && len(d.s.ControlSeeds) > 0 {
+		address = d.seededAddress(host)
+	}
 	if address == "" {
 		address = d.client.Config().Hosts[host].PeerAddress
 	}
@@ -150,6 +171,15 @@
 	return address, address != ""
 }
 
+// seededAddress returns the peer address of a host that is named by its IP address.
+func (d *Daemon) seededAddress(host string) string {
+	ip, err := netip.ParseAddr(host)
+	if err != nil {
+		return ""
+	}
+	return netip.AddrPortFrom(ip, netip.MustParseAddrPort(d.s.PeerAddress).Port()).String()
+}
+
 // dialer opens peer connections from the host's own address, so that the other side
 // and filters between hosts see which host connects.
 func (d *Daemon) dialer() func(ctx context.Context, address string) (net.Conn, error) {
@@ -188,6 +218,7 @@
 	d.client.OnConfig(func(c *config.Config) {
 		d.events.config(c)
 		d.pools.configChanged(c)
+		d.edge.configChanged(c)
 	})
 	d.client.OnLeases(func(held, all []wire.Lease) {
 		d.events.leases(held)
@@ -197,6 +228,7 @@
 	d.client.OnHosts(func(hosts []wire.HostStatus) {
 		d.events.hosts(hosts)
 		d.pools.hostsChanged(hosts)
+		d.edge.hostsChanged(hosts)
 	})
 }
 
@@ -243,6 +275,8 @@
 	g.Go(func() error { return d.router.Run(ctx) })
 	g.Go(func() error { return d.pools.run(ctx) })
 	g.Go(func() error { return d.platform.Run(ctx) })
+	g.Go(func() error { return d.edge.run(ctx) })
+	g.Go(func() error { return d.formFromSeeds(ctx) })
 	g.Go(func() error {
 		defer cancel()
 		return d.shutdown(leave, ctx)
--- /dev/null
+++ b/internal/dispatch/cost.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"time"
+
+	"marigoldshunt/internal/routing"
+)
+
+// Parameters of the cost in ms.
+const (
+	// readTokensPerMs is the speed at which engines read prompts when nothing else is
+	// known, a usual figure for a 70B model on one accelerator.
+	readTokensPerMs = 40.0
+	// slotMs is the time for which a running request holds its slot of a plain service,
+	// used to compare queues.
+	slotMs = 50.0
+	// remoteMs is added for another data centre: the round trip, and the price of the
+	// bytes between data centres.
+	remoteMs = 20.0
+	// failingMs is added for an instance whose answers all fail, in proportion below.
+	failingMs = 2_000.0
+	// suspectMs keeps an unreachable instance behind all others.
+	suspectMs = 60_000.0
+	// reportMaxAge is the age after which a load that an instance has told is ignored.
+	reportMaxAge = 400 * time.Millisecond
+)
+
+// cost estimates the time in ms until the instance would answer, with penalties.
+func (d *Dispatcher) cost(s *routing.Service, j *Job, x *instance, home bool, now time.Time) float64 {
+	c := x.failing.value(now) * failingMs
+	if now.Before(x.suspectUntil) {
+		c += suspectMs
+	}
+	if x.DataCentre != d.o.DataCentre {
+		c += remoteMs
+	}
+	if s.Engine != nil {
+		return c + d.engineCost(s, j, x, home, now)
+	}
+	return c + d.plainCost(x, now)
+}
+
+// plainCost is the wait for a slot of a plain service.
+func (d *Dispatcher) plainCost(x *instance, now time.Time) float64 {
+	busy := float64(x.running + d.peerRunning(x, now))
+	if x.report.fresh(now) {
+		busy = max(busy, float64(x.report.running+x.report.waiting))
+	}
+	slots := float64(max(x.Slots, 1))
+	if busy < slots {
+		return busy / slots * slotMs / 2
+	}
+	return (busy - slots + 1) / slots * slotMs * 2
+}
+
+// engineCost is the time until the first event: the prompts ahead, and what the engine
+// would have to read of this one.
+func (d *Dispatcher) engineCost(s *routing.Service, j *Job, x *instance, home bool, now time.Time) float64 {
+	ahead := x.reading + d.peerReading(x, now)
+	c := float64(ahead+x.missing(j, home, now)) / readTokensPerMs
+	running := x.running + d.peerRunning(x, now)
+	if slots := s.Engine.Slots; slots > 0 && running >= slots {
+		c += float64(running-slots+1) * slotMs
+	}
+	return c
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,229 @@
+// Package dispatch decides on one host which upstream instance a routed request goes to.
+//
+// Every host decides alone, from the list of instances, its own requests and the loads
+// that the other hosts report. Limits that hold over the whole fleet are divided among
+// the live hosts, so their sum never exceeds the limit. The package does no I/O and reads
+// no clock; times are passed in.
+package dispatch
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/routing"
+)
+
+// Part is one part of a prompt. Requests share parts; the last one is the request's own.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Job describes a request to the decision.
+type Job struct {
+	Service string
+	Parts   []Part
+	// InputTokens and OutputTokens are 0 for plain services.
+	InputTokens, OutputTokens int
+	// Objective is the time within which the answer, or its first event, is worth most.
+	Objective time.Duration
+	// Tried holds the instances that this request was sent to already.
+	Tried []catalog.Key
+	// Left is the time until the request must have its final answer.
+	Left time.Duration
+}
+
+// Options configure a Dispatcher.
+type Options struct {
+	Host       string
+	DataCentre string
+}
+
+// Dispatcher holds what one host knows of the instances. It is not safe for concurrent
+// use.
+type Dispatcher struct {
+	o         Options
+	services  map[string]*routing.Service
+	instances map[catalog.Key]*instance
+	byService map[string][]*instance
+	outDCs    map[string]bool
+	hosts     []string
+	repeats   map[string]*repeatBudget
+	// PeerLoads by host.
+	peers map[string]peerLoad
+}
+
+// New returns a Dispatcher without instances.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{
+		o: o, services: map[string]*routing.Service{}, instances: map[catalog.Key]*instance{},
+		byService: map[string][]*instance{}, outDCs: map[string]bool{}, hosts: []string{o.Host},
+		repeats: map[string]*repeatBudget{}, peers: map[string]peerLoad{},
+	}
+}
+
+// SetServices takes the services of a new routing document.
+func (d *Dispatcher) SetServices(services []routing.Service) {
+	d.services = map[string]*routing.Service{}
+	for i := range services {
+		d.services[services[i].Name] = &services[i]
+	}
+}
+
+// SetOut takes the data centres that are out of service.
+func (d *Dispatcher) SetOut(out map[string]bool) { d.outDCs = out }
+
+// SetHosts takes the hosts that share fleet-wide limits, this one included.
+func (d *Dispatcher) SetHosts(hosts []string) {
+	hosts = slices.Clone(hosts)
+	if !slices.Contains(hosts, d.o.Host) {
+		hosts = append(hosts, d.o.Host)
+	}
+	slices.Sort(hosts)
+	d.hosts = hosts
+}
+
+// Hosts returns the number of hosts that share fleet-wide limits.
+func (d *Dispatcher) Hosts() int { return len(d.hosts) }
+
+// SetInstances replaces the list of instances.
+func (d *Dispatcher) SetInstances(list []catalog.Instance, now time.Time) {
+	old := d.instances
+	first := len(old) == 0
+	d.instances, d.byService = map[catalog.Key]*instance{}, map[string][]*instance{}
+	for _, i := range list {
+		x := old[i.Key()]
+		if x == nil {
+			x = newInstance(i, now)
+			if s := d.services[i.Service]; s != nil && !first && i.ColdFor == 0 {
+				// The list may be older than the start of the instance.
+				x.coldUntil = now.Add(s.ColdFor)
+			}
+		}
+		x.Instance = i
+		if until := now.Add(i.ColdFor); i.ColdFor > 0 && until.After(x.coldUntil) {
+			x.coldUntil = until
+		}
+		d.instances[i.Key()] = x
+		d.byService[i.Service] = append(d.byService[i.Service], x)
+	}
+	for _, list := range d.byService {
+		slices.SortFunc(list, func(a, b *instance) int { return compareKeys(a.Key(), b.Key()) })
+	}
+}
+
+// SetCold notes that an instance has said how much longer it is cold.
+func (d *Dispatcher) SetCold(k catalog.Key, left time.Duration, now time.Time) {
+	if x := d.instances[k]; x != nil && left > 0 {
+		x.coldUntil = now.Add(left)
+	}
+}
+
+// Gone notes that another instance has taken the address of k.
+func (d *Dispatcher) Gone(k catalog.Key) {
+	if x := d.instances[k]; x != nil {
+		x.gone = true
+	}
+}
+
+// Pick selects an instance and counts the job there until Done. It returns a QueueFull
+// error with a delay when no instance can take the job now.
+func (d *Dispatcher) Pick(j *Job, now time.Time) (*Placement, error) {
+	s := d.services[j.Service]
+	if s == nil {
+		return nil, fault.New(fault.PoolUnknown, fault.NotRun, "service %q does not exist", j.Service)
+	}
+	home := d.home(s, j)
+	best, cost := d.best(s, j, home, now)
+	if best == nil {
+		return nil, fault.New(fault.QueueFull, fault.NotRun, "no instance of service %q can take the request now", j.Service).After(noInstanceDelay)
+	}
+	if limit := j.Left; cost > limit.Seconds()*1000 {
+		return nil, fault.New(fault.QueueFull, fault.NotRun, "all instances of service %q are busy", j.Service).After(
+			min(time.Duration(cost*float64(time.Millisecond))-limit+noInstanceDelay, maxRetryDelay))
+	}
+	return best.place(j, best == home, now), nil
+}
+
+// Delays that a refused caller is told.
+const (
+	// noInstanceDelay is the time in which the list or a suspicion usually changes.
+	noInstanceDelay = 300 * time.Millisecond
+	maxRetryDelay   = time.Second
+)
+
+// best returns the eligible instance with the least cost in ms.
+func (d *Dispatcher) best(s *routing.Service, j *Job, home *instance, now time.Time) (*instance, float64) {
+	var best *instance
+	bestCost := 0.0
+	for _, x := range d.byService[s.Name] {
+		if x.Draining || x.gone || d.outDCs[x.DataCentre] || slices.Contains(j.Tried, x.Key()) || !d.mayWarm(s, x, now) {
+			continue
+		}
+		c := d.cost(s, j, x, x == home, now)
+		if best == nil || c < bestCost {
+			best, bestCost = x, c
+		}
+	}
+	if best != nil && s.ColdPerSecond > 0 && now.Before(best.coldUntil) {
+		best.cold.spend(now)
+	}
+	return best, bestCost
+}
+
+// home returns the instance at which the shared parts of a prompt are expected, nil for
+// requests without shared parts.
+func (d *Dispatcher) home(s *routing.Service, j *Job) *instance {
+	if s.Engine == nil || len(j.Parts) < 2 {
+		return nil
+	}
+	var best *instance
+	var bestRank uint64
+	key := j.Parts[len(j.Parts)-2].ID
+	for _, x := range d.byService[s.Name] {
+		if x.Draining || x.gone || d.outDCs[x.DataCentre] {
+			continue
+		}
+		if r := rank(key, x.ID); best == nil || r > bestRank {
+			best, bestRank = x, r
+		}
+	}
+	return best
+}
+
+// rank orders instances by a hash of a prompt part (rendezvous hashing): all hosts agree
+// on it, and the loss of an instance moves only the parts that it had.
+func rank(part uint64, id string) uint64 {
+	h := fnv.New64a()
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(part >> (8 * i))
+	}
+	_, _ = h.Write(b[:])
+	_, _ = h.Write([]byte(id))
+	// FNV mixes its last bytes badly; this is the finaliser of MurmurHash3.
+	v := h.Sum64()
+	v ^= v >> 33
+	v *= 0xff51afd7ed558ccd
+	v ^= v >> 33
+	v *= 0xc4ceb9fe1a85ec53
+	return v ^ v>>33
+}
+
+func compareKeys(a, b catalog.Key) int {
+	switch {
+	case a.ID != b.ID:
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	case a.Born < b.Born:
+		return -1
+	case a.Born > b.Born:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/dispatch/peers.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"time"
+
+	"marigoldshunt/internal/catalog"
+)
+
+// peerMaxAge is the age after which the load that another host told is ignored.
+const peerMaxAge = time.Second
+
+// Load is what one host has under way at one instance.
+type Load struct {
+	ID      string
+	Born    int64
+	Running int
+	// Reading are the prompt tokens of requests without a first event.
+	Reading int
+}
+
+type peerLoad struct {
+	byInstance map[catalog.Key]Load
+	at         time.Time
+}
+
+// OwnLoads returns what this host has under way.
+func (d *Dispatcher) OwnLoads() []Load {
+	var out []Load
+	for k, x := range d.instances {
+		if x.running > 0 || x.reading > 0 {
+			out = append(out, Load{ID: k.ID, Born: k.Born, Running: x.running, Reading: x.reading})
+		}
+	}
+	return out
+}
+
+// SetPeerLoads takes what another host has under way.
+func (d *Dispatcher) SetPeerLoads(host string, loads []Load, now time.Time) {
+	p := peerLoad{byInstance: map[catalog.Key]Load{}, at: now}
+	for _, l := range loads {
+		p.byInstance[catalog.Key{ID: l.ID, Born: l.Born}] = l
+	}
+	d.peers[host] = p
+}
+
+func (d *Dispatcher) peerRunning(x *instance, now time.Time) (n int) {
+	for _, p := range d.peers {
+		if now.Sub(p.at) < peerMaxAge {
+			n += p.byInstance[x.Key()].Running
+		}
+	}
+	return n
+}
+
+func (d *Dispatcher) peerReading(x *instance, now time.Time) (n int) {
+	for _, p := range d.peers {
+		if now.Sub(p.at) < peerMaxAge {
+			n += p.byInstance[x.Key()].Reading
+		}
+	}
+	return n
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -54,7 +54,7 @@
 		if err == nil {
 			err = c.bw.Flush()
 		}
-		x.sent = c.sent > 0
+		x.sent = c.sent.Load() > 0
 		if err == nil {
 			return x, x.readHeader(req)
 		}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -6,20 +6,41 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"marigoldshunt/internal/fault"
 )
 
 // conn is one connection to an upstream, used by one call at a time.
 type conn struct {
 	net.Conn
-	br     *bufio.Reader
-	bw     *bufio.Writer
-	raw    syscall.RawConn
-	idle   time.Duration
-	sent   int64
+	br   *bufio.Reader
+	bw   *bufio.Writer
+	raw  syscall.RawConn
+	idle time.Duration
+	// sent is the number of bytes of the current request that the kernel accepted.
+	sent   atomic.Int64
 	since  time.Time
 	reused bool
+	// keep is how long the connection may stay unused, 0 for the pool's KeepIdle.
+	keep time.Duration
+	// closed is told of the first Close.
+	closed func()
+	once   sync.Once
+}
+
+// Close closes the connection; further calls do nothing.
+func (c *conn) Close() error {
+	err := net.ErrClosed
+	c.once.Do(func() {
+		err = c.Conn.Close()
+		if c.closed != nil {
+			c.closed()
+		}
+	})
+	return err
 }
 
 // Write writes with the idle timeout and counts the bytes that the kernel accepted.
@@ -28,7 +49,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
-	c.sent += int64(n)
+	c.sent.Add(int64(n))
 	return n, err
 }
 
@@ -57,9 +78,11 @@
 
 // pool keeps unused connections by address.
 type pool struct {
-	o      *Options
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	o    *Options
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// open counts the connections made by Forward, by address.
+	open   map[string]int
 	swept  time.Time
 	closed bool
 }
@@ -76,19 +99,61 @@
 		c := list[len(list)-1]
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
-		if p.o.Now().Sub(c.since) < p.o.KeepIdle && c.usable() {
-			c.sent, c.reused = 0, true
+		if p.fresh(c, p.o.Now()) && c.usable() {
+			c.sent.Store(0)
+			c.reused = true
 			return c
 		}
 		c.Close()
 	}
 }
 
+// sweepInterval is the least time between two sweeps over the unused connections.
+const sweepInterval = time.Second
+
+// fresh says whether an unused connection is younger than its upstream's idle time.
+func (p *pool) fresh(c *conn, now time.Time) bool {
+	keep := p.o.KeepIdle
+	if c.keep > 0 {
+		keep = min(keep, c.keep)
+	}
+	return now.Sub(c.since) < keep
+}
+
+// dialCounted opens a connection that counts against limit until it is closed. With a
+// limit of 0 there is none. It returns QueueFull when the limit is reached.
+func (p *pool) dialCounted(ctx context.Context, address string, limit int) (*conn, error) {
+	p.mu.Lock()
+	if limit > 0 && p.open[address] >= limit {
+		p.mu.Unlock()
+		return nil, fault.New(fault.QueueFull, fault.NotRun, "all %d connections to upstream %s are in use", limit, address)
+	}
+	p.open[address]++
+	p.mu.Unlock()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		p.release(address)
+		return nil, fault.Wrap(err, fault.UpstreamFailed, fault.NotRun, "no connection to upstream %s", address)
+	}
+	c.closed = func() { p.release(address) }
+	return c, nil
+}
+
+func (p *pool) release(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
 // put keeps c for a later call, or closes it.
 func (p *pool) put(address string, c *conn) {
 	c.since = p.o.Now()
+	for _, old := range p.sweep(c.since) {
+		old.Close()
+	}
 	p.mu.Lock()
-	p.sweepLocked(c.since)
 	if p.closed || len(p.idle[address]) >= p.o.MaxIdlePerAddress {
 		p.mu.Unlock()
 		c.Close()
@@ -98,26 +163,29 @@
 	p.mu.Unlock()
 }
 
-// sweepLocked closes connections that were unused for too long, also to upstreams that
-// get no calls any more.
-func (p *pool) sweepLocked(now time.Time) {
-	if now.Sub(p.swept) < p.o.KeepIdle {
-		return
+// sweep removes and returns connections that were unused for too long, also to upstreams
+// that get no calls any more.
+func (p *pool) sweep(now time.Time) (old []*conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.swept) < sweepInterval {
+		return nil
 	}
 	p.swept = now
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.since) < p.o.KeepIdle {
+			if p.fresh(c, now) {
 				kept = append(kept, c)
-				continue
+			} else {
+				old = append(old, c)
 			}
-			c.Close()
 		}
 		if p.idle[address] = kept; len(kept) == 0 {
 			delete(p.idle, address)
 		}
 	}
+	return old
 }
 
 // dial opens a connection within the connect timeout.
@@ -139,12 +207,13 @@
 
 func (p *pool) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
-	for _, list := range p.idle {
+	idle := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	for _, list := range idle {
 		for _, c := range list {
 			c.Close()
 		}
 	}
-	p.idle = map[string][]*conn{}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -161,7 +161,7 @@
 		o.Now = time.Now
 	}
 	c := &Client{o: o}
-	c.pool = &pool{o: &c.o, idle: map[string][]*conn{}}
+	c.pool = &pool{o: &c.o, idle: map[string][]*conn{}, open: map[string]int{}}
 	return c
 }
 
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,160 @@
+// Package gateway serves the callers of routed services: it finds the route of a request,
+// checks the caller, has an upstream instance chosen and passes request and answer on.
+//
+// The server is the standard library's. Unlike the one of the pool interface it reads the
+// connection while a request is served, which is how a caller that leaves is noticed, and
+// it sends each event of a stream at once.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/engine"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/routing"
+)
+
+// View is what a host knows of the configuration at one moment.
+type View struct {
+	// Table is nil before the first routing document.
+	Table *routing.Table
+	// Age is the time since the control group last confirmed the configuration.
+	Age time.Duration
+	// Leaving is true once the host shuts down.
+	Leaving bool
+}
+
+// Forwarder sends requests to upstreams.
+type Forwarder interface {
+	Forward(ctx context.Context, r *engine.ForwardRequest) (*engine.Forwarded, error)
+}
+
+// Options configure a Server.
+type Options struct {
+	View     func() View
+	Dialect  Dialect
+	Forward  Forwarder
+	Dispatch *Dispatch
+	// MaxConfigAge is the age of the configuration from which requests are refused.
+	MaxConfigAge time.Duration
+	// HeaderBytes and ReadTimeout bound the header and the body of a request.
+	HeaderBytes int
+	ReadTimeout time.Duration
+	Log         logrus.FieldLogger
+	Registry    metrics.Registry
+}
+
+// defaultBodyBytes bounds bodies where the routing document states no limit.
+const defaultBodyBytes = 4 << 20
+
+// Server serves the callers of routed services.
+type Server struct {
+	o       Options
+	http    *http.Server
+	log     logrus.FieldLogger
+	idle    idleConns
+	running atomic.Int64
+	// refusing is set near the end of a shutdown.
+	refusing atomic.Bool
+	random   struct {
+		sync.Mutex
+		*rand.Rand
+	}
+}
+
+// New returns a Server.
+func New(o Options) *Server {
+	s := &Server{o: o, log: o.Log}
+	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
+	s.idle.since = map[net.Conn]time.Time{}
+	s.http = &http.Server{
+		Handler: s, ReadHeaderTimeout: o.ReadTimeout, ReadTimeout: 0, MaxHeaderBytes: o.HeaderBytes,
+		ConnState: s.idle.changed,
+		// Broken requests of callers are answered by the server and need no line each.
+		ErrorLog:    log.New(io.Discard, "", 0),
+		BaseContext: func(net.Listener) context.Context { return context.Background() },
+	}
+	return s
+}
+
+// Serve serves connections of ln until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	err := s.http.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fault.Wrap(err, fault.Internal, "", "serve callers on %s", ln.Addr())
+}
+
+// Running returns the number of requests being served.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
+// Refuse makes the server refuse further requests.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
+// Shutdown stops accepting and waits for running requests until ctx ends; then it closes
+// all connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.log.WithField("running", s.Running()).Warn("Running requests were ended early.")
+		return s.http.Close()
+	}
+	return nil
+}
+
+// CloseIdle closes connections that callers have not used for longer than the routing
+// document allows.
+func (s *Server) CloseIdle(now time.Time) {
+	if t := s.o.View().Table; t != nil && t.Document.Limits.IdleTimeout > 0 {
+		s.idle.closeOlder(now.Add(-t.Document.Limits.IdleTimeout))
+	}
+}
+
+func (s *Server) randomPoint() float64 {
+	s.random.Lock()
+	defer s.random.Unlock()
+	return s.random.Float64()
+}
+
+func (s *Server) count(name string) {
+	metrics.GetOrRegisterCounter("gateway."+name, s.o.Registry).Inc(1)
+}
+
+// idleConns remembers since when callers' connections are unused.
+type idleConns struct {
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+func (i *idleConns) changed(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if state == http.StateIdle {
+		i.since[c] = time.Now()
+		return
+	}
+	delete(i.since, c)
+}
+
+func (i *idleConns) closeOlder(limit time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, since := range i.since {
+		if since.Before(limit) {
+			c.Close()
+			delete(i.since, c)
+		}
+	}
+}
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -22,7 +22,7 @@
 	testscript.Main(m, map[string]func(){
 		"marigoldshuntd": func() {
 			exitWithParent()
-			os.Exit(daemon.Main(os.Args[1:]))
+			os.Exit(daemon.Main(os.Args[1:], nil))
 		},
 		"upstream-emulator": func() {
 			exitWithParent()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -63,6 +63,9 @@
 			ReadTimeout:    c.duration("caller_limits.read_timeout", f.CallerLimits.ReadTimeout, maxReadTimeout),
 		},
 	}
+	s.FormGroup = f.FormGroup
+	s.ControlSeeds = c.seeds(f.ControlSeeds)
+	s.Edge = c.edge(f.Edge)
 	for _, h := range f.ControlHosts {
 		s.ControlHosts = append(s.ControlHosts, ControlHost{Name: h.Name, Address: h.Address})
 	}
@@ -116,7 +119,75 @@
 	}
 }
 
+// seeds reads the addresses of hosts that may know the control group.
+func (c *checker) seeds(list []string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, v := range list {
+		if c.address("control_seeds", v); c.err != nil {
+			return nil
+		}
+		out = append(out, netip.MustParseAddrPort(v))
+	}
+	return out
+}
+
+// seededHost checks that a host without listed control hosts can be found by its name.
+func (c *checker) seededHost(s *Settings) {
+	if len(s.ControlHosts) > 0 {
+		c.refuse("control_hosts", "must be empty, because control_seeds is set")
+	}
+	mine := netip.MustParseAddrPort(s.PeerAddress).Addr()
+	if s.Host != mine.String() {
+		c.refuse("host", "%q is not the address %s of peer_address, by which control_seeds finds hosts", s.Host, mine)
+	}
+}
+
+const (
+	// defaultConfigMaxAge is used where the settings name no other.
+	defaultConfigMaxAge = 3500 * time.Millisecond
+	maxConfigMaxAge     = time.Minute
+	defaultListRate     = 10
+	maxListRate         = 10_000
+)
+
+func (c *checker) edge(f *fileEdge) *Edge {
+	if f == nil {
+		return nil
+	}
+	if f.ConfigMaxAge == 0 {
+		f.ConfigMaxAge = duration(defaultConfigMaxAge)
+	}
+	if f.UpstreamListRate == 0 {
+		f.UpstreamListRate = defaultListRate
+	}
+	if !(f.UpstreamListRate > 0 && f.UpstreamListRate <= maxListRate) {
+		c.refuse("edge.upstream_list_rate", "%v is not above 0 and at most %v", f.UpstreamListRate, maxListRate)
+	}
+	optional := func(key, v string) string {
+		if v == "" {
+			return v
+		}
+		return c.address(key, v)
+	}
+	return &Edge{
+		GatewayAddress:   c.address("edge.gateway_address", f.GatewayAddress),
+		DiscoveryAddress: optional("edge.discovery_address", f.DiscoveryAddress),
+		ReadinessAddress: optional("edge.readiness_address", f.ReadinessAddress),
+		OperatorAddress:  optional("edge.operator_address", f.OperatorAddress),
+		UpstreamList:     c.address("edge.upstream_list", f.UpstreamList),
+		UpstreamListRate: f.UpstreamListRate,
+		ConfigMaxAge:     c.duration("edge.config_max_age", f.ConfigMaxAge, maxConfigMaxAge),
+	}
+}
+
 func (c *checker) controlHosts(s *Settings) {
+	if len(s.ControlSeeds) > 0 {
+		c.seededHost(s)
+		return
+	}
+	if s.FormGroup {
+		c.refuse("form_group", "needs control_seeds")
+	}
 	if n := len(s.ControlHosts); n == 0 || n > maxControlHosts {
 		c.refuse("control_hosts", "%d control hosts; between 1 and %d are allowed", n, maxControlHosts)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -77,6 +78,31 @@
 	// PlatformHosts is the file or URL of the platform's host list; empty for none.
 	PlatformHosts string
 	CallerLimits  CallerLimits
+	// ControlSeeds are addresses of hosts that may know the control group. They stand in
+	// place of ControlHosts: hosts are then named by their IP address, all of them use the
+	// same peer port, and the group forms, repairs and grows by itself.
+	ControlSeeds []netip.AddrPort
+	// FormGroup lets the hosts of ControlSeeds form a new group when their data folders
+	// are empty.
+	FormGroup bool
+	// Edge is nil on hosts that serve no routed services.
+	Edge *Edge
+}
+
+// Edge are the interfaces of routed services. Addresses are IP:port; an empty one is not
+// served.
+type Edge struct {
+	GatewayAddress   string
+	DiscoveryAddress string
+	ReadinessAddress string
+	OperatorAddress  string
+	// UpstreamList is the address at which the installation publishes its instances.
+	UpstreamList string
+	// UpstreamListRate is the number of calls per second that all hosts together may make
+	// to it.
+	UpstreamListRate float64
+	// ConfigMaxAge is how long a host serves without confirmation of its configuration.
+	ConfigMaxAge time.Duration
 }
 
 // file is the form of the settings file.
@@ -103,6 +129,19 @@
 		HeaderBytes    int      `toml:"header_bytes"`
 		ReadTimeout    duration `toml:"read_timeout"`
 	} `toml:"caller_limits"`
+	ControlSeeds []string  `toml:"control_seeds"`
+	FormGroup    bool      `toml:"form_group"`
+	Edge         *fileEdge `toml:"edge"`
+}
+
+type fileEdge struct {
+	GatewayAddress   string   `toml:"gateway_address"`
+	DiscoveryAddress string   `toml:"discovery_address"`
+	ReadinessAddress string   `toml:"readiness_address"`
+	OperatorAddress  string   `toml:"operator_address"`
+	UpstreamList     string   `toml:"upstream_list"`
+	UpstreamListRate float64  `toml:"upstream_list_rate"`
+	ConfigMaxAge     duration `toml:"config_max_age"`
 }
 
 // duration is a time with a unit, such as "30s". A number without a unit is refused.
