Keep the document in force when an older one arrives late

Cause: a document that a higher version had overtaken was recorded as a change and marked the newer one as superseded in later deltas.

Ruled out: a stale leader that confirms its own reads; the trace shows the newest revision with the older content. Change: only a document that came into force supersedes others; one that did not is recorded without content. TestRoutingDeltaHoldsOneDocument failed before (the follower ended at version 7 instead of 50).

--- a/internal/state/routing_test.go
+++ b/internal/state/routing_test.go
@@ -58,6 +58,8 @@
 	for v := range uint64(50) {
 		c.Assert(s.Apply(v+1, routingCommand(c, fmt.Sprint(v), v+1, time.Second)).Code, qt.Equals, fault.Code(""))
 	}
+	// An older document that arrives late changes nothing on any host.
+	c.Assert(s.Apply(51, routingCommand(c, "late", 7, time.Second)).Code, qt.Equals, fault.Code(""))
 	d, ok := s.Delta(0)
 	c.Assert(ok, qt.IsTrue)
 	whole := 0
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -176,10 +176,14 @@
 	if err != nil {
 		return failed(err)
 	}
+	replaced := next.Routing != s.config.Routing
 	s.config = next
 	for _, ch := range c.Changes {
-		if ch.Routing != nil {
+		switch {
+		case ch.Routing != nil && replaced:
 			s.supersedeRouting()
+		case ch.Routing != nil:
+			ch = supersededRouting(ch.Routing)
 		}
 		s.recent = append(s.recent, config.Applied{Revision: next.Revision, Change: ch})
 	}
@@ -201,12 +205,17 @@
 			continue
 		}
 		if !r.Superseded {
-			s.recent[i].Change = config.Change{Routing: &config.Routing{Version: r.Version, Superseded: true}}
+			s.recent[i].Change = supersededRouting(r)
 		}
 		return
 	}
 }
 
+// supersededRouting stands for a document that is not in force, in deltas.
+func supersededRouting(r *config.Routing) config.Change {
+	return config.Change{Routing: &config.Routing{Version: r.Version, Superseded: true}}
+}
+
 // maxRecent is the number of changes kept for deltas: 3,100 changes a day cover more
 // than a day, so that only hosts with an empty memory need a whole configuration.
 const maxRecent = 4_096
