Leave without cutting requests, reopen the data folder, follow changed seeds

A full disk ended the control role until the next restart. SIGHUP ended the process.

Change: a leaving host is not ready at once, serves callers that still hold its address for three tenths of the grace time, then closes its listener and waits for running requests. A failed data folder is opened again every half second. The settings file is read again on SIGHUP and when its content changes; new seeds take effect at once. Hosts without a control role redirect to the presumed leader.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -252,6 +252,13 @@
 	}
 }
 
+// SetControlHosts replaces the hosts of the settings through which the group is found.
+func (c *Client) SetControlHosts(hosts []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.o.ControlHosts = hosts
+}
+
 // Membership returns the host that is presumed to lead, whether the voters of the group are
 // known, and whether this host is among them.
 func (c *Client) Membership() (leader string, known, listed bool) {
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -67,7 +67,11 @@
 	log.SetLevel(s.LogLevel)
 	leave, abort, stop := signals()
 	defer stop()
-	return New(Options{Settings: s, Log: log, Version: version, Adapter: adapter}).Run(leave, abort)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	return New(Options{
+		Settings: s, SettingsPath: f.settings, Reload: hup, Log: log, Version: version, Adapter: adapter,
+	}).Run(leave, abort)
 }
 
 func parseFlags(args []string) (flags, error) {
@@ -143,8 +147,6 @@
 // signals returns a context that ends with the first SIGTERM or SIGINT and one that
 // ends with the second.
 func signals() (leave, abort context.Context, stop func()) {
-	// SIGHUP says that the settings file has changed; the daemon reads it again by itself.
-	signal.Ignore(syscall.SIGHUP)
 	ch := make(chan os.Signal, 2)
 	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
 	leave, cancelLeave := context.WithCancel(context.Background())
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"sync/atomic"
 	"time"
 
 	"marigoldshunt/internal/control"
@@ -14,13 +15,19 @@
 	"marigoldshunt/internal/wire"
 )
 
-// controlRole is the host's part in the replicated log. On a host without a data folder
-// and after a storage failure its node is nil; the host goes on as a router.
+// reopenInterval is the time between two attempts to open the data folder after a storage
+// failure, such as a full disk.
+const reopenInterval = 500 * time.Millisecond
+
+// controlRole is the host's part in the replicated log. It has no node on a host without
+// a data folder and while the storage fails; the host then goes on as a router.
 type controlRole struct {
-	d       *Daemon
-	log     *wal.Log
-	node    *control.Node
-	failure error
+	d    *Daemon
+	node atomic.Pointer[control.Node]
+	// failure is why the last attempt to open the data folder failed.
+	failure atomic.Pointer[fault.Error]
+	// log belongs to the goroutine of run once that has begun.
+	log *wal.Log
 }
 
 func (d *Daemon) newControlRole() *controlRole {
@@ -29,13 +36,19 @@
 		return r
 	}
 	if err := r.open(); err != nil {
-		r.failure = err
-		d.part("control").WithError(err).Error("Control role stopped.")
-		d.timeline.Add("control", "storage_failed", "code", string(fault.CodeOf(err)))
+		r.fail(err)
 	}
 	return r
 }
 
+// fail notes that the role has stopped.
+func (r *controlRole) fail(err error) {
+	r.node.Store(nil)
+	r.failure.Store(fault.As(err))
+	r.d.part("control").WithError(err).Error("Control role stopped.")
+	r.d.timeline.Add("control", "storage_failed", "code", string(fault.CodeOf(err)))
+}
+
 func (r *controlRole) open() error {
 	log, restored, err := wal.Open(r.d.s.DataFolder, wal.Options{})
 	if err != nil {
@@ -51,7 +64,9 @@
 		log.Close()
 		return err
 	}
-	r.log, r.node = log, node
+	r.log = log
+	r.failure.Store(nil)
+	r.node.Store(node)
 	return nil
 }
 
@@ -66,34 +81,97 @@
 // connect routes messages of the control group to the node. Chunks of large messages go
 // to node and client; each drops those that it did not ask for.
 func (r *controlRole) connect(p *peer.Node, c *control.Client) {
-	if r.node == nil {
-		return
+	toNode := func(from string, boot uint64, kind wire.Kind, payload []byte) {
+		if n := r.node.Load(); n != nil {
+			n.Handle(from, boot, kind, payload)
+			return
+		}
+		r.redirect(from, kind, payload)
 	}
 	for _, k := range control.NodeKinds {
-		p.Handle(k, r.node.Handle)
+		p.Handle(k, toNode)
 	}
 	p.Handle(wire.KindSnapshotChunk, func(from string, boot uint64, kind wire.Kind, payload []byte) {
-		r.node.Handle(from, boot, kind, payload)
+		toNode(from, boot, kind, payload)
 		c.Handle(from, boot, kind, payload)
 	})
 }
 
-// run works until ctx ends. A storage failure ends the control role but not the host.
+// redirect sends hosts that take this one for a control host to the presumed leader, so
+// that a host finds the group through any other.
+func (r *controlRole) redirect(from string, kind wire.Kind, payload []byte) {
+	var answer any
+	var answerKind wire.Kind
+	switch kind {
+	case wire.KindRenew:
+		var m wire.Renew
+		if wire.Unmarshal(payload, &m) != nil {
+			return
+		}
+		answerKind, answer = wire.KindRenewAck, wire.RenewAck{Seq: m.Seq, NotLeader: true, Leader: r.otherLeader()}
+	case wire.KindPropose:
+		var m wire.Propose
+		if wire.Unmarshal(payload, &m) != nil {
+			return
+		}
+		answerKind, answer = wire.KindProposeAck, wire.ProposeAck{Seq: m.Seq, NotLeader: true, Leader: r.otherLeader()}
+	default:
+		return
+	}
+	if err := r.d.peers.Send(from, answerKind, answer); err != nil {
+		r.d.part("control").WithError(err).WithField("to", from).Debug("Redirect not sent.")
+	}
+}
+
+// otherLeader is the presumed leader, empty if that is this host, which does not lead.
+func (r *controlRole) otherLeader() string {
+	if leader := r.d.client.Leader(); leader != r.d.s.Host {
+		return leader
+	}
+	return ""
+}
+
+// run works until ctx ends. A storage failure ends the control role but not the host;
+// the data folder is opened again until that succeeds.
 func (r *controlRole) run(ctx context.Context) error {
-	if r.node == nil {
-		return nil
+	for r.d.s.DataFolder != "" && ctx.Err() == nil {
+		if n := r.node.Load(); n != nil {
+			err := n.Run(ctx)
+			if err == nil || ctx.Err() != nil {
+				return nil
+			}
+			r.fail(err)
+			r.close()
+		}
+		wait(ctx, reopenInterval)
+		if fault.CodeOf(r.lastFailure()) == fault.StorageCorrupt {
+			// Trying again can't help, and the data stays as it is for an operator.
+			return nil
+		}
+		if err := r.open(); err != nil {
+			r.failure.Store(fault.As(err))
+			continue
+		}
+		r.d.part("control").Info("Control role runs again.")
 	}
-	if err := r.node.Run(ctx); err != nil && ctx.Err() == nil {
-		r.d.part("control").WithError(err).Error("Control role stopped.")
-		r.d.timeline.Add("control", "storage_failed", "code", string(fault.CodeOf(err)))
+	return nil
+}
+
+func (r *controlRole) lastFailure() error {
+	if f := r.failure.Load(); f != nil {
+		return f
 	}
 	return nil
 }
 
 func (r *controlRole) close() {
-	if r.log != nil {
-		r.log.Close()
+	if r.log == nil {
+		return
+	}
+	if err := r.log.Close(); err != nil {
+		r.d.part("control").WithError(err).Warn("Log not closed.")
 	}
+	r.log = nil
 }
 
 // orderSender gives committed orders to upstreams.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -38,8 +39,12 @@
 // Options configures a Daemon. Only Settings is required.
 type Options struct {
 	Settings *settings.Settings
-	Log      *logrus.Logger
-	Version  string
+	// SettingsPath is the file that is read again when it changes; empty for none.
+	SettingsPath string
+	// Reload asks for the settings file at once.
+	Reload  <-chan os.Signal
+	Log     *logrus.Logger
+	Version string
 	// Dial opens peer connections; nil means TCP from the host's own peer address.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// PeerAddress maps a host's configured peer address; nil means the address itself.
@@ -277,6 +282,7 @@
 	g.Go(func() error { return d.platform.Run(ctx) })
 	g.Go(func() error { return d.edge.run(ctx) })
 	g.Go(func() error { return d.formFromSeeds(ctx) })
+	g.Go(func() error { return d.followSettings(ctx) })
 	g.Go(func() error {
 		defer cancel()
 		return d.shutdown(leave, ctx)
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -198,6 +198,26 @@
 	return ignoreClosed(ctx, s.Serve(ln))
 }
 
+// Parts of the shutdown deadline.
+const (
+	// acceptShare is the part in which callers that still hold the address may connect.
+	acceptShare = 0.3
+	// exitMargin is left for the end of the process.
+	exitMargin = 600 * time.Millisecond
+)
+
+// leave serves callers that still hold the address, then lets running requests end.
+func (e *edgeRole) leave(ctx context.Context) {
+	end := time.Now().Add(e.d.s.ShutdownDeadline - exitMargin)
+	accept := time.Duration(float64(e.d.s.ShutdownDeadline) * acceptShare)
+	wait(ctx, accept)
+	limit, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	if err := e.gateway.Shutdown(limit); err != nil {
+		e.log.WithError(err).Warn("Connections of callers not closed.")
+	}
+}
+
 // Ready implements edge.Fleet.
 func (e *edgeRole) Ready() bool {
 	v := e.view()
--- a/internal/daemon/form.go
+++ b/internal/daemon/form.go
@@ -19,7 +19,8 @@
 // All seeds run it with the same request, so that it does not matter who is first.
 func (d *Daemon) formFromSeeds(ctx context.Context) error {
 	seeds := controlHosts(d.s)
-	if !d.s.FormGroup || d.role.node == nil || !slices.Contains(seeds, d.s.Host) {
+	node := d.role.node.Load()
+	if !d.s.FormGroup || node == nil || !slices.Contains(seeds, d.s.Host) {
 		return nil
 	}
 	slices.Sort(seeds)
@@ -30,7 +31,7 @@
 	}
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, formAttempt)
-		err := d.role.node.Form(attempt, request, seeds)
+		err := node.Form(attempt, request, seeds)
 		cancel()
 		switch fault.CodeOf(err) {
 		case "":
--- a/internal/daemon/inspect.go
+++ b/internal/daemon/inspect.go
@@ -26,10 +26,10 @@
 
 // Control returns the state of the control role; ok is false on a host without one.
 func (d *Daemon) Control() (st control.Status, ok bool) {
-	if d.role.node == nil {
+	if d.role.node.Load() == nil {
 		return st, false
 	}
-	return d.role.node.Status(), true
+	return d.role.node.Load().Status(), true
 }
 
 // Form creates the control group on the given hosts. It is repeatable after a Timeout.
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -26,23 +26,25 @@
 
 // Init implements admin.Controller.
 func (a operatorActions) Init(ctx context.Context, hosts []string) error {
-	if a.d.role.node == nil {
+	node := a.d.role.node.Load()
+	if node == nil {
 		return a.noRole()
 	}
-	return a.d.role.node.Form(ctx, uuid.NewString(), hosts)
+	return node.Form(ctx, uuid.NewString(), hosts)
 }
 
 // Replace implements admin.Controller. The new replica is on the same host.
 func (a operatorActions) Replace(ctx context.Context, host string) error {
-	if a.d.role.node == nil {
+	node := a.d.role.node.Load()
+	if node == nil {
 		return a.noRole()
 	}
-	return a.d.role.node.Replace(ctx, uuid.NewString(), host, host)
+	return node.Replace(ctx, uuid.NewString(), host, host)
 }
 
 func (a operatorActions) noRole() error {
-	if a.d.role.failure != nil {
-		return a.d.role.failure
+	if f := a.d.role.failure.Load(); f != nil {
+		return f
 	}
 	return fault.New(fault.NotLeader, fault.NotRun, "host %s has no control role", a.d.s.Host)
 }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -25,7 +25,11 @@
 	d.log.Info("Host leaves.")
 	d.timeline.Add("daemon", "leaving")
 	d.client.SetLeaving()
-	wait(limit, announceTime+d.client.Config().Policy.KeepFor)
+	if d.edge.s != nil {
+		d.edge.leave(limit)
+	} else {
+		wait(limit, announceTime+d.client.Config().Policy.KeepFor)
+	}
 	d.closeServers(limit)
 	d.timeline.Add("daemon", "stopped")
 	return nil
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -34,8 +34,8 @@
 	for _, s := range st.Schedulers {
 		st.Pools = append(st.Pools, poolStatus(s))
 	}
-	if d.role.node != nil {
-		n := d.role.node.Status()
+	if node := d.role.node.Load(); node != nil {
+		n := node.Status()
 		st.Syncs, st.Claims = n.Syncs, n.Claims
 	}
 	return st
@@ -62,13 +62,15 @@
 }
 
 func (r *controlRole) status() *admin.ControlStatus {
-	if r.node == nil {
-		if r.failure == nil {
+	node := r.node.Load()
+	if node == nil {
+		f := r.failure.Load()
+		if f == nil {
 			return nil
 		}
-		return &admin.ControlStatus{Role: "stopped", Failure: r.failure.Error()}
+		return &admin.ControlStatus{Role: "stopped", Failure: f.Error()}
 	}
-	n := r.node.Status()
+	n := node.Status()
 	st := &admin.ControlStatus{
 		Formed: n.Formed, Role: n.Role, Replica: n.Replica, Term: n.Term,
 		Commit: n.Commit, Applied: n.Applied, Failure: n.Failure,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,9 +66,7 @@
 	log     logrus.FieldLogger
 	idle    idleConns
 	running atomic.Int64
-	// refusing is set near the end of a shutdown.
-	refusing atomic.Bool
-	random   struct {
+	random  struct {
 		sync.Mutex
 		*rand.Rand
 	}
@@ -101,9 +99,6 @@
 // Running returns the number of requests being served.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
-// Refuse makes the server refuse further requests.
-func (s *Server) Refuse() { s.refusing.Store(true) }
-
 // Shutdown stops accepting and waits for running requests until ctx ends; then it closes
 // all connections.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -66,8 +66,6 @@
 		q.w.Header().Set("Connection", "close")
 	}
 	switch {
-	case q.s.refusing.Load():
-		return fault.New(fault.HostLeaving, fault.NotRun, "the host is leaving").After(retrySoon)
 	case v.Table == nil:
 		return fault.New(fault.HostIsolated, fault.NotRun, "the host has no routing document yet").After(retrySoon)
 	case v.Age > q.s.o.MaxConfigAge:
