Tell seeds who leads, and test the repair of the control group

Change: a control host finds its group through the members in its log, and the leader announces itself to seeds that it does not hear. A silent voter leaves a group of even size without waiting for a learner: the new host may have been promoted before the silence was long enough, which left four voters with one of them lost.

Ruled out: keeping the voters on disk at hosts without a data folder; they have none.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -175,6 +175,8 @@
 		c.onRenewAck(e)
 	case wire.KindProposeAck:
 		c.onProposeAck(e)
+	case wire.KindLeader:
+		c.onLeader(e)
 	case wire.KindSnapshotChunk:
 		c.onChunk(e)
 	default:
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// onLeader follows the announcement of a leader while no leader answers.
+func (c *Client) onLeader(e event) {
+	var m wire.Leader
+	if wire.Unmarshal(e.payload, &m) != nil || c.target == m.Host {
+		return
+	}
+	if c.unanswered > 0 || !c.confirmed || c.now-c.confirmedAt > 2*RenewInterval {
+		c.target, c.unanswered, c.renewNow = m.Host, 0, true
+	}
+}
+
 // controlHosts lists the voters that the last leader named and then the hosts of the
 // settings, which may be out of date.
 func (c *Client) controlHosts() []string {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -38,6 +38,9 @@
 	// SnapshotEntries is the number of entries between snapshots; 0 means 4,096.
 	SnapshotEntries uint64
 	Log             logrus.FieldLogger
+	// Seeds lists the hosts of the settings. A leader tells those that it does not hear
+	// who leads, since they may be asked by hosts that know no other; nil means none.
+	Seeds func() []string
 
 	// spawn starts a function that may block; nil means a goroutine. Tests replace it.
 	spawn func(func())
@@ -125,6 +128,8 @@
 	// ask to be members.
 	heard   map[raft.ReplicaID]time.Duration
 	joining map[string]joinRequest
+	// announced is when the seeds were last told who leads.
+	announced time.Duration
 }
 
 // NewNode returns a node with the restored state. It returns the error of the restored
@@ -277,6 +282,7 @@
 		n.sendOrders()
 		n.tickReplace()
 		n.tickRepair()
+		n.announce()
 	}
 }
 
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -108,5 +108,5 @@
 // On a control host both get every KindSnapshotChunk and ignore what is not theirs.
 var (
 	NodeKinds   = []wire.Kind{wire.KindRaft, wire.KindRenew, wire.KindPropose, wire.KindForm, wire.KindFormAck, wire.KindSnapshotChunk}
-	ClientKinds = []wire.Kind{wire.KindRenewAck, wire.KindProposeAck, wire.KindSnapshotChunk}
+	ClientKinds = []wire.Kind{wire.KindRenewAck, wire.KindProposeAck, wire.KindLeader, wire.KindSnapshotChunk}
 )
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -46,6 +46,23 @@
 	n.send(leader, wire.KindForm, wire.Form{Op: wire.FormJoin, Replica: uint64(n.o.Storage.ReplicaID())})
 }
 
+// announceInterval is the time between two announcements to seeds that are not heard.
+const announceInterval = 500 * time.Millisecond
+
+// announce tells the seeds that have not sent a Renew lately who leads. After a restart of
+// the whole fleet with changed seeds nobody else could tell them.
+func (n *Node) announce() {
+	if n.o.Seeds == nil || n.now-n.lead.announced < announceInterval {
+		return
+	}
+	n.lead.announced = n.now
+	for _, host := range n.o.Seeds() {
+		if k := n.lead.known[host]; host != n.o.Host && (k == nil || n.now-k.heard > LeaseDuration) {
+			n.send(host, wire.KindLeader, wire.Leader{Host: n.o.Host})
+		}
+	}
+}
+
 // onJoin notes a request to join on the leader.
 func (n *Node) onJoin(from string, m wire.Form) {
 	if !n.leading() || m.Replica == 0 || len(n.lead.joining) >= maxVoters {
@@ -97,8 +114,9 @@
 //
 // A replica whose host reports another identity has lost its disk and is removed first,
 // which leaves the majority no larger than before. A caught-up learner takes the place of
-// an unreachable voter, if there is one; without a learner nobody is removed, so that a
-// mere cut does not shrink the group.
+// an unreachable voter, if there is one. Without a learner an unreachable voter leaves
+// only a group of an even number of at least four, which bears no fewer losses without
+// it; so a mere cut does not weaken the group.
 func (n *Node) repairedMembers(s raft.Status) (next []raft.Member, why string) {
 	voters := 0
 	for _, m := range s.Members {
@@ -128,6 +146,9 @@
 			return next, "the learner holds the log"
 		}
 	}
+	if lost := n.unreachableVoter(s.Members); lost >= 0 && voters >= 4 && voters%2 == 0 {
+		return slices.Delete(slices.Clone(s.Members), lost, lost+1), "a voter of a group of even size is unreachable"
+	}
 	for host, j := range n.lead.joining {
 		if !slices.ContainsFunc(s.Members, func(m raft.Member) bool { return m.ID == j.replica || m.Host == host }) {
 			return append(slices.Clone(s.Members), raft.Member{ID: j.replica, Host: host, Learner: true}), "a replica joins"
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -92,6 +92,8 @@
 	drop func(packet) bool
 	// delay is the time that a message to another host takes; nil means none.
 	delay func() time.Duration
+	// seeds, if set, are the hosts of the settings; the group then repairs itself.
+	seeds []string
 	// check runs after each delivery and each tick.
 	check  func()
 	ledger map[string][]span
@@ -150,9 +152,19 @@
 	if spawn == nil {
 		spawn = func(f func()) { f() }
 	}
-	n, err := NewNode(NodeOptions{Host: h, Boot: w.boots, Storage: w.disks[h], Restored: w.disks[h].restored(), Transport: port{w, h},
+	o := NodeOptions{Host: h, Boot: w.boots, Storage: w.disks[h], Restored: w.disks[h].restored(), Transport: port{w, h},
 		Clock: w, Wall: func() time.Time { return w.wall.Add(w.now) }, Rand: rand.New(rand.NewSource(w.rng.Int63())),
-		Orders: w.orders, SnapshotEntries: w.snapN, Log: quiet(), spawn: spawn})
+		Orders: w.orders, SnapshotEntries: w.snapN, Log: quiet(), spawn: spawn}
+	if w.seeds != nil {
+		o.Seeds = func() []string { return w.seeds }
+		o.Membership = func() (string, bool, bool) {
+			if c := w.clients[h]; c != nil {
+				return c.Membership()
+			}
+			return "", false, false
+		}
+	}
+	n, err := NewNode(o)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -161,7 +173,16 @@
 
 func (w *world) startClient(h string) *Client {
 	w.boots++
-	w.clients[h] = NewClient(ClientOptions{Host: h, Boot: w.boots, ControlHosts: w.control, Transport: port{w, h}, Clock: w, Log: quiet()})
+	hosts := w.control
+	if w.seeds != nil {
+		hosts = slices.Clone(w.seeds)
+		if n := w.nodes[h]; n != nil {
+			for _, m := range n.Status().Members {
+				hosts = append(hosts, m.Host)
+			}
+		}
+	}
+	w.clients[h] = NewClient(ClientOptions{Host: h, Boot: w.boots, ControlHosts: hosts, Transport: port{w, h}, Clock: w, Log: quiet()})
 	return w.clients[h]
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,12 +27,15 @@
 	node atomic.Pointer[control.Node]
 	// failure is why the last attempt to open the data folder failed.
 	failure atomic.Pointer[fault.Error]
+	// seeds are the hosts of the settings that may know the control group.
+	seeds atomic.Pointer[[]string]
 	// log belongs to the goroutine of run once that has begun.
 	log *wal.Log
 }
 
 func (d *Daemon) newControlRole() *controlRole {
 	r := &controlRole{d: d}
+	r.setSeeds(controlHosts(d.s))
 	if d.s.DataFolder == "" {
 		return r
 	}
@@ -41,6 +45,26 @@
 	return r
 }
 
+// setSeeds takes the hosts of the settings. A control host finds its group by the members
+// that its log names as well, because the seeds may be other hosts by now.
+func (r *controlRole) setSeeds(hosts []string) {
+	r.seeds.Store(&hosts)
+	r.followMembers()
+}
+
+// followMembers tells the client through which hosts it can find the group.
+func (r *controlRole) followMembers() {
+	hosts := slices.Clone(*r.seeds.Load())
+	if n := r.node.Load(); n != nil {
+		for _, m := range n.Status().Members {
+			if !slices.Contains(hosts, m.Host) {
+				hosts = append(hosts, m.Host)
+			}
+		}
+	}
+	r.d.client.SetControlHosts(hosts)
+}
+
 // fail notes that the role has stopped.
 func (r *controlRole) fail(err error) {
 	r.node.Store(nil)
@@ -59,6 +83,7 @@
 		Clock: r.d.clock, Ticks: time.Tick(control.TickInterval),
 		Rand:   rand.New(rand.NewSource(int64(r.d.boot ^ uint64(log.ReplicaID())))),
 		Orders: orderSender{r.d.engine}, Log: r.d.part("control"), Membership: r.membership(),
+		Seeds: func() []string { return *r.seeds.Load() },
 	})
 	if err != nil {
 		log.Close()
@@ -67,6 +92,7 @@
 	r.log = log
 	r.failure.Store(nil)
 	r.node.Store(node)
+	r.followMembers()
 	return nil
 }
 
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -49,6 +49,6 @@
 		return
 	}
 	hosts := controlHosts(s)
-	d.client.SetControlHosts(hosts)
+	d.role.setSeeds(hosts)
 	d.log.WithField("control_hosts", len(hosts)).Info("Settings read again.")
 }
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -58,6 +58,9 @@
 	Members []FormMember
 }
 
+// Leader tells a host that has not been heard who leads the control group.
+type Leader struct{ Host string }
+
 // Chunk carries one part of a message that is too large for a frame. The receiver
 // answers each part with a Chunk that has Ack set.
 type Chunk struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -31,6 +31,7 @@
 	KindSnapshotChunk
 	KindSyncRequest
 	KindLoads
+	KindLeader
 )
 
 // Envelope carries one message between two hosts.
