Cut a stream whose resumption fails instead of ending it as complete

Cause: after a stream broke off, the second instance answered 500.

Change: once an answer has begun, anything but a stream of events is a failure of the attempt. Tests of the gateway against scripted upstreams; the two cases of TestFailedResumptionCutsTheStream failed before. Ruled out: garbled framing; the trace shows the 500 of the second server.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -115,6 +115,8 @@
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "the answer of instance %s is not its own", p.Instance.ID)
 	case f.Status < 300 && strings.HasPrefix(f.Header.Get("Content-Type"), "text/event-stream"):
 		return q.stream(ctx, p, f)
+	case q.began:
+		return dispatch.Failed, fault.New(fault.StreamCut, fault.RanAndFailed, "instance %s did not resume the stream but answered with %d", p.Instance.ID, f.Status)
 	}
 	return q.whole(ctx, p, f)
 }
