Weigh shared tokens read again and late first events when choosing an engine

Cause: a request left the engine that keeps its shared parts for a few ms of backlog. Change: each shared token that would be read again costs 0.2 ms beside its time, and an event expected after 0.8 of its objective costs 2 s.

--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -19,6 +19,12 @@
 	remoteMs = 20.0
 	// failingMs is added for an instance whose answers all fail, in proportion below.
 	failingMs = 2_000.0
+	// againMs is added for each shared token that is read again: the time, and the memory
+	// that a further copy takes from other parts.
+	againMs = 0.2
+	// lateMs is added for an event that is expected after lateShare of its objective.
+	lateMs    = 2_000.0
+	lateShare = 0.8
 	// suspectMs keeps an unreachable instance behind all others.
 	suspectMs = 60_000.0
 	// reportMaxAge is the age after which a load that an instance has told is ignored.
@@ -54,10 +60,16 @@
 }
 
 // engineCost is the time until the first event: the prompts ahead, and what the engine
-// would have to read of this one.
+// would have to read of this one. Shared parts that have to be read again weigh more than
+// their time, and so does an event that comes too late.
 func (d *Dispatcher) engineCost(s *routing.Service, j *Job, x *instance, home bool, now time.Time) float64 {
 	ahead := x.reading + d.peerReading(x, now)
-	c := float64(ahead+x.missing(j, home, now)) / readTokensPerMs
+	missing := x.missing(j, home, now)
+	c := float64(ahead+missing) / readTokensPerMs
+	if j.Objective > 0 && c > lateShare*float64(j.Objective.Milliseconds()) {
+		c += lateMs
+	}
+	c += float64(missing-j.ownTokens()) * againMs
 	running := x.running + d.peerRunning(x, now)
 	if slots := s.Engine.Slots; slots > 0 && running >= slots {
 		c += float64(running-slots+1) * slotMs
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,14 @@
 	Left time.Duration
 }
 
+// ownTokens are the prompt tokens that no other request shares.
+func (j *Job) ownTokens() int {
+	if len(j.Parts) == 0 {
+		return j.InputTokens
+	}
+	return j.Parts[len(j.Parts)-1].Tokens
+}
+
 // Options configure a Dispatcher.
 type Options struct {
 	Host       string
