Pace the prompts of each engine at one gate and refuse at once what comes too late

Change: the hosts derive from the list of live hosts one owner for each engine's gate. Requests beyond the max-min share of their account come last. A silent owner is bypassed after 350 ms.

Ruled out: pacing by the loads that hosts tell each other every 100 ms, too late for prompts that are read in 70 ms.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,394 @@
+// Package admission has the requests of all hosts admitted to each engine by one host, the
+// owner of the engine's gate.
+//
+// All hosts derive the owner from the list of live hosts. When an owner is silent, hosts
+// send without its consent until another one owns the gate: pacing is worth less than the
+// request.
+package admission
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/dispatch"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
+)
+
+// Times of the protocol between hosts and owners.
+const (
+	// silentAfter is how long an owner may be silent: several reports of loads.
+	silentAfter = 350 * time.Millisecond
+	// checkInterval is the interval at which a waiting request looks after its owner.
+	checkInterval = 50 * time.Millisecond
+	// forgetAfter is when an unused gate is dropped.
+	forgetAfter = time.Minute
+)
+
+// Transport sends messages to other hosts without waiting.
+type Transport interface {
+	Send(to string, kind wire.Kind, msg any) error
+}
+
+// Options configure an Admission.
+type Options struct {
+	Host      string
+	Transport Transport
+	Now       func() time.Time
+	Log       logrus.FieldLogger
+	Registry  metrics.Registry
+}
+
+// Request describes what asks for admission.
+type Request struct {
+	Instance catalog.Instance
+	// Slots and MemoryTokens describe the engine.
+	Slots, MemoryTokens int
+	Parts               []dispatch.Part
+	Tokens              int
+	Aim, End            time.Time
+	Excess              bool
+}
+
+// Admission is one host's part: the gates that it owns and its own waiting requests.
+type Admission struct {
+	o Options
+
+	mu     sync.Mutex
+	hosts  []string
+	heard  map[string]time.Time
+	speeds map[string]*dispatch.Speedometer
+	gates  map[catalog.Key]*ownedGate
+	seq    uint64
+	// calls are the requests of this host that wait for a verdict.
+	calls map[uint64]*call
+}
+
+type ownedGate struct {
+	*dispatch.Gate
+	speed *dispatch.Speedometer
+	used  time.Time
+}
+
+// call waits for verdicts; the buffer holds the two that an ask may get.
+type call struct {
+	verdicts chan wire.Verdict
+}
+
+// New returns an Admission of a host that knows no other.
+func New(o Options) *Admission {
+	return &Admission{
+		o: o, hosts: []string{o.Host}, heard: map[string]time.Time{}, speeds: map[string]*dispatch.Speedometer{},
+		gates: map[catalog.Key]*ownedGate{}, calls: map[uint64]*call{},
+	}
+}
+
+// SetHosts takes the live hosts.
+func (a *Admission) SetHosts(hosts []string) {
+	hosts = slices.Clone(hosts)
+	if !slices.Contains(hosts, a.o.Host) {
+		hosts = append(hosts, a.o.Host)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.hosts = hosts
+}
+
+// Heard notes that a message of a host arrived.
+func (a *Admission) Heard(host string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.heard[host] = a.o.Now()
+}
+
+// ownerLocked returns the host that owns the gate of an engine (rendezvous hashing).
+func (a *Admission) ownerLocked(k catalog.Key) string {
+	owner, best := a.o.Host, uint64(0)
+	for _, h := range a.hosts {
+		f := fnv.New64a()
+		_, _ = f.Write([]byte(k.ID + "\x00" + h))
+		// The multiplication spreads the last bytes, which FNV mixes badly.
+		if r := f.Sum64() * 0x9e3779b97f4a7c15; r > best {
+			owner, best = h, r
+		}
+	}
+	return owner
+}
+
+// silentLocked reports whether an owner has not been heard for a while.
+func (a *Admission) silentLocked(owner string) bool {
+	return owner != a.o.Host && a.o.Now().Sub(a.heard[owner]) > silentAfter
+}
+
+// Ticket is an admission. Its methods may be called on a nil ticket.
+type Ticket struct {
+	a     *Admission
+	key   catalog.Key
+	owner string
+	seq   uint64
+}
+
+// FirstEvent tells the owner that the engine has read the prompt.
+func (t *Ticket) FirstEvent() {
+	if t != nil {
+		t.a.progress(t, false)
+	}
+}
+
+// Done tells the owner that the request has ended.
+func (t *Ticket) Done() {
+	if t != nil {
+		t.a.progress(t, true)
+	}
+}
+
+// Admit waits until the request may be sent. It returns QueueFull with the expected wait
+// if the engine can't serve it in time, and WaitExpired when ctx ends first.
+func (a *Admission) Admit(ctx context.Context, r *Request) (*Ticket, error) {
+	a.mu.Lock()
+	a.seq++
+	t := &Ticket{a: a, key: r.Instance.Key(), owner: a.ownerLocked(r.Instance.Key()), seq: a.seq}
+	if a.silentLocked(t.owner) {
+		a.mu.Unlock()
+		a.count("bypassed")
+		return t, nil
+	}
+	c := &call{verdicts: make(chan wire.Verdict, 2)}
+	a.calls[t.seq] = c
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.calls, t.seq)
+		a.mu.Unlock()
+	}()
+	a.ask(t, r)
+	return a.wait(ctx, t, c)
+}
+
+func (a *Admission) wait(ctx context.Context, t *Ticket, c *call) (*Ticket, error) {
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	asked := a.o.Now()
+	queued := false
+	for {
+		select {
+		case v := <-c.verdicts:
+			switch {
+			case v.Granted:
+				return t, nil
+			case !v.Queued:
+				a.count("refused")
+				return nil, fault.New(fault.QueueFull, fault.NotRun, "the engine would answer after %s", v.Wait.Round(time.Millisecond)).After(v.Wait)
+			}
+			queued = true
+		case <-ctx.Done():
+			t.Done()
+			return nil, fault.New(fault.WaitExpired, fault.NotRun, "not admitted in time")
+		case <-check.C:
+			a.mu.Lock()
+			silent := a.silentLocked(t.owner) || !queued && a.o.Now().Sub(asked) > silentAfter
+			moved := a.ownerLocked(t.key) != t.owner
+			a.mu.Unlock()
+			if silent || moved {
+				a.count("bypassed")
+				return t, nil
+			}
+		}
+	}
+}
+
+func (a *Admission) count(name string) {
+	metrics.GetOrRegisterCounter("admission."+name, a.o.Registry).Inc(1)
+}
+
+// ask gives the request to the owner.
+func (a *Admission) ask(t *Ticket, r *Request) {
+	now := a.o.Now()
+	m := &wire.Ask{
+		Seq: t.seq, ID: t.key.ID, Born: t.key.Born, Service: r.Instance.Service, Slots: r.Slots, MemoryTokens: r.MemoryTokens,
+		Tokens: r.Tokens, AimLeft: r.Aim.Sub(now), EndLeft: r.End.Sub(now), Excess: r.Excess,
+	}
+	for _, p := range r.Parts {
+		m.Parts = append(m.Parts, wire.PromptPart(p))
+	}
+	if t.owner == a.o.Host {
+		a.onAsk(a.o.Host, m)
+		return
+	}
+	a.send(t.owner, wire.KindAsk, m)
+}
+
+func (a *Admission) progress(t *Ticket, done bool) {
+	m := &wire.Progress{Seq: t.seq, ID: t.key.ID, Born: t.key.Born, Done: done}
+	if t.owner == a.o.Host {
+		a.onProgress(a.o.Host, m)
+		return
+	}
+	a.send(t.owner, wire.KindProgress, m)
+}
+
+// send does not report failures: a lost ask is bypassed, a lost progress expires.
+func (a *Admission) send(to string, kind wire.Kind, msg any) {
+	if err := a.o.Transport.Send(to, kind, msg); err != nil {
+		a.o.Log.WithError(err).WithField("to", to).Debug("Message of admission not sent.")
+	}
+}
+
+// Kinds are the kinds of messages that Handle takes.
+var Kinds = []wire.Kind{wire.KindAsk, wire.KindVerdict, wire.KindProgress}
+
+// Handle takes a message of another host.
+func (a *Admission) Handle(from string, _ uint64, kind wire.Kind, payload []byte) {
+	a.Heard(from)
+	var err error
+	switch kind {
+	case wire.KindAsk:
+		var m wire.Ask
+		if err = wire.Unmarshal(payload, &m); err == nil {
+			a.onAsk(from, &m)
+		}
+	case wire.KindProgress:
+		var m wire.Progress
+		if err = wire.Unmarshal(payload, &m); err == nil {
+			a.onProgress(from, &m)
+		}
+	case wire.KindVerdict:
+		var m wire.Verdict
+		if err = wire.Unmarshal(payload, &m); err == nil {
+			a.deliver(m)
+		}
+	}
+	if err != nil {
+		a.o.Log.WithError(err).WithField("from", from).Warn("Message of admission not readable.")
+	}
+}
+
+func (a *Admission) deliver(v wire.Verdict) {
+	a.mu.Lock()
+	c := a.calls[v.Seq]
+	a.mu.Unlock()
+	if c == nil {
+		return
+	}
+	select {
+	case c.verdicts <- v:
+	default:
+		// An ask gets two verdicts at most; more come from a confused owner.
+	}
+}
+
+// addressed is a verdict with the host that it is for.
+type addressed struct {
+	host string
+	wire.Verdict
+}
+
+func (a *Admission) tell(list []addressed) {
+	for _, v := range list {
+		if v.host == a.o.Host {
+			a.deliver(v.Verdict)
+			continue
+		}
+		a.send(v.host, wire.KindVerdict, v.Verdict)
+	}
+}
+
+func (a *Admission) onAsk(from string, m *wire.Ask) {
+	now := a.o.Now()
+	ask := dispatch.Ask{
+		ID: dispatch.AskID{Host: from, Seq: m.Seq}, Tokens: m.Tokens,
+		Aim: now.Add(m.AimLeft), End: now.Add(m.EndLeft), Excess: m.Excess,
+	}
+	for _, p := range m.Parts {
+		ask.Parts = append(ask.Parts, dispatch.Part(p))
+	}
+	a.mu.Lock()
+	g := a.gateLocked(m, now)
+	v := g.Ask(ask, now)
+	out := []addressed{{from, wire.Verdict{Seq: m.Seq, Granted: v.Granted, Queued: v.Queued, Wait: v.Wait}}}
+	a.mu.Unlock()
+	a.tell(out)
+}
+
+func (a *Admission) gateLocked(m *wire.Ask, now time.Time) *ownedGate {
+	k := catalog.Key{ID: m.ID, Born: m.Born}
+	g := a.gates[k]
+	if g == nil {
+		speed := a.speeds[m.Service]
+		if speed == nil {
+			speed = dispatch.NewSpeedometer()
+			a.speeds[m.Service] = speed
+		}
+		g = &ownedGate{Gate: dispatch.NewGate(m.Slots, m.MemoryTokens, speed), speed: speed}
+		a.gates[k] = g
+	}
+	g.used = now
+	return g
+}
+
+func (a *Admission) onProgress(from string, m *wire.Progress) {
+	now := a.o.Now()
+	id := dispatch.AskID{Host: from, Seq: m.Seq}
+	a.mu.Lock()
+	g := a.gates[catalog.Key{ID: m.ID, Born: m.Born}]
+	var out []addressed
+	if g != nil {
+		if m.Done {
+			g.Done(id, now)
+		} else {
+			g.FirstEvent(id, now)
+		}
+		out = g.next(now)
+	}
+	a.mu.Unlock()
+	a.tell(out)
+}
+
+func (g *ownedGate) next(now time.Time) (out []addressed) {
+	granted, refused := g.Next(now)
+	for _, id := range granted {
+		out = append(out, addressed{id.Host, wire.Verdict{Seq: id.Seq, Granted: true}})
+	}
+	for _, id := range refused {
+		out = append(out, addressed{id.Host, wire.Verdict{Seq: id.Seq}})
+	}
+	return out
+}
+
+// Tick ends waits that have expired and drops what is lost or unused.
+func (a *Admission) Tick(now time.Time) {
+	a.mu.Lock()
+	var out []addressed
+	for k, g := range a.gates {
+		g.Sweep(now)
+		out = append(out, g.next(now)...)
+		if now.Sub(g.used) > forgetAfter {
+			delete(a.gates, k)
+		}
+	}
+	a.mu.Unlock()
+	a.tell(out)
+}
+
+// Loads returns the loads of the gates that this host owns.
+func (a *Admission) Loads() []wire.GateLoad {
+	now := a.o.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []wire.GateLoad
+	for k, g := range a.gates {
+		if a.ownerLocked(k) != a.o.Host {
+			continue
+		}
+		backlog, running := g.Backlog(now)
+		out = append(out, wire.GateLoad{ID: k.ID, Born: k.Born, Backlog: backlog, Running: running, PerMs: g.speed.PerMs()})
+	}
+	return out
+}
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/dispatch"
@@ -30,6 +31,8 @@
 	// loadsInterval is the time between two reports of loads to other hosts.
 	loadsInterval = 100 * time.Millisecond
 	idleInterval  = time.Second
+	// demandsEvery is the number of reports of loads of which one tells the demands too.
+	demandsEvery = 3
 	// keepDirectory is how long callers may keep an answer of discovery.
 	keepDirectory = 2 * time.Second
 	// edgeHeaderTimeout bounds the calls of operators and discovery.
@@ -48,8 +51,11 @@
 	gateway  *gateway.Server
 	dispatch *gateway.Dispatch
 	reader   *catalog.Reader
+	admit    *admission.Admission
 	table    atomic.Pointer[routing.Table]
 	peers    atomic.Pointer[[]string]
+	// told counts the reports of loads.
+	told atomic.Uint64
 }
 
 func (d *Daemon) newEdge() *edgeRole {
@@ -59,8 +65,14 @@
 		return e
 	}
 	e.dispatch = gateway.NewDispatch(dispatch.New(dispatch.Options{Host: d.s.Host, DataCentre: d.s.DataCentre}), time.Now)
+	e.admit = admission.New(admission.Options{
+		Host: d.s.Host, Transport: d.peers, Now: time.Now, Log: d.part("admission"), Registry: d.registry,
+	})
+	for _, k := range admission.Kinds {
+		d.peers.Handle(k, e.admit.Handle)
+	}
 	e.gateway = gateway.New(gateway.Options{
-		View: e.view, Dialect: d.o.Adapter.Dialect(), Forward: d.engine, Dispatch: e.dispatch,
+		View: e.view, Dialect: d.o.Adapter.Dialect(), Forward: d.engine, Dispatch: e.dispatch, Admission: e.admit,
 		MaxConfigAge: e.s.ConfigMaxAge, HeaderBytes: d.s.CallerLimits.HeaderBytes,
 		ReadTimeout: d.s.CallerLimits.ReadTimeout, Log: d.part("gateway"), Registry: d.registry,
 	})
@@ -88,7 +100,7 @@
 	if old := e.table.Load(); c.Routing != nil && (old == nil || old.Document.Version != c.Routing.Version) {
 		e.log.WithField("version", c.Routing.Version).WithField("revision", c.Revision).Info("Routing document in force.")
 		e.table.Store(routing.NewTable(&c.Routing.Document))
-		e.dispatch.SetServices(c.Routing.Document.Services)
+		e.dispatch.SetDocument(&c.Routing.Document)
 	}
 	out := map[string]bool{}
 	for name, dc := range c.DataCentres {
@@ -108,6 +120,7 @@
 		}
 	}
 	e.peers.Store(&alive)
+	e.admit.SetHosts(alive)
 	e.dispatch.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.SetHosts(alive) })
 }
 
@@ -122,7 +135,20 @@
 	for i, l := range m.Instances {
 		loads[i] = dispatch.Load(l)
 	}
-	e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) { d.SetPeerLoads(from, loads, now) })
+	e.admit.Heard(from)
+	e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) {
+		d.SetPeerLoads(from, loads, now)
+		setGates(d, m.Gates, now)
+		if m.Demands != nil {
+			d.SetPeerDemands(from, m.Demands, now)
+		}
+	})
+}
+
+func setGates(d *dispatch.Dispatcher, gates []wire.GateLoad, now time.Time) {
+	for _, g := range gates {
+		d.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs}, now)
+	}
 }
 
 // tellLoads reports the own loads to the other hosts.
@@ -131,8 +157,13 @@
 	if peers == nil {
 		return
 	}
-	var m wire.Loads
-	e.dispatch.Update(func(d *dispatch.Dispatcher, _ time.Time) {
+	m := wire.Loads{Gates: e.admit.Loads()}
+	tellDemands := e.told.Add(1)%demandsEvery == 0
+	e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) {
+		setGates(d, m.Gates, now)
+		if tellDemands {
+			m.Demands = d.OwnDemands(now)
+		}
 		for _, l := range d.OwnLoads() {
 			m.Instances = append(m.Instances, wire.InstanceLoad(l))
 		}
@@ -159,7 +190,12 @@
 	}
 	g.Go(func() error { return e.gateway.Serve(ln) })
 	g.Go(func() error { return e.reader.Run(ctx) })
-	g.Go(func() error { return every(ctx, loadsInterval, func(time.Time) { e.tellLoads() }) })
+	g.Go(func() error {
+		return every(ctx, loadsInterval, func(now time.Time) {
+			e.admit.Tick(now)
+			e.tellLoads()
+		})
+	})
 	g.Go(func() error { return every(ctx, idleInterval, e.gateway.CloseIdle) })
 	for address, h := range map[string]http.Handler{
 		e.s.OperatorAddress:  e.d.o.Adapter.Operators(e),
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -63,16 +63,32 @@
 // would have to read of this one. Shared parts that have to be read again weigh more than
 // their time, and so does an event that comes too late.
 func (d *Dispatcher) engineCost(s *routing.Service, j *Job, x *instance, home bool, now time.Time) float64 {
-	ahead := x.reading + d.peerReading(x, now)
 	missing := x.missing(j, home, now)
-	c := float64(ahead+missing) / readTokensPerMs
+	c := float64(d.ahead(x, now)+missing) / x.speed()
 	if j.Objective > 0 && c > lateShare*float64(j.Objective.Milliseconds()) {
 		c += lateMs
 	}
 	c += float64(missing-j.ownTokens()) * againMs
-	running := x.running + d.peerRunning(x, now)
+	running := d.admitted(x, now)
 	if slots := s.Engine.Slots; slots > 0 && running >= slots {
 		c += float64(running-slots+1) * slotMs
 	}
 	return c
 }
+
+// ahead are the prompt tokens that an engine has to read first: what the owner of its gate
+// told, and what this host has sent since.
+func (d *Dispatcher) ahead(x *instance, now time.Time) int {
+	if now.Sub(x.gate.at) < peerMaxAge {
+		return x.gate.Backlog + x.asked
+	}
+	return x.reading + d.peerReading(x, now)
+}
+
+// admitted is the number of requests at an engine.
+func (d *Dispatcher) admitted(x *instance, now time.Time) int {
+	if now.Sub(x.gate.at) < peerMaxAge {
+		return x.gate.Running
+	}
+	return x.running + d.peerRunning(x, now)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,6 +34,9 @@
 	Tried []catalog.Key
 	// Left is the time until the request must have its final answer.
 	Left time.Duration
+	// Account is who asks; Excess is set when that is beyond the account's share.
+	Account string
+	Excess  bool
 }
 
 // ownTokens are the prompt tokens that no other request shares.
@@ -60,8 +63,8 @@
 	outDCs    map[string]bool
 	hosts     []string
 	repeats   map[string]*repeatBudget
-	// PeerLoads by host.
-	peers map[string]peerLoad
+	peers     map[string]peerLoad
+	shares    *Shares
 }
 
 // New returns a Dispatcher without instances.
@@ -69,12 +72,14 @@
 	return &Dispatcher{
 		o: o, services: map[string]*routing.Service{}, instances: map[catalog.Key]*instance{},
 		byService: map[string][]*instance{}, outDCs: map[string]bool{}, hosts: []string{o.Host},
-		repeats: map[string]*repeatBudget{}, peers: map[string]peerLoad{},
+		repeats: map[string]*repeatBudget{}, peers: map[string]peerLoad{}, shares: newShares(),
 	}
 }
 
-// SetServices takes the services of a new routing document.
-func (d *Dispatcher) SetServices(services []routing.Service) {
+// SetServices takes the services of a new routing document, and the tokens per second that
+// their engines produce together.
+func (d *Dispatcher) SetServices(services []routing.Service, tokensPerSecond float64) {
+	d.shares.capacity = tokensPerSecond
 	d.services = map[string]*routing.Service{}
 	for i := range services {
 		d.services[services[i].Name] = &services[i]
@@ -137,6 +142,17 @@
 	}
 }
 
+// generatedWeight is what a generated token counts against one that is read.
+const generatedWeight = 2
+
+// Demand notes that an account asks for a generation, and marks the job if that is beyond
+// the account's share.
+func (d *Dispatcher) Demand(j *Job, now time.Time) {
+	if j.InputTokens > 0 {
+		j.Excess = d.shares.Demand(j.Account, float64(j.InputTokens+generatedWeight*j.OutputTokens), now)
+	}
+}
+
 // Pick selects an instance and counts the job there until Done. It returns a QueueFull
 // error with a delay when no instance can take the job now.
 func (d *Dispatcher) Pick(j *Job, now time.Time) (*Placement, error) {
@@ -149,7 +165,7 @@
 	if best == nil {
 		return nil, fault.New(fault.QueueFull, fault.NotRun, "no instance of service %q can take the request now", j.Service).After(noInstanceDelay)
 	}
-	if limit := j.Left; cost > limit.Seconds()*1000 {
+	if limit := j.Left; cost > limit.Seconds()*1000+suspectMs {
 		return nil, fault.New(fault.QueueFull, fault.NotRun, "all instances of service %q are busy", j.Service).After(
 			min(time.Duration(cost*float64(time.Millisecond))-limit+noInstanceDelay, maxRetryDelay))
 	}
--- a/internal/dispatch/instance.go
+++ b/internal/dispatch/instance.go
@@ -26,6 +26,10 @@
 	failing          decaying
 	suspectUntil     time.Time
 	suspicions       int
+	// gate is what the owner of the engine's gate told last; asked are the prompt tokens
+	// that this host has sent there since.
+	gate  gateView
+	asked int
 	// parts maps a prompt part to its last use by this host.
 	parts map[uint64]time.Time
 }
@@ -34,6 +38,20 @@
 	return &instance{Instance: i, parts: map[uint64]time.Time{}, cold: bucket{tokens: 1, at: now}}
 }
 
+// gateView is the load of an engine as the owner of its gate told it.
+type gateView struct {
+	GateLoad
+	at time.Time
+}
+
+// speed is the speed in tokens per ms at which the engine reads prompts.
+func (x *instance) speed() float64 {
+	if x.gate.PerMs > 0 {
+		return x.gate.PerMs
+	}
+	return readTokensPerMs
+}
+
 // report is the load that an instance has told with an answer.
 type report struct {
 	running, waiting int
@@ -64,6 +82,7 @@
 	p := &Placement{x: x, Instance: x.Instance, reading: x.missing(j, home, now)}
 	x.running++
 	x.reading += p.reading
+	x.asked += p.reading
 	if len(x.parts) > maxKnownParts {
 		clear(x.parts)
 	}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -60,3 +60,26 @@
 	}
 	return n
 }
+
+// GateLoad is the load of one engine as the owner of its gate tells it.
+type GateLoad struct {
+	// Backlog are the prompt tokens under way and waiting; Running are admitted requests.
+	Backlog, Running int
+	// PerMs is the learnt speed in prompt tokens per ms.
+	PerMs float64
+}
+
+// SetGate takes the load of an engine from the owner of its gate.
+func (d *Dispatcher) SetGate(k catalog.Key, g GateLoad, now time.Time) {
+	if x := d.instances[k]; x != nil {
+		x.gate, x.asked = gateView{g, now}, 0
+	}
+}
+
+// SetPeerDemands takes what the callers of another host ask for, by account.
+func (d *Dispatcher) SetPeerDemands(host string, rates map[string]float64, now time.Time) {
+	d.shares.SetPeer(host, rates, now)
+}
+
+// OwnDemands returns what this host's callers ask for in tokens per second, by account.
+func (d *Dispatcher) OwnDemands(now time.Time) map[string]float64 { return d.shares.Own(now) }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/engine"
@@ -21,7 +22,7 @@
 
 // attempts sends the request until it is answered or may not be sent again.
 func (q *request) attempts(ctx context.Context) error {
-	runs := 0
+	runs, declined := 0, 0
 	for {
 		err := q.attempt(ctx)
 		if err == nil {
@@ -29,7 +30,11 @@
 		}
 		f := fault.As(err)
 		if f.Code == fault.QueueFull && f.Run == fault.NotRun && q.sends == 0 {
-			return err
+			// No engine was sent anything, so asking another one repeats nothing.
+			if declined++; declined < maxDeclined && !q.job.Excess && ctx.Err() == nil && len(q.job.Tried) == declined {
+				continue
+			}
+			return f.After(q.returnDelay(f.RetryAfter))
 		}
 		if f.Run != fault.NotRun {
 			q.ran = true
@@ -47,6 +52,18 @@
 	}
 }
 
+// Bounds of the delay that a refused caller is told.
+const (
+	minReturn = 60 * time.Millisecond
+	maxReturn = 400 * time.Millisecond
+)
+
+// returnDelay is when a caller whom the engines can't serve in time should come back: when
+// the backlog has shrunk to what fits into its aim, or soon.
+func (q *request) returnDelay(wait time.Duration) time.Duration {
+	return min(max(wait-q.route.Objective/2, minReturn), maxReturn)
+}
+
 // attempt sends the request to one instance and passes its answer on.
 func (q *request) attempt(ctx context.Context) error {
 	q.job.Left = time.Until(q.deadline)
@@ -56,8 +73,18 @@
 	}
 	outcome := dispatch.Withdrawn
 	defer func() { q.s.o.Dispatch.done(p, outcome) }()
-	q.sends++
 	q.job.Tried = append(q.job.Tried, p.Instance.Key())
+	ticket, err := q.admit(ctx, p)
+	if err != nil {
+		outcome = dispatch.Refused
+		return err
+	}
+	defer ticket.Done()
+	q.ticket = ticket
+	if err := q.stillAllowed(); err != nil {
+		return err
+	}
+	q.sends++
 	f, err := q.s.o.Forward.Forward(ctx, q.forwardRequest(p.Instance))
 	if err != nil {
 		outcome = outcomeOf(ctx, err)
@@ -71,6 +98,33 @@
 	return err
 }
 
+// maxDeclined is the number of engines that are asked for admission.
+const maxDeclined = 2
+
+// admit waits until the engine takes the request.
+func (q *request) admit(ctx context.Context, p *dispatch.Placement) (*admission.Ticket, error) {
+	if q.s.o.Admission == nil || q.service.Engine == nil {
+		return nil, nil
+	}
+	return q.s.o.Admission.Admit(ctx, &admission.Request{
+		Instance: p.Instance, Slots: q.service.Engine.Slots, MemoryTokens: q.service.Engine.MemoryTokens,
+		Parts: q.job.Parts, Tokens: q.job.InputTokens, Aim: q.aim, End: q.deadline, Excess: q.job.Excess,
+	})
+}
+
+// stillAllowed checks again what may have changed while the request waited, or while the
+// machine stood still.
+func (q *request) stillAllowed() error {
+	v := q.s.o.View()
+	if v.Table == nil || v.Age > q.s.o.MaxConfigAge {
+		return fault.New(fault.HostIsolated, fault.NotRun, "the configuration is %s old", v.Age.Round(time.Millisecond)).After(retrySoon)
+	}
+	if v.Table.NeedsCredential(q.route) && v.Table.Account(q.r.Header.Get(q.s.o.Dialect.Credential)) == nil {
+		return fault.New(fault.Unauthenticated, fault.NotRun, "the credential is not known any more")
+	}
+	return nil
+}
+
 // outcomeOf tells an unreachable instance from a caller that left.
 func outcomeOf(ctx context.Context, err error) dispatch.Outcome {
 	switch f := fault.As(err); {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -29,9 +29,9 @@
 	f(x.d, x.now())
 }
 
-// SetServices takes the services of a routing document.
-func (x *Dispatch) SetServices(s []routing.Service) {
-	x.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.SetServices(s) })
+// SetDocument takes the services and limits of a routing document.
+func (x *Dispatch) SetDocument(doc *routing.Document) {
+	x.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.SetServices(doc.Services, doc.Limits.TokensPerSecond) })
 }
 
 // SetInstances takes a list of instances.
@@ -60,8 +60,12 @@
 	x.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.Gone(p.Instance.Key()) })
 }
 
-func (x *Dispatch) countRequest(service string) {
-	x.Update(func(d *dispatch.Dispatcher, now time.Time) { d.CountRequest(service, now) })
+// countRequest notes a request of a caller, for the limits that depend on their number.
+func (x *Dispatch) countRequest(j *dispatch.Job) {
+	x.Update(func(d *dispatch.Dispatcher, now time.Time) {
+		d.CountRequest(j.Service, now)
+		d.Demand(j, now)
+	})
 }
 
 func (x *Dispatch) takeRepeat(service string) (ok bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/routing"
@@ -41,12 +42,19 @@
 	Forward(ctx context.Context, r *engine.ForwardRequest) (*engine.Forwarded, error)
 }
 
+// Admitter has requests admitted to engines.
+type Admitter interface {
+	Admit(ctx context.Context, r *admission.Request) (*admission.Ticket, error)
+}
+
 // Options configure a Server.
 type Options struct {
 	View     func() View
 	Dialect  Dialect
 	Forward  Forwarder
 	Dispatch *Dispatch
+	// Admission paces the prompts of engines; nil admits everything at once.
+	Admission Admitter
 	// MaxConfigAge is the age of the configuration from which requests are refused.
 	MaxConfigAge time.Duration
 	// HeaderBytes and ReadTimeout bound the header and the body of a request.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/routing"
@@ -28,7 +29,9 @@
 	header  http.Header
 	// deadline is when the route's timeout or the caller's patience ends.
 	deadline time.Time
-	job      dispatch.Job
+	// aim is when the first event, or the whole answer, should be there.
+	aim time.Time
+	job dispatch.Job
 	// began is true once the head of an answer was written.
 	began bool
 	// lastEvent is the id of the last event that the caller got.
@@ -36,6 +39,8 @@
 	// ran is true once an instance may have run the request.
 	ran   bool
 	sends int
+	// ticket is the admission of the present attempt; nil without one.
+	ticket *admission.Ticket
 }
 
 // ServeHTTP serves one request of a caller.
@@ -89,7 +94,7 @@
 	q.header = q.s.o.Dialect.forwarded(q.r.Header, q.account)
 	q.lastEvent = q.r.Header.Get(q.s.o.Dialect.LastEvent)
 	q.setJob()
-	q.s.o.Dispatch.countRequest(q.service.Name)
+	q.s.o.Dispatch.countRequest(&q.job)
 	return nil
 }
 
@@ -119,6 +124,7 @@
 
 func (q *request) setDeadline(arrived time.Time) {
 	q.deadline = arrived.Add(q.route.Timeout)
+	q.aim = arrived.Add(q.route.Objective)
 	if left, ok := q.s.o.Dialect.deadline(q.r.Header); ok && left < q.route.Timeout {
 		q.deadline = arrived.Add(left)
 	}
@@ -157,7 +163,7 @@
 
 func (q *request) setJob() {
 	d := &q.s.o.Dialect
-	q.job = dispatch.Job{Service: q.service.Name, Objective: q.route.Objective}
+	q.job = dispatch.Job{Service: q.service.Name, Objective: q.route.Objective, Account: q.account}
 	if q.service.Engine != nil {
 		q.job.Parts = d.promptParts(q.r.Header)
 		q.job.InputTokens, q.job.OutputTokens = d.usage(q.r.Header)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,6 +39,7 @@
 		if first {
 			first = false
 			q.s.o.Dispatch.firstEvent(p)
+			q.ticket.FirstEvent()
 		}
 		id := eventID(event)
 		if q.began && !follows(id, q.lastEvent) {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -167,7 +167,7 @@
 func newStage(t testing.TB, d *routing.Document, upstreams ...*upstream) *stage {
 	c := qt.New(t)
 	disp := NewDispatch(dispatch.New(dispatch.Options{Host: "h1", DataCentre: "dc"}), time.Now)
-	disp.SetServices(d.Services)
+	disp.SetDocument(d)
 	var list []catalog.Instance
 	for i, u := range upstreams {
 		list = append(list, catalog.Instance{ID: fmt.Sprint("i", i), Service: "svc", Address: u.ln.Addr().String(), DataCentre: "dc", Slots: 4})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -32,6 +32,9 @@
 	KindSyncRequest
 	KindLoads
 	KindLeader
+	KindAsk
+	KindVerdict
+	KindProgress
 )
 
 // Envelope carries one message between two hosts.
@@ -280,8 +283,64 @@
 	Reading int
 }
 
+// GateLoad is the load of one engine as the owner of its gate sees it.
+type GateLoad struct {
+	ID   string
+	Born int64
+	// Backlog are the prompt tokens under way and waiting; Running are admitted requests.
+	Backlog int
+	Running int
+	// PerMs is the learnt speed of the engine in prompt tokens per ms.
+	PerMs float64
+}
+
 // Loads tells other hosts what a host has under way.
-type Loads struct{ Instances []InstanceLoad }
+type Loads struct {
+	Instances []InstanceLoad
+	Gates     []GateLoad
+	// Demands are the tokens per second that the host's callers ask for, by account; nil
+	// when they are not told this time.
+	Demands map[string]float64
+}
+
+// PromptPart is one part of a prompt.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
+}
+
+// Ask asks the owner of an engine's gate for admission.
+type Ask struct {
+	Seq uint64
+	// ID and Born name the engine.
+	ID      string
+	Born    int64
+	Service string
+	// Slots and MemoryTokens describe the engine.
+	Slots, MemoryTokens int
+	Parts               []PromptPart
+	Tokens              int
+	// AimLeft is the time until the first event should be delivered; EndLeft the time
+	// until the request has no use any more.
+	AimLeft, EndLeft time.Duration
+	Excess           bool
+}
+
+// Verdict answers an Ask. A queued one gets a second verdict.
+type Verdict struct {
+	Seq             uint64
+	Granted, Queued bool
+	Wait            time.Duration
+}
+
+// Progress tells the owner of a gate about an admitted or waiting request.
+type Progress struct {
+	Seq  uint64
+	ID   string
+	Born int64
+	// Done is false for the first event.
+	Done bool
+}
 
 // Propose carries a command for the replicated state to the leader.
 type Propose struct {
