Rank requests by two shares: the contract's, and what the engines serve at present

Cause: engines that find parts kept serve 2.4 times the tokens that the document promises.

Change: requests beyond the first share are ranked by a second max-min share, of the rate that is served at present; hosts tell each other both. Ruled out: one share of the served rate, which delays what is owed behind what is not.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -54,7 +54,7 @@
 	Parts               []dispatch.Part
 	Tokens              int
 	Aim, End            time.Time
-	Excess              bool
+	Rank                dispatch.Rank
 }
 
 // Admission is one host's part: the gates that it owns and its own waiting requests.
@@ -213,7 +213,7 @@
 	now := a.o.Now()
 	m := &wire.Ask{
 		Seq: t.seq, ID: t.key.ID, Born: t.key.Born, Service: r.Instance.Service, Slots: r.Slots, MemoryTokens: r.MemoryTokens,
-		Tokens: r.Tokens, AimLeft: r.Aim.Sub(now), EndLeft: r.End.Sub(now), Excess: r.Excess,
+		Tokens: r.Tokens, AimLeft: r.Aim.Sub(now), EndLeft: r.End.Sub(now), Rank: uint8(r.Rank),
 	}
 	for _, p := range r.Parts {
 		m.Parts = append(m.Parts, wire.PromptPart(p))
@@ -304,7 +304,7 @@
 	now := a.o.Now()
 	ask := dispatch.Ask{
 		ID: dispatch.AskID{Host: from, Seq: m.Seq}, Tokens: m.Tokens,
-		Aim: now.Add(m.AimLeft), End: now.Add(m.EndLeft), Excess: m.Excess,
+		Aim: now.Add(m.AimLeft), End: now.Add(m.EndLeft), Rank: min(dispatch.Rank(m.Rank), dispatch.Excess),
 	}
 	for _, p := range m.Parts {
 		ask.Parts = append(ask.Parts, dispatch.Part(p))
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -140,7 +140,7 @@
 		d.SetPeerLoads(from, loads, now)
 		setGates(d, m.Gates, now)
 		if m.Demands != nil {
-			d.SetPeerDemands(from, m.Demands, now)
+			d.SetPeerDemands(from, m.Demands, m.Served, now)
 		}
 	})
 }
@@ -162,7 +162,7 @@
 	e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) {
 		setGates(d, m.Gates, now)
 		if tellDemands {
-			m.Demands = d.OwnDemands(now)
+			m.Demands, m.Served = d.OwnDemands(now)
 		}
 		for _, l := range d.OwnLoads() {
 			m.Instances = append(m.Instances, wire.InstanceLoad(l))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,9 +34,9 @@
 	Tried []catalog.Key
 	// Left is the time until the request must have its final answer.
 	Left time.Duration
-	// Account is who asks; Excess is set when that is beyond the account's share.
+	// Account is who asks; Rank says how the job stands to the account's share.
 	Account string
-	Excess  bool
+	Rank    Rank
 }
 
 // ownTokens are the prompt tokens that no other request shares.
@@ -79,7 +79,7 @@
 // SetServices takes the services of a new routing document, and the tokens per second that
 // their engines produce together.
 func (d *Dispatcher) SetServices(services []routing.Service, tokensPerSecond float64) {
-	d.shares.capacity = tokensPerSecond
+	d.shares.tiers[WithinContract].capacity = tokensPerSecond
 	d.services = map[string]*routing.Service{}
 	for i := range services {
 		d.services[services[i].Name] = &services[i]
@@ -145,14 +145,18 @@
 // generatedWeight is what a generated token counts against one that is read.
 const generatedWeight = 2
 
-// Demand notes that an account asks for a generation, and marks the job if that is beyond
-// the account's share.
+func (j *Job) tokens() float64 { return float64(j.InputTokens + generatedWeight*j.OutputTokens) }
+
+// Demand notes that an account asks for a generation, and ranks the job.
 func (d *Dispatcher) Demand(j *Job, now time.Time) {
 	if j.InputTokens > 0 {
-		j.Excess = d.shares.Demand(j.Account, float64(j.InputTokens+generatedWeight*j.OutputTokens), now)
+		j.Rank = d.shares.Demand(j.Account, j.tokens(), now)
 	}
 }
 
+// Served notes that a generation was admitted.
+func (d *Dispatcher) Served(j *Job, now time.Time) { d.shares.Served(j.tokens(), now) }
+
 // Pick selects an instance and counts the job there until Done. It returns a QueueFull
 // error with a delay when no instance can take the job now.
 func (d *Dispatcher) Pick(j *Job, now time.Time) (*Placement, error) {
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -16,8 +16,8 @@
 	Tokens int
 	// Aim is when the first event should be delivered, End when it has no use any more.
 	Aim, End time.Time
-	// Excess marks a request beyond its account's fair share.
-	Excess bool
+	// Rank says how the request stands to its account's share.
+	Rank Rank
 }
 
 // Verdict is the answer to an Ask.
@@ -35,12 +35,6 @@
 	// waits, unless the engine reads nothing. It is about one step of an engine: what is
 	// sent earlier lengthens the steps of all running streams and can't be taken back.
 	maxReading = 4_000
-	// aimShare is the part of the time to the aim that an accepted prompt may be expected
-	// to take. The rest covers what the estimate does not see.
-	aimShare = 0.85
-	// excessShare is the part for requests beyond their account's share: they fill idle
-	// engines and never delay others for long.
-	excessShare = 0.15
 	// maxWaiting bounds the queue of one gate.
 	maxWaiting = 1_024
 	// lostAfter is when an admitted request without any news is dropped; its host has died
@@ -48,6 +42,11 @@
 	lostAfter = 15 * time.Second
 )
 
+// aimShare is the part of the time to the aim that an accepted prompt may be expected to
+// take. The rest covers what the estimate does not see. Requests beyond their account's
+// share fill idle engines and never delay others for long.
+var aimShare = [...]float64{WithinContract: 0.85, WithinCapacity: 0.6, Excess: 0.15}
+
 // Gate admits requests to one engine. It paces the prompts, so that what waits, waits here
 // in the order of its aims, and refuses at once what would come too late. It answers loads
 // in which prompts arrive faster than the engine reads them.
@@ -85,17 +84,13 @@
 // Ask decides about a request.
 func (g *Gate) Ask(a Ask, now time.Time) Verdict {
 	tokens := g.tokens(a, now)
-	share := aimShare
-	if a.Excess {
-		share = excessShare
-	}
 	wait := g.expected(a, tokens, now)
 	if a.Aim.Before(now) {
 		// A request that comes back after a refusal may be late already. It is served while
 		// nobody waits for an aim that can still be met.
 		a.Aim = now.Add(lateAim)
 	}
-	if wait > time.Duration(share*float64(a.Aim.Sub(now))) && !g.idle() || len(g.waiting) >= maxWaiting {
+	if wait > time.Duration(aimShare[a.Rank]*float64(a.Aim.Sub(now))) && !g.idle() || len(g.waiting) >= maxWaiting {
 		return Verdict{Wait: wait}
 	}
 	if len(g.waiting) == 0 && g.room(tokens) {
@@ -124,7 +119,7 @@
 func (g *Gate) expected(a Ask, tokens int, now time.Time) time.Duration {
 	ahead := g.left(now) + tokens
 	for _, w := range g.waiting {
-		if !w.Excess && (a.Excess || !w.Aim.After(a.Aim)) || w.Excess && a.Excess {
+		if w.Rank < a.Rank || w.Rank == a.Rank && !w.Aim.After(a.Aim) {
 			ahead += w.tokens
 		}
 	}
@@ -143,7 +138,7 @@
 	return (g.reading == 0 || g.reading+tokens <= maxReading) && (g.slots <= 0 || len(g.running) < g.slots)
 }
 
-// enqueue keeps the queue in order: shares before excess, then by aim.
+// enqueue keeps the queue in order of ranks, then of aims.
 func (g *Gate) enqueue(w waitingAsk) {
 	at := len(g.waiting)
 	for at > 0 && before(w, g.waiting[at-1]) {
@@ -155,8 +150,8 @@
 }
 
 func before(a, b waitingAsk) bool {
-	if a.Excess != b.Excess {
-		return !a.Excess
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
 	}
 	return a.Aim.Before(b.Aim)
 }
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -76,10 +76,13 @@
 	}
 }
 
-// SetPeerDemands takes what the callers of another host ask for, by account.
-func (d *Dispatcher) SetPeerDemands(host string, rates map[string]float64, now time.Time) {
-	d.shares.SetPeer(host, rates, now)
+// SetPeerDemands takes what the callers of another host ask for and are served, in tokens
+// per second, the former by account.
+func (d *Dispatcher) SetPeerDemands(host string, demands map[string]float64, served float64, now time.Time) {
+	d.shares.SetPeer(host, demands, served, now)
 }
 
-// OwnDemands returns what this host's callers ask for in tokens per second, by account.
-func (d *Dispatcher) OwnDemands(now time.Time) map[string]float64 { return d.shares.Own(now) }
+// OwnDemands returns what this host's callers ask for and are served.
+func (d *Dispatcher) OwnDemands(now time.Time) (demands map[string]float64, served float64) {
+	return d.shares.Own(now)
+}
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -12,18 +12,41 @@
 // excessTolerance keeps small differences between hosts from marking requests.
 const excessTolerance = 1.05
 
-// Shares decides which requests of an account are beyond its max-min share of what the
-// engines produce. It answers loads in which few accounts ask for many times the usual.
+// Rank orders requests for admission by what their account has had.
+type Rank uint8
+
+// Ranks, the most urgent first.
+const (
+	// WithinContract requests are within the account's max-min share of the tokens that the
+	// routing document promises.
+	WithinContract Rank = iota
+	// WithinCapacity requests are within its share of what the engines serve at present,
+	// which is more while prompts are found kept.
+	WithinCapacity
+	// Excess requests are beyond both.
+	Excess
+)
+
+// Shares ranks the requests of accounts by max-min shares. It answers loads in which few
+// accounts ask for many times the usual.
 type Shares struct {
+	own    map[string]*rate
+	served rate
+	peers  map[string]peerRates
+	// levelsAt is when the levels of the tiers were computed.
+	levelsAt time.Time
+	// tiers are the shares of WithinContract and WithinCapacity.
+	tiers [2]tier
+}
+
+// tier is one way to share out a capacity.
+type tier struct {
 	// capacity is in tokens per second; 0 means that nothing is shared out.
 	capacity float64
-	own      map[string]*rate
-	peers    map[string]peerRates
+	level    float64
 	// credit is the part of an account's demand that is within its share, carried over
 	// from request to request.
 	credit map[string]float64
-	level  float64
-	levelA time.Time
 }
 
 type rate struct {
@@ -32,12 +55,17 @@
 }
 
 type peerRates struct {
-	rates map[string]float64
-	at    time.Time
+	demands map[string]float64
+	served  float64
+	at      time.Time
 }
 
 func newShares() *Shares {
-	return &Shares{own: map[string]*rate{}, peers: map[string]peerRates{}, credit: map[string]float64{}, level: math.Inf(1)}
+	s := &Shares{own: map[string]*rate{}, peers: map[string]peerRates{}}
+	for i := range s.tiers {
+		s.tiers[i] = tier{credit: map[string]float64{}, level: math.Inf(1)}
+	}
+	return s
 }
 
 func (r *rate) decay(now time.Time) {
@@ -47,31 +75,45 @@
 	r.at = now
 }
 
-// Demand notes that an account asks for tokens, and reports whether they are beyond its
-// share.
-func (s *Shares) Demand(account string, tokens float64, now time.Time) (excess bool) {
+func (r *rate) add(tokens float64, now time.Time) {
+	r.decay(now)
+	r.perSecond += tokens / rateLife.Seconds()
+}
+
+// Served notes that tokens which an account asked for are served.
+func (s *Shares) Served(tokens float64, now time.Time) { s.served.add(tokens, now) }
+
+// Demand notes that an account asks for tokens and ranks the request.
+func (s *Shares) Demand(account string, tokens float64, now time.Time) Rank {
 	r := s.own[account]
 	if r == nil {
 		r = &rate{}
 		s.own[account] = r
 	}
-	r.decay(now)
-	r.perSecond += tokens / rateLife.Seconds()
-	if s.capacity <= 0 {
-		return false
-	}
-	level := s.currentLevel(now)
+	r.add(tokens, now)
+	s.setLevels(now)
 	demand := s.demand(account, now)
-	if demand <= level*excessTolerance {
-		s.credit[account] = 0
-		return false
+	for i := range s.tiers {
+		if s.tiers[i].within(account, tokens, demand) {
+			return Rank(i)
+		}
+	}
+	return Excess
+}
+
+// within takes tokens from the account's share.
+func (t *tier) within(account string, tokens, demand float64) bool {
+	if demand <= t.level*excessTolerance {
+		t.credit[account] = 0
+		return true
 	}
-	c := min(s.credit[account]+tokens*level/demand, 2*tokens)
-	if excess = c < tokens; !excess {
+	c := min(t.credit[account]+tokens*t.level/demand, 2*tokens)
+	ok := c >= tokens
+	if ok {
 		c -= tokens
 	}
-	s.credit[account] = c
-	return excess
+	t.credit[account] = c
+	return ok
 }
 
 func (s *Shares) demand(account string, now time.Time) float64 {
@@ -82,7 +124,7 @@
 	}
 	for _, p := range s.peers {
 		if now.Sub(p.at) < peerMaxAge {
-			total += p.rates[account]
+			total += p.demands[account]
 		}
 	}
 	return total
@@ -91,20 +133,26 @@
 // levelInterval is the time between two computations of the level.
 const levelInterval = 100 * time.Millisecond
 
-// currentLevel returns the rate up to which every account gets what it asks for: the
-// level at which the demands below it, and the level itself for the others, add up to the
-// capacity.
-func (s *Shares) currentLevel(now time.Time) float64 {
-	if now.Sub(s.levelA) < levelInterval {
-		return s.level
+// setLevels computes for each tier the rate up to which every account gets what it asks
+// for: the level at which the demands below it, and the level itself for the others, add
+// up to the capacity.
+func (s *Shares) setLevels(now time.Time) {
+	if now.Sub(s.levelsAt) < levelInterval {
+		return
 	}
-	s.levelA = now
+	s.levelsAt = now
 	accounts := map[string]bool{}
 	for a := range s.own {
 		accounts[a] = true
 	}
+	s.served.decay(now)
+	served := s.served.perSecond
 	for _, p := range s.peers {
-		for a := range p.rates {
+		if now.Sub(p.at) >= peerMaxAge {
+			continue
+		}
+		served += p.served
+		for a := range p.demands {
 			accounts[a] = true
 		}
 	}
@@ -112,14 +160,23 @@
 	for a := range accounts {
 		demands = append(demands, s.demand(a, now))
 	}
-	s.level = maxMinLevel(demands, s.capacity)
-	return s.level
+	slices.Sort(demands)
+	contract := s.tiers[WithinContract].capacity
+	s.tiers[WithinCapacity].capacity = max(contract, served*servedMargin)
+	for i := range s.tiers {
+		s.tiers[i].level = maxMinLevel(demands, s.tiers[i].capacity)
+	}
 }
 
+// servedMargin lets the shares grow with what the engines serve.
+const servedMargin = 1.1
+
 // maxMinLevel fills capacity evenly into demands and returns the level reached; it is
-// infinite when the demands fit.
+// infinite when the demands, which are sorted, fit, and when there is no capacity to share.
 func maxMinLevel(demands []float64, capacity float64) float64 {
-	slices.Sort(demands)
+	if capacity <= 0 {
+		return math.Inf(1)
+	}
 	for i, d := range demands {
 		if share := capacity / float64(len(demands)-i); d > share {
 			return share
@@ -132,21 +189,24 @@
 // minToldRate is the least demand in tokens per second that other hosts are told.
 const minToldRate = 1.0
 
-// Own returns the demands of this host's callers.
-func (s *Shares) Own(now time.Time) map[string]float64 {
-	out := map[string]float64{}
+// Own returns the demands of this host's callers by account, and what they are served.
+func (s *Shares) Own(now time.Time) (demands map[string]float64, served float64) {
+	demands = map[string]float64{}
 	for a, r := range s.own {
 		if r.decay(now); r.perSecond < minToldRate {
 			delete(s.own, a)
-			delete(s.credit, a)
+			for i := range s.tiers {
+				delete(s.tiers[i].credit, a)
+			}
 			continue
 		}
-		out[a] = r.perSecond
+		demands[a] = r.perSecond
 	}
-	return out
+	s.served.decay(now)
+	return demands, s.served.perSecond
 }
 
-// SetPeer takes the demands at another host.
-func (s *Shares) SetPeer(host string, rates map[string]float64, now time.Time) {
-	s.peers[host] = peerRates{rates: rates, at: now}
+// SetPeer takes the demands at another host and what its callers are served.
+func (s *Shares) SetPeer(host string, demands map[string]float64, served float64, now time.Time) {
+	s.peers[host] = peerRates{demands: demands, served: served, at: now}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,7 +31,7 @@
 		f := fault.As(err)
 		if f.Code == fault.QueueFull && f.Run == fault.NotRun && q.sends == 0 {
 			// No engine was sent anything, so asking another one repeats nothing.
-			if declined++; declined < maxDeclined && !q.job.Excess && ctx.Err() == nil && len(q.job.Tried) == declined {
+			if declined++; declined < maxDeclined && q.job.Rank < dispatch.Excess && ctx.Err() == nil && len(q.job.Tried) == declined {
 				continue
 			}
 			return f.After(q.returnDelay(f.RetryAfter))
@@ -80,6 +80,7 @@
 		return err
 	}
 	defer ticket.Done()
+	q.s.o.Dispatch.served(&q.job)
 	q.ticket = ticket
 	if err := q.stillAllowed(); err != nil {
 		return err
@@ -108,7 +109,7 @@
 	}
 	return q.s.o.Admission.Admit(ctx, &admission.Request{
 		Instance: p.Instance, Slots: q.service.Engine.Slots, MemoryTokens: q.service.Engine.MemoryTokens,
-		Parts: q.job.Parts, Tokens: q.job.InputTokens, Aim: q.aim, End: q.deadline, Excess: q.job.Excess,
+		Parts: q.job.Parts, Tokens: q.job.InputTokens, Aim: q.aim, End: q.deadline, Rank: q.job.Rank,
 	})
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -68,6 +68,10 @@
 	})
 }
 
+func (x *Dispatch) served(j *dispatch.Job) {
+	x.Update(func(d *dispatch.Dispatcher, now time.Time) { d.Served(j, now) })
+}
+
 func (x *Dispatch) takeRepeat(service string) (ok bool) {
 	x.Update(func(d *dispatch.Dispatcher, now time.Time) { ok = d.TakeRepeat(service, now) })
 	return ok
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -301,6 +301,8 @@
 	// Demands are the tokens per second that the host's callers ask for, by account; nil
 	// when they are not told this time.
 	Demands map[string]float64
+	// Served are the tokens per second that they get, told together with Demands.
+	Served float64
 }
 
 // PromptPart is one part of a prompt.
@@ -323,7 +325,8 @@
 	// AimLeft is the time until the first event should be delivered; EndLeft the time
 	// until the request has no use any more.
 	AimLeft, EndLeft time.Duration
-	Excess           bool
+	// Rank says how the request stands to its account's share, 0 is the most urgent.
+	Rank uint8
 }
 
 // Verdict answers an Ask. A queued one gets a second verdict.
