--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
+)
+
+// net delivers messages between admissions at once, but for hosts that are silent.
+type net struct {
+	mu     sync.Mutex
+	hosts  map[string]*Admission
+	silent map[string]bool
+}
+
+type port struct {
+	n    *net
+	host string
+}
+
+func (p port) Send(to string, kind wire.Kind, msg any) error {
+	payload, err := wire.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	p.n.mu.Lock()
+	h := p.n.hosts[to]
+	silent := p.n.silent[to] || p.n.silent[p.host]
+	p.n.mu.Unlock()
+	if h != nil && !silent {
+		go h.Handle(p.host, 1, kind, payload)
+	}
+	return nil
+}
+
+func newNet(names ...string) *net {
+	n := &net{hosts: map[string]*Admission{}, silent: map[string]bool{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, h := range names {
+		n.hosts[h] = New(Options{Host: h, Transport: port{n, h}, Now: time.Now, Log: log, Registry: metrics.NewRegistry()})
+	}
+	for _, h := range names {
+		n.hosts[h].SetHosts(names)
+		for _, other := range names {
+			n.hosts[h].Heard(other)
+		}
+	}
+	return n
+}
+
+// owned returns an instance whose gate belongs to a host.
+func (n *net) owned(owner string) catalog.Instance {
+	for i := 0; ; i++ {
+		x := catalog.Instance{ID: string(rune('A' + i)), Service: "s"}
+		if n.hosts[owner].ownerLocked(x.Key()) == owner {
+			return x
+		}
+	}
+}
+
+func request(i catalog.Instance, tokens int) *Request {
+	now := time.Now()
+	return &Request{Instance: i, Slots: 64, MemoryTokens: 100_000, Tokens: tokens, Aim: now.Add(5 * time.Second), End: now.Add(20 * time.Second)}
+}
+
+// Guards against hosts that pace one engine each for itself.
+func TestOneGateForAllHosts(t *testing.T) {
+	c := qt.New(t)
+	n := newNet("a", "b", "c")
+	x := n.owned("b")
+	first, err := n.hosts["a"].Admit(context.Background(), request(x, 50_000))
+	c.Assert(err, qt.IsNil)
+	second := make(chan error, 1)
+	go func() {
+		_, err := n.hosts["c"].Admit(context.Background(), request(x, 50_000))
+		second <- err
+	}()
+	select {
+	case <-second:
+		c.Fatal("admitted while the engine reads another prompt")
+	case <-time.After(150 * time.Millisecond):
+	}
+	first.FirstEvent()
+	c.Assert(<-second, qt.IsNil)
+}
+
+// Guards against a refusal without the expected wait, or with a wrong run state.
+func TestRefusalTellsTheWait(t *testing.T) {
+	c := qt.New(t)
+	n := newNet("a", "b")
+	x := n.owned("b")
+	_, err := n.hosts["a"].Admit(context.Background(), request(x, 400_000))
+	c.Assert(err, qt.IsNil)
+	_, err = n.hosts["a"].Admit(context.Background(), request(x, 1_000))
+	f := fault.As(err)
+	c.Assert(f.Code, qt.Equals, fault.QueueFull)
+	c.Assert(f.Run, qt.Equals, fault.NotRun)
+	c.Assert(f.RetryAfter > 5*time.Second, qt.IsTrue)
+}
+
+// Guards against requests that wait for an owner that is gone.
+func TestSilentOwnerIsBypassed(t *testing.T) {
+	c := qt.New(t)
+	n := newNet("a", "b")
+	x := n.owned("b")
+	n.mu.Lock()
+	n.silent["b"] = true
+	n.mu.Unlock()
+	began := time.Now()
+	ticket, err := n.hosts["a"].Admit(context.Background(), request(x, 1_000))
+	c.Assert(err, qt.IsNil)
+	ticket.Done()
+	_, err = n.hosts["a"].Admit(context.Background(), request(x, 1_000))
+	c.Assert(err, qt.IsNil)
+	c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+}
+
+// Guards against a caller that leaves and keeps its place in the queue.
+func TestWithdrawnRequestFreesItsPlace(t *testing.T) {
+	c := qt.New(t)
+	n := newNet("a")
+	x := n.owned("a")
+	first, err := n.hosts["a"].Admit(context.Background(), request(x, 50_000))
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = n.hosts["a"].Admit(ctx, request(x, 1_000))
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.WaitExpired)
+	loads := n.hosts["a"].Loads()
+	c.Assert(loads, qt.HasLen, 1)
+	c.Assert(loads[0].Running, qt.Equals, 1)
+	first.Done()
+	c.Assert(n.hosts["a"].Loads()[0].Running, qt.Equals, 0)
+}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/routing"
+)
+
+func services() []routing.Service {
+	return []routing.Service{
+		{Name: "engines", ColdFor: 3 * time.Second, ColdPerSecond: 12, Engine: &routing.Engine{Slots: 64, MemoryTokens: 200_000}},
+		{Name: "plain"},
+	}
+}
+
+func instances(n int) []catalog.Instance {
+	var out []catalog.Instance
+	for i := range n {
+		out = append(out, catalog.Instance{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("10.0.0.", i, ":1"), DataCentre: fmt.Sprint("dc", i%3), Slots: 64})
+	}
+	for i := range 3 {
+		out = append(out, catalog.Instance{ID: fmt.Sprint("p", i), Service: "plain", Address: fmt.Sprint("10.0.1.", i, ":1"), DataCentre: fmt.Sprint("dc", i), Slots: 6})
+	}
+	return out
+}
+
+func newTestDispatcher(host string, hosts ...string) *Dispatcher {
+	d := New(Options{Host: host, DataCentre: "dc0"})
+	d.SetServices(services(), 0)
+	d.SetInstances(instances(9), at(0))
+	d.SetHosts(hosts)
+	return d
+}
+
+func prompt(shared uint64) *Job {
+	return &Job{Service: "engines", Parts: []Part{{1, 2_500}, {shared, 3_800}, {1_000_000 + shared, 2_900}},
+		InputTokens: 9_200, OutputTokens: 50, Objective: 800 * time.Millisecond, Left: 4 * time.Second}
+}
+
+// Guards against shared parts that are read at several engines although one has them, and
+// against hosts that disagree on which one.
+func TestSharedPartsStayTogether(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTestDispatcher("a", "a", "b"), newTestDispatcher("b", "a", "b")
+	for shared := range uint64(50) {
+		want := ""
+		for i := range 4 {
+			for _, d := range []*Dispatcher{a, b} {
+				now := at(int(shared)*10_000 + i*2_000)
+				p, err := d.Pick(prompt(100+shared), now)
+				c.Assert(err, qt.IsNil)
+				if want == "" {
+					want = p.Instance.ID
+				}
+				c.Assert(p.Instance.ID, qt.Equals, want)
+				p.FirstEvent()
+				p.Done(Answered, now)
+			}
+		}
+	}
+}
+
+// Guards against work for instances that drain, are gone, are out of service or were
+// tried already.
+func TestPickLeavesOut(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher("a", "a")
+	list := instances(9)
+	list[9].Draining = true
+	d.SetInstances(list, at(1))
+	d.SetOut(map[string]bool{"dc1": true})
+	for range 10 {
+		p, err := d.Pick(&Job{Service: "plain", Left: time.Second}, at(2))
+		c.Assert(err, qt.IsNil)
+		c.Assert(p.Instance.ID, qt.Equals, "p2")
+	}
+	_, err := d.Pick(&Job{Service: "plain", Left: time.Second, Tried: []catalog.Key{{ID: "p2"}}}, at(2))
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.QueueFull)
+	c.Assert(fault.As(err).Run, qt.Equals, fault.NotRun)
+	d.Gone(catalog.Key{ID: "p2"})
+	_, err = d.Pick(&Job{Service: "plain", Left: time.Second}, at(2))
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.QueueFull)
+}
+
+// Guards against more requests in a second than a cold instance bears, summed over hosts
+// that do not talk to each other.
+func TestColdRateOverAllHosts(t *testing.T) {
+	c := qt.New(t)
+	var names []string
+	for i := range 12 {
+		names = append(names, fmt.Sprint("h", i))
+	}
+	var all []*Dispatcher
+	for _, h := range names {
+		d := newTestDispatcher(h, names...)
+		list := append(instances(9), catalog.Instance{ID: "new", Service: "engines", Address: "10.0.0.99:1", DataCentre: "dc0", Slots: 64})
+		d.SetInstances(list, at(1_000))
+		all = append(all, d)
+	}
+	var sent []int
+	for ms := 1_000; ms < 4_000; ms += 5 {
+		for _, d := range all {
+			// Only the new instance is left to choose.
+			j := &Job{Service: "engines", InputTokens: 100, Left: time.Second}
+			for _, i := range instances(9)[:9] {
+				j.Tried = append(j.Tried, i.Key())
+			}
+			if p, err := d.Pick(j, at(ms)); err == nil {
+				sent = append(sent, ms)
+				p.Done(Answered, at(ms))
+			}
+		}
+	}
+	c.Assert(len(sent) > 20, qt.IsTrue, qt.Commentf("%d sent: a cold instance has to be warmed", len(sent)))
+	for i := range sent {
+		n := 0
+		for _, other := range sent[i:] {
+			if other < sent[i]+1_000 {
+				n++
+			}
+		}
+		c.Assert(n <= 12*3/2+5, qt.IsTrue, qt.Commentf("%d requests within a second", n))
+	}
+}
+
+// Guards against an unreachable instance that keeps getting requests, and against one that
+// is never tried again.
+func TestUnreachableInstance(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher("a", "a")
+	first, err := d.Pick(&Job{Service: "plain", Left: time.Second}, at(0))
+	c.Assert(err, qt.IsNil)
+	first.Done(Unreachable, at(1))
+	p, err := d.Pick(&Job{Service: "plain", Left: time.Second}, at(2))
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Instance.ID, qt.Not(qt.Equals), first.Instance.ID)
+	p.Done(Answered, at(3))
+	again, err := d.Pick(&Job{Service: "plain", Left: time.Second}, at(1_000))
+	c.Assert(err, qt.IsNil)
+	c.Assert(again.Instance.ID, qt.Equals, first.Instance.ID)
+}
+
+// Guards against repeats beyond a fifth of the requests and the spare ones, over all hosts.
+func TestRepeatBudget(t *testing.T) {
+	c := qt.New(t)
+	names := []string{"a", "b", "c", "d"}
+	repeats, requests := 0, 0
+	var all []*Dispatcher
+	for _, h := range names {
+		all = append(all, newTestDispatcher(h, names...))
+	}
+	for ms := 0; ms < 10_000; ms += 10 {
+		for _, d := range all {
+			d.CountRequest("plain", at(ms))
+			requests++
+			if d.TakeRepeat("plain", at(ms)) {
+				repeats++
+			}
+		}
+	}
+	c.Assert(float64(repeats) <= 0.2*float64(requests)+60, qt.IsTrue, qt.Commentf("%d repeats of %d", repeats, requests))
+	c.Assert(repeats > requests/20, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/dispatch/shares_test.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a level that gives away more or less than the capacity.
+func TestMaxMinLevel(t *testing.T) {
+	c := qt.New(t)
+	for _, tt := range []struct {
+		demands  []float64
+		capacity float64
+		want     float64
+	}{
+		{[]float64{10, 20, 30}, 100, math.Inf(1)},
+		{[]float64{10, 20, 70}, 60, 30},
+		{[]float64{10, 80, 90}, 90, 40},
+		{[]float64{50, 50, 50}, 90, 30},
+		{nil, 90, math.Inf(1)},
+		{[]float64{10}, 0, math.Inf(1)},
+	} {
+		c.Check(maxMinLevel(tt.demands, tt.capacity), qt.Equals, tt.want, qt.Commentf("%v", tt))
+	}
+}
+
+// Guards against an account that takes the shares of others by asking for many times the
+// usual, also over several hosts, and against marks on accounts within their share.
+func TestSharesRankFloods(t *testing.T) {
+	c := qt.New(t)
+	a, b := newShares(), newShares()
+	a.tiers[WithinContract].capacity, b.tiers[WithinContract].capacity = 10_000, 10_000
+	within := map[string]float64{}
+	for ms := 0; ms < 20_000; ms += 10 {
+		now := at(ms)
+		for i, s := range []*Shares{a, b} {
+			// The flood asks for 20,000 tokens/s at each host, the others for 1,000.
+			if s.Demand("flood", 200, now) == WithinContract && ms >= 10_000 {
+				within["flood"] += 200
+			}
+			for _, quiet := range []string{"x", "y", "z"} {
+				rank := s.Demand(quiet, 10, now)
+				if ms >= 10_000 {
+					c.Assert(rank, qt.Equals, WithinContract, qt.Commentf("%s at %d", quiet, ms))
+					within[quiet] += 10
+				}
+			}
+			if ms%100 == 0 {
+				other := []*Shares{b, a}[i]
+				demands, served := s.Own(now)
+				other.SetPeer([]string{"a", "b"}[i], demands, served, now)
+			}
+		}
+	}
+	// 10,000 tokens/s less three times 2,000 leave 4,000 for the flood, over 10 s.
+	c.Assert(math.Abs(within["flood"]-40_000) < 8_000, qt.IsTrue, qt.Commentf("%v", within["flood"]))
+}
+
+// Guards against a first-come order of what is beyond the contract: two accounts beyond
+// their shares get like parts of what the engines serve.
+func TestSharesOfServedCapacity(t *testing.T) {
+	c := qt.New(t)
+	s := newShares()
+	s.tiers[WithinContract].capacity = 2_000
+	got := map[string]float64{}
+	for ms := 0; ms < 20_000; ms += 10 {
+		now := at(ms)
+		s.Served(100, now)
+		for account, tokens := range map[string]float64{"big": 300, "small": 80} {
+			if s.Demand(account, tokens, now) <= WithinCapacity && ms >= 10_000 {
+				got[account] += tokens
+			}
+		}
+	}
+	c.Assert(got["small"] >= got["big"]/2, qt.IsTrue, qt.Commentf("%v", got))
+	c.Assert(got["big"] >= got["small"]/2, qt.IsTrue, qt.Commentf("%v", got))
+}
