Spread loads by relays and read the list of upstreams once for the fleet

Cause: every host told every other its loads ten times a second and read the list of upstreams itself.

Change: hosts report to one relay in their data centre, relays exchange sums. An owner of a gate counts as silent by its missing first verdict; a queued request asks again whether it still is.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -24,8 +24,12 @@
 
 // Times of the protocol between hosts and owners.
 const (
-	// silentAfter is how long an owner may be silent: several reports of loads.
-	silentAfter = 350 * time.Millisecond
+	// silentAfter is how long an owner may take for its first verdict.
+	silentAfter = 250 * time.Millisecond
+	// silentFor is how long an owner that did not answer is not asked again.
+	silentFor = 500 * time.Millisecond
+	// askAgain is the interval at which a queued request asks whether it is still queued.
+	askAgain = 300 * time.Millisecond
 	// checkInterval is the interval at which a waiting request looks after its owner.
 	checkInterval = 50 * time.Millisecond
 	// forgetAfter is when an unused gate is dropped.
@@ -61,9 +65,10 @@
 type Admission struct {
 	o Options
 
-	mu     sync.Mutex
-	hosts  []string
-	heard  map[string]time.Time
+	mu    sync.Mutex
+	hosts []string
+	// silent holds until when a silent owner is not asked.
+	silent map[string]time.Time
 	speeds map[string]*dispatch.Speedometer
 	gates  map[catalog.Key]*ownedGate
 	seq    uint64
@@ -77,7 +82,10 @@
 	used  time.Time
 }
 
-// call waits for verdicts; the buffer holds the two that an ask may get.
+// verdictBuffer holds the verdicts of an ask and of its repeats.
+const verdictBuffer = 4
+
+// call waits for verdicts.
 type call struct {
 	verdicts chan wire.Verdict
 }
@@ -85,7 +93,7 @@
 // New returns an Admission of a host that knows no other.
 func New(o Options) *Admission {
 	return &Admission{
-		o: o, hosts: []string{o.Host}, heard: map[string]time.Time{}, speeds: map[string]*dispatch.Speedometer{},
+		o: o, hosts: []string{o.Host}, silent: map[string]time.Time{}, speeds: map[string]*dispatch.Speedometer{},
 		gates: map[catalog.Key]*ownedGate{}, calls: map[uint64]*call{},
 	}
 }
@@ -101,13 +109,6 @@
 	a.hosts = hosts
 }
 
-// Heard notes that a message of a host arrived.
-func (a *Admission) Heard(host string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.heard[host] = a.o.Now()
-}
-
 // ownerLocked returns the host that owns the gate of an engine (rendezvous hashing).
 func (a *Admission) ownerLocked(k catalog.Key) string {
 	owner, best := a.o.Host, uint64(0)
@@ -122,9 +123,9 @@
 	return owner
 }
 
-// silentLocked reports whether an owner has not been heard for a while.
+// silentLocked reports whether an owner did not answer lately.
 func (a *Admission) silentLocked(owner string) bool {
-	return owner != a.o.Host && a.o.Now().Sub(a.heard[owner]) > silentAfter
+	return owner != a.o.Host && a.o.Now().Before(a.silent[owner])
 }
 
 // Ticket is an admission. Its methods may be called on a nil ticket.
@@ -160,7 +161,7 @@
 		a.count("bypassed")
 		return t, nil
 	}
-	c := &call{verdicts: make(chan wire.Verdict, 2)}
+	c := &call{verdicts: make(chan wire.Verdict, verdictBuffer)}
 	a.calls[t.seq] = c
 	a.mu.Unlock()
 	defer func() {
@@ -169,14 +170,14 @@
 		a.mu.Unlock()
 	}()
 	a.ask(t, r)
-	return a.wait(ctx, t, c)
+	return a.wait(ctx, t, r, c)
 }
 
-func (a *Admission) wait(ctx context.Context, t *Ticket, c *call) (*Ticket, error) {
+func (a *Admission) wait(ctx context.Context, t *Ticket, r *Request, c *call) (*Ticket, error) {
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
-	asked := a.o.Now()
-	queued := false
+	due := a.o.Now().Add(silentAfter)
+	var again time.Time
 	for {
 		select {
 		case v := <-c.verdicts:
@@ -187,23 +188,36 @@
 				a.count("refused")
 				return nil, fault.New(fault.QueueFull, fault.NotRun, "the engine would answer after %s", v.Wait.Round(time.Millisecond)).After(v.Wait)
 			}
-			queued = true
+			due, again = time.Time{}, a.o.Now().Add(askAgain)
 		case <-ctx.Done():
 			t.Done()
 			return nil, fault.New(fault.WaitExpired, fault.NotRun, "not admitted in time")
 		case <-check.C:
-			a.mu.Lock()
-			silent := a.silentLocked(t.owner) || !queued && a.o.Now().Sub(asked) > silentAfter
-			moved := a.ownerLocked(t.key) != t.owner
-			a.mu.Unlock()
-			if silent || moved {
+			now := a.o.Now()
+			if a.lost(t, due, now) {
 				a.count("bypassed")
 				return t, nil
 			}
+			if due.IsZero() && now.After(again) {
+				due = now.Add(silentAfter)
+				a.ask(t, r)
+			}
 		}
 	}
 }
 
+// lost reports whether a verdict is overdue or the gate has another owner by now. A zero
+// due time means that the owner has answered.
+func (a *Admission) lost(t *Ticket, due, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !due.IsZero() && now.After(due) && t.owner != a.o.Host {
+		a.silent[t.owner] = now.Add(silentFor)
+		return true
+	}
+	return !due.IsZero() && a.silentLocked(t.owner) || a.ownerLocked(t.key) != t.owner
+}
+
 func (a *Admission) count(name string) {
 	metrics.GetOrRegisterCounter("admission."+name, a.o.Registry).Inc(1)
 }
@@ -246,7 +260,6 @@
 
 // Handle takes a message of another host.
 func (a *Admission) Handle(from string, _ uint64, kind wire.Kind, payload []byte) {
-	a.Heard(from)
 	var err error
 	switch kind {
 	case wire.KindAsk:
@@ -280,7 +293,7 @@
 	select {
 	case c.verdicts <- v:
 	default:
-		// An ask gets two verdicts at most; more come from a confused owner.
+		// The request has left the queue; what it has not read yet decides already.
 	}
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -52,9 +52,6 @@
 	}
 	for _, h := range names {
 		n.hosts[h].SetHosts(names)
-		for _, other := range names {
-			n.hosts[h].Heard(other)
-		}
 	}
 	return n
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -51,16 +51,17 @@
 	Instances(ctx context.Context) ([]Instance, error)
 }
 
+// lookInterval is the time between two looks whether this host should read.
+const lookInterval = 100 * time.Millisecond
+
 // fetchTimeout bounds one read of all pages.
-const fetchTimeout = 2 * time.Second
+const fetchTimeout = time.Second
 
 // Options configure a Reader.
 type Options struct {
 	Source Source
-	// Interval is the time between two reads.
-	Interval time.Duration
-	// Reads says whether this host reads the list now; nil means always.
-	Reads func() bool
+	// Reads says whether this host reads the list now.
+	Reads func(now time.Time) bool
 	// OnList is told of each list that was read.
 	OnList   func(List)
 	Log      logrus.FieldLogger
@@ -81,10 +82,10 @@
 
 // Run polls until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
-	tick := time.NewTicker(r.o.Interval)
+	tick := time.NewTicker(lookInterval)
 	defer tick.Stop()
 	for {
-		if r.o.Reads == nil || r.o.Reads() {
+		if r.o.Reads(time.Now()) {
 			r.read(ctx)
 		}
 		select {
@@ -95,6 +96,18 @@
 	}
 }
 
+// failurePause is the time after a failed read.
+const failurePause = 400 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func (r *Reader) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
@@ -102,6 +115,8 @@
 	list, err := r.o.Source.Instances(ctx)
 	if err != nil {
 		r.failures.Inc(1)
+		// The rate of the list is shared, so a refusal is not answered by asking again.
+		defer pause(ctx, failurePause)
 		if !r.failing {
 			r.o.Log.WithError(err).Warn("List of upstreams not read. The last one stays in use.")
 		}
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"marigoldshunt/internal/edge"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/gateway"
+	"marigoldshunt/internal/loads"
 	"marigoldshunt/internal/routing"
 	"marigoldshunt/internal/settings"
 	"marigoldshunt/internal/wire"
@@ -26,13 +28,9 @@
 
 // Intervals of the edge.
 const (
-	// listInterval is the least time between two reads of the list of instances.
-	listInterval = time.Second
-	// loadsInterval is the time between two reports of loads to other hosts.
-	loadsInterval = 100 * time.Millisecond
-	idleInterval  = time.Second
-	// demandsEvery is the number of reports of loads of which one tells the demands too.
-	demandsEvery = 3
+	// tickInterval is the interval of the gates' housekeeping.
+	tickInterval = 100 * time.Millisecond
+	idleInterval = time.Second
 	// keepDirectory is how long callers may keep an answer of discovery.
 	keepDirectory = 2 * time.Second
 	// edgeHeaderTimeout bounds the calls of operators and discovery.
@@ -50,12 +48,12 @@
 	log      logrus.FieldLogger
 	gateway  *gateway.Server
 	dispatch *gateway.Dispatch
-	reader   *catalog.Reader
+	catalog  *catalogRole
 	admit    *admission.Admission
 	table    atomic.Pointer[routing.Table]
-	peers    atomic.Pointer[[]string]
-	// told counts the reports of loads.
-	told atomic.Uint64
+
+	loadsMu sync.Mutex
+	loads   *loads.Exchange
 }
 
 func (d *Daemon) newEdge() *edgeRole {
@@ -76,11 +74,10 @@
 		MaxConfigAge: e.s.ConfigMaxAge, HeaderBytes: d.s.CallerLimits.HeaderBytes,
 		ReadTimeout: d.s.CallerLimits.ReadTimeout, Log: d.part("gateway"), Registry: d.registry,
 	})
-	e.reader = catalog.NewReader(catalog.Options{
-		Source: d.o.Adapter.Instances(e.s.UpstreamList), Interval: listInterval,
-		OnList: e.dispatch.SetInstances, Log: d.part("catalog"), Registry: d.registry,
-	})
+	e.catalog = newCatalogRole(d, d.o.Adapter.Instances(e.s.UpstreamList), e.dispatch.SetInstances)
+	e.loads = loads.New(d.s.Host, d.s.DataCentre)
 	d.peers.Handle(wire.KindLoads, e.handleLoads)
+	d.peers.Handle(wire.KindLoadSums, e.handleLoads)
 	return e
 }
 
@@ -114,68 +111,87 @@
 		return
 	}
 	var alive []string
+	var places []loads.Host
 	for _, h := range hosts {
 		if h.Alive {
 			alive = append(alive, h.Host)
+			places = append(places, loads.Host{Name: h.Host, DataCentre: h.DataCentre})
 		}
 	}
-	e.peers.Store(&alive)
+	e.loadsMu.Lock()
+	e.loads.SetHosts(places)
+	e.loadsMu.Unlock()
+	e.catalog.setHosts(alive)
 	e.admit.SetHosts(alive)
 	e.dispatch.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.SetHosts(alive) })
 }
 
-// handleLoads takes what another host has under way.
-func (e *edgeRole) handleLoads(from string, _ uint64, _ wire.Kind, payload []byte) {
-	var m wire.Loads
-	if err := wire.Unmarshal(payload, &m); err != nil {
+// handleLoads takes the report of a host or the sums of a relay.
+func (e *edgeRole) handleLoads(from string, _ uint64, kind wire.Kind, payload []byte) {
+	var report wire.Loads
+	var sums wire.LoadSums
+	var err error
+	if kind == wire.KindLoads {
+		err = wire.Unmarshal(payload, &report)
+	} else {
+		err = wire.Unmarshal(payload, &sums)
+	}
+	if err != nil {
 		e.log.WithError(err).WithField("from", from).Warn("Loads not readable.")
 		return
 	}
-	loads := make([]dispatch.Load, len(m.Instances))
-	for i, l := range m.Instances {
-		loads[i] = dispatch.Load(l)
-	}
-	e.admit.Heard(from)
-	e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) {
-		d.SetPeerLoads(from, loads, now)
-		setGates(d, m.Gates, now)
-		if m.Demands != nil {
-			d.SetPeerDemands(from, m.Demands, m.Served, now)
-		}
-	})
-}
-
-func setGates(d *dispatch.Dispatcher, gates []wire.GateLoad, now time.Time) {
-	for _, g := range gates {
-		d.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs}, now)
+	now := time.Now()
+	e.loadsMu.Lock()
+	defer e.loadsMu.Unlock()
+	if kind == wire.KindLoads {
+		e.loads.HandleReport(from, report, now)
+		return
 	}
+	e.loads.HandleSums(sums, now)
+	e.useLoads(e.loads.Others(now))
 }
 
-// tellLoads reports the own loads to the other hosts.
-func (e *edgeRole) tellLoads() {
-	peers := e.peers.Load()
-	if peers == nil {
-		return
-	}
-	m := wire.Loads{Gates: e.admit.Loads()}
-	tellDemands := e.told.Add(1)%demandsEvery == 0
+// useLoads gives the loads of the other hosts to the decisions of this one.
+func (e *edgeRole) useLoads(sums []wire.LoadSum) {
 	e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) {
-		setGates(d, m.Gates, now)
-		if tellDemands {
-			m.Demands, m.Served = d.OwnDemands(now)
-		}
-		for _, l := range d.OwnLoads() {
-			m.Instances = append(m.Instances, wire.InstanceLoad(l))
+		for _, sum := range sums {
+			list := make([]dispatch.Load, len(sum.Loads.Instances))
+			for i, l := range sum.Loads.Instances {
+				list[i] = dispatch.Load(l)
+			}
+			d.SetPeerLoads(sum.DataCentre, list, now)
+			d.SetPeerDemands(sum.DataCentre, sum.Loads.Demands, sum.Loads.Served, now)
+			for _, g := range sum.Loads.Gates {
+				d.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs}, now)
+			}
 		}
 	})
-	for _, host := range *peers {
-		if host == e.d.s.Host {
-			continue
-		}
-		if err := e.d.peers.Send(host, wire.KindLoads, &m); err != nil {
-			e.log.WithError(err).WithField("to", host).Debug("Loads not sent.")
+}
+
+// tellLoads reports this host's loads until ctx ends. A relay also spreads the sums.
+func (e *edgeRole) tellLoads(ctx context.Context) error {
+	for ctx.Err() == nil {
+		own := wire.Loads{Gates: e.admit.Loads()}
+		e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) {
+			for _, l := range d.OwnLoads() {
+				own.Instances = append(own.Instances, wire.InstanceLoad(l))
+			}
+			own.Demands, own.Served = d.OwnDemands(now)
+		})
+		now := time.Now()
+		e.loadsMu.Lock()
+		sends := e.loads.Tick(own, now)
+		interval := e.loads.Interval()
+		e.useLoads(e.loads.Others(now))
+		e.loadsMu.Unlock()
+		for _, s := range sends {
+			if err := e.d.peers.Send(s.To, s.Kind, s.Msg); err != nil {
+				e.log.WithError(err).WithField("to", s.To).Debug("Loads not sent.")
+			}
 		}
+		wait(ctx, interval)
 	}
+	return nil
 }
 
 // run serves until ctx ends.
@@ -189,13 +205,9 @@
 		return fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", e.s.GatewayAddress)
 	}
 	g.Go(func() error { return e.gateway.Serve(ln) })
-	g.Go(func() error { return e.reader.Run(ctx) })
-	g.Go(func() error {
-		return every(ctx, loadsInterval, func(now time.Time) {
-			e.admit.Tick(now)
-			e.tellLoads()
-		})
-	})
+	g.Go(func() error { return e.catalog.run(ctx) })
+	g.Go(func() error { return every(ctx, tickInterval, e.admit.Tick) })
+	g.Go(func() error { return e.tellLoads(ctx) })
 	g.Go(func() error { return every(ctx, idleInterval, e.gateway.CloseIdle) })
 	for address, h := range map[string]http.Handler{
 		e.s.OperatorAddress:  e.d.o.Adapter.Operators(e),
@@ -280,7 +292,7 @@
 		near = all
 	}
 	if len(near) == 0 {
-		return edge.Directory{}, fault.New(fault.HostIsolated, fault.NotRun, "no host is known yet").After(loadsInterval)
+		return edge.Directory{}, fault.New(fault.HostIsolated, fault.NotRun, "no host is known yet").After(tickInterval)
 	}
 	return edge.Directory{Addresses: near, KeepFor: keepDirectory}, nil
 }
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -83,6 +83,9 @@
 
 // Ask decides about a request.
 func (g *Gate) Ask(a Ask, now time.Time) Verdict {
+	if v, known := g.known(a.ID, now); known {
+		return v
+	}
 	tokens := g.tokens(a, now)
 	wait := g.expected(a, tokens, now)
 	if a.Aim.Before(now) {
@@ -101,6 +104,19 @@
 	return Verdict{Queued: true, Wait: wait}
 }
 
+// known answers a repeated ask.
+func (g *Gate) known(id AskID, now time.Time) (Verdict, bool) {
+	if g.running[id] != nil {
+		return Verdict{Granted: true}, true
+	}
+	for _, w := range g.waiting {
+		if w.ID == id {
+			return Verdict{Queued: true, Wait: g.expected(w.Ask, w.tokens, now)}, true
+		}
+	}
+	return Verdict{}, false
+}
+
 // lateAim is the aim of a request whose own has passed.
 const lateAim = 300 * time.Millisecond
 
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -27,6 +27,9 @@
 	c.Assert(g.Ask(ask(1, 9_000, 0, 800, WithinContract), at(0)).Granted, qt.IsTrue)
 	v := g.Ask(ask(2, 9_000, 0, 800, WithinContract), at(0))
 	c.Assert(v.Queued && !v.Granted, qt.IsTrue)
+	// A repeated ask neither waits twice nor is refused.
+	c.Assert(g.Ask(ask(2, 9_000, 1, 800, WithinContract), at(1)).Queued, qt.IsTrue)
+	c.Assert(g.Ask(ask(1, 9_000, 1, 800, WithinContract), at(1)).Granted, qt.IsTrue)
 	g.FirstEvent(AskID{"h", 1}, at(225))
 	granted, refused := g.Next(at(225))
 	c.Assert(granted, qt.DeepEquals, []AskID{{"h", 2}})
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -7,7 +7,7 @@
 )
 
 // peerMaxAge is the age after which the load that another host told is ignored.
-const peerMaxAge = time.Second
+const peerMaxAge = 2 * time.Second
 
 // Load is what one host has under way at one instance.
 type Load struct {
--- /dev/null
+++ b/internal/loads/loads.go
@@ -0,0 +1,227 @@
+// Package loads spreads what the hosts have under way over the fleet.
+//
+// Each host reports to one relay in its data centre. The relay adds the reports up,
+// exchanges the sums with the relays of the other data centres and gives all sums to the
+// hosts of its own. A report therefore costs a host two messages per interval whatever the
+// size of the fleet, and few bytes cross between data centres.
+//
+// The package does no I/O and reads no clock.
+package loads
+
+import (
+	"slices"
+	"time"
+
+	"marigoldshunt/internal/wire"
+)
+
+// Times of the exchange.
+const (
+	// minInterval is the time between two reports in a small fleet.
+	minInterval = 100 * time.Millisecond
+	// perHost lengthens the interval with the number of hosts, so that the bytes that a
+	// relay sends grow in proportion to the fleet and not faster.
+	perHost     = 4 * time.Millisecond
+	maxInterval = time.Second
+	// staleAfter is the number of intervals after which a report is dropped.
+	staleAfter = 8
+)
+
+// Host is a live host.
+type Host struct{ Name, DataCentre string }
+
+// Send is a message to a host.
+type Send struct {
+	To   string
+	Kind wire.Kind
+	Msg  any
+}
+
+type report struct {
+	loads wire.Loads
+	at    time.Time
+}
+
+type dated struct {
+	wire.LoadSum
+	at time.Time
+}
+
+// Exchange is one host's part. It is not safe for concurrent use.
+type Exchange struct {
+	host, dataCentre string
+	hosts            []Host
+	own              wire.Loads
+	// reports are those of the hosts of this data centre, kept by its relay; sums are
+	// those by data centre.
+	reports map[string]report
+	sums    map[string]dated
+}
+
+// New returns an Exchange of a host that knows no other.
+func New(host, dataCentre string) *Exchange {
+	return &Exchange{
+		host: host, dataCentre: dataCentre, hosts: []Host{{host, dataCentre}},
+		reports: map[string]report{}, sums: map[string]dated{},
+	}
+}
+
+// SetHosts takes the live hosts.
+func (e *Exchange) SetHosts(hosts []Host) {
+	e.hosts = slices.Clone(hosts)
+	if !slices.ContainsFunc(e.hosts, func(h Host) bool { return h.Name == e.host }) {
+		e.hosts = append(e.hosts, Host{e.host, e.dataCentre})
+	}
+}
+
+// Interval is the time between two reports.
+func (e *Exchange) Interval() time.Duration {
+	return min(max(minInterval, time.Duration(len(e.hosts))*perHost), maxInterval)
+}
+
+// relay returns the host that adds up the reports of a data centre. All hosts derive it
+// from the list of live hosts.
+func (e *Exchange) relay(dataCentre string) string {
+	relay := ""
+	for _, h := range e.hosts {
+		if h.DataCentre == dataCentre && (relay == "" || h.Name < relay) {
+			relay = h.Name
+		}
+	}
+	return relay
+}
+
+// Tick takes the host's own loads and returns the messages of this interval.
+func (e *Exchange) Tick(own wire.Loads, now time.Time) []Send {
+	e.own = own
+	relay := e.relay(e.dataCentre)
+	if relay != e.host {
+		clear(e.reports)
+		return []Send{{relay, wire.KindLoads, &own}}
+	}
+	e.reports[e.host] = report{own, now}
+	sum := wire.LoadSum{DataCentre: e.dataCentre, Loads: e.sum(now)}
+	e.sums[e.dataCentre] = dated{sum, now}
+	return append(e.toRelays(sum), e.toMembers(now)...)
+}
+
+func (e *Exchange) toRelays(sum wire.LoadSum) (out []Send) {
+	seen := map[string]bool{e.dataCentre: true}
+	for _, h := range e.hosts {
+		if !seen[h.DataCentre] {
+			seen[h.DataCentre] = true
+			out = append(out, Send{e.relay(h.DataCentre), wire.KindLoadSums, &wire.LoadSums{List: []wire.LoadSum{sum}}})
+		}
+	}
+	return out
+}
+
+func (e *Exchange) toMembers(now time.Time) (out []Send) {
+	m := &wire.LoadSums{List: e.Sums(now)}
+	for _, h := range e.hosts {
+		if h.DataCentre == e.dataCentre && h.Name != e.host {
+			out = append(out, Send{h.Name, wire.KindLoadSums, m})
+		}
+	}
+	return out
+}
+
+// sum adds up the reports of this data centre.
+func (e *Exchange) sum(now time.Time) wire.Loads {
+	out := wire.Loads{Demands: map[string]float64{}}
+	type key struct {
+		id   string
+		born int64
+	}
+	at := map[key]int{}
+	for host, r := range e.reports {
+		if e.stale(r.at, now) {
+			delete(e.reports, host)
+			continue
+		}
+		for _, l := range r.loads.Instances {
+			i, ok := at[key{l.ID, l.Born}]
+			if !ok {
+				at[key{l.ID, l.Born}] = len(out.Instances)
+				out.Instances = append(out.Instances, l)
+				continue
+			}
+			out.Instances[i].Running += l.Running
+			out.Instances[i].Reading += l.Reading
+		}
+		out.Gates = append(out.Gates, r.loads.Gates...)
+		for account, d := range r.loads.Demands {
+			out.Demands[account] += d
+		}
+		out.Served += r.loads.Served
+	}
+	return out
+}
+
+func (e *Exchange) stale(at, now time.Time) bool { return now.Sub(at) > staleAfter*e.Interval() }
+
+// HandleReport takes the report of a host.
+func (e *Exchange) HandleReport(from string, l wire.Loads, now time.Time) {
+	e.reports[from] = report{l, now}
+}
+
+// HandleSums takes sums from a relay.
+func (e *Exchange) HandleSums(m wire.LoadSums, now time.Time) {
+	for _, d := range m.List {
+		if d.DataCentre == e.dataCentre && e.relay(e.dataCentre) == e.host {
+			// An earlier relay of this data centre may still believe to be one.
+			continue
+		}
+		e.sums[d.DataCentre] = dated{d, now}
+	}
+}
+
+// Sums returns the sums by data centre, this host's own loads included.
+func (e *Exchange) Sums(now time.Time) (out []wire.LoadSum) {
+	for dataCentre, d := range e.sums {
+		if e.stale(d.at, now) {
+			delete(e.sums, dataCentre)
+			continue
+		}
+		out = append(out, d.LoadSum)
+	}
+	slices.SortFunc(out, func(a, b wire.LoadSum) int {
+		if a.DataCentre < b.DataCentre {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Others returns the sums without this host's own loads as last reported.
+func (e *Exchange) Others(now time.Time) []wire.LoadSum {
+	out := e.Sums(now)
+	for i := range out {
+		if out[i].DataCentre == e.dataCentre {
+			out[i].Loads = subtract(out[i].Loads, e.own)
+		}
+	}
+	return out
+}
+
+// subtract leaves out one host's part of a sum. The sum may be from before the host's last
+// report, so nothing falls below zero.
+func subtract(sum, own wire.Loads) wire.Loads {
+	sum.Instances = slices.Clone(sum.Instances)
+	for i := range sum.Instances {
+		l := &sum.Instances[i]
+		for _, o := range own.Instances {
+			if o.ID == l.ID && o.Born == l.Born {
+				l.Running, l.Reading = max(l.Running-o.Running, 0), max(l.Reading-o.Reading, 0)
+			}
+		}
+	}
+	demands := make(map[string]float64, len(sum.Demands))
+	for account, d := range sum.Demands {
+		demands[account] = max(d-own.Demands[account], 0)
+	}
+	sum.Demands = demands
+	sum.Served = max(sum.Served-own.Served, 0)
+	return sum
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -146,8 +146,6 @@
 	// defaultConfigMaxAge is used where the settings name no other.
 	defaultConfigMaxAge = 3500 * time.Millisecond
 	maxConfigMaxAge     = time.Minute
-	defaultListRate     = 10
-	maxListRate         = 10_000
 )
 
 func (c *checker) edge(f *fileEdge) *Edge {
@@ -157,12 +155,6 @@
 	if f.ConfigMaxAge == 0 {
 		f.ConfigMaxAge = duration(defaultConfigMaxAge)
 	}
-	if f.UpstreamListRate == 0 {
-		f.UpstreamListRate = defaultListRate
-	}
-	if !(f.UpstreamListRate > 0 && f.UpstreamListRate <= maxListRate) {
-		c.refuse("edge.upstream_list_rate", "%v is not above 0 and at most %v", f.UpstreamListRate, maxListRate)
-	}
 	optional := func(key, v string) string {
 		if v == "" {
 			return v
@@ -175,7 +167,6 @@
 		ReadinessAddress: optional("edge.readiness_address", f.ReadinessAddress),
 		OperatorAddress:  optional("edge.operator_address", f.OperatorAddress),
 		UpstreamList:     c.address("edge.upstream_list", f.UpstreamList),
-		UpstreamListRate: f.UpstreamListRate,
 		ConfigMaxAge:     c.duration("edge.config_max_age", f.ConfigMaxAge, maxConfigMaxAge),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,9 +98,6 @@
 	OperatorAddress  string
 	// UpstreamList is the address at which the installation publishes its instances.
 	UpstreamList string
-	// UpstreamListRate is the number of calls per second that all hosts together may make
-	// to it.
-	UpstreamListRate float64
 	// ConfigMaxAge is how long a host serves without confirmation of its configuration.
 	ConfigMaxAge time.Duration
 }
@@ -140,7 +137,6 @@
 	ReadinessAddress string   `toml:"readiness_address"`
 	OperatorAddress  string   `toml:"operator_address"`
 	UpstreamList     string   `toml:"upstream_list"`
-	UpstreamListRate float64  `toml:"upstream_list_rate"`
 	ConfigMaxAge     duration `toml:"config_max_age"`
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,6 +35,9 @@
 	KindAsk
 	KindVerdict
 	KindProgress
+	KindLoadSums
+	KindCatalog
+	KindCatalogAsk
 )
 
 // Envelope carries one message between two hosts.
@@ -298,13 +301,46 @@
 type Loads struct {
 	Instances []InstanceLoad
 	Gates     []GateLoad
-	// Demands are the tokens per second that the host's callers ask for, by account; nil
-	// when they are not told this time.
+	// Demands are the tokens per second that the host's callers ask for, by account.
 	Demands map[string]float64
 	// Served are the tokens per second that they get, told together with Demands.
 	Served float64
 }
 
+// LoadSum is the sum of the loads of all hosts in a data centre.
+type LoadSum struct {
+	DataCentre string
+	Loads      Loads
+}
+
+// LoadSums are the sums that a relay of loads tells.
+type LoadSums struct{ List []LoadSum }
+
+// Instance is one entry of the list of upstream instances.
+type Instance struct {
+	ID         string
+	Born       int64
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Draining   bool
+	ColdFor    time.Duration
+}
+
+// Catalog tells the hosts which list of instances was read last, and how long ago. The
+// list is left out for hosts that are expected to have it.
+type Catalog struct {
+	// Digest identifies the content of the list.
+	Digest    uint64
+	Age       time.Duration
+	HasList   bool
+	Instances []Instance
+}
+
+// CatalogAsk asks for the whole list.
+type CatalogAsk struct{}
+
 // PromptPart is one part of a prompt.
 type PromptPart struct {
 	ID     uint64
