Refuse waiting requests that have become hopeless within a tenth of a second

Cause: requests with earlier aims and better ranks push others back, which then waited until their end. Change: every 100 ms a gate refuses what can't have its first event by its aim. TestGateExpiresHopelessWaits fails without it. Ruled out: a limit on the time in the queue; the aims of kinds differ by a factor of 2.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -381,6 +381,9 @@
 	var out []addressed
 	for k, g := range a.gates {
 		g.Sweep(now)
+		for _, id := range g.Expire(now) {
+			out = append(out, addressed{id.Host, wire.Verdict{Seq: id.Seq}})
+		}
 		out = append(out, g.next(now)...)
 		if now.Sub(g.used) > forgetAfter {
 			delete(a.gates, k)
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -74,6 +74,8 @@
 type waitingAsk struct {
 	Ask
 	tokens int
+	// late requests came after their aim and wait until their end.
+	late bool
 }
 
 // NewGate returns the gate of an engine with a number of slots and tokens of memory.
@@ -88,7 +90,8 @@
 	}
 	tokens := g.tokens(a, now)
 	wait := g.expected(a, tokens, now)
-	if a.Aim.Before(now) {
+	late := a.Aim.Before(now)
+	if late {
 		// A request that comes back after a refusal may be late already. It is served while
 		// nobody waits for an aim that can still be met.
 		a.Aim = now.Add(lateAim)
@@ -100,7 +103,7 @@
 		g.admit(a, tokens, now)
 		return Verdict{Granted: true, Wait: wait}
 	}
-	g.enqueue(waitingAsk{a, tokens})
+	g.enqueue(waitingAsk{a, tokens, late})
 	return Verdict{Queued: true, Wait: wait}
 }
 
@@ -214,6 +217,24 @@
 	}
 }
 
+// Expire removes the waiting requests that can't have their first event in time any more,
+// because others with an earlier aim came after them, and returns their ids. To keep them
+// longer would only delay the answer that they come back with.
+func (g *Gate) Expire(now time.Time) (refused []AskID) {
+	ahead := g.left(now)
+	kept := g.waiting[:0]
+	for _, w := range g.waiting {
+		if w.late || !now.Add(g.speed.time(ahead + w.tokens)).After(w.Aim) {
+			ahead += w.tokens
+			kept = append(kept, w)
+			continue
+		}
+		refused = append(refused, w.ID)
+	}
+	g.waiting = kept
+	return refused
+}
+
 // Next admits what has room now and returns the ids. Requests whose end has passed are
 // returned as refused.
 func (g *Gate) Next(now time.Time) (granted, refused []AskID) {
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -101,6 +101,24 @@
 	c.Assert(refused, qt.DeepEquals, []AskID{{"h", 2}})
 }
 
+// Guards against a request that is held although others with an earlier aim have made it
+// hopeless.
+func TestGateExpiresHopelessWaits(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGate()
+	g.Ask(ask(1, 9_000, 0, 1_500, WithinContract), at(0))
+	c.Assert(g.Ask(ask(2, 4_000, 0, 1_500, WithinContract), at(0)).Queued, qt.IsTrue)
+	for seq := uint64(3); seq < 30; seq++ {
+		g.Ask(ask(seq, 4_000, 10, 1_400, WithinContract), at(10))
+	}
+	c.Assert(g.Expire(at(20)), qt.HasLen, 0)
+	// The engine needs three times as long as expected for its first prompt.
+	refused := g.Expire(at(750))
+	c.Assert(len(refused) > 0, qt.IsTrue)
+	tokens, _ := g.Backlog(at(750))
+	c.Assert(g.speed.time(tokens) <= 750*time.Millisecond, qt.IsTrue, qt.Commentf("%d tokens still wait", tokens))
+}
+
 // Guards against a wrong estimate of what is kept: a part behind one that is missing does
 // not count, and the least recently used parts yield.
 func TestPartCache(t *testing.T) {
