Stop requests that crash upstreams, fleet-wide, after two of them

Cause: a request that crashes each upstream that runs it was repeated by its caller at any host, without a limit. Change: when the connection of a request breaks, the instance is connected to once; if that fails, the request (account, method, target, body) is marked, here and in the replicated record. Two marked instances quarantine it with a true not run. Ruled out: marks for every broken connection; answers that are lost by resets would quarantine reads that repeat.

--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -70,7 +70,7 @@
 		d.peers.Handle(k, e.admit.Handle)
 	}
 	e.gateway = gateway.New(gateway.Options{
-		View: e.view, Dialect: d.o.Adapter.Dialect(), Forward: d.engine, Dispatch: e.dispatch, Admission: e.admit,
+		View: e.view, Dialect: d.o.Adapter.Dialect(), Forward: d.engine, Dispatch: e.dispatch, Admission: e.admit, Crashes: d.client,
 		MaxConfigAge: e.s.ConfigMaxAge, HeaderBytes: d.s.CallerLimits.HeaderBytes,
 		ReadTimeout: d.s.CallerLimits.ReadTimeout, Log: d.part("gateway"), Registry: d.registry,
 	})
@@ -199,6 +199,7 @@
 	if e.s == nil {
 		return nil
 	}
+	d := e.d
 	g, ctx := errgroup.WithContext(ctx)
 	ln, err := net.Listen("tcp", e.s.GatewayAddress)
 	if err != nil {
@@ -208,7 +209,12 @@
 	g.Go(func() error { return e.catalog.run(ctx) })
 	g.Go(func() error { return every(ctx, tickInterval, e.admit.Tick) })
 	g.Go(func() error { return e.tellLoads(ctx) })
-	g.Go(func() error { return every(ctx, idleInterval, e.gateway.CloseIdle) })
+	g.Go(func() error {
+		return every(ctx, idleInterval, func(now time.Time) {
+			e.gateway.CloseIdle(now)
+			e.gateway.SetCrashMarks(d.client.Marks())
+		})
+	})
 	for address, h := range map[string]http.Handler{
 		e.s.OperatorAddress:  e.d.o.Adapter.Operators(e),
 		e.s.DiscoveryAddress: e.d.o.Adapter.Callers(e),
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -224,7 +224,7 @@
 	ahead := g.left(now)
 	kept := g.waiting[:0]
 	for _, w := range g.waiting {
-		if w.late || !now.Add(g.speed.time(ahead + w.tokens)).After(w.Aim) {
+		if w.late || !now.Add(g.speed.time(ahead+w.tokens)).After(w.Aim) {
 			ahead += w.tokens
 			kept = append(kept, w)
 			continue
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,6 +39,9 @@
 		if f.Run != fault.NotRun {
 			q.ran = true
 			runs++
+			if err := q.s.crashes.check(q.print); err != nil {
+				return err
+			}
 		}
 		repeatable := f.Run == fault.NotRun || q.route.MayRepeat() && runs < q.route.Attempts
 		if !repeatable || ctx.Err() != nil || q.sends >= maxSends || f.Code == fault.CallerGone || f.Code == fault.PoolUnknown {
@@ -89,6 +92,7 @@
 	f, err := q.s.o.Forward.Forward(ctx, q.forwardRequest(p.Instance))
 	if err != nil {
 		outcome = outcomeOf(ctx, err)
+		q.noteBreak(ctx, p, err)
 		return err
 	}
 	defer f.Close()
@@ -96,9 +100,17 @@
 		q.s.o.Dispatch.report(p, running, waiting)
 	}
 	outcome, err = q.answer(ctx, p, f)
+	q.noteBreak(ctx, p, err)
 	return err
 }
 
+// noteBreak has an instance looked at whose connection broke under the request.
+func (q *request) noteBreak(ctx context.Context, p *dispatch.Placement, err error) {
+	if err != nil && ctx.Err() == nil && fault.As(err).Run == fault.MayHaveRun && fault.CodeOf(err) != fault.CallerGone {
+		q.s.crashes.broke(q.service.Name, q.print, p.Instance)
+	}
+}
+
 // maxDeclined is the number of engines that are asked for admission.
 const maxDeclined = 2
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,8 @@
 	Dispatch *Dispatch
 	// Admission paces the prompts of engines; nil admits everything at once.
 	Admission Admitter
+	// Crashes records requests that crash upstreams for the whole fleet.
+	Crashes CrashRecord
 	// MaxConfigAge is the age of the configuration from which requests are refused.
 	MaxConfigAge time.Duration
 	// HeaderBytes and ReadTimeout bound the header and the body of a request.
@@ -73,6 +75,7 @@
 	http    *http.Server
 	log     logrus.FieldLogger
 	idle    idleConns
+	crashes *crashes
 	running atomic.Int64
 	random  struct {
 		sync.Mutex
@@ -82,7 +85,7 @@
 
 // New returns a Server.
 func New(o Options) *Server {
-	s := &Server{o: o, log: o.Log}
+	s := &Server{o: o, log: o.Log, crashes: newCrashes(o.Crashes)}
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	s.idle.since = map[net.Conn]time.Time{}
 	s.http = &http.Server{
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,6 +13,7 @@
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/routing"
+	"marigoldshunt/internal/wire"
 )
 
 // request is one attempt of a caller.
@@ -32,6 +33,8 @@
 	// aim is when the first event, or the whole answer, should be there.
 	aim time.Time
 	job dispatch.Job
+	// print identifies the request over its repeats.
+	print wire.Digest
 	// began is true once the head of an answer was written.
 	began bool
 	// lastEvent is the id of the last event that the caller got.
@@ -94,6 +97,10 @@
 	q.header = q.s.o.Dialect.forwarded(q.r.Header, q.account)
 	q.lastEvent = q.r.Header.Get(q.s.o.Dialect.LastEvent)
 	q.setJob()
+	q.print = q.fingerprint()
+	if err := q.s.crashes.check(q.print); err != nil {
+		return err
+	}
 	q.s.o.Dispatch.countRequest(&q.job)
 	return nil
 }
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -20,6 +20,7 @@
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/routing"
+	"marigoldshunt/internal/wire"
 )
 
 // seen is one request as an upstream got it.
@@ -139,6 +140,11 @@
 	return d
 }
 
+// noRecord stands for a control group that does not answer.
+type noRecord struct{}
+
+func (noRecord) MarkCrash(context.Context, string, wire.Digest, string) {}
+
 // stage is a gateway before scripted upstreams.
 type stage struct {
 	*qt.C
@@ -182,7 +188,7 @@
 			defer st.mu.Unlock()
 			return st.view
 		},
-		Dialect: testDialect(), Forward: engine.New(engine.Options{}), Dispatch: disp, MaxConfigAge: time.Second,
+		Dialect: testDialect(), Forward: engine.New(engine.Options{}), Dispatch: disp, MaxConfigAge: time.Second, Crashes: noRecord{},
 		HeaderBytes: 8 << 10, ReadTimeout: time.Second, Log: log, Registry: metrics.NewRegistry(),
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
