Serve routed services in the project's own formats

Cause: routed services could only be run with the users' adapter. Change: adapters are chosen by name in the settings; native is the project's own, with discovery, readiness and the list of instances as JSON. Configuration files hold the routing document, whose credentials are left out of answers. The emulator publishes itself as an instance, checks the expected instance and answers numbered events. Three tests run whole hosts: a group that forms and repairs itself, routed requests, isolation and changed seeds. Found by them: a host that is aborted waited for its gateway without end (the test ran into its limit of 600 s); seeds that change before the first look were not noticed.

--- a/cmd/marigoldshuntd/main.go
+++ b/cmd/marigoldshuntd/main.go
@@ -5,7 +5,10 @@
 	"os"
 
 	"marigoldshunt/internal/daemon"
+	"marigoldshunt/internal/edge"
 	"marigoldshunt/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:], platform.Adapter{})) }
+func main() {
+	os.Exit(daemon.Main(os.Args[1:], map[string]edge.Adapter{"platform": platform.Adapter{}}))
+}
--- a/internal/admin/actions.go
+++ b/internal/admin/actions.go
@@ -58,6 +58,14 @@
 	if len(r.Changes) == 0 {
 		return fault.New(fault.BadRequest, fault.NotRun, "changes must not be empty")
 	}
+	for _, ch := range r.Changes {
+		if ch.Routing == nil {
+			continue
+		}
+		if err := ch.Routing.Complete(); err != nil {
+			return err
+		}
+	}
 	return s.commit(ctx, r.RequestID, r.Changes)
 }
 
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -125,7 +125,7 @@
 func (s *Server) config(ctx *fasthttp.RequestCtx) error {
 	switch string(ctx.Method()) {
 	case fasthttp.MethodGet:
-		return answer(ctx, s.o.Controller.Config())
+		return answer(ctx, s.o.Controller.Config().Redacted())
 	case fasthttp.MethodPost:
 		return s.change(ctx)
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -40,6 +40,7 @@
 		Policy
 		expected
 	} `toml:"policy"`
+	Routing *fileRouting `toml:"routing"`
 }
 
 type expected struct {
@@ -71,7 +72,10 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return nil, fault.New(fault.InvalidConfig, fault.NotRun, "%s: %s: unknown key", name, unknown[0])
 	}
-	chs := f.changes()
+	chs, err := f.changes()
+	if err != nil {
+		return nil, fault.New(fault.InvalidConfig, fault.NotRun, "%s: %s", name, fault.As(err).Message())
+	}
 	seen := map[ObjectRef]bool{}
 	for _, ch := range chs {
 		ref, err := ch.Ref()
@@ -89,7 +93,7 @@
 	return chs, nil
 }
 
-func (f *file) changes() []Change {
+func (f *file) changes() ([]Change, error) {
 	var out []Change
 	for _, o := range f.DataCentre {
 		out = append(out, Change{DataCentre: &o.DataCentre, IfRevision: o.IfRevision})
@@ -112,7 +116,18 @@
 	if f.Policy != nil {
 		out = append(out, Change{Policy: &f.Policy.Policy, IfRevision: f.Policy.IfRevision})
 	}
-	return out
+	if f.Routing != nil {
+		d, err := f.Routing.document()
+		if err != nil {
+			return nil, err
+		}
+		r := &Routing{Version: d.Version, Document: *d}
+		if err := r.Complete(); err != nil {
+			return nil, err
+		}
+		out = append(out, Change{Routing: r})
+	}
+	return out, nil
 }
 
 func syntaxError(name string, err error) error {
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -33,10 +33,10 @@
 	version                                       bool
 }
 
-// Main runs the command marigoldshuntd with the adapter of an installation and returns
-// its exit code.
-func Main(args []string, adapter edge.Adapter) int {
-	err := run(args, adapter)
+// Main runs the command marigoldshuntd with the adapters of installations, by name, and
+// returns its exit code.
+func Main(args []string, adapters map[string]edge.Adapter) int {
+	err := run(args, adapters)
 	if err == nil {
 		return 0
 	}
@@ -47,7 +47,7 @@
 	return exitFailure
 }
 
-func run(args []string, adapter edge.Adapter) error {
+func run(args []string, adapters map[string]edge.Adapter) error {
 	f, err := parseFlags(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return nil
@@ -63,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Edge != nil && s.Edge.Adapter != settings.AdapterNative && adapters[s.Edge.Adapter] == nil {
+		return fault.New(fault.InvalidSettings, "", "%s: edge.adapter: %q is not known", f.settings, s.Edge.Adapter)
+	}
 	log := logrus.New()
 	log.SetLevel(s.LogLevel)
 	leave, abort, stop := signals()
@@ -70,7 +73,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	return New(Options{
-		Settings: s, SettingsPath: f.settings, Reload: hup, Log: log, Version: version, Adapter: adapter,
+		Settings: s, SettingsPath: f.settings, Reload: hup, Log: log, Version: version, Adapters: adapters,
 	}).Run(leave, abort)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,8 +49,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// PeerAddress maps a host's configured peer address; nil means the address itself.
 	PeerAddress func(address string) string
-	// Adapter speaks the installation's formats; nil means that no edge is served.
-	Adapter edge.Adapter
+	// Adapters speak the formats of installations, by the name in the settings; the native
+	// one is always there.
+	Adapters map[string]edge.Adapter
 }
 
 // bootClock is a monotonic clock that also runs while the machine is suspended. Leases
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -21,6 +21,7 @@
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/gateway"
 	"marigoldshunt/internal/loads"
+	"marigoldshunt/internal/native"
 	"marigoldshunt/internal/routing"
 	"marigoldshunt/internal/settings"
 	"marigoldshunt/internal/wire"
@@ -45,6 +46,7 @@
 type edgeRole struct {
 	d        *Daemon
 	s        *settings.Edge
+	adapter  edge.Adapter
 	log      logrus.FieldLogger
 	gateway  *gateway.Server
 	dispatch *gateway.Dispatch
@@ -58,10 +60,12 @@
 
 func (d *Daemon) newEdge() *edgeRole {
 	e := &edgeRole{d: d, s: d.s.Edge, log: d.part("edge")}
-	if e.s == nil || d.o.Adapter == nil {
-		e.s = nil
+	if e.s == nil {
 		return e
 	}
+	if e.adapter = d.o.Adapters[e.s.Adapter]; e.adapter == nil {
+		e.adapter = native.Adapter{}
+	}
 	e.dispatch = gateway.NewDispatch(dispatch.New(dispatch.Options{Host: d.s.Host, DataCentre: d.s.DataCentre}), time.Now)
 	e.admit = admission.New(admission.Options{
 		Host: d.s.Host, Transport: d.peers, Now: time.Now, Log: d.part("admission"), Registry: d.registry,
@@ -70,11 +74,11 @@
 		d.peers.Handle(k, e.admit.Handle)
 	}
 	e.gateway = gateway.New(gateway.Options{
-		View: e.view, Dialect: d.o.Adapter.Dialect(), Forward: d.engine, Dispatch: e.dispatch, Admission: e.admit, Crashes: d.client,
+		View: e.view, Dialect: e.adapter.Dialect(), Forward: d.engine, Dispatch: e.dispatch, Admission: e.admit, Crashes: d.client,
 		MaxConfigAge: e.s.ConfigMaxAge, HeaderBytes: d.s.CallerLimits.HeaderBytes,
 		ReadTimeout: d.s.CallerLimits.ReadTimeout, Log: d.part("gateway"), Registry: d.registry,
 	})
-	e.catalog = newCatalogRole(d, d.o.Adapter.Instances(e.s.UpstreamList), e.dispatch.SetInstances)
+	e.catalog = newCatalogRole(d, e.adapter.Instances(e.s.UpstreamList), e.dispatch.SetInstances)
 	e.loads = loads.New(d.s.Host, d.s.DataCentre)
 	d.peers.Handle(wire.KindLoads, e.handleLoads)
 	d.peers.Handle(wire.KindLoadSums, e.handleLoads)
@@ -206,6 +210,11 @@
 		return fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", e.s.GatewayAddress)
 	}
 	g.Go(func() error { return e.gateway.Serve(ln) })
+	context.AfterFunc(ctx, func() {
+		if err := e.gateway.Close(); err != nil {
+			e.log.WithError(err).Debug("Gateway not closed.")
+		}
+	})
 	g.Go(func() error { return e.catalog.run(ctx) })
 	g.Go(func() error { return every(ctx, tickInterval, e.admit.Tick) })
 	g.Go(func() error { return e.tellLoads(ctx) })
@@ -216,9 +225,9 @@
 		})
 	})
 	for address, h := range map[string]http.Handler{
-		e.s.OperatorAddress:  e.d.o.Adapter.Operators(e),
-		e.s.DiscoveryAddress: e.d.o.Adapter.Callers(e),
-		e.s.ReadinessAddress: e.d.o.Adapter.Readiness(e),
+		e.s.OperatorAddress:  e.adapter.Operators(e),
+		e.s.DiscoveryAddress: e.adapter.Callers(e),
+		e.s.ReadinessAddress: e.adapter.Readiness(e),
 	} {
 		if address != "" {
 			g.Go(func() error { return serveHTTP(ctx, address, h) })
--- /dev/null
+++ b/internal/daemon/edge_test.go
@@ -0,0 +1,285 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/emulator"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/native"
+	"marigoldshunt/internal/routing"
+	"marigoldshunt/internal/settings"
+)
+
+// edgeFleet is three hosts on loopback that know only seeds, and one upstream.
+type edgeFleet struct {
+	*qt.C
+	t        *testing.T
+	ports    [6]int
+	upstream string
+	hosts    map[string]*edgeHost
+}
+
+type edgeHost struct {
+	d    *Daemon
+	stop context.CancelFunc
+	done chan error
+}
+
+// freePort returns a port that is free on all loopback addresses.
+func freePort(c *qt.C) int {
+	ln, err := net.Listen("tcp", "0.0.0.0:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
+
+func newEdgeFleet(t *testing.T) *edgeFleet {
+	f := &edgeFleet{C: qt.New(t), t: t, hosts: map[string]*edgeHost{}}
+	for i := range f.ports {
+		f.ports[i] = freePort(f.C)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	f.Assert(err, qt.IsNil)
+	f.upstream = ln.Addr().String()
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	e := emulator.New(emulator.Options{Name: "up", Service: "records", DataCentre: "north", TokensPerAnswer: 6, Resume: true, Seed: 1, Log: quiet})
+	go func() { _ = e.Serve(ln) }()
+	t.Cleanup(func() {
+		for _, h := range f.hosts {
+			h.stop()
+			<-h.done
+		}
+		e.Close()
+	})
+	return f
+}
+
+func (f *edgeFleet) start(ip string, form bool, folder string) {
+	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, f.ports[port]) }
+	text := fmt.Sprintf(`host = %q
+data_centre = "north"
+caller_address = %q
+admin_address = %q
+peer_address = %q
+data_folder = %q
+peer_key = "0123456789abcdef0123456789abcdef"
+control_seeds = ["127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"]
+form_group = %v
+log_level = "error"
+shutdown_deadline = "2s"
+[edge]
+gateway_address = %q
+discovery_address = %q
+readiness_address = %q
+upstream_list = %q
+`, ip, at(0), at(1), at(2), folder, form, at(3), at(4), at(5), f.upstream)
+	path := filepath.Join(f.t.TempDir(), "settings.toml")
+	f.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	s, err := settings.Load(path)
+	f.Assert(err, qt.IsNil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, stop := context.WithCancel(context.Background())
+	h := &edgeHost{d: New(Options{Settings: s, SettingsPath: path, Log: log}), stop: stop, done: make(chan error, 1)}
+	go func() { h.done <- h.d.Run(context.Background(), ctx) }()
+	f.hosts[ip] = h
+}
+
+func (f *edgeFleet) kill(ip string) {
+	f.hosts[ip].stop()
+	<-f.hosts[ip].done
+	delete(f.hosts, ip)
+}
+
+// until waits for a condition, for at most 20 s.
+func (f *edgeFleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	for range 400 {
+		if ok() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.Fatalf("not within 20 s: %s", what)
+}
+
+func (f *edgeFleet) voters(ip string) (n int) {
+	for _, h := range f.hosts[ip].d.client.Hosts() {
+		if h.Voter && h.Alive {
+			n++
+		}
+	}
+	return n
+}
+
+// get asks a port of a host and returns status and body.
+func (f *edgeFleet) get(ip string, port int, path string) (int, string) {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d%s", ip, f.ports[port], path))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	f.Assert(err, qt.IsNil)
+	return resp.StatusCode, string(b)
+}
+
+// ask sends a routed request to a gateway.
+func (f *edgeFleet) ask(address, method, path string) (*http.Response, string, error) {
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, "", err
+	}
+	defer nc.Close()
+	fmt.Fprintf(nc, "%s %s HTTP/1.1\r\nHost: records.example\r\nX-Request-Id: q1\r\nX-Api-Key: secret\r\nContent-Length: 0\r\n\r\n", method, path)
+	resp, err := http.ReadResponse(bufio.NewReader(nc), &http.Request{Method: method})
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func edgeDocument(version uint64) *routing.Document {
+	to := []routing.Share{{Service: "records", Weight: 1}}
+	return &routing.Document{
+		Version: version,
+		Routes: []routing.Route{
+			{Name: "orders", Host: "records.example", PathPrefix: "/orders/", Kind: routing.NonIdempotent, Attempts: 1, Timeout: 5 * time.Second, Split: to},
+			{Name: "events", Host: "records.example", PathPrefix: "/events/", Kind: routing.Stream, Resumable: true, Attempts: 2, Timeout: 5 * time.Second, Split: to},
+		},
+		Services: []routing.Service{{Name: "records"}},
+		Accounts: []routing.Account{{Name: "district", Credentials: []string{"secret"}}},
+	}
+}
+
+// Guards against a product that needs an installation's adapter or an operator to form its
+// group, to find upstreams, to serve discovery and routed requests, and to repair itself
+// after a lost disk.
+func TestRoutedServicesInNativeFormats(t *testing.T) {
+	f := newEdgeFleet(t)
+	ips := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
+	folders := map[string]string{}
+	for _, ip := range ips {
+		folders[ip] = t.TempDir()
+		f.start(ip, true, folders[ip])
+	}
+	f.until("three voters", func() bool { return f.voters(ips[0]) == 3 })
+	status, _ := f.get(ips[0], 5, "/v1/ready")
+	f.Assert(status, qt.Equals, 503)
+
+	// Operators apply a document through any host; the lower version comes too late.
+	put := func(ip string, version uint64) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		doc := edgeDocument(version)
+		return f.hosts[ip].d.edge.PutDocument(ctx, doc, fmt.Append(nil, "document ", version))
+	}
+	f.Assert(put(ips[1], 4), qt.IsNil)
+	f.Assert(put(ips[2], 3), qt.IsNil)
+	f.until("ready hosts", func() bool {
+		for _, ip := range ips {
+			if status, _ := f.get(ip, 5, "/v1/ready"); status != 200 {
+				return false
+			}
+		}
+		return true
+	})
+
+	// Callers ask where to connect, without a credential.
+	var d native.Directory
+	f.until("three addresses", func() bool {
+		_, body := f.get(ips[2], 4, "/v1/connect?data_centre=north")
+		return json.Unmarshal([]byte(body), &d) == nil && len(d.Addresses) == 3
+	})
+	for _, address := range d.Addresses {
+		f.until("an upstream from the list", func() bool {
+			resp, body, err := f.ask(address, "POST", "/orders/7?x=1")
+			return err == nil && resp.StatusCode == 200 && strings.Contains(body, `"query":"x=1"`)
+		})
+		resp, body, err := f.ask(address, "GET", "/events/1")
+		f.Assert(err, qt.IsNil)
+		f.Assert(resp.StatusCode, qt.Equals, 200)
+		f.Assert(strings.Count(body, "id: "), qt.Equals, 6)
+	}
+
+	// A host loses its disk and comes back without anybody's help.
+	f.kill(ips[1])
+	f.start(ips[1], false, t.TempDir())
+	f.until("three voters again", func() bool { return f.voters(ips[0]) == 3 && f.voters(ips[1]) == 3 })
+	f.kill(ips[0])
+	f.until("an accepted change after a second loss", func() bool { return put(ips[1], 9) == nil })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	f.until("the new document read back", func() bool {
+		source, err := f.hosts[ips[2]].d.edge.Document(ctx)
+		return err == nil && string(source) == "document 9"
+	})
+
+	// A data centre that is taken out gets nothing more, and the refusal is true.
+	f.Assert(f.hosts[ips[2]].d.edge.SetOut(ctx, "north", true), qt.IsNil)
+	f.until("no upstream in service", func() bool {
+		resp, _, err := f.ask(fmt.Sprintf("%s:%d", ips[2], f.ports[3]), "POST", "/orders/8")
+		return err == nil && resp.StatusCode == 503 && resp.Header.Get("Retry-After") != ""
+	})
+}
+
+// Guards against a host that serves with a configuration that is too old, and against a
+// read of the configuration that it can't confirm.
+func TestIsolatedHostRefuses(t *testing.T) {
+	f := newEdgeFleet(t)
+	ips := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
+	for _, ip := range ips {
+		f.start(ip, true, t.TempDir())
+	}
+	f.until("three voters", func() bool { return f.voters(ips[0]) == 3 })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	f.Assert(f.hosts[ips[0]].d.edge.PutDocument(ctx, edgeDocument(1), []byte("one")), qt.IsNil)
+	f.until("a ready host", func() bool { return f.hosts[ips[0]].d.edge.Ready() })
+	f.kill(ips[1])
+	f.kill(ips[2])
+	f.until("a host that is not ready", func() bool { return !f.hosts[ips[0]].d.edge.Ready() })
+	resp, _, err := f.ask(fmt.Sprintf("%s:%d", ips[0], f.ports[3]), "POST", "/orders/8")
+	f.Assert(err, qt.IsNil)
+	f.Assert(resp.StatusCode, qt.Equals, 503)
+	short, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = f.hosts[ips[0]].d.edge.Document(short)
+	f.Assert(fault.CodeOf(err), qt.Equals, fault.HostIsolated)
+}
+
+// Guards against seeds of a changed settings file that take effect only after a restart.
+func TestSeedsReload(t *testing.T) {
+	f := newEdgeFleet(t)
+	f.start("127.0.0.1", false, "")
+	d := f.hosts["127.0.0.1"].d
+	text, err := os.ReadFile(d.o.SettingsPath)
+	f.Assert(err, qt.IsNil)
+	changed := strings.Replace(string(text), "127.0.0.3:1", "127.0.0.9:1", 1)
+	f.Assert(os.WriteFile(d.o.SettingsPath, []byte(changed), 0o600), qt.IsNil)
+	f.until("the new seed", func() bool {
+		seeds := *d.role.seeds.Load()
+		return len(seeds) == 3 && seeds[2] == "127.0.0.9"
+	})
+	_, err = netip.ParseAddr(d.s.Host)
+	f.Assert(err, qt.IsNil)
+	f.Assert(d.client.Config(), qt.DeepEquals, config.New())
+}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -21,10 +21,9 @@
 	}
 	tick := time.NewTicker(settingsInterval)
 	defer tick.Stop()
-	last, err := os.ReadFile(d.o.SettingsPath)
-	if err != nil {
-		d.log.WithError(err).Warn("Settings file not readable.")
-	}
+	// The file may have changed since it was read at the start, so the first look counts as
+	// a change.
+	var last []byte
 	for {
 		select {
 		case <-ctx.Done():
@@ -34,7 +33,11 @@
 		case <-tick.C:
 		}
 		now, err := os.ReadFile(d.o.SettingsPath)
-		if err != nil || slices.Equal(now, last) {
+		if err != nil {
+			d.log.WithError(err).Debug("Settings file not readable.")
+			continue
+		}
+		if slices.Equal(now, last) {
 			continue
 		}
 		last = now
@@ -49,6 +52,9 @@
 		return
 	}
 	hosts := controlHosts(s)
+	if slices.Equal(hosts, *d.role.seeds.Load()) {
+		return
+	}
 	d.role.setSeeds(hosts)
 	d.log.WithField("control_hosts", len(hosts)).Info("Settings read again.")
 }
--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -23,6 +23,8 @@
 	address := fs.String("address", "127.0.0.1:0", "IP address and port to listen on")
 	kind := fs.String("kind", string(config.KindModel), "model or service")
 	fs.StringVar(&o.Name, "name", "upstream", "beginning of the instance identity")
+	fs.StringVar(&o.Service, "service", "", "routed service in the list of instances")
+	fs.StringVar(&o.DataCentre, "data-centre", "", "data centre in the list of instances")
 	fs.IntVar(&o.Slots, "slots", 8, "requests that run at once")
 	fs.Float64Var(&o.TokensPerSecond, "tokens-per-second", 50, "speed of one stream, 0 for no delay")
 	fs.IntVar(&o.TokensPerAnswer, "tokens-per-answer", 16, "output tokens of an answer")
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -23,6 +23,8 @@
 	Kind config.Kind
 	// Name begins the instance identity.
 	Name string
+	// Service and DataCentre are told in the list of instances.
+	Service, DataCentre string
 	// Slots is the number of requests that run at once; others queue.
 	Slots int
 	// TokensPerSecond is the speed of each stream; 0 means no delay.
--- a/internal/emulator/http.go
+++ b/internal/emulator/http.go
@@ -22,8 +22,10 @@
 	})
 	mux.HandleFunc("POST /debug/refuse", e.handleRefuse)
 	mux.HandleFunc("POST /v1/chat/completions", e.handleChat)
+	mux.HandleFunc("GET /v1/instances", e.handleInstances)
+	mux.HandleFunc(RoutedStreamPath, e.handleRoutedStream)
 	mux.HandleFunc("/", e.handleService)
-	return mux
+	return e.routed(mux)
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,9 @@
 	return nil
 }
 
+// Close ends the server and all connections at once.
+func (s *Server) Close() error { return s.http.Close() }
+
 // CloseIdle closes connections that callers have not used for longer than the routing
 // document allows.
 func (s *Server) CloseIdle(now time.Time) {
--- /dev/null
+++ b/internal/native/native.go
@@ -0,0 +1,104 @@
+// Package native is the adapter for installations that use the project's own formats:
+// discovery and readiness over HTTP with JSON, and the list of instances as one JSON
+// document. Operators change routing with marigoldshuntctl, so the adapter serves them no
+// interface of its own.
+package native
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/edge"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/gateway"
+)
+
+// Adapter implements edge.Adapter.
+type Adapter struct{}
+
+// Dialect implements edge.Adapter.
+func (Adapter) Dialect() gateway.Dialect { return gateway.Native() }
+
+// Operators implements edge.Adapter. Everything is refused, because operators need a
+// credential, which the admin interface checks.
+func (Adapter) Operators(edge.Fleet) http.Handler { return http.NotFoundHandler() }
+
+// Readiness implements edge.Adapter: GET /v1/ready answers 200 or 503.
+func (Adapter) Readiness(f edge.Fleet) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !f.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Directory is the answer to GET /v1/connect.
+type Directory struct {
+	Addresses []string `json:"addresses"`
+	KeepForMS int64    `json:"keep_for_ms"`
+}
+
+// Callers implements edge.Adapter: GET /v1/connect?data_centre=NAME.
+func (Adapter) Callers(f edge.Fleet) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/connect", func(w http.ResponseWriter, r *http.Request) {
+		d, err := f.Resolve(r.URL.Query().Get("data_centre"))
+		if err != nil {
+			e := fault.As(err)
+			if e.RetryAfter > 0 {
+				w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+			}
+			http.Error(w, string(e.Code), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(Directory{d.Addresses, d.KeepFor.Milliseconds()}) // a caller that left asks again
+	})
+	return mux
+}
+
+// Instances implements edge.Adapter.
+func (Adapter) Instances(address string) catalog.Source {
+	return &list{address: address, client: &http.Client{}}
+}
+
+type list struct {
+	address string
+	client  *http.Client
+}
+
+// maxListBytes holds several thousand instances.
+const maxListBytes = 4 << 20
+
+// Instances implements catalog.Source.
+func (l *list) Instances(ctx context.Context) ([]catalog.Instance, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.address+"/v1/instances", nil)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.UpstreamFailed, "", "list of instances")
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.UpstreamFailed, "", "list of instances")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fault.New(fault.UpstreamFailed, "", "the list of instances answers with %d", resp.StatusCode)
+	}
+	var in catalog.Entries
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&in); err != nil {
+		return nil, fault.Wrap(err, fault.UpstreamFailed, "", "list of instances")
+	}
+	var out []catalog.Instance
+	for _, e := range in.Instances {
+		if i, ok := e.Instance(); ok {
+			out = append(out, i)
+		}
+	}
+	return out, nil
+}
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -87,8 +87,8 @@
 // Account is a client account with its credentials.
 type Account struct {
 	Name string `json:"name" msgpack:"n"`
-	// Credentials are left out of status pages and logs.
-	Credentials []string `json:"-" msgpack:"c"`
+	// Credentials are left out of status pages and logs (see config.Redacted).
+	Credentials []string `json:"credentials,omitempty" msgpack:"c"`
 	// Priority takes precedence over the route's; nil where the account has none.
 	Priority *int `json:"priority,omitempty" msgpack:"p"`
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -161,7 +161,11 @@
 		}
 		return c.address(key, v)
 	}
+	if f.Adapter == "" {
+		f.Adapter = AdapterNative
+	}
 	return &Edge{
+		Adapter:          c.objectName("edge.adapter", f.Adapter),
 		GatewayAddress:   c.address("edge.gateway_address", f.GatewayAddress),
 		DiscoveryAddress: optional("edge.discovery_address", f.DiscoveryAddress),
 		ReadinessAddress: optional("edge.readiness_address", f.ReadinessAddress),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,9 +89,14 @@
 	Edge *Edge
 }
 
+// AdapterNative is the name of the adapter of the project's own formats.
+const AdapterNative = "native"
+
 // Edge are the interfaces of routed services. Addresses are IP:port; an empty one is not
 // served.
 type Edge struct {
+	// Adapter names the formats of the installation.
+	Adapter          string
 	GatewayAddress   string
 	DiscoveryAddress string
 	ReadinessAddress string
@@ -132,6 +137,7 @@
 }
 
 type fileEdge struct {
+	Adapter          string   `toml:"adapter"`
 	GatewayAddress   string   `toml:"gateway_address"`
 	DiscoveryAddress string   `toml:"discovery_address"`
 	ReadinessAddress string   `toml:"readiness_address"`
