Bound the logs, serve metrics as text, explain a request from logs

Cause: on-call engineers have only logs and metrics. Logs went to standard error, could hold up a request behind a slow reader and had no bound; metrics were JSON behind a credential; nothing joined the lines of one request.

Change: logsink writes to standard output from a goroutine of its own, with a budget of 400 lines a second below a warning and a count of what was left out. metricspage serves counters, gauges and latency summaries at edge.metrics_address. A failed request's line carries route, account, rank, instance, version, age of the configuration and the wait; marigoldshuntctl explain joins them. routing and instances show the new state.

--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -1,5 +1,7 @@
 package admin
 
+import "marigoldshunt/internal/dispatch"
+
 // Status is the JSON form of a host's status that marigoldshuntctl reads. A daemon may
 // add fields.
 type Status struct {
@@ -23,6 +25,8 @@
 	RunningByUpstream map[string]int `json:"running_by_upstream,omitempty"`
 	// Pools are the pools that this host schedules.
 	Pools []PoolStatus `json:"pools,omitempty"`
+	// Edge is nil on hosts without routed services.
+	Edge *EdgeStatus `json:"edge,omitempty"`
 	// Hosts is the liveness of all hosts as the control leader last announced it.
 	Hosts []HostStatus `json:"hosts,omitempty"`
 }
@@ -66,6 +70,19 @@
 	Running int    `json:"running"`
 }
 
+// EdgeStatus describes the routed services of a host.
+type EdgeStatus struct {
+	Ready bool `json:"ready"`
+	// Version is the version of the routing document in force.
+	Version uint64 `json:"version"`
+	// Running counts the requests of callers being served.
+	Running int `json:"running"`
+	// ListAgeMS is the time since the list of instances was last read, by any host; -1
+	// before the first list.
+	ListAgeMS int64                     `json:"list_age_ms"`
+	Instances []dispatch.InstanceStatus `json:"instances"`
+}
+
 // HostStatus is the liveness of a host.
 type HostStatus struct {
 	Host    string `json:"host"`
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -118,6 +118,7 @@
 		Subcommands: []*ffcli.Command{
 			a.controlCommand(), a.configCommand(), a.contractCommand(),
 			a.serviceCommand(dataCentres), a.serviceCommand(hosts), a.serviceCommand(upstreams),
+			a.routingCommand(), a.instancesCommand(), a.explainCommand(),
 			a.orderCommand(), a.statusCommand(), a.timelineCommand(), a.metricsCommand(),
 			a.hashCommand(), a.versionCommand(),
 		},
--- a/internal/ctl/difference.go
+++ b/internal/ctl/difference.go
@@ -17,6 +17,9 @@
 
 // object returns the fields of the object that a change sets, without its revision.
 func object(ch config.Change) map[string]any {
+	if ch.Routing != nil {
+		return routingSummary(ch.Routing)
+	}
 	ch.IfRevision = 0
 	data, err := json.Marshal(ch)
 	if err != nil {
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,111 @@
+package ctl
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"marigoldshunt/internal/fault"
+)
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+// logLine is one line of a host's log. Text is the line without its time.
+type logLine struct {
+	source, time, text string
+	fields             map[string]string
+}
+
+// explainCommand tells the story of one request from the logs of hosts.
+func (a *app) explainCommand() *ffcli.Command {
+	fs := a.flags("explain")
+	return &ffcli.Command{
+		Name: "explain", ShortUsage: "marigoldshuntctl explain ID [LOGFILE ...]",
+		ShortHelp: "Show what hosts logged about a request, in the order of time", FlagSet: fs,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return usagef("a request id is required")
+			}
+			lines, err := a.readLogs(args[0], args[1:])
+			if err != nil {
+				return err
+			}
+			if len(lines) == 0 {
+				return fault.New(fault.NotFound, fault.NotRun, "no line names request %q; a request that ends well leaves none", args[0])
+			}
+			slices.SortStableFunc(lines, func(x, y logLine) int { return cmp.Compare(x.time, y.time) })
+			for _, l := range lines {
+				if _, err := fmt.Fprintln(a.out, story(l)); err != nil {
+					return outputError(err)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// readLogs returns the lines about a request in files, or in the input without files.
+func (a *app) readLogs(id string, files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return findLines(id, "input", a.in)
+	}
+	var out []logLine
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, usageError(err.Error())
+		}
+		lines, err := findLines(id, name, f)
+		f.Close()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, lines...)
+	}
+	return out, nil
+}
+
+// fieldPattern matches a field of a log line: key=value or key="quoted value".
+var fieldPattern = regexp.MustCompile(`([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)`)
+
+func findLines(id, source string, r io.Reader) ([]logLine, error) {
+	var out []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		if !strings.Contains(s.Text(), id) {
+			continue
+		}
+		l := logLine{source: source, text: s.Text(), fields: map[string]string{}}
+		for _, m := range fieldPattern.FindAllStringSubmatch(s.Text(), -1) {
+			l.fields[m[1]] = strings.Trim(m[2], `"`)
+		}
+		if l.fields["request"] == id {
+			l.time = l.fields["time"]
+			out = append(out, l)
+		}
+	}
+	return out, fault.Wrap(s.Err(), fault.BadRequest, fault.NotRun, "read %s", source)
+}
+
+// story puts a line into words.
+func story(l logLine) string {
+	f := l.fields
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s: %s", l.time, l.source, f["msg"])
+	for _, key := range []string{"route", "account", "rank", "code", "run", "sends", "instance", "status", "waited_ms", "config_age_ms", "version", "retry_after_ms", "cause"} {
+		if v, ok := f[key]; ok {
+			fmt.Fprintf(&b, " %s=%s", key, v)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/ctl/explain_test.go
@@ -0,0 +1,28 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a story with lines of other requests, out of order or without the cause.
+func TestExplain(t *testing.T) {
+	c := qt.New(t)
+	logs := strings.Join([]string{
+		`time="2026-01-01T00:00:02Z" level=info msg="Request failed." cause="the engine would answer after 1.2s" code=queue_full part=gateway request=abc route=notes run=not_run`,
+		`time="2026-01-01T00:00:01Z" level=info msg="Request sent again." cause="broke \"off\"" part=gateway request=abc run=may_have_run`,
+		`time="2026-01-01T00:00:01Z" level=info msg="Request failed." cause="mentions abc" part=gateway request=abcd`,
+	}, "\n")
+	var out, errOut bytes.Buffer
+	c.Assert(Run(context.Background(), []string{"explain", "abc"}, strings.NewReader(logs), &out, &errOut), qt.Equals, ExitOK, qt.Commentf(errOut.String()))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	c.Assert(lines, qt.HasLen, 2)
+	c.Assert(lines[0], qt.Contains, "Request sent again.")
+	c.Assert(lines[0], qt.Contains, `off`)
+	c.Assert(lines[1], qt.Contains, "the engine would answer after 1.2s")
+	c.Assert(Run(context.Background(), []string{"explain", "none"}, strings.NewReader(logs), &out, &errOut), qt.Equals, ExitNotFound)
+}
--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -148,3 +148,13 @@
 	c.mu.Unlock()
 	c.onList(l)
 }
+
+// age is the time since the list was last read, -1 ms before the first list.
+func (c *catalogRole) age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.list.Read.IsZero() {
+		return -time.Millisecond
+	}
+	return time.Since(c.list.Read)
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -10,12 +10,14 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/edge"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/logsink"
 	"marigoldshunt/internal/settings"
 )
 
@@ -27,6 +29,13 @@
 	exitSettings = 2
 )
 
+const (
+	// logCloseTime bounds the wait for the last log lines.
+	logCloseTime = 200 * time.Millisecond
+	// logTime has milliseconds, so that the lines of several hosts can be put in order.
+	logTime = "2006-01-02T15:04:05.000Z07:00"
+)
+
 // flags are the command line; each also reads MARIGOLDSHUNT_<NAME> from the environment.
 type flags struct {
 	settings, host, dataCentre, ip, data, control string
@@ -66,7 +75,11 @@
 	if s.Edge != nil && s.Edge.Adapter != settings.AdapterNative && adapters[s.Edge.Adapter] == nil {
 		return fault.New(fault.InvalidSettings, "", "%s: edge.adapter: %q is not known", f.settings, s.Edge.Adapter)
 	}
+	sink := logsink.New(os.Stdout, time.Now)
+	defer sink.Close(logCloseTime)
 	log := logrus.New()
+	log.SetOutput(sink)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: logTime})
 	log.SetLevel(s.LogLevel)
 	leave, abort, stop := signals()
 	defer stop()
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"marigoldshunt/internal/admin"
 	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/config"
@@ -21,6 +22,7 @@
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/gateway"
 	"marigoldshunt/internal/loads"
+	"marigoldshunt/internal/metricspage"
 	"marigoldshunt/internal/native"
 	"marigoldshunt/internal/routing"
 	"marigoldshunt/internal/settings"
@@ -228,6 +230,7 @@
 		e.s.OperatorAddress:  e.adapter.Operators(e),
 		e.s.DiscoveryAddress: e.adapter.Callers(e),
 		e.s.ReadinessAddress: e.adapter.Readiness(e),
+		e.s.MetricsAddress:   metricspage.Handler(d.registry, e.gauges),
 	} {
 		if address != "" {
 			g.Go(func() error { return serveHTTP(ctx, address, h) })
@@ -358,3 +361,47 @@
 	}
 	l.Info("Order acknowledged.")
 }
+
+// status describes the routed services for operators; nil without an edge.
+func (e *edgeRole) status() *admin.EdgeStatus {
+	if e.s == nil {
+		return nil
+	}
+	out := &admin.EdgeStatus{Ready: e.Ready(), Running: e.gateway.Running(), ListAgeMS: e.catalog.age().Milliseconds()}
+	if t := e.table.Load(); t != nil {
+		out.Version = t.Document.Version
+	}
+	e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) { out.Instances = d.Status(now) })
+	return out
+}
+
+// gauges are what this host believes now.
+func (e *edgeRole) gauges() map[string]float64 {
+	st := e.status()
+	out := map[string]float64{
+		"edge.ready": indicator(st.Ready), "edge.version": float64(st.Version), "edge.running": float64(st.Running),
+		"edge.list_age_seconds":      float64(st.ListAgeMS) / 1000,
+		"control.config_age_seconds": e.d.client.ConfigAge().Seconds(),
+		"control.revision":           float64(e.d.client.Config().Revision),
+		"control.hosts_alive":        0,
+	}
+	for _, i := range st.Instances {
+		out["edge.instances_"+i.State]++
+	}
+	for _, h := range e.d.client.Hosts() {
+		out["control.hosts_alive"] += indicator(h.Alive)
+	}
+	if n := e.d.role.node.Load(); n != nil {
+		c := n.Status()
+		out["control.leads"] = indicator(c.Leader == e.d.s.Host)
+		out["control.term"], out["control.applied"] = float64(c.Term), float64(c.Applied)
+	}
+	return out
+}
+
+func indicator(v bool) float64 {
+	if v {
+		return 1
+	}
+	return 0
+}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -27,7 +27,7 @@
 			Leaving: d.client.Leaving(), Revision: c.Revision,
 			ConfigAgeMS: d.client.ConfigAge().Milliseconds(), Leader: d.client.Leader(),
 			Waiting: open.Waiting, Running: open.Running, RunningByUpstream: open.ByUpstream,
-			Control: d.role.status(), Hosts: hostStatus(d.client.Hosts()),
+			Control: d.role.status(), Edge: d.edge.status(), Hosts: hostStatus(d.client.Hosts()),
 		},
 		Schedulers: d.pools.status(), Traffic: d.peers.Bytes(),
 	}
--- /dev/null
+++ b/internal/dispatch/status.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// InstanceStatus is what a host knows of an upstream instance.
+type InstanceStatus struct {
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// State is ready, cold, suspect, draining, out or gone.
+	State string `json:"state"`
+	// Running counts the requests of this host.
+	Running int `json:"running"`
+	// Backlog are the prompt tokens under way and waiting as the owner of the gate told.
+	Backlog int `json:"backlog_tokens"`
+	// Failing is the share of recent answers that failed.
+	Failing float64 `json:"failing"`
+}
+
+// Status lists the instances in order of service and id.
+func (d *Dispatcher) Status(now time.Time) []InstanceStatus {
+	out := make([]InstanceStatus, 0, len(d.instances))
+	for _, x := range d.instances {
+		out = append(out, InstanceStatus{
+			ID: x.ID, Service: x.Service, Address: x.Address, DataCentre: x.DataCentre, State: d.state(x, now),
+			Running: x.running, Backlog: x.gate.Backlog, Failing: x.failing.value(now),
+		})
+	}
+	slices.SortFunc(out, func(a, b InstanceStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+func (d *Dispatcher) state(x *instance, now time.Time) string {
+	switch {
+	case x.gone:
+		return "gone"
+	case x.Draining:
+		return "draining"
+	case d.outDCs[x.DataCentre]:
+		return "out"
+	case now.Before(x.suspectUntil):
+		return "suspect"
+	case now.Before(x.coldUntil):
+		return "cold"
+	}
+	return "ready"
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,11 +77,13 @@
 	outcome := dispatch.Withdrawn
 	defer func() { q.s.o.Dispatch.done(p, outcome) }()
 	q.job.Tried = append(q.job.Tried, p.Instance.Key())
+	asked := time.Now()
 	ticket, err := q.admit(ctx, p)
 	if err != nil {
 		outcome = dispatch.Refused
 		return err
 	}
+	q.s.time("admission", asked)
 	defer ticket.Done()
 	q.s.o.Dispatch.served(&q.job)
 	q.ticket = ticket
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,6 +141,11 @@
 	metrics.GetOrRegisterCounter("gateway."+name, s.o.Registry).Inc(1)
 }
 
+// time notes how long something took since began.
+func (s *Server) time(name string, began time.Time) {
+	metrics.GetOrRegisterTimer("gateway."+name, s.o.Registry).UpdateSince(began)
+}
+
 // idleConns remembers since when callers' connections are unused.
 type idleConns struct {
 	mu    sync.Mutex
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -22,6 +22,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	id      string
+	arrived time.Time
 	route   *routing.Route
 	service *routing.Service
 	account string
@@ -61,14 +62,17 @@
 	if err == nil {
 		err = q.serve()
 	}
+	s.time("answer", q.arrived)
 	if err != nil {
 		q.fail(fault.As(err))
+		return
 	}
+	s.count("answered")
 }
 
 // prepare checks the request and reads its body.
 func (q *request) prepare() error {
-	arrived := time.Now()
+	q.arrived = time.Now()
 	v := q.s.o.View()
 	if v.Leaving {
 		q.w.Header().Set("Connection", "close")
@@ -90,7 +94,7 @@
 		return err
 	}
 	q.service = v.Table.Service(q.route.Pick(q.s.randomPoint()))
-	q.setDeadline(arrived)
+	q.setDeadline(q.arrived)
 	if err := q.readBody(v.Table.Document.Limits); err != nil {
 		return err
 	}
@@ -262,5 +266,16 @@
 	if e.RetryAfter > 0 {
 		l = l.WithField("retry_after_ms", e.RetryAfter.Milliseconds())
 	}
+	v := q.s.o.View()
+	if v.Table != nil {
+		l = l.WithField("version", v.Table.Document.Version)
+	}
+	l = l.WithField("config_age_ms", v.Age.Milliseconds()).WithField("waited_ms", time.Since(q.arrived).Milliseconds())
+	if q.account != "" {
+		l = l.WithField("account", q.account).WithField("rank", q.job.Rank)
+	}
+	if n := len(q.job.Tried); n > 0 {
+		l = l.WithField("instance", q.job.Tried[n-1].ID)
+	}
 	l.WithField("cause", e.Message()).Info("Request failed.")
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,6 +38,7 @@
 		}
 		if first {
 			first = false
+			q.s.time("first_event", q.arrived)
 			q.s.o.Dispatch.firstEvent(p)
 			q.ticket.FirstEvent()
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -170,6 +170,7 @@
 		DiscoveryAddress: optional("edge.discovery_address", f.DiscoveryAddress),
 		ReadinessAddress: optional("edge.readiness_address", f.ReadinessAddress),
 		OperatorAddress:  optional("edge.operator_address", f.OperatorAddress),
+		MetricsAddress:   optional("edge.metrics_address", f.MetricsAddress),
 		UpstreamList:     c.address("edge.upstream_list", f.UpstreamList),
 		ConfigMaxAge:     c.duration("edge.config_max_age", f.ConfigMaxAge, maxConfigMaxAge),
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,6 +101,8 @@
 	DiscoveryAddress string
 	ReadinessAddress string
 	OperatorAddress  string
+	// MetricsAddress serves GET /metrics as text, without a credential.
+	MetricsAddress string
 	// UpstreamList is the address at which the installation publishes its instances.
 	UpstreamList string
 	// ConfigMaxAge is how long a host serves without confirmation of its configuration.
@@ -142,6 +144,7 @@
 	DiscoveryAddress string   `toml:"discovery_address"`
 	ReadinessAddress string   `toml:"readiness_address"`
 	OperatorAddress  string   `toml:"operator_address"`
+	MetricsAddress   string   `toml:"metrics_address"`
 	UpstreamList     string   `toml:"upstream_list"`
 	ConfigMaxAge     duration `toml:"config_max_age"`
 }
