--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -30,6 +31,9 @@
 )
 
 const (
+	// heapPercent of the memory of a process may be the Go heap; the rest is for what the
+	// runtime does not count: the program itself, and bytes in sockets.
+	heapPercent = 60
 	// logCloseTime bounds the wait for the last log lines.
 	logCloseTime = 200 * time.Millisecond
 	// logTime has milliseconds, so that the lines of several hosts can be put in order.
@@ -75,6 +79,10 @@
 	if s.Edge != nil && s.Edge.Adapter != settings.AdapterNative && adapters[s.Edge.Adapter] == nil {
 		return fault.New(fault.InvalidSettings, "", "%s: edge.adapter: %q is not known", f.settings, s.Edge.Adapter)
 	}
+	if s.MemoryMB > 0 {
+		// The collector works harder near the limit in place of letting the process be killed.
+		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * heapPercent / 100)
+	}
 	sink := logsink.New(os.Stdout, time.Now)
 	defer sink.Close(logCloseTime)
 	log := logrus.New()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -24,6 +24,7 @@
 	minHeaderBytes      = 1 << 10
 	maxHeaderBytes      = 1 << 20
 	maxReadTimeout      = 10 * time.Minute
+	maxMemoryMB         = 1 << 20
 )
 
 // namePattern is the form of names of hosts, data centres and regions. The peer
@@ -64,6 +65,7 @@
 		},
 	}
 	s.FormGroup = f.FormGroup
+	s.MemoryMB = c.number("memory_mb", f.MemoryMB, 0, maxMemoryMB)
 	s.ControlSeeds = c.seeds(f.ControlSeeds)
 	s.Edge = c.edge(f.Edge)
 	for _, h := range f.ControlHosts {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,6 +85,8 @@
 	// FormGroup lets the hosts of ControlSeeds form a new group when their data folders
 	// are empty.
 	FormGroup bool
+	// MemoryMB is the memory that the process may use, 0 for no limit.
+	MemoryMB int
 	// Edge is nil on hosts that serve no routed services.
 	Edge *Edge
 }
@@ -135,6 +137,7 @@
 	} `toml:"caller_limits"`
 	ControlSeeds []string  `toml:"control_seeds"`
 	FormGroup    bool      `toml:"form_group"`
+	MemoryMB     int       `toml:"memory_mb"`
 	Edge         *fileEdge `toml:"edge"`
 }
 
