--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 
@@ -36,20 +37,25 @@
 	return cfg, nil
 }
 
+// fetched checks that a command has no arguments and returns the configuration.
+func (a *app) fetched(ctx context.Context, fs *flag.FlagSet, args []string) (*config.Config, error) {
+	if _, err := positional(fs, args); err != nil {
+		return nil, err
+	}
+	c, err := a.connect()
+	if err != nil {
+		return nil, err
+	}
+	return fetchConfig(ctx, c)
+}
+
 func (a *app) configGet() *ffcli.Command {
 	fs := a.flags("get")
 	kind := fs.String("kind", "", "only objects of this kind, for example upstream")
 	return &ffcli.Command{
 		Name: "get", ShortHelp: "List the objects of the configuration", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			if _, err := positional(fs, args); err != nil {
-				return err
-			}
-			c, err := a.connect()
-			if err != nil {
-				return err
-			}
-			cfg, err := fetchConfig(ctx, c)
+			cfg, err := a.fetched(ctx, fs, args)
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/routing.go
+++ b/internal/ctl/routing.go
@@ -19,14 +19,7 @@
 	return &ffcli.Command{
 		Name: "routing", ShortHelp: "Show the routing document in force, without credentials", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			if _, err := positional(fs, args); err != nil {
-				return err
-			}
-			c, err := a.connect()
-			if err != nil {
-				return err
-			}
-			cfg, err := fetchConfig(ctx, c)
+			cfg, err := a.fetched(ctx, fs, args)
 			if err != nil {
 				return err
 			}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -31,9 +31,9 @@
 )
 
 const (
-	// heapPercent of the memory of a process may be the Go heap; the rest is for what the
-	// runtime does not count: the program itself, and bytes in sockets.
-	heapPercent = 60
+	// heapPercent of the memory of a process may be the Go runtime's; the rest is for what it
+	// does not count: the program itself, and bytes in sockets.
+	heapPercent = 85
 	// logCloseTime bounds the wait for the last log lines.
 	logCloseTime = 200 * time.Millisecond
 	// logTime has milliseconds, so that the lines of several hosts can be put in order.
--- /dev/null
+++ b/internal/daemon/edge_loads.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/dispatch"
+	"marigoldshunt/internal/wire"
+)
+
+// handleLoads takes the report of a host or the sums of a relay.
+func (e *edgeRole) handleLoads(from string, _ uint64, kind wire.Kind, payload []byte) {
+	var report wire.Loads
+	var sums wire.LoadSums
+	var err error
+	if kind == wire.KindLoads {
+		err = wire.Unmarshal(payload, &report)
+	} else {
+		err = wire.Unmarshal(payload, &sums)
+	}
+	if err != nil {
+		e.log.WithError(err).WithField("from", from).Warn("Loads not readable.")
+		return
+	}
+	now := time.Now()
+	e.loadsMu.Lock()
+	defer e.loadsMu.Unlock()
+	if kind == wire.KindLoads {
+		e.loads.HandleReport(from, report, now)
+		return
+	}
+	e.loads.HandleSums(sums, now)
+	e.useLoads(e.loads.Others(now))
+}
+
+// useLoads gives the loads of the other hosts to the decisions of this one.
+func (e *edgeRole) useLoads(sums []wire.LoadSum) {
+	e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) {
+		for _, sum := range sums {
+			list := make([]dispatch.Load, len(sum.Loads.Instances))
+			for i, l := range sum.Loads.Instances {
+				list[i] = dispatch.Load(l)
+			}
+			d.SetPeerLoads(sum.DataCentre, list, now)
+			d.SetPeerDemands(sum.DataCentre, sum.Loads.Demands, sum.Loads.Served, now)
+			for _, g := range sum.Loads.Gates {
+				d.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs}, now)
+			}
+		}
+	})
+}
+
+// tellLoads reports this host's loads until ctx ends. A relay also spreads the sums.
+func (e *edgeRole) tellLoads(ctx context.Context) error {
+	for ctx.Err() == nil {
+		own := wire.Loads{Gates: e.admit.Loads()}
+		e.dispatch.Update(func(d *dispatch.Dispatcher, now time.Time) {
+			for _, l := range d.OwnLoads() {
+				own.Instances = append(own.Instances, wire.InstanceLoad(l))
+			}
+			own.Demands, own.Served = d.OwnDemands(now)
+		})
+		now := time.Now()
+		e.loadsMu.Lock()
+		sends := e.loads.Tick(own, now)
+		interval := e.loads.Interval()
+		e.useLoads(e.loads.Others(now))
+		e.loadsMu.Unlock()
+		for _, s := range sends {
+			if err := e.d.peers.Send(s.To, s.Kind, s.Msg); err != nil {
+				e.log.WithError(err).WithField("to", s.To).Debug("Loads not sent.")
+			}
+		}
+		wait(ctx, interval)
+	}
+	return nil
+}
