Watch the memory of the process

Cause: which host of the grown deployment exceeds its memory, and with what, could not be read from anything. Change: a warning when a process crosses 70 % of its memory, with live heap and number of goroutines, and the same as metrics. One host crosses 70 %: relay of its data centre and reader of the list, with 2,038 to 2,583 goroutines.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -284,6 +284,7 @@
 	g.Go(func() error { return d.edge.run(ctx) })
 	g.Go(func() error { return d.formFromSeeds(ctx) })
 	g.Go(func() error { return d.followSettings(ctx) })
+	g.Go(func() error { return d.watchMemory(ctx) })
 	g.Go(func() error {
 		defer cancel()
 		return d.shutdown(leave, ctx)
--- a/internal/daemon/edge_status.go
+++ b/internal/daemon/edge_status.go
@@ -30,6 +30,9 @@
 		"control.revision":           float64(e.d.client.Config().Revision),
 		"control.hosts_alive":        0,
 	}
+	m := readMemory()
+	out["process.memory_bytes"], out["process.live_bytes"] = float64(m.totalBytes), float64(m.liveBytes)
+	out["process.goroutines"] = float64(m.goroutines)
 	for _, i := range st.Instances {
 		out["edge.instances_"+i.State]++
 	}
