Keep the sums of other hosts' loads; remove what nothing uses

SetCold had no caller, prompt affinity of a route had no effect. Change: sums are made when loads arrive. Parts of prompts are used on routes with prompt affinity only. Ruled out: an index of instances by cost, which changes with every request.

--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"marigoldshunt/internal/catalog"
+)
+
+// BenchmarkPick measures one choice of an instance, with the loads of five data centres.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 140, 810} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := New(Options{Host: "a", DataCentre: "dc0"})
+			d.SetServices(services(), 200_000)
+			var list []catalog.Instance
+			var loads []Load
+			for i := range n {
+				id := fmt.Sprint("e", i)
+				list = append(list, catalog.Instance{ID: id, Service: "engines", Address: "10.0.0.1:1", DataCentre: fmt.Sprint("dc", i%5), Slots: 64})
+				loads = append(loads, Load{ID: id, Running: 4, Reading: 900})
+			}
+			d.SetInstances(list, at(0))
+			for dc := range 5 {
+				d.SetPeerLoads(fmt.Sprint("dc", dc), loads, at(0))
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				p, err := d.Pick(prompt(uint64(i%200)), at(1))
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.FirstEvent()
+				p.Done(Answered, at(1))
+			}
+		})
+	}
+}
+
+// BenchmarkDemand measures the rank of one request beside other accounts.
+func BenchmarkDemand(b *testing.B) {
+	for _, n := range []int{16, 680, 6_800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newShares()
+			s.tiers[WithinContract].capacity = 1_000
+			rates := map[string]float64{}
+			for i := range n {
+				rates[fmt.Sprint("acc", i)] = 10
+			}
+			s.SetPeer("dc1", rates, 1_000, at(0))
+			b.ReportAllocs()
+			now := at(0)
+			for i := 0; b.Loop(); i++ {
+				if i%100 == 0 {
+					now = now.Add(time.Millisecond)
+				}
+				s.Demand(fmt.Sprint("acc", i%n), 100, now)
+			}
+		})
+	}
+}
+
+// BenchmarkGate measures one request at a gate with others waiting.
+func BenchmarkGate(b *testing.B) {
+	for _, n := range []int{1, 16, 128} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g := newTestGate()
+			for i := range n {
+				g.Ask(ask(uint64(i+1), 1_000, 0, 1_000_000, WithinContract), at(0))
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := uint64(1_000_000 + i)
+				g.Ask(ask(id, 1_000, 0, 1_000_000, WithinContract), at(0))
+				g.Done(AskID{"h", id}, at(0))
+				g.Next(at(0))
+			}
+		})
+	}
+}
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -48,7 +48,7 @@
 
 // plainCost is the wait for a slot of a plain service.
 func (d *Dispatcher) plainCost(x *instance, now time.Time) float64 {
-	busy := float64(x.running + d.peerRunning(x, now))
+	busy := float64(x.running + d.peerLoad(x, now).Running)
 	if x.report.fresh(now) {
 		busy = max(busy, float64(x.report.running+x.report.waiting))
 	}
@@ -82,7 +82,7 @@
 	if now.Sub(x.gate.at) < peerMaxAge {
 		return x.gate.Backlog + x.asked
 	}
-	return x.reading + d.peerReading(x, now)
+	return x.reading + d.peerLoad(x, now).Reading
 }
 
 // admitted is the number of requests at an engine.
@@ -90,5 +90,5 @@
 	if now.Sub(x.gate.at) < peerMaxAge {
 		return x.gate.Running
 	}
-	return x.running + d.peerRunning(x, now)
+	return x.running + d.peerLoad(x, now).Running
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -63,8 +63,11 @@
 	outDCs    map[string]bool
 	hosts     []string
 	repeats   map[string]*repeatBudget
-	peers     map[string]peerLoad
-	shares    *Shares
+	// peers are the loads that others told, by data centre, and peerSums their sums.
+	peers    map[string]peerLoad
+	peerSums map[catalog.Key]Load
+	summedAt time.Time
+	shares   *Shares
 }
 
 // New returns a Dispatcher without instances.
@@ -72,7 +75,7 @@
 	return &Dispatcher{
 		o: o, services: map[string]*routing.Service{}, instances: map[catalog.Key]*instance{},
 		byService: map[string][]*instance{}, outDCs: map[string]bool{}, hosts: []string{o.Host},
-		repeats: map[string]*repeatBudget{}, peers: map[string]peerLoad{}, shares: newShares(),
+		repeats: map[string]*repeatBudget{}, peers: map[string]peerLoad{}, peerSums: map[catalog.Key]Load{}, shares: newShares(),
 	}
 }
 
@@ -128,13 +131,6 @@
 	}
 }
 
-// SetCold notes that an instance has said how much longer it is cold.
-func (d *Dispatcher) SetCold(k catalog.Key, left time.Duration, now time.Time) {
-	if x := d.instances[k]; x != nil && left > 0 {
-		x.coldUntil = now.Add(left)
-	}
-}
-
 // Gone notes that another instance has taken the address of k.
 func (d *Dispatcher) Gone(k catalog.Key) {
 	if x := d.instances[k]; x != nil {
@@ -197,7 +193,7 @@
 		}
 	}
 	if best != nil && s.ColdPerSecond > 0 && now.Before(best.coldUntil) {
-		best.cold.spend(now)
+		best.cold.tokens--
 	}
 	return best, bestCost
 }
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -19,8 +19,6 @@
 	b.at = now
 }
 
-func (b *bucket) spend(time.Time) { b.tokens-- }
-
 // maxWarmingHosts is the number of hosts that send to a cold instance. Each of them may
 // send one request at once, so their number adds to the rate of a second.
 const maxWarmingHosts = 4
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -19,8 +19,8 @@
 }
 
 type peerLoad struct {
-	byInstance map[catalog.Key]Load
-	at         time.Time
+	loads []Load
+	at    time.Time
 }
 
 // OwnLoads returns what this host has under way.
@@ -34,31 +34,30 @@
 	return out
 }
 
-// SetPeerLoads takes what another host has under way.
-func (d *Dispatcher) SetPeerLoads(host string, loads []Load, now time.Time) {
-	p := peerLoad{byInstance: map[catalog.Key]Load{}, at: now}
-	for _, l := range loads {
-		p.byInstance[catalog.Key{ID: l.ID, Born: l.Born}] = l
-	}
-	d.peers[host] = p
-}
-
-func (d *Dispatcher) peerRunning(x *instance, now time.Time) (n int) {
+// SetPeerLoads takes what the other hosts of a data centre have under way.
+func (d *Dispatcher) SetPeerLoads(dataCentre string, loads []Load, now time.Time) {
+	d.peers[dataCentre] = peerLoad{loads: loads, at: now}
+	d.peerSums, d.summedAt = make(map[catalog.Key]Load, len(d.peerSums)), now
 	for _, p := range d.peers {
-		if now.Sub(p.at) < peerMaxAge {
-			n += p.byInstance[x.Key()].Running
+		if now.Sub(p.at) >= peerMaxAge {
+			continue
+		}
+		for _, l := range p.loads {
+			k := catalog.Key{ID: l.ID, Born: l.Born}
+			sum := d.peerSums[k]
+			sum.Running += l.Running
+			sum.Reading += l.Reading
+			d.peerSums[k] = sum
 		}
 	}
-	return n
 }
 
-func (d *Dispatcher) peerReading(x *instance, now time.Time) (n int) {
-	for _, p := range d.peers {
-		if now.Sub(p.at) < peerMaxAge {
-			n += p.byInstance[x.Key()].Reading
-		}
+// peerLoad returns what the other hosts have under way at an instance.
+func (d *Dispatcher) peerLoad(x *instance, now time.Time) Load {
+	if now.Sub(d.summedAt) >= peerMaxAge {
+		return Load{}
 	}
-	return n
+	return d.peerSums[x.Key()]
 }
 
 // GateLoad is the load of one engine as the owner of its gate tells it.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -34,8 +34,8 @@
 	// aim is when the first event, or the whole answer, should be there.
 	aim time.Time
 	job dispatch.Job
-	// print identifies the request over its repeats.
-	print wire.Digest
+	// digest identifies the request over its repeats.
+	digest wire.Digest
 	// began is true once the head of an answer was written.
 	began bool
 	// lastEvent is the id of the last event that the caller got.
@@ -101,8 +101,8 @@
 	q.header = q.s.o.Dialect.forwarded(q.r.Header, q.account)
 	q.lastEvent = q.r.Header.Get(q.s.o.Dialect.LastEvent)
 	q.setJob()
-	q.print = q.fingerprint()
-	if err := q.s.crashes.check(q.print); err != nil {
+	q.digest = q.fingerprint()
+	if err := q.s.crashes.check(q.digest); err != nil {
 		return err
 	}
 	q.s.o.Dispatch.countRequest(&q.job)
@@ -176,7 +176,9 @@
 	d := &q.s.o.Dialect
 	q.job = dispatch.Job{Service: q.service.Name, Objective: q.route.Objective, Account: q.account}
 	if q.service.Engine != nil {
-		q.job.Parts = d.promptParts(q.r.Header)
+		if q.route.PromptAffinity {
+			q.job.Parts = d.promptParts(q.r.Header)
+		}
 		q.job.InputTokens, q.job.OutputTokens = d.usage(q.r.Header)
 	}
 }
