Keep one function for rendezvous hashing and one for pauses

dispatch, admission and discovery each hashed members in their own way, and five packages had their own pause that ends with its context. rendezvous.Hash is computed once per instance, which also takes the hash of its name out of each pick.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +18,7 @@
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/rendezvous"
 	"marigoldshunt/internal/wire"
 )
 
@@ -109,18 +109,9 @@
 	a.hosts = hosts
 }
 
-// ownerLocked returns the host that owns the gate of an engine (rendezvous hashing).
+// ownerLocked returns the host that owns the gate of an engine.
 func (a *Admission) ownerLocked(k catalog.Key) string {
-	owner, best := a.o.Host, uint64(0)
-	for _, h := range a.hosts {
-		f := fnv.New64a()
-		_, _ = f.Write([]byte(k.ID + "\x00" + h))
-		// The multiplication spreads the last bytes, which FNV mixes badly.
-		if r := f.Sum64() * 0x9e3779b97f4a7c15; r > best {
-			owner, best = h, r
-		}
-	}
-	return owner
+	return rendezvous.Best(rendezvous.Hash(k.ID), a.hosts)
 }
 
 // silentLocked reports whether an owner did not answer lately.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -10,6 +10,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/wait"
 )
 
 // Instance is one start of one upstream.
@@ -99,15 +101,6 @@
 // failurePause is the time after a failed read.
 const failurePause = 400 * time.Millisecond
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (r *Reader) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
@@ -116,7 +109,7 @@
 	if err != nil {
 		r.failures.Inc(1)
 		// The rate of the list is shared, so a refusal is not answered by asking again.
-		defer pause(ctx, failurePause)
+		defer wait.For(ctx, failurePause)
 		if !r.failing {
 			r.o.Log.WithError(err).Warn("List of upstreams not read. The last one stays in use.")
 		}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -12,6 +12,7 @@
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/peer"
 	"marigoldshunt/internal/state"
+	"marigoldshunt/internal/wait"
 	"marigoldshunt/internal/wal"
 	"marigoldshunt/internal/wire"
 )
@@ -169,7 +170,7 @@
 			r.fail(err)
 			r.close()
 		}
-		wait(ctx, reopenInterval)
+		wait.For(ctx, reopenInterval)
 		if fault.CodeOf(r.lastFailure()) == fault.StorageCorrupt {
 			// Trying again can't help, and the data stays as it is for an operator.
 			return nil
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -22,6 +22,7 @@
 	"marigoldshunt/internal/native"
 	"marigoldshunt/internal/routing"
 	"marigoldshunt/internal/settings"
+	"marigoldshunt/internal/wait"
 	"marigoldshunt/internal/wire"
 )
 
@@ -223,7 +224,7 @@
 func (e *edgeRole) leave(ctx context.Context) {
 	end := time.Now().Add(e.d.s.ShutdownDeadline - exitMargin)
 	accept := time.Duration(float64(e.d.s.ShutdownDeadline) * acceptShare)
-	wait(ctx, accept)
+	wait.For(ctx, accept)
 	limit, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	if err := e.gateway.Shutdown(limit); err != nil {
--- a/internal/daemon/edge_loads.go
+++ b/internal/daemon/edge_loads.go
@@ -6,6 +6,7 @@
 
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/dispatch"
+	"marigoldshunt/internal/wait"
 	"marigoldshunt/internal/wire"
 )
 
@@ -72,7 +73,7 @@
 				e.log.WithError(err).WithField("to", s.To).Debug("Loads not sent.")
 			}
 		}
-		wait(ctx, interval)
+		wait.For(ctx, interval)
 	}
 	return nil
 }
--- a/internal/daemon/form.go
+++ b/internal/daemon/form.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wait"
 )
 
 // Intervals of the formation of the control group from seeds.
@@ -41,7 +42,7 @@
 			d.log.WithError(err).Info("Control group exists.")
 			return nil
 		}
-		wait(ctx, formPause)
+		wait.For(ctx, formPause)
 	}
 	return nil
 }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"marigoldshunt/internal/wait"
 )
 
 // announceTime is how long after the announcement other hosts may still name this host
@@ -28,7 +30,7 @@
 	if d.edge.s != nil {
 		d.edge.leave(limit)
 	} else {
-		wait(limit, announceTime+d.client.Config().Policy.KeepFor)
+		wait.For(limit, announceTime+d.client.Config().Policy.KeepFor)
 	}
 	d.closeServers(limit)
 	d.timeline.Add("daemon", "stopped")
@@ -45,12 +47,3 @@
 		d.log.WithError(err).Debug("Operator connections were cut off.")
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,11 +3,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 
 	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/rendezvous"
 	"marigoldshunt/internal/wire"
 )
 
@@ -99,7 +99,7 @@
 		Address: Address{Address: h.CallerAddress, DataCentre: h.DataCentre},
 		name:    h.Name,
 		near:    h.DataCentre == q.DataCentre,
-		rank:    rank(q.Account, q.Caller, s.Host),
+		rank:    rendezvous.Weight(rendezvous.Hash(q.Account, q.Caller), rendezvous.Hash(s.Host)),
 	}, true
 }
 
@@ -108,18 +108,3 @@
 		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.name, b.name))
 	})
 }
-
-// rank is the rendezvous weight of a host for a caller.
-func rank(parts ...string) uint64 {
-	h := fnv.New64a()
-	for _, p := range parts {
-		_, _ = h.Write([]byte(p))
-		_, _ = h.Write([]byte{0})
-	}
-	// FNV leaves the high bits of similar inputs alike; the finaliser of SplitMix64
-	// spreads them.
-	x := h.Sum64()
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,12 +7,13 @@
 package dispatch
 
 import (
-	"hash/fnv"
+	"cmp"
 	"slices"
 	"time"
 
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/rendezvous"
 	"marigoldshunt/internal/routing"
 )
 
@@ -211,43 +212,13 @@
 		if x.Draining || x.gone || d.outDCs[x.DataCentre] {
 			continue
 		}
-		if r := rank(key, x.ID); best == nil || r > bestRank {
+		if r := rendezvous.Weight(key, x.hash); best == nil || r > bestRank {
 			best, bestRank = x, r
 		}
 	}
 	return best
 }
 
-// rank orders instances by a hash of a prompt part (rendezvous hashing): all hosts agree
-// on it, and the loss of an instance moves only the parts that it had.
-func rank(part uint64, id string) uint64 {
-	h := fnv.New64a()
-	var b [8]byte
-	for i := range b {
-		b[i] = byte(part >> (8 * i))
-	}
-	_, _ = h.Write(b[:])
-	_, _ = h.Write([]byte(id))
-	// FNV mixes its last bytes badly; this is the finaliser of MurmurHash3.
-	v := h.Sum64()
-	v ^= v >> 33
-	v *= 0xff51afd7ed558ccd
-	v ^= v >> 33
-	v *= 0xc4ceb9fe1a85ec53
-	return v ^ v>>33
-}
-
 func compareKeys(a, b catalog.Key) int {
-	switch {
-	case a.ID != b.ID:
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	case a.Born < b.Born:
-		return -1
-	case a.Born > b.Born:
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
 }
--- a/internal/dispatch/instance.go
+++ b/internal/dispatch/instance.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/rendezvous"
 )
 
 // keptFor is how long an engine is expected to keep a prompt part after its last use.
@@ -16,6 +17,8 @@
 // instance is what this host knows of one upstream instance.
 type instance struct {
 	catalog.Instance
+	// hash identifies the instance in rendezvous hashing.
+	hash      uint64
 	gone      bool
 	coldUntil time.Time
 	cold      bucket
@@ -35,7 +38,7 @@
 }
 
 func newInstance(i catalog.Instance, now time.Time) *instance {
-	return &instance{Instance: i, parts: map[uint64]time.Time{}, cold: bucket{tokens: 1, at: now}}
+	return &instance{Instance: i, hash: rendezvous.Hash(i.ID), parts: map[uint64]time.Time{}, cold: bucket{tokens: 1, at: now}}
 }
 
 // gateView is the load of an engine as the owner of its gate told it.
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/rendezvous"
 	"marigoldshunt/internal/routing"
 )
 
@@ -40,16 +42,10 @@
 
 // warmingHosts returns the hosts that send to a cold instance.
 func (d *Dispatcher) warmingHosts(k catalog.Key) []string {
+	key := rendezvous.Hash(k.ID) + uint64(k.Born)
 	hosts := slices.Clone(d.hosts)
 	slices.SortFunc(hosts, func(a, b string) int {
-		ra, rb := rank(uint64(k.Born), k.ID+a), rank(uint64(k.Born), k.ID+b)
-		switch {
-		case ra > rb:
-			return -1
-		case ra < rb:
-			return 1
-		}
-		return 0
+		return cmp.Compare(rendezvous.Weight(key, rendezvous.Hash(b)), rendezvous.Weight(key, rendezvous.Hash(a)))
 	})
 	return hosts[:min(len(hosts), maxWarmingHosts)]
 }
--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -15,6 +15,7 @@
 
 	"marigoldshunt/internal/discovery"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wait"
 )
 
 // client is one account with its cached addresses and its results.
@@ -168,7 +169,7 @@
 			c.o.OnResult(c.account.Name, res)
 		}
 		if res.Code != "" {
-			sleep(ctx, c.pause(res))
+			wait.For(ctx, c.pause(res))
 		}
 	}
 }
@@ -194,7 +195,7 @@
 	if c.o.Duration > 0 && at.Sub(c.start) >= c.o.Duration {
 		return false
 	}
-	sleep(ctx, at.Sub(c.o.Now()))
+	wait.For(ctx, at.Sub(c.o.Now()))
 	return ctx.Err() == nil
 }
 
@@ -220,7 +221,7 @@
 			break
 		}
 		if r.Code != codeConnect {
-			sleep(ctx, c.pause(r))
+			wait.For(ctx, c.pause(r))
 		}
 		r.Tries = try + 1
 	}
@@ -229,15 +230,3 @@
 	r.Total = c.o.Now().Sub(begin)
 	return r
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -8,6 +8,7 @@
 
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/state"
+	"marigoldshunt/internal/wait"
 	"marigoldshunt/internal/wire"
 )
 
@@ -99,7 +100,7 @@
 	defer cancel()
 	for {
 		err := r.o.Control.ReleaseClaim(ctx, state.ClaimRelease{Account: u.call.Account, Key: u.call.Key, Attempt: attempt})
-		if err == nil || fault.CodeOf(err) == fault.AnswerNotKept || !sleep(ctx, time.Second) {
+		if err == nil || fault.CodeOf(err) == fault.AnswerNotKept || !wait.For(ctx, time.Second) {
 			return
 		}
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -9,6 +9,7 @@
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/frontend"
 	"marigoldshunt/internal/retry"
+	"marigoldshunt/internal/wait"
 	"marigoldshunt/internal/wire"
 )
 
@@ -111,7 +112,7 @@
 		u.avoid = res.upstream
 		r.counters.retries.Inc(1)
 		if res.Outcome == wire.OutcomeRefused {
-			if !sleep(ctx, refusedPause) {
+			if !wait.For(ctx, refusedPause) {
 				return u.withRunState(fault.New(fault.CallerGone, fault.NotRun, "caller closed the connection"))
 			}
 		}
@@ -192,15 +193,3 @@
 	engine.Result
 	upstream string
 }
-
-// sleep waits and returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
