Let the emulator answer as a modelled engine

Routed streams came after fixed delays. With -engine they come from the model: prompts are read in chunks beside other streams, shared parts stay kept, a full engine refuses with proof of not run, and a cold one falls over above its rate.

--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/enginemodel"
 )
 
 // Main runs the command upstream-emulator until a signal ends it. It exits the process
@@ -39,12 +40,21 @@
 	fs.IntVar(&o.CacheEntries, "cache-entries", 256, "prefixes in the cache")
 	fs.BoolVar(&o.Resume, "resume", true, "honour X-Resume-Offset")
 	fs.BoolVar(&o.ChecksFence, "checks-fence", true, "refuse orders with an old fencing number")
+	engine := fs.Bool("engine", false, "model an engine for routed streams: chunked prompts, steps, shared memory")
+	model := enginemodel.Typical()
+	fs.IntVar(&model.MemoryTokens, "engine-memory", model.MemoryTokens, "memory of the engine in tokens")
+	fs.Float64Var(&model.ReadPerMs, "engine-read-per-ms", model.ReadPerMs, "prompt tokens that the engine reads in one ms")
+	fs.IntVar(&model.ColdPerSecond, "engine-cold-per-second", 0, "requests per second that a cold engine bears, 0 for no limit")
 	fs.DurationVar(&o.CrashDown, "crash-down", 500*time.Millisecond, "refusal of connections after a crash")
 	fs.Int64Var(&o.Seed, "seed", time.Now().UnixNano(), "seed of the random numbers and the instance identity")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("UPSTREAM_EMULATOR")); err != nil {
 		log.WithError(err).Fatal("Bad flags.")
 	}
 	o.Kind = config.Kind(*kind)
+	if *engine {
+		model.Slots, model.ColdFor, model.ReportLag = o.Slots, o.ColdTime, o.ReportLag
+		o.Engine = &model
+	}
 	if o.Kind != config.KindModel && o.Kind != config.KindService {
 		log.Fatalf("Unknown kind %q.", *kind)
 	}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/enginemodel"
 )
 
 // Options are the settings of one emulator. Zero values switch a behaviour off.
@@ -52,6 +53,8 @@
 	Resume bool
 	// ChecksFence says whether orders with an old fencing number are refused.
 	ChecksFence bool
+	// Engine makes routed streams those of a modelled engine; nil selects fixed delays.
+	Engine *enginemodel.Options
 	// CrashDown is how long connections are refused after a crash.
 	CrashDown time.Duration
 	Seed      int64
@@ -102,6 +105,8 @@
 	samples  []sample
 	busy     time.Duration
 	cache    cache
+	// engine is the modelled engine of the present instance.
+	engine   *engineDriver
 	orders   []Order
 	maxFence uint64
 	debug    Debug
@@ -154,6 +159,9 @@
 	e.running, e.queued = 0, 0
 	e.slots = make(chan struct{}, e.o.Slots)
 	e.cache.reset(e.o.CacheEntries)
+	if e.o.Engine != nil {
+		e.engine = newEngineDriver(e.life, *e.o.Engine)
+	}
 	e.sampleLocked()
 }
 
@@ -264,9 +272,13 @@
 	defer e.mu.Unlock()
 	kill := e.kill
 	e.kill = nil
-	running, slots := e.running, e.slots
+	running, slots, engine := e.running, e.slots, e.engine
 	e.restart()
 	e.running, e.slots = running, slots
+	if engine != nil {
+		e.engine = engine
+		engine.turnCold()
+	}
 	next := e.kill
 	e.kill = func() { kill(); next() }
 	e.hidden = true
--- /dev/null
+++ b/internal/emulator/engine.go
@@ -0,0 +1,178 @@
+package emulator
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"marigoldshunt/internal/enginemodel"
+)
+
+// engineDriver runs a model of an engine on the clock of the machine.
+type engineDriver struct {
+	mu    sync.Mutex
+	model *enginemodel.Engine
+	seq   uint64
+	// streams are the requests in the model.
+	streams map[uint64]chan enginemodel.Event
+	// wake is told of a new request.
+	wake chan struct{}
+}
+
+func newEngineDriver(ctx context.Context, o enginemodel.Options) *engineDriver {
+	d := &engineDriver{
+		model: enginemodel.New(o, time.Now()), streams: map[uint64]chan enginemodel.Event{}, wake: make(chan struct{}, 1),
+	}
+	go d.run(ctx)
+	return d
+}
+
+// run advances the model at the end of each step until ctx ends.
+func (d *engineDriver) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		case <-timer.C:
+		}
+		d.mu.Lock()
+		d.deliver(d.model.Advance(time.Now()))
+		at, busy := d.model.Next()
+		d.mu.Unlock()
+		if busy {
+			timer.Reset(time.Until(at))
+		}
+	}
+}
+
+// deliver gives events to their streams, whose buffers hold all of them.
+func (d *engineDriver) deliver(events []enginemodel.Event) {
+	for _, v := range events {
+		if s := d.streams[v.ID]; s != nil {
+			s <- v
+			if v.Kind != enginemodel.Produced {
+				delete(d.streams, v.ID)
+			}
+		}
+	}
+}
+
+// add gives a request to the model. It returns false if the engine is full. fell is true
+// if the request makes a cold engine fall over.
+func (d *engineDriver) add(parts []enginemodel.Part, output int) (id uint64, events <-chan enginemodel.Event, taken, fell bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq++
+	// One more for the end.
+	s := make(chan enginemodel.Event, output+1)
+	d.streams[d.seq] = s
+	taken, broken := d.model.Add(enginemodel.Request{ID: d.seq, Parts: parts, Output: output}, time.Now())
+	if !taken {
+		delete(d.streams, d.seq)
+	}
+	d.deliver(broken)
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+	return d.seq, s, taken, len(broken) > 0
+}
+
+// remove withdraws a request.
+func (d *engineDriver) remove(id uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.streams, id)
+	d.model.Remove(id, time.Now())
+}
+
+func (d *engineDriver) turnCold() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.model.TurnCold(time.Now())
+}
+
+func (d *engineDriver) report() enginemodel.Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.model.Report(time.Now())
+}
+
+func (d *engineDriver) counts() enginemodel.Counts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.model.Counts()
+}
+
+// prompt reads the parts of a prompt and the number of output tokens from a request. ok is
+// false when they are missing or not readable.
+func prompt(h http.Header) (parts []enginemodel.Part, output int, ok bool) {
+	for field := range strings.SplitSeq(h.Get("X-Prompt-Parts"), ",") {
+		id, tokens, _ := strings.Cut(strings.TrimSpace(field), ":")
+		n, err := strconv.ParseUint(id, 16, 64)
+		t, err2 := strconv.Atoi(tokens)
+		if err != nil || err2 != nil || t < 0 {
+			return nil, 0, false
+		}
+		parts = append(parts, enginemodel.Part{ID: n, Tokens: t})
+	}
+	_, out, _ := strings.Cut(h.Get("X-Token-Usage"), ",")
+	output, err := strconv.Atoi(strings.TrimSpace(out))
+	return parts, output, err == nil && output > 0
+}
+
+// serveEngine answers with the stream that the model makes. It returns false when the
+// answer is not whole.
+func (e *Emulator) serveEngine(w http.ResponseWriter, r *http.Request, j *job, last int, cut bool) bool {
+	parts, output, ok := prompt(r.Header)
+	if !ok {
+		http.Error(w, "X-Prompt-Parts and X-Token-Usage are needed", http.StatusBadRequest)
+		return true
+	}
+	e.mu.Lock()
+	d := e.engine
+	e.mu.Unlock()
+	left := max(output-last*max(e.o.Engine.TokensPerEvent, 1), 1)
+	id, events, taken, fell := d.add(parts, left)
+	switch {
+	case fell:
+		e.mu.Lock()
+		e.countRun(r, last)
+		e.countOverloadLocked()
+		e.fallOverLocked()
+		e.mu.Unlock()
+		return false
+	case !taken:
+		w.Header().Set("X-Not-Run", "true")
+		http.Error(w, "the engine is full", http.StatusServiceUnavailable)
+		return true
+	}
+	defer d.remove(id)
+	e.mu.Lock()
+	e.countRun(r, last)
+	e.mu.Unlock()
+	return e.streamEngine(w, j, events, last, cut)
+}
+
+func (e *Emulator) streamEngine(w http.ResponseWriter, j *job, events <-chan enginemodel.Event, last int, cut bool) bool {
+	flush := http.NewResponseController(w).Flush
+	for n := last + 1; ; n++ {
+		select {
+		case <-j.ctx.Done():
+			return false
+		case v := <-events:
+			if v.Kind != enginemodel.Produced {
+				return v.Kind == enginemodel.Finished
+			}
+			if cut && n > last+1 || e.writeEvent(w, j, n) != nil || flush() != nil {
+				return false
+			}
+		}
+	}
+}
--- a/internal/emulator/routed.go
+++ b/internal/emulator/routed.go
@@ -26,13 +26,23 @@
 		if id := r.Header.Get("X-Request-Id"); id != "" {
 			w.Header().Set("X-Request-Id", id)
 		}
-		e.mu.Lock()
-		w.Header().Set("X-Load", fmt.Sprintf("%d,%d,%d", e.running, e.queued, e.o.Slots))
-		e.mu.Unlock()
+		running, queued := e.routedLoad()
+		w.Header().Set("X-Load", fmt.Sprintf("%d,%d,%d", running, queued, e.o.Slots))
 		next.ServeHTTP(w, r)
 	})
 }
 
+// routedLoad returns the load that answers tell.
+func (e *Emulator) routedLoad() (running, queued int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.engine != nil {
+		r := e.engine.report()
+		return r.Running, r.Waiting
+	}
+	return e.running, e.queued
+}
+
 // handleInstances publishes this upstream as the installation's list of instances.
 func (e *Emulator) handleInstances(w http.ResponseWriter, r *http.Request) {
 	cold := int64(0)
@@ -60,21 +70,34 @@
 	}
 	whole := false
 	defer func() { e.release(j, whole) }()
+	cut := strings.Contains(string(body), CutTrigger) && e.cutOnce(j.id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	if e.o.Engine != nil {
+		e.head(w, j)
+		if whole = e.serveEngine(w, r, j, last, cut); !whole {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
 	if !e.run(j) || last == 0 && !j.pause(e.o.Prefill) {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
 	e.head(w, j)
-	cut := strings.Contains(string(body), CutTrigger) && e.cutOnce(j.id)
 	flush := http.NewResponseController(w).Flush
 	start := time.Now()
 	for n := last + 1; n <= e.o.TokensPerAnswer; n++ {
 		if !j.pause(e.due(n-last)-time.Since(start)) || cut && n > e.o.TokensPerAnswer/2 {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Token(j.id, n)); err != nil || flush() != nil {
+		if e.writeEvent(w, j, n) != nil || flush() != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
 	whole = true
 }
+
+// writeEvent writes event n of a routed stream.
+func (e *Emulator) writeEvent(w io.Writer, j *job, n int) error {
+	_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Token(j.id, n))
+	return err
+}
--- a/internal/emulator/work.go
+++ b/internal/emulator/work.go
@@ -113,7 +113,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer e.mu.Unlock()
-	e.countRun(r, offset)
+	if e.engine == nil {
+		e.countRun(r, offset)
+	}
 	j := &job{id: r.Header.Get("X-Request-Id"), key: r.Header.Get("Idempotency-Key"), instance: e.instance, boot: e.boots, slots: e.slots}
 	j.cached = e.cache.use(r.Header.Get("X-Prefix-Digest"), e)
 	ctx, stop := context.WithCancel(r.Context())
