Play loads against the decisions on a simulated clock

The player runs the dispatchers and gates of the fleet, and four simpler policies, with modelled engines and the same requests, and prints worth, waits, refusals, tokens read again and the fairness gap, with a plot.

--- a/cmd/marigoldshunt-bench/main.go
+++ b/cmd/marigoldshunt-bench/main.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/bench"
+	"marigoldshunt/internal/loadplay"
 )
 
 func main() {
@@ -27,6 +28,8 @@
 	seconds := fs.Int("seconds", 4, "length of one load phase")
 	fs.Int64Var(&o.Seed, "seed", 1, "seed of load and emulators")
 	fs.IntVar(&o.Part, "part", 0, "one part, 1 to 9; 0 for all")
+	play := fs.String("play", "", "play the load of this file on a simulated clock with several policies, and nothing else")
+	plot := fs.String("plot", "", "write a plot of the played load to this SVG file")
 	asJSON := fs.Bool("json", false, "print JSON instead of a table")
 	switch err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("MARIGOLDSHUNT_BENCH")); {
 	case errors.Is(err, flag.ErrHelp):
@@ -34,6 +37,12 @@
 	case err != nil:
 		log.WithError(err).Fatal("Bad flags.")
 	}
+	if *play != "" {
+		if err := playLoad(*play, *plot); err != nil {
+			log.WithError(err).Fatal("Load not played.")
+		}
+		return
+	}
 	o.Phase = time.Duration(*seconds) * time.Second
 	o.Profiles = []string{*profile}
 	if *profile == "all" {
@@ -53,3 +62,24 @@
 		log.WithError(err).Fatal("Run incomplete.")
 	}
 }
+
+// playLoad plays a load and writes a table, and a plot if a path is given.
+func playLoad(path, plot string) error {
+	l, err := loadplay.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	results := loadplay.Compare(l)
+	if err := loadplay.WriteTable(os.Stdout, results); err != nil || plot == "" {
+		return err
+	}
+	f, err := os.Create(plot)
+	if err != nil {
+		return err
+	}
+	if err := loadplay.WriteSVG(f, results); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -154,6 +154,25 @@
 // Served notes that a generation was admitted.
 func (d *Dispatcher) Served(j *Job, now time.Time) { d.shares.Served(j.tokens(), now) }
 
+// maxDeclined is the number of engines that are asked for admission.
+const maxDeclined = 2
+
+// MayAskAgain reports whether another engine is asked after some have declined the job.
+// Jobs beyond their account's share are not passed around.
+func (j *Job) MayAskAgain(declined int) bool { return declined < maxDeclined && j.Rank < Excess }
+
+// Bounds of the delay that a refused caller is told.
+const (
+	minReturn = 60 * time.Millisecond
+	maxReturn = 400 * time.Millisecond
+)
+
+// ReturnDelay is when a caller whom the engines can't serve in time should come back: when
+// the backlog has shrunk to what fits into its objective, or soon.
+func ReturnDelay(wait, objective time.Duration) time.Duration {
+	return min(max(wait-objective/2, minReturn), maxReturn)
+}
+
 // Pick selects an instance and counts the job there until Done. It returns a QueueFull
 // error with a delay when no instance can take the job now.
 func (d *Dispatcher) Pick(j *Job, now time.Time) (*Placement, error) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,10 +31,10 @@
 		f := fault.As(err)
 		if f.Code == fault.QueueFull && f.Run == fault.NotRun && q.sends == 0 {
 			// No engine was sent anything, so asking another one repeats nothing.
-			if declined++; declined < maxDeclined && q.job.Rank < dispatch.Excess && ctx.Err() == nil && len(q.job.Tried) == declined {
+			if declined++; q.job.MayAskAgain(declined) && ctx.Err() == nil && len(q.job.Tried) == declined {
 				continue
 			}
-			return f.After(q.returnDelay(f.RetryAfter))
+			return f.After(dispatch.ReturnDelay(f.RetryAfter, q.route.Objective))
 		}
 		if f.Run != fault.NotRun {
 			q.ran = true
@@ -55,18 +55,6 @@
 	}
 }
 
-// Bounds of the delay that a refused caller is told.
-const (
-	minReturn = 60 * time.Millisecond
-	maxReturn = 400 * time.Millisecond
-)
-
-// returnDelay is when a caller whom the engines can't serve in time should come back: when
-// the backlog has shrunk to what fits into its aim, or soon.
-func (q *request) returnDelay(wait time.Duration) time.Duration {
-	return min(max(wait-q.route.Objective/2, minReturn), maxReturn)
-}
-
 // attempt sends the request to one instance and passes its answer on.
 func (q *request) attempt(ctx context.Context) error {
 	q.job.Left = time.Until(q.deadline)
@@ -113,9 +101,6 @@
 	}
 }
 
-// maxDeclined is the number of engines that are asked for admission.
-const maxDeclined = 2
-
 // admit waits until the engine takes the request.
 func (q *request) admit(ctx context.Context, p *dispatch.Placement) (*admission.Ticket, error) {
 	if q.s.o.Admission == nil || q.service.Engine == nil {
--- /dev/null
+++ b/internal/loadplay/loadplay_test.go
@@ -0,0 +1,107 @@
+package loadplay
+
+import (
+	"encoding/xml"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/fault"
+)
+
+// testLoad is half a minute of the example's load.
+func testLoad(c *qt.C, seed int64) *Load {
+	l, err := ReadFile("../../examples/loads/overload.toml")
+	c.Assert(err, qt.IsNil)
+	l.Length, l.Seed = 30*time.Second, seed
+	l.Losses = []Loss{{At: 20 * time.Second, For: 5 * time.Second, Engine: 1}}
+	return l
+}
+
+// Guards against decisions that serve callers worse than the simplest ones, that answer
+// late instead of refusing, and that hold what they refuse.
+func TestFleetUnderOverload(t *testing.T) {
+	for _, seed := range []int64{1, 2, 3} {
+		c := qt.New(t)
+		results := Compare(testLoad(c, seed))
+		fleet := results[len(results)-1]
+		for _, r := range results[:len(results)-1] {
+			c.Check(fleet.Total.Worth() > r.Total.Worth(), qt.IsTrue, qt.Commentf("seed %d: %s earns %.3f, the fleet %.3f", seed, r.Policy, r.Total.Worth(), fleet.Total.Worth()))
+			c.Check(fleet.FairnessGap() < r.FairnessGap(), qt.IsTrue, qt.Commentf("seed %d: gap of %s %.2f, of the fleet %.2f", seed, r.Policy, r.FairnessGap(), fleet.FairnessGap()))
+		}
+		c.Check(fleet.Total.Late*10 < fleet.Total.InTime, qt.IsTrue, qt.Commentf("seed %d: %d late of %d", seed, fleet.Total.Late, fleet.Total.Asked))
+		// An eighth of the shortest objective is what a refusal may take.
+		c.Check(fleet.Total.Hold(0.9) <= 100*time.Millisecond, qt.IsTrue, qt.Commentf("seed %d: refused after %s", seed, fleet.Total.Hold(0.9)))
+	}
+}
+
+// Guards against a load that the engines bear and the fleet refuses.
+func TestFleetServesWhatFits(t *testing.T) {
+	c := qt.New(t)
+	l := testLoad(c, 4)
+	l.Surges, l.Losses = nil, nil
+	for i := range l.Kinds {
+		l.Kinds[i].PerSecond *= 0.4
+	}
+	r := Play(l, newFleet)
+	c.Assert(r.Total.InTime*100 >= r.Total.Asked*97, qt.IsTrue, qt.Commentf("%+v", r.Total))
+	c.Assert(r.Total.Refused*100 <= r.Total.Asked, qt.IsTrue, qt.Commentf("%+v", r.Total))
+}
+
+// Guards against requests that the player loses or counts twice, and against runs that
+// differ with the same seed.
+func TestEveryRequestEndsOnce(t *testing.T) {
+	c := qt.New(t)
+	for _, p := range Policies() {
+		l := testLoad(c, 5)
+		l.Length = 8 * time.Second
+		a, b := Play(l, p), Play(l, p)
+		c.Assert(a.Total.InTime+a.Total.Late+a.Total.Refused+a.Total.Failed, qt.Equals, a.Total.Asked, qt.Commentf("%s", a.Policy))
+		c.Assert(a.Total.Earned, qt.Equals, b.Total.Earned, qt.Commentf("%s", a.Policy))
+		c.Assert(a.engines, qt.DeepEquals, b.engines)
+	}
+}
+
+// Guards against loads that are half read.
+func TestReadFileRefuses(t *testing.T) {
+	c := qt.New(t)
+	good, err := os.ReadFile("../../examples/loads/overload.toml")
+	c.Assert(err, qt.IsNil)
+	for _, bad := range []string{
+		"speed = 1\n" + string(good),
+		strings.Replace(string(good), "engines = 12", "engines = 0", 1),
+		strings.Replace(string(good), `patience = "4s"`, "", 1),
+		strings.Replace(string(good), "share = 4.0", "share = 0.0", 1),
+		strings.Replace(string(good), "engine = 3", "engine = 12", 1),
+		"length = ",
+	} {
+		path := filepath.Join(c.TempDir(), "load.toml")
+		c.Assert(os.WriteFile(path, []byte(bad), 0o600), qt.IsNil)
+		_, err := ReadFile(path)
+		c.Assert(fault.CodeOf(err), qt.Equals, fault.InvalidSettings, qt.Commentf("%s", bad))
+	}
+}
+
+// Guards against a report that no program reads.
+func TestReports(t *testing.T) {
+	c := qt.New(t)
+	l := testLoad(c, 6)
+	l.Length = 3 * time.Second
+	results := Compare(l)
+	var table, svg strings.Builder
+	c.Assert(WriteTable(&table, results), qt.IsNil)
+	c.Assert(strings.Count(table.String(), "\n"), qt.Equals, 1+len(results)*(1+len(l.Kinds)))
+	c.Assert(WriteSVG(&svg, results), qt.IsNil)
+	for d := xml.NewDecoder(strings.NewReader(svg.String())); ; {
+		if _, err := d.Token(); err != nil {
+			c.Assert(errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
+			return
+		}
+	}
+}
