Fuzz what callers, upstreams and other hosts send

The framing of callers and upstreams, event streams, header fields and the messages of admission had no fuzz targets.

--- /dev/null
+++ b/internal/admission/fuzz_test.go
@@ -0,0 +1,50 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/wire"
+)
+
+// nowhere drops messages.
+type nowhere struct{}
+
+func (nowhere) Send(string, wire.Kind, any) error { return nil }
+
+// FuzzMessages guards against messages of another host that end the process or leave a
+// gate with a negative backlog, whatever their numbers.
+func FuzzMessages(f *testing.F) {
+	for i, m := range []any{
+		wire.Ask{Seq: 1, ID: "e", Service: "s", Slots: 4, MemoryTokens: 1000, Tokens: 10, AimLeft: time.Second, EndLeft: 2 * time.Second},
+		wire.Ask{Seq: 2, ID: "e", Service: "s", Tokens: -10, Parts: []wire.PromptPart{{ID: 1, Tokens: -5}, {ID: 2, Tokens: 1 << 60}}, AimLeft: -time.Hour, Rank: 255},
+		wire.Progress{Seq: 1, ID: "e", Done: true}, wire.Verdict{Seq: 1, Granted: true},
+	} {
+		b, err := wire.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint8(min(i, 3)), b, b)
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, first, second []byte) {
+		c := qt.New(t)
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		log := logrus.New()
+		log.SetLevel(logrus.PanicLevel)
+		a := New(Options{Host: "h", Transport: nowhere{}, Now: func() time.Time { return now }, Log: log, Registry: metrics.NewRegistry()})
+		for _, payload := range [][]byte{first, second} {
+			for _, k := range []wire.Kind{Kinds[int(kind)%len(Kinds)], wire.KindAsk} {
+				a.Handle("other", 1, k, payload)
+			}
+			now = now.Add(20 * time.Millisecond)
+			a.Tick(now)
+		}
+		for _, l := range a.Loads() {
+			c.Assert(l.Backlog >= 0 && l.Running >= 0, qt.IsTrue, qt.Commentf("%+v", l))
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/fuzz_test.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/engine"
+	"marigoldshunt/internal/fault"
+)
+
+// sentRequests stands for the upstreams and keeps what it is given.
+type sentRequests struct {
+	mu   sync.Mutex
+	sent []*engine.ForwardRequest
+}
+
+// Forward refuses everything, so that nothing is sent twice.
+func (r *sentRequests) Forward(_ context.Context, f *engine.ForwardRequest) (*engine.Forwarded, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent = append(r.sent, f)
+	return nil, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "recorded")
+}
+
+// oneConn is a listener with one connection.
+type oneConn struct {
+	net.Listener
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *oneConn) Close() error   { return nil }
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// FuzzCallerBytes guards against bytes of a caller that reach an upstream as a request
+// which the caller did not send, that make the host answer anything but HTTP, or that end
+// the process.
+func FuzzCallerBytes(f *testing.F) {
+	f.Add([]byte("GET /read/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n"))
+	f.Add([]byte("POST /read/a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /order/b HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST /order/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET /read/x HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST /order/a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/x HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST /order/a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde"))
+	f.Add([]byte("GET /read/a HTTP/1.1\nHost: h\nX-Deadline-Ms: -5\nX-Prompt-Parts: 1:2,zz:,:\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := qt.New(t)
+		up := &sentRequests{}
+		st := newStage(t, document(), newUpstream(t))
+		st.s.o.Forward = up
+		near, far := net.Pipe()
+		l := &oneConn{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		l.conns <- far
+		served := make(chan error, 1)
+		go func() { served <- st.s.Serve(l) }()
+		go func() {
+			_, _ = near.Write(data) // the host may close first
+			_ = near.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		}()
+		answers, _ := io.ReadAll(near) // the end of the connection, or of the wait
+		near.Close()
+		close(l.done)
+		<-served
+		up.mu.Lock()
+		defer up.mu.Unlock()
+		for _, r := range up.sent {
+			c.Assert(bytes.Contains(data, []byte(r.Target)), qt.IsTrue, qt.Commentf("target %q was not sent", r.Target))
+			c.Assert(bytes.Contains(data, []byte(r.Method+" ")), qt.IsTrue, qt.Commentf("method %q was not sent", r.Method))
+			c.Assert(len(r.Body) <= len(data), qt.IsTrue)
+			c.Assert(r.Header.Get("X-Api-Key"), qt.Equals, "")
+		}
+		heads := strings.Count(string(data), "HTTP/1.")
+		c.Assert(len(up.sent) <= heads, qt.IsTrue, qt.Commentf("%d requests from %d heads", len(up.sent), heads))
+		br := bufio.NewReader(bytes.NewReader(answers))
+		for n := 0; ; n++ {
+			if _, err := br.Peek(1); err != nil {
+				return
+			}
+			resp, err := http.ReadResponse(br, nil)
+			c.Assert(err, qt.IsNil, qt.Commentf("answer %d of %q", n, answers))
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// FuzzEvents guards against events that are cut, joined or changed on their way.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	f.Add([]byte("id: 1\r\ndata: a\r\n\r\n: comment\n\nid"))
+	f.Add([]byte("\n\n\nid:\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := qt.New(t)
+		br := bufio.NewReaderSize(bytes.NewReader(data), 16)
+		var all []byte
+		for {
+			event, err := readEvent(br)
+			all = append(all, event...)
+			if err != nil {
+				break
+			}
+			c.Assert(bytes.HasSuffix(event, []byte("\n")), qt.IsTrue)
+			inner := bytes.TrimRight(event, "\r\n")
+			c.Assert(bytes.Contains(inner, []byte("\n\n")), qt.IsFalse, qt.Commentf("two events in %q", event))
+			_ = eventID(event)
+		}
+		c.Assert(all, qt.DeepEquals, append([]byte(nil), data...))
+	})
+}
+
+// FuzzHeaderFields guards against header fields that end the process or turn into
+// negative numbers.
+func FuzzHeaderFields(f *testing.F) {
+	f.Add("5c1e07a2:800,91bd3f06:410", "1460,80", "5000", "3,0,8")
+	f.Add("ffffffffffffffffff:1,x:-1,:", "-1,-2", "-3", "a,b")
+	f.Fuzz(func(t *testing.T, parts, usage, deadline, load string) {
+		c := qt.New(t)
+		d := Native()
+		h := http.Header{d.PromptParts: {parts}, d.Usage: {usage}, d.Deadline: {deadline}, d.Load: {load}}
+		for _, p := range d.promptParts(h) {
+			c.Assert(p.Tokens >= 0, qt.IsTrue)
+		}
+		in, out := d.usage(h)
+		c.Assert(in >= 0 && out >= 0, qt.IsTrue)
+		left, _ := d.deadline(h)
+		c.Assert(left >= 0, qt.IsTrue)
+		running, waiting, ok := d.load(h)
+		c.Assert(!ok || running >= 0 && waiting >= 0, qt.IsTrue, qt.Commentf("%q", load))
+	})
+}
