Limit the accounts that ask most while a host is short of processor time

The guard notes how late the host's own timers fire and limits each account to a level that falls while they are late. Connections of callers and requests at once are bounded by the memory limit; the longest unused connections go first.

Ruled out: the relay of loads and the reader of the list (60 of 2,400 goroutines).

--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -182,6 +182,7 @@
 		*a = ln.Addr().String()
 		ln.Close()
 	}
+	s.PeerListen = s.PeerAddress
 	c.CallerAddress, c.AdminAddress, c.PeerAddress = s.CallerAddress, s.AdminAddress, s.PeerAddress
 	f.sites[c.PeerAddress] = c.DataCentre
 	f.hosts = append(f.hosts, &host{settings: s})
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -153,6 +153,7 @@
 			}
 			*a = net.JoinHostPort(f.ip, port)
 		}
+		s.PeerListen = s.PeerAddress
 	}
 	if f.control == "" {
 		return nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -193,7 +193,7 @@
 		return d.o.Dial
 	}
 	local := &net.TCPAddr{}
-	if a, err := net.ResolveTCPAddr("tcp", d.s.PeerAddress); err == nil {
+	if a, err := net.ResolveTCPAddr("tcp", d.s.PeerListen); err == nil {
 		local.IP = a.IP
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
@@ -245,7 +245,7 @@
 	for _, o := range []struct {
 		address string
 		ln      *net.Listener
-	}{{d.s.PeerAddress, &l.peer}, {d.s.AdminAddress, &l.admin}, {d.s.CallerAddress, &l.callers}} {
+	}{{d.s.PeerListen, &l.peer}, {d.s.AdminAddress, &l.admin}, {d.s.CallerAddress, &l.callers}} {
 		if *o.ln, err = net.Listen("tcp", o.address); err != nil {
 			l.close()
 			return l, fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", o.address)
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -75,7 +75,7 @@
 	e.gateway = gateway.New(gateway.Options{
 		View: e.view, Dialect: e.adapter.Dialect(), Forward: d.engine, Dispatch: e.dispatch, Admission: e.admit, Crashes: d.client,
 		MaxConfigAge: e.s.ConfigMaxAge, HeaderBytes: d.s.CallerLimits.HeaderBytes,
-		ReadTimeout: d.s.CallerLimits.ReadTimeout, Log: d.part("gateway"), Registry: d.registry,
+		ReadTimeout: d.s.CallerLimits.ReadTimeout, MaxConnections: maxConnections(d.s), MaxRunning: maxRunning(d.s), Log: d.part("gateway"), Registry: d.registry,
 	})
 	e.catalog = newCatalogRole(d, e.adapter.Instances(e.s.UpstreamList), e.dispatch.SetInstances)
 	e.loads = loads.New(d.s.Host, d.s.DataCentre)
@@ -167,6 +167,7 @@
 	g.Go(func() error { return e.catalog.run(ctx) })
 	g.Go(func() error { return every(ctx, tickInterval, e.admit.Tick) })
 	g.Go(func() error { return e.tellLoads(ctx) })
+	g.Go(func() error { e.gateway.WatchLag(ctx); return nil })
 	g.Go(func() error { return e.watchControl(ctx) })
 	g.Go(func() error {
 		return every(ctx, idleInterval, func(now time.Time) {
--- a/internal/daemon/edge_status.go
+++ b/internal/daemon/edge_status.go
@@ -29,6 +29,8 @@
 		"control.config_age_seconds": e.d.client.ConfigAge().Seconds(),
 		"control.revision":           float64(e.d.client.Config().Revision),
 		"control.hosts_alive":        0,
+		"gateway.connections":        float64(e.gateway.Connections()),
+		"gateway.overload_level":     e.gateway.OverloadLevel(),
 	}
 	m := readMemory()
 	out["process.memory_bytes"], out["process.live_bytes"] = float64(m.totalBytes), float64(m.liveBytes)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -4,6 +4,8 @@
 	"context"
 	"runtime/metrics"
 	"time"
+
+	"marigoldshunt/internal/settings"
 )
 
 // Memory watching.
@@ -13,6 +15,24 @@
 	shortPercent = 70
 )
 
+// What the memory limit allows. A request that is served takes some 60 KB with its
+// connections and buffers, an unused connection some 16 KB.
+const (
+	runningPerMB     = 6
+	connectionsPerMB = 10
+)
+
+// maxRunning is the number of requests that the memory limit allows at once, 0 for no limit.
+func maxRunning(s *settings.Settings) int { return s.MemoryMB * runningPerMB }
+
+// maxConnections is the number of callers' connections that settings and memory allow.
+func maxConnections(s *settings.Settings) int {
+	if s.MemoryMB == 0 {
+		return s.CallerLimits.MaxConnections
+	}
+	return min(s.CallerLimits.MaxConnections, s.MemoryMB*connectionsPerMB)
+}
+
 // memoryUse is what the Go runtime uses.
 type memoryUse struct{ totalBytes, liveBytes, goroutines uint64 }
 
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -69,7 +69,7 @@
 // An error has run state NotRun if the upstream provably cannot have read the request:
 // there was no connection, or no byte was accepted. It is MayHaveRun otherwise.
 func (c *Client) Forward(ctx context.Context, r *ForwardRequest) (*Forwarded, error) {
-	head := r.head()
+	request := r.encode()
 	for kept := true; ; kept = false {
 		var cn *conn
 		if kept {
@@ -84,7 +84,7 @@
 		}
 		f := &Forwarded{p: c.pool, address: r.Address, conn: cn}
 		f.stop = context.AfterFunc(ctx, func() { cn.Close() })
-		err := f.exchange(r, head)
+		err := f.exchange(r, request)
 		if err == nil {
 			return f, nil
 		}
@@ -99,21 +99,25 @@
 	}
 }
 
-// head encodes the request line and the header.
-func (r *ForwardRequest) head() []byte {
+// headBytes is room for the usual head of a request.
+const headBytes = 1 << 10
+
+// encode returns the request line, the header and the body.
+func (r *ForwardRequest) encode() []byte {
 	var b bytes.Buffer
+	b.Grow(headBytes + len(r.Body))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // a bytes.Buffer takes everything
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
+	b.Write(r.Body)
 	return b.Bytes()
 }
 
-func (f *Forwarded) exchange(r *ForwardRequest, head []byte) error {
+func (f *Forwarded) exchange(r *ForwardRequest, request []byte) error {
 	f.written = make(chan error, 1)
-	request := append(head, r.Body...)
 	if len(request) <= inlineBytes {
 		_, err := f.conn.Write(request)
 		if f.written <- err; err != nil {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -44,6 +44,7 @@
 	CrashesUpstreams   Code = "request_crashes_upstreams"
 	HostIsolated       Code = "host_isolated"
 	HostLeaving        Code = "host_leaving"
+	HostOverloaded     Code = "host_overloaded"
 	SchedulerLost      Code = "scheduler_lost"
 	UpstreamFailed     Code = "upstream_failed"
 	UpstreamRefused    Code = "upstream_refused"
--- /dev/null
+++ b/internal/gateway/connections.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// connections knows the connections of callers and closes unused ones: those that are
+// unused for too long, and the longest unused ones when there are too many.
+type connections struct {
+	limit int
+	now   func() time.Time
+
+	mu   sync.Mutex
+	open map[net.Conn]*list.Element
+	// idle holds the unused connections, the longest unused first.
+	idle *list.List
+}
+
+// idleConn is an unused connection.
+type idleConn struct {
+	net.Conn
+	since time.Time
+}
+
+func newConnections(limit int, now func() time.Time) *connections {
+	return &connections{limit: limit, now: now, open: map[net.Conn]*list.Element{}, idle: list.New()}
+}
+
+// changed follows the states of the server's connections.
+func (c *connections) changed(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e := c.open[conn]; e != nil {
+		c.idle.Remove(e)
+	}
+	c.open[conn] = nil
+	switch state {
+	case http.StateIdle:
+		c.open[conn] = c.idle.PushBack(idleConn{conn, c.now()})
+	case http.StateClosed, http.StateHijacked:
+		delete(c.open, conn)
+	case http.StateNew:
+		if c.limit > 0 && len(c.open) > c.limit {
+			c.closeFirstLocked()
+		}
+	}
+}
+
+// closeFirstLocked closes the connection that is unused for the longest time. Its caller
+// opens a new one for its next request, and knows that the host has read nothing.
+func (c *connections) closeFirstLocked() {
+	e := c.idle.Front()
+	if e == nil {
+		return
+	}
+	i := c.idle.Remove(e).(idleConn)
+	c.open[i.Conn] = nil
+	i.Close()
+}
+
+// closeOlder closes what is unused since before a time.
+func (c *connections) closeOlder(limit time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e := c.idle.Front(); e != nil && e.Value.(idleConn).since.Before(limit); e = c.idle.Front() {
+		c.closeFirstLocked()
+	}
+}
+
+// count returns the number of open connections.
+func (c *connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/overload"
 	"marigoldshunt/internal/routing"
 )
 
@@ -62,8 +63,11 @@
 	// HeaderBytes and ReadTimeout bound the header and the body of a request.
 	HeaderBytes int
 	ReadTimeout time.Duration
-	Log         logrus.FieldLogger
-	Registry    metrics.Registry
+	// MaxConnections bounds the connections of callers, MaxRunning the requests that are
+	// served at once; 0 means no limit.
+	MaxConnections, MaxRunning int
+	Log                        logrus.FieldLogger
+	Registry                   metrics.Registry
 }
 
 // defaultBodyBytes bounds bodies where the routing document states no limit.
@@ -74,7 +78,8 @@
 	o       Options
 	http    *http.Server
 	log     logrus.FieldLogger
-	idle    idleConns
+	conns   *connections
+	guard   guard
 	crashes *crashes
 	running atomic.Int64
 	random  struct {
@@ -87,10 +92,11 @@
 func New(o Options) *Server {
 	s := &Server{o: o, log: o.Log, crashes: newCrashes(o.Crashes)}
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
-	s.idle.since = map[net.Conn]time.Time{}
+	s.conns = newConnections(o.MaxConnections, time.Now)
+	s.guard.Guard = overload.New()
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: o.ReadTimeout, ReadTimeout: 0, MaxHeaderBytes: o.HeaderBytes,
-		ConnState: s.idle.changed,
+		ConnState: s.conns.changed,
 		// Broken requests of callers are answered by the server and need no line each.
 		ErrorLog:    log.New(io.Discard, "", 0),
 		BaseContext: func(net.Listener) context.Context { return context.Background() },
@@ -127,7 +133,7 @@
 // document allows.
 func (s *Server) CloseIdle(now time.Time) {
 	if t := s.o.View().Table; t != nil && t.Document.Limits.IdleTimeout > 0 {
-		s.idle.closeOlder(now.Add(-t.Document.Limits.IdleTimeout))
+		s.conns.closeOlder(now.Add(-t.Document.Limits.IdleTimeout))
 	}
 }
 
@@ -145,30 +151,3 @@
 func (s *Server) time(name string, began time.Time) {
 	metrics.GetOrRegisterTimer("gateway."+name, s.o.Registry).UpdateSince(began)
 }
-
-// idleConns remembers since when callers' connections are unused.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-func (i *idleConns) changed(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if state == http.StateIdle {
-		i.since[c] = time.Now()
-		return
-	}
-	delete(i.since, c)
-}
-
-func (i *idleConns) closeOlder(limit time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
-		if since.Before(limit) {
-			c.Close()
-			delete(i.since, c)
-		}
-	}
-}
--- /dev/null
+++ b/internal/gateway/overload_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/routing"
+)
+
+// Guards against a host without processor time that passes on everything, and against a
+// refusal that has run or that does not say when to come back.
+func TestOverloadedHostRefuses(t *testing.T) {
+	d := document()
+	d.Accounts = []routing.Account{{Name: "hot", Credentials: []string{"k1"}}, {Name: "small", Credentials: []string{"k2"}}}
+	u := newUpstream(t, say("%s", whole(200, "ok")))
+	st := newStage(t, d, u)
+	for range 40 {
+		resp, _, _ := st.ask("GET", "/read/x", "", "X-Api-Key: k1")
+		st.Assert(resp.StatusCode, qt.Equals, 200)
+	}
+	// Timers that fire a second late for a while.
+	now := time.Now()
+	for i := range 100 {
+		st.s.guard.Observe(time.Second, now.Add(time.Duration(i)*20*time.Millisecond))
+	}
+	refused := 0
+	for range 40 {
+		before := len(u.requests())
+		resp, body, _ := st.ask("GET", "/read/x", "", "X-Api-Key: k1")
+		if resp.StatusCode == 200 {
+			continue
+		}
+		refused++
+		st.Assert(resp.StatusCode, qt.Equals, 503)
+		st.Assert(resp.Header.Get("Retry-After"), qt.Equals, "0.400")
+		st.Assert(body, qt.Contains, `"code":"host_overloaded","run_state":"not_run"`)
+		st.Assert(len(u.requests()), qt.Equals, before)
+	}
+	st.Assert(refused > 20, qt.IsTrue, qt.Commentf("%d", refused))
+	resp, _, _ := st.ask("GET", "/read/x", "", "X-Api-Key: k2")
+	st.Assert(resp.StatusCode, qt.Equals, 200)
+}
+
+// Guards against requests without end that take the host's memory.
+func TestRequestsAtOnceAreBounded(t *testing.T) {
+	begun, end := make(chan struct{}, 8), make(chan struct{})
+	u := newUpstream(t, func(s *seen) {
+		begun <- struct{}{}
+		<-end
+		say("%s", whole(200, "ok"))(s)
+	})
+	st := newStage(t, document(), u)
+	st.s.o.MaxRunning = 2
+	done := make(chan int, 2)
+	for range 2 {
+		go func() {
+			resp, _, _ := st.ask("GET", "/read/x", "")
+			done <- resp.StatusCode
+		}()
+		<-begun
+	}
+	resp, _, _ := st.ask("GET", "/read/x", "")
+	st.Assert(resp.StatusCode, qt.Equals, 503)
+	close(end)
+	st.Assert([]int{<-done, <-done}, qt.DeepEquals, []int{200, 200})
+	resp, _, _ = st.ask("GET", "/read/x", "")
+	st.Assert(resp.StatusCode, qt.Equals, 200)
+}
+
+// Guards against idle connections without end, and against a bound that closes used ones
+// or new ones.
+func TestConnectionsAreBounded(t *testing.T) {
+	st := newStage(t, document(), newUpstream(t, say("%s", whole(200, "ok"))))
+	st.s.conns.limit = 3
+	var conns []net.Conn
+	ask := func(nc net.Conn) error {
+		fmt.Fprint(nc, "GET /read/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n")
+		_, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		return err
+	}
+	for range 6 {
+		nc, err := net.Dial("tcp", st.address)
+		st.Assert(err, qt.IsNil)
+		t.Cleanup(func() { nc.Close() })
+		st.Assert(ask(nc), qt.IsNil)
+		conns = append(conns, nc)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		for st.s.conns.idleCount() < min(len(conns), 3) && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}
+	st.Assert(ask(conns[0]), qt.IsNotNil)
+	st.Assert(ask(conns[5]), qt.IsNil)
+	st.Assert(st.s.Connections() <= 3, qt.IsTrue)
+}
+
+// idleCount returns the number of unused connections.
+func (c *connections) idleCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle.Len()
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -93,6 +93,9 @@
 	if err := q.authenticate(v.Table); err != nil {
 		return err
 	}
+	if err := q.s.accept(q.account); err != nil {
+		return err
+	}
 	q.service = v.Table.Service(q.route.Pick(q.s.randomPoint()))
 	q.setDeadline(q.arrived)
 	if err := q.readBody(v.Table.Document.Limits); err != nil {
@@ -153,7 +156,7 @@
 	}
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(q.deadline) // without it the server's own limits hold
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -167,6 +170,16 @@
 	return nil
 }
 
+// readAll reads a body whose length is -1 when unknown.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
 func (q *request) bodyTooLarge(limit int64) error {
 	q.w.Header().Set("Connection", "close")
 	return fault.New(fault.BodyTooLarge, fault.NotRun, "the body exceeds %d bytes", limit)
--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,101 @@
+package overload
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// host is a simulated processor that serves what the guard accepts in the order of
+// arrival. Refusals cost a tenth of a request.
+type host struct {
+	g        *Guard
+	perMs    float64
+	backlog  float64
+	accepted map[string]int
+	asked    map[string]int
+	worstLag time.Duration
+}
+
+// play lets accounts send requests at their rates for some seconds.
+func (h *host) play(rng *rand.Rand, from, seconds int, rates map[string]float64) {
+	for ms := from * 1000; ms < (from+seconds)*1000; ms++ {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for _, name := range []string{"hot", "warm", "small"} {
+			for n := rates[name] / 1000; n > 0; n-- {
+				if rng.Float64() >= n {
+					continue
+				}
+				h.asked[name]++
+				if h.g.Admit(name, now) {
+					h.accepted[name]++
+					h.backlog++
+				} else {
+					h.backlog += 0.1
+				}
+			}
+		}
+		h.backlog = max(h.backlog-h.perMs, 0)
+		lag := time.Duration(h.backlog / h.perMs * float64(time.Millisecond))
+		if ms > (from*1000)+2000 {
+			h.worstLag = max(h.worstLag, lag)
+		}
+		if ms%20 == 0 {
+			h.g.Observe(lag, now)
+		}
+	}
+}
+
+func newHost(perSecond float64) *host {
+	return &host{g: New(), perMs: perSecond / 1000, accepted: map[string]int{}, asked: map[string]int{}}
+}
+
+// Guards against a host that one account makes late for all: after two seconds timers are
+// late by less than half of the shortest objectives, accounts below the level are not
+// refused, and the processor does not idle.
+func TestOneAccountFloods(t *testing.T) {
+	for seed := range int64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := qt.New(t)
+			h := newHost(300)
+			h.play(rand.New(rand.NewSource(seed)), 0, 12, map[string]float64{"hot": 900, "warm": 40, "small": 5})
+			c.Check(h.worstLag < 150*time.Millisecond, qt.IsTrue, qt.Commentf("lag %s", h.worstLag))
+			c.Check(h.accepted["small"]*100 >= h.asked["small"]*95, qt.IsTrue, qt.Commentf("%v of %v", h.accepted, h.asked))
+			c.Check(h.accepted["warm"]*100 >= h.asked["warm"]*80, qt.IsTrue, qt.Commentf("%v of %v", h.accepted, h.asked))
+			// 900 refusals of a tenth leave about 210 requests a second.
+			c.Check(h.accepted["hot"] > 12*100, qt.IsTrue, qt.Commentf("%v of %v", h.accepted, h.asked))
+		})
+	}
+}
+
+// Guards against a guard that refuses what the host can serve, or that goes on after the
+// flood.
+func TestCalmHostRefusesNothing(t *testing.T) {
+	c := qt.New(t)
+	h := newHost(300)
+	rng := rand.New(rand.NewSource(1))
+	h.play(rng, 0, 5, map[string]float64{"hot": 150, "warm": 40, "small": 5})
+	c.Assert(h.accepted, qt.DeepEquals, h.asked)
+	h.play(rng, 5, 5, map[string]float64{"hot": 2000, "warm": 40, "small": 5})
+	c.Assert(math.IsInf(h.g.Level(), 1), qt.IsFalse)
+	h.play(rng, 10, 8, map[string]float64{"hot": 100, "warm": 40, "small": 5})
+	c.Assert(math.IsInf(h.g.Level(), 1), qt.IsTrue)
+}
+
+// Guards against accounts that are remembered for ever.
+func TestForgetsAccounts(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	for i := range 3 * maxAccounts {
+		g.Admit(fmt.Sprint(i), start)
+	}
+	c.Assert(len(g.accounts) <= maxAccounts, qt.IsTrue)
+	g.Observe(time.Second, start.Add(time.Minute))
+	c.Assert(g.accounts, qt.HasLen, 0)
+}
--- a/internal/scenario/relay_test.go
+++ b/internal/scenario/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // network forwards the peer connections between hosts, so that links can be cut. Each
@@ -12,13 +13,17 @@
 	change *sync.Cond
 	closed bool
 	cuts   map[[2]string]bool
+	// silent are the directions, from and to, in which nothing passes; delays are added to
+	// what passes in a direction.
+	silent map[[2]string]bool
+	delays map[[2]string]time.Duration
 	hosts  map[string]string
 	conns  map[net.Conn][2]string
 	relays []net.Listener
 }
 
 func newNetwork() *network {
-	n := &network{cuts: map[[2]string]bool{}, hosts: map[string]string{}, conns: map[net.Conn][2]string{}}
+	n := &network{cuts: map[[2]string]bool{}, silent: map[[2]string]bool{}, delays: map[[2]string]time.Duration{}, hosts: map[string]string{}, conns: map[net.Conn][2]string{}}
 	n.change = sync.NewCond(&n.mu)
 	return n
 }
@@ -51,9 +56,10 @@
 	defer in.Close()
 	source := in.RemoteAddr().(*net.TCPAddr).IP.String()
 	n.mu.Lock()
-	l := link(n.hosts[source], to)
+	from := n.hosts[source]
 	n.mu.Unlock()
-	if !n.pass(l) {
+	l := link(from, to)
+	if !n.pass(from, to) {
 		return
 	}
 	out, err := net.Dial("tcp", address)
@@ -64,34 +70,54 @@
 	n.track(l, in, out)
 	defer n.untrack(in, out)
 	done := make(chan struct{}, 2)
-	go func() { n.pump(l, out, in); done <- struct{}{} }()
-	go func() { n.pump(l, in, out); done <- struct{}{} }()
+	go func() { n.pump(from, to, out, in); done <- struct{}{} }()
+	go func() { n.pump(to, from, in, out); done <- struct{}{} }()
 	<-done
 }
 
-// pump copies until one side ends. While the link is cut it holds what it read,
-// including the end of the connection, as a network that loses packets does.
-func (n *network) pump(l [2]string, to, from net.Conn) {
+// pump copies what one host sends to another until one side ends. While the link is cut
+// it holds what it read, including the end of the connection, as a network that loses
+// packets does.
+func (n *network) pump(from, to string, dst, src net.Conn) {
 	buf := make([]byte, 64<<10)
 	for {
-		k, err := from.Read(buf)
-		if !n.pass(l) || err != nil {
+		k, err := src.Read(buf)
+		if !n.pass(from, to) || err != nil {
 			return
 		}
-		if _, err := to.Write(buf[:k]); err != nil {
+		if _, err := dst.Write(buf[:k]); err != nil {
 			return
 		}
 	}
 }
 
-// pass waits while the link is cut. It returns false when the network is closed.
-func (n *network) pass(l [2]string) bool {
+// pass waits while nothing passes in a direction, and for its delay. It returns false when
+// the network is closed.
+func (n *network) pass(from, to string) bool {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	for n.cuts[l] && !n.closed {
+	for (n.cuts[link(from, to)] || n.silent[[2]string{from, to}]) && !n.closed {
 		n.change.Wait()
 	}
-	return !n.closed
+	delay, closed := n.delays[[2]string{from, to}], n.closed
+	n.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	return !closed
+}
+
+// silence stops one direction, delay slows it down; a zero value undoes them.
+func (n *network) silence(from, to string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[[2]string{from, to}] = on
+	n.change.Broadcast()
+}
+
+func (n *network) delay(from, to string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delays[[2]string{from, to}] = d
 }
 
 func (n *network) track(l [2]string, conns ...net.Conn) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -64,6 +64,9 @@
 			ReadTimeout:    c.duration("caller_limits.read_timeout", f.CallerLimits.ReadTimeout, maxReadTimeout),
 		},
 	}
+	if s.PeerListen = s.PeerAddress; f.PeerListen != "" {
+		s.PeerListen = c.address("peer_listen_address", f.PeerListen)
+	}
 	s.FormGroup = f.FormGroup
 	s.MemoryMB = c.number("memory_mb", f.MemoryMB, 0, maxMemoryMB)
 	s.ControlSeeds = c.seeds(f.ControlSeeds)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,9 @@
 	CallerAddress string
 	AdminAddress  string
 	PeerAddress   string
+	// PeerListen is where peer connections are accepted and made from. It differs from
+	// PeerAddress where other hosts reach this one through a relay.
+	PeerListen string
 	// DataFolder is empty on hosts without the control role.
 	DataFolder   string
 	ControlHosts []ControlHost
@@ -119,6 +122,7 @@
 	CallerAddress string `toml:"caller_address"`
 	AdminAddress  string `toml:"admin_address"`
 	PeerAddress   string `toml:"peer_address"`
+	PeerListen    string `toml:"peer_listen_address"`
 	DataFolder    string `toml:"data_folder"`
 	ControlHosts  []struct {
 		Name    string `toml:"name"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -44,6 +44,19 @@
 	c.Assert(string(s.PeerKey), qt.Equals, "0123456789abcdef0123456789abcdef")
 }
 
+// Guards against a host that listens where only its relay does.
+func TestPeerListenAddress(t *testing.T) {
+	c := qt.New(t)
+	s, err := Load(write(c, minimal))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.PeerListen, qt.Equals, "10.0.0.1:7102")
+	s, err = Load(write(c, "peer_listen_address = \"192.168.0.1:7200\"\n"+minimal))
+	c.Assert(err, qt.IsNil)
+	c.Assert([]string{s.PeerAddress, s.PeerListen}, qt.DeepEquals, []string{"10.0.0.1:7102", "192.168.0.1:7200"})
+	_, err = Load(write(c, "peer_listen_address = \"elsewhere:7200\"\n"+minimal))
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.InvalidSettings)
+}
+
 // Guards against a key that reaches logs through formatting.
 func TestSecretIsHidden(t *testing.T) {
 	s := Default()
