End connections on which the other side has fallen silent

A connection whose packets are lost for good took messages between hosts and requests to upstreams for minutes. Connections now set the TCP user timeout and short probes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/frontend"
 	"marigoldshunt/internal/hlc"
+	"marigoldshunt/internal/netopt"
 	"marigoldshunt/internal/peer"
 	"marigoldshunt/internal/platform"
 	"marigoldshunt/internal/router"
@@ -197,7 +198,7 @@
 		local.IP = a.IP
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		return (&net.Dialer{LocalAddr: local}).DialContext(ctx, "tcp", address)
+		return netopt.Dialer(0, local).DialContext(ctx, "tcp", address)
 	}
 }
 
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/netopt"
 )
 
 // conn is one connection to an upstream, used by one call at a time.
@@ -190,8 +191,7 @@
 
 // dial opens a connection within the connect timeout.
 func (p *pool) dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: p.o.ConnectTimeout}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := netopt.Dialer(p.o.ConnectTimeout, nil).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
