Show routed services in the demo and load them with the load tool

The tool gains 'marigoldshunt-load routed', which checks every answer; the soak's callers use the same client. TestRoutedCallerChecksAnswers lists the faults that it must see.

--- a/cmd/marigoldshunt-load/main.go
+++ b/cmd/marigoldshunt-load/main.go
@@ -24,25 +24,68 @@
 	log := logrus.WithField("part", "load")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	o, err := parse(os.Args[1:])
-	if err != nil {
-		log.WithError(err).Fatal("Bad flags.")
+	run := runPools
+	if len(os.Args) > 1 && os.Args[1] == "routed" {
+		run = runRouted
 	}
-	r, err := loadgen.Run(ctx, o)
+	report, faulty, err := run(ctx, os.Args[1:])
 	if err != nil {
-		log.WithError(err).Fatal("No load was sent.")
+		log.WithError(err).Fatal("No load was sent, or not all of it.")
 	}
 	enc := json.NewEncoder(os.Stdout)
 	enc.SetIndent("", "  ")
-	if err := enc.Encode(r); err != nil {
+	if err := enc.Encode(report); err != nil {
 		log.WithError(err).Fatal("Report not written.")
 	}
-	if r.Total.Faulty > 0 {
-		log.WithField("faulty", r.Total.Faulty).Error("Some answers were not whole, foreign or untyped.")
+	if faulty > 0 {
+		log.WithField("faulty", faulty).Error("Some answers were not whole, foreign or untyped.")
 		os.Exit(1)
 	}
 }
 
+// runPools sends requests to pools.
+func runPools(ctx context.Context, args []string) (report any, faulty int, err error) {
+	o, err := parse(args)
+	if err != nil {
+		return nil, 0, err
+	}
+	r, err := loadgen.Run(ctx, o)
+	if err != nil {
+		return nil, 0, err
+	}
+	return r, r.Total.Faulty, nil
+}
+
+// runRouted sends requests to a route in the native formats: marigoldshunt-load routed FLAGS.
+func runRouted(ctx context.Context, args []string) (report any, faulty int, err error) {
+	var o loadgen.RoutedOptions
+	fs := flag.NewFlagSet("marigoldshunt-load routed", flag.ContinueOnError)
+	discovery := fs.String("discovery", "127.0.0.1:7105", "discovery addresses of hosts, separated by commas")
+	fs.StringVar(&o.DataCentre, "data-centre", "", "data centre of the caller")
+	fs.StringVar(&o.Host, "host", "", "host name of the route")
+	fs.StringVar(&o.Path, "path", "/", "path prefix of the route; a unique number is appended")
+	fs.StringVar(&o.Credential, "credential", "", "credential of the client account")
+	fs.IntVar(&o.BodyBytes, "body-bytes", 100, "body of a request")
+	fs.IntVar(&o.Workers, "workers", 4, "callers that send at once")
+	fs.IntVar(&o.Requests, "requests", 10, "requests of each caller")
+	fs.DurationVar(&o.Timeout, "timeout", 10*time.Second, "time of one request")
+	fs.IntVar(&o.OutputTokens, "output-tokens", 0, "tokens of each stream; 0 for a plain service")
+	fs.IntVar(&o.TokensPerEvent, "tokens-per-event", 6, "tokens in one event, as the upstreams send them")
+	fs.IntVar(&o.SharedTokens, "shared-tokens", 2000, "shared beginning of a prompt")
+	fs.IntVar(&o.OwnTokens, "own-tokens", 500, "rest of a prompt")
+	fs.IntVar(&o.Groups, "groups", 4, "number of different shared beginnings")
+	fs.Int64Var(&o.Seed, "seed", 1, "seed of the random numbers")
+	if err := ff.Parse(fs, args[1:], ff.WithEnvVarPrefix("MARIGOLDSHUNT_LOAD")); err != nil {
+		return nil, 0, fault.Wrap(err, fault.InvalidSettings, "", "flags")
+	}
+	o.Discovery = strings.Split(*discovery, ",")
+	r, err := loadgen.RunRouted(ctx, o)
+	if err != nil {
+		return nil, 0, err
+	}
+	return r, r.Faulty, nil
+}
+
 func parse(args []string) (loadgen.Options, error) {
 	var o loadgen.Options
 	var w loadgen.Work
--- /dev/null
+++ b/internal/loadgen/routed.go
@@ -0,0 +1,213 @@
+package loadgen
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/native"
+)
+
+// RoutedCaller is one client of routed services in the native formats. It asks hosts where
+// to connect, keeps the answer, and checks every answer against what the upstream emulator
+// sends. It is not safe for concurrent use.
+type RoutedCaller struct {
+	// Discovery are addresses of hosts that tell where to connect.
+	Discovery []string
+	// DataCentre is where the caller is, Host the host name of its requests.
+	DataCentre, Host string
+	HTTP             *http.Client
+	Random           *rand.Rand
+
+	addresses []string
+	keepTill  time.Time
+}
+
+// RoutedRequest is one request.
+type RoutedRequest struct {
+	ID         string
+	Path       string
+	Credential string
+	// BodyBytes is the length of the body.
+	BodyBytes int
+	// Deadline is how long the caller will wait; 0 tells none.
+	Deadline time.Duration
+	// Parts and Usage describe the prompt of a generation as the headers do. Events is the
+	// number of events that its stream must have; 0 expects the answer of a plain service.
+	Parts, Usage string
+	Events       int
+}
+
+// RoutedResult is what a caller saw of one request.
+type RoutedResult struct {
+	ID, Address string
+	Sent, Ended time.Time
+	// First is when the first event, or the whole answer, was there; zero without one.
+	First  time.Time
+	Status int
+	// Whole means that the answer ended as the protocol says, Cut that the connection ended
+	// without an answer or inside one, Left that the caller left.
+	Whole, Cut, Left bool
+	// Broken says what is wrong with an answer that looks whole or is foreign: a fault of
+	// the fleet.
+	Broken string
+}
+
+// Errors of discovery.
+const (
+	maxAsked      = 3
+	discoveryTime = time.Second
+)
+
+// Discover asks up to three hosts where to connect, unless the last answer may still be
+// kept. It returns an error only if the caller knows no address at all.
+func (c *RoutedCaller) Discover(ctx context.Context) error {
+	if time.Now().Before(c.keepTill) && len(c.addresses) > 0 {
+		return nil
+	}
+	var last error
+	for _, i := range c.Random.Perm(len(c.Discovery))[:min(maxAsked, len(c.Discovery))] {
+		if last = c.ask(ctx, c.Discovery[i]); last == nil {
+			return nil
+		}
+	}
+	if len(c.addresses) > 0 {
+		return nil
+	}
+	return fault.Wrap(last, fault.HostIsolated, fault.NotRun, "no host tells where to connect")
+}
+
+func (c *RoutedCaller) ask(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, discoveryTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/connect?data_centre="+c.DataCentre, nil)
+	if err != nil {
+		return err
+	}
+	req.Close = true
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	var d native.Directory
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSmall)).Decode(&d); err != nil || len(d.Addresses) == 0 {
+		return fault.New(fault.HostIsolated, fault.NotRun, "host %s answered with %d and no address", address, resp.StatusCode)
+	}
+	c.addresses, c.keepTill = d.Addresses, time.Now().Add(time.Duration(d.KeepForMS)*time.Millisecond)
+	return nil
+}
+
+// Address returns one of the addresses that discovery has told.
+func (c *RoutedCaller) Address() string { return c.addresses[c.Random.Intn(len(c.addresses))] }
+
+// Forget makes the next Discover ask again.
+func (c *RoutedCaller) Forget() { c.keepTill = time.Time{} }
+
+// Send sends a request to a host and checks its answer.
+func (c *RoutedCaller) Send(ctx context.Context, address string, q RoutedRequest) RoutedResult {
+	r := RoutedResult{ID: q.ID, Address: address, Sent: time.Now()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+q.Path, strings.NewReader(strings.Repeat("x", q.BodyBytes)))
+	if err != nil {
+		r.Broken = err.Error()
+		return r
+	}
+	// Without GetBody the transport can't send a request again by itself.
+	req.GetBody = nil
+	req.Host = c.Host
+	req.Header.Set("X-Request-Id", q.ID)
+	if q.Credential != "" {
+		req.Header.Set("X-Api-Key", q.Credential)
+	}
+	if q.Deadline > 0 {
+		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.Deadline.Milliseconds(), 10))
+	}
+	if q.Parts != "" {
+		req.Header.Set("X-Prompt-Parts", q.Parts)
+		req.Header.Set("X-Token-Usage", q.Usage)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err == nil {
+		r.Status = resp.StatusCode
+		err = r.check(resp, &q)
+		resp.Body.Close()
+	}
+	r.Ended = time.Now()
+	r.Left = errors.Is(ctx.Err(), context.Canceled)
+	r.Whole, r.Cut = err == nil, err != nil && !r.Left
+	return r
+}
+
+// wrong notes the first fault of an answer.
+func (r *RoutedResult) wrong(format string, args ...any) {
+	if r.Broken == "" {
+		r.Broken = fmt.Sprintf(format, args...)
+	}
+}
+
+// check reads an answer. It returns an error if the connection ended inside it.
+func (r *RoutedResult) check(resp *http.Response, q *RoutedRequest) error {
+	if id := resp.Header.Get("X-Request-Id"); id != q.ID {
+		r.wrong("the answer is that of request %q", id)
+	}
+	if resp.StatusCode != http.StatusOK {
+		_, err := io.Copy(io.Discard, resp.Body)
+		return err
+	}
+	if q.Events > 0 {
+		return r.checkEvents(resp.Body, q)
+	}
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	r.First = time.Now()
+	var a struct {
+		ID    string `json:"id"`
+		Path  string `json:"path"`
+		Bytes int    `json:"bytes"`
+	}
+	if json.Unmarshal(b, &a) != nil || a.ID != q.ID || a.Bytes != q.BodyBytes || a.Path != q.Path {
+		r.wrong("the answer is %q", b)
+	}
+	return nil
+}
+
+// checkEvents reads a stream whose events must follow each other without gaps.
+func (r *RoutedResult) checkEvents(body io.Reader, q *RoutedRequest) error {
+	sc := bufio.NewScanner(body)
+	events, complete := 0, true
+	for sc.Scan() {
+		line := sc.Text()
+		switch {
+		case strings.HasPrefix(line, "id: "):
+			events++
+			complete = false
+			if line != fmt.Sprint("id: ", events) {
+				r.wrong("event %q comes in place %d", line, events)
+			}
+		case strings.HasPrefix(line, "data: "):
+			if line != fmt.Sprintf("data: %s/%d ", q.ID, events) {
+				r.wrong("event %d says %q", events, line)
+			}
+		case line == "":
+			complete = true
+			if events == 1 && r.First.IsZero() {
+				r.First = time.Now()
+			}
+		}
+	}
+	if sc.Err() == nil && (events != q.Events || !complete) {
+		r.wrong("a stream of %d events looks complete", events)
+	}
+	return sc.Err()
+}
--- /dev/null
+++ b/internal/loadgen/routed_test.go
@@ -0,0 +1,113 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/fault"
+)
+
+// routedHost serves discovery, and answers with what a test wants.
+func routedHost(t *testing.T, answer http.HandlerFunc) string {
+	var s *httptest.Server
+	s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/connect" {
+			fmt.Fprintf(w, `{"addresses":[%q],"keep_for_ms":1000}`, strings.TrimPrefix(s.URL, "http://"))
+			return
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		answer(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func events(id string, numbers ...int) string {
+	var b strings.Builder
+	for _, n := range numbers {
+		fmt.Fprintf(&b, "id: %d\ndata: %s/%d \n\n", n, id, n)
+	}
+	return b.String()
+}
+
+// Guards against a load tool that takes a wrong, foreign or short answer for a good one.
+func TestRoutedCallerChecksAnswers(t *testing.T) {
+	for name, x := range map[string]struct {
+		answer string
+		events int
+		broken string
+	}{
+		"whole":          {events("q", 1, 2, 3), 3, ""},
+		"short":          {events("q", 1, 2), 3, "a stream of 2 events looks complete"},
+		"gap":            {events("q", 1, 3), 2, `event "id: 3" comes in place 2`},
+		"twice":          {events("q", 1, 1), 2, `event "id: 1" comes in place 2`},
+		"foreign":        {events("other", 1, 2), 2, `event 1 says "data: other/1 "`},
+		"half an event":  {events("q", 1) + "id: 2\n", 2, "a stream of 2 events looks complete"},
+		"plain":          {`{"id":"q","path":"/p/q","bytes":5}`, 0, ""},
+		"foreign plain":  {`{"id":"q","path":"/p/z","bytes":5}`, 0, `the answer is "{\"id\":\"q\",\"path\":\"/p/z\",\"bytes\":5}"`},
+		"no known form":  {"hello", 0, `the answer is "hello"`},
+		"shorter upload": {`{"id":"q","path":"/p/q","bytes":4}`, 0, `the answer is "{\"id\":\"q\",\"path\":\"/p/q\",\"bytes\":4}"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			host := routedHost(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, x.answer) })
+			caller := &RoutedCaller{Discovery: []string{host}, HTTP: &http.Client{}, Random: rand.New(rand.NewSource(1))}
+			c.Assert(caller.Discover(t.Context()), qt.IsNil)
+			r := caller.Send(t.Context(), caller.Address(), RoutedRequest{ID: "q", Path: "/p/q", BodyBytes: 5, Events: x.events})
+			c.Assert(r.Broken, qt.Equals, x.broken)
+			c.Assert(r.Whole, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a connection that is cut under an answer and counts as whole.
+func TestRoutedCallerSeesCuts(t *testing.T) {
+	c := qt.New(t)
+	host := routedHost(t, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, events("q", 1))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	caller := &RoutedCaller{HTTP: &http.Client{}, Random: rand.New(rand.NewSource(1))}
+	r := caller.Send(t.Context(), host, RoutedRequest{ID: "q", Path: "/p/q", Events: 3})
+	c.Assert([]bool{r.Cut, r.Whole, r.Left}, qt.DeepEquals, []bool{true, false, false})
+	c.Assert(r.Broken, qt.Equals, "")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r = caller.Send(ctx, host, RoutedRequest{ID: "q", Path: "/p/q", Events: 3})
+	c.Assert([]bool{r.Cut, r.Whole, r.Left}, qt.DeepEquals, []bool{false, false, true})
+}
+
+// Guards against a run that loses requests in its report, and against unbounded options.
+func TestRunRouted(t *testing.T) {
+	c := qt.New(t)
+	n := 0
+	host := routedHost(t, func(w http.ResponseWriter, r *http.Request) {
+		if n++; n%4 == 0 {
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprint(w, events(r.Header.Get("X-Request-Id"), 1, 2))
+	})
+	o := RoutedOptions{Discovery: []string{host}, Path: "/p/", Workers: 1, Requests: 12, OutputTokens: 7, TokensPerEvent: 6, OwnTokens: 10, Groups: 1}
+	r, err := RunRouted(t.Context(), o)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Status, qt.DeepEquals, map[string]int{"200": 9, "503": 3})
+	c.Assert([]int{r.Requests, r.Whole, r.Faulty, r.Cut}, qt.DeepEquals, []int{12, 9, 0, 0})
+	for _, bad := range []func(o *RoutedOptions){
+		func(o *RoutedOptions) { o.Discovery = nil }, func(o *RoutedOptions) { o.Workers = maxWorkers + 1 },
+		func(o *RoutedOptions) { o.Requests = 0 }, func(o *RoutedOptions) { o.TokensPerEvent = 0 },
+	} {
+		b := o
+		bad(&b)
+		_, err := RunRouted(t.Context(), b)
+		c.Assert(fault.CodeOf(err), qt.Equals, fault.InvalidSettings)
+	}
+}
--- /dev/null
+++ b/internal/loadgen/routedrun.go
@@ -0,0 +1,134 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"marigoldshunt/internal/fault"
+)
+
+// RoutedOptions shape a run of requests to one route.
+type RoutedOptions struct {
+	Discovery  []string
+	DataCentre string
+	Host       string
+	// Path is the prefix of the route; a unique number is appended.
+	Path       string
+	Credential string
+	BodyBytes  int
+	// Workers send Requests each, one after the other.
+	Workers, Requests int
+	Timeout           time.Duration
+	// SharedTokens and OwnTokens describe the prompts of generations, Groups the number of
+	// different shared beginnings, OutputTokens and TokensPerEvent the streams. Without
+	// OutputTokens the answers are those of a plain service.
+	SharedTokens, OwnTokens, Groups int
+	OutputTokens, TokensPerEvent    int
+	Seed                            int64
+}
+
+// RoutedReport counts the ends of a run.
+type RoutedReport struct {
+	Requests int            `json:"requests"`
+	Whole    int            `json:"whole"`
+	Cut      int            `json:"cut"`
+	Faulty   int            `json:"faulty"`
+	Status   map[string]int `json:"status"`
+	// FirstMS are quantiles of the time to the first event, or to the whole answer.
+	FirstMS map[string]float64 `json:"first_ms"`
+	// Example is what was wrong with one faulty answer.
+	Example string `json:"example,omitempty"`
+	firsts  []time.Duration
+}
+
+func (o *RoutedOptions) check() error {
+	switch {
+	case len(o.Discovery) == 0:
+		return fault.New(fault.InvalidSettings, "", "no hosts given")
+	case o.Workers <= 0 || o.Workers > maxWorkers || o.Requests <= 0:
+		return fault.New(fault.InvalidSettings, "", "workers must be from 1 to %d, and requests positive", maxWorkers)
+	case o.OutputTokens > 0 && (o.TokensPerEvent <= 0 || o.OwnTokens <= 0 || o.Groups <= 0):
+		return fault.New(fault.InvalidSettings, "", "generations need tokens per event, own tokens and groups")
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	return nil
+}
+
+// RunRouted sends the load and returns the report. It returns an error for bad options and
+// when no host tells where to connect.
+func RunRouted(ctx context.Context, o RoutedOptions) (*RoutedReport, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	r := &RoutedReport{Status: map[string]int{}, FirstMS: map[string]float64{}}
+	var mu sync.Mutex
+	g, ctx := errgroup.WithContext(ctx)
+	for w := range o.Workers {
+		g.Go(func() error {
+			c := &RoutedCaller{
+				Discovery: o.Discovery, DataCentre: o.DataCentre, Host: o.Host,
+				HTTP: &http.Client{Transport: &http.Transport{DisableCompression: true}}, Random: rand.New(rand.NewSource(o.Seed<<8 + int64(w))),
+			}
+			defer c.HTTP.CloseIdleConnections()
+			for n := range o.Requests {
+				if err := c.Discover(ctx); err != nil {
+					return err
+				}
+				reqCtx, cancel := context.WithTimeout(ctx, o.Timeout)
+				res := c.Send(reqCtx, c.Address(), o.request(c.Random, fmt.Sprintf("w%d-%d", w, n)))
+				cancel()
+				mu.Lock()
+				r.add(res)
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	err := g.Wait()
+	r.finish()
+	return r, err
+}
+
+// request draws one request.
+func (o *RoutedOptions) request(rng *rand.Rand, id string) RoutedRequest {
+	q := RoutedRequest{ID: id, Path: o.Path + id, Credential: o.Credential, BodyBytes: o.BodyBytes, Deadline: o.Timeout}
+	if o.OutputTokens > 0 {
+		q.Parts = fmt.Sprintf("%x:%d,%x:%d", 1+rng.Intn(o.Groups), o.SharedTokens, 1<<40+rng.Int63n(1<<40), o.OwnTokens)
+		q.Usage = fmt.Sprintf("%d,%d", o.SharedTokens+o.OwnTokens, o.OutputTokens)
+		q.Events = (o.OutputTokens + o.TokensPerEvent - 1) / o.TokensPerEvent
+	}
+	return q
+}
+
+func (r *RoutedReport) add(res RoutedResult) {
+	r.Requests++
+	r.Status[fmt.Sprint(res.Status)]++
+	switch {
+	case res.Broken != "":
+		r.Faulty++
+		r.Example = res.ID + ": " + res.Broken
+	case res.Cut:
+		r.Cut++
+	case res.Whole && res.Status == http.StatusOK:
+		r.Whole++
+		r.firsts = append(r.firsts, res.First.Sub(res.Sent))
+	}
+}
+
+func (r *RoutedReport) finish() {
+	slices.Sort(r.firsts)
+	for name, q := range map[string]float64{"p50": 0.5, "p95": 0.95} {
+		if n := len(r.firsts); n > 0 {
+			r.FirstMS[name] = float64(r.firsts[min(int(q*float64(n)), n-1)].Microseconds()) / 1000
+		}
+	}
+}
--- a/internal/scenario/soak_fleet_test.go
+++ b/internal/scenario/soak_fleet_test.go
@@ -229,7 +229,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// routingVersion returns the version of the routing document that a host has in force.
+// apply has the fleet take a configuration file; it returns when that is acknowledged.
 func (f *soakFleet) apply(path string, timeout time.Duration) error {
 	var admins []string
 	for _, h := range f.hosts {
@@ -257,7 +257,7 @@
 	}
 }
 
-// document is a configuration with a route and a credential that only this version has.
+// soakDocument is a configuration with a route and a credential that only this version has.
 func soakDocument(version int) string {
 	route := func(name, prefix, kind, service, extra string) string {
 		return fmt.Sprintf("[[routing.route]]\nname = %q\nhost = \"soak.example\"\npath_prefix = %q\nkind = %q\nattempts = 2\ntimeout = \"4s\"\nobjective = \"800ms\"\nsplit = [{ service = %q, weight = 1 }]\n%s\n",
--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -197,7 +197,7 @@
 // the bound.
 func (s *soak) probeRevoked(stop <-chan struct{}) {
 	rng := rand.New(rand.NewSource(s.seed))
-	c := &caller{c: s.callers, rng: rng, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	c := s.callers.newCaller(rng, &http.Transport{DisableKeepAlives: true})
 	for {
 		select {
 		case <-stop:
@@ -213,7 +213,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), requestTime)
 		h := s.f.hosts[rng.Intn(soakHosts)]
-		s.callers.note(c.send(ctx, s.f.at(h.ip, portGateway), "orders", versionCredential(newest-1)))
+		c.send(ctx, s.f.at(h.ip, portGateway), "orders", versionCredential(newest-1))
 		cancel()
 	}
 }
@@ -233,23 +233,23 @@
 // recovers waits until the healed fleet serves on all hosts with the newest version.
 func (s *soak) recovers() {
 	s.until("ready hosts after the faults", recoverTime, s.allReady)
-	c := &caller{c: s.callers, rng: rand.New(rand.NewSource(s.seed)), http: &http.Client{}}
+	c := s.callers.newCaller(rand.New(rand.NewSource(s.seed)), &http.Transport{})
 	newest, _ := s.newest()
 	for _, h := range s.f.hosts {
 		for _, kind := range []string{"reads", "orders", "events", "events/once"} {
-			s.until(kind+" on host "+h.ip, recoverTime, func() bool { return s.ask(c, h, kind).status == http.StatusOK })
+			s.until(kind+" on host "+h.ip, recoverTime, func() bool { return s.ask(c, h, kind).Status == http.StatusOK })
 		}
 		// A version that was sent without an acknowledgement may be in force instead.
 		s.until(fmt.Sprintf("version %d or a later one on host %s", newest, h.ip), recoverTime, func() bool {
 			for v := newest; v <= s.sent; v++ {
-				if s.ask(c, h, strings.Trim(versionPath(v), "/")).status == http.StatusOK {
+				if s.ask(c, h, strings.Trim(versionPath(v), "/")).Status == http.StatusOK {
 					return true
 				}
 			}
 			return false
 		})
 		old := s.ask(c, h, strings.Trim(versionPath(1), "/"))
-		if newest > 1 && old.status == http.StatusOK {
+		if newest > 1 && old.Status == http.StatusOK {
 			s.broken("host %s serves a route that version %d took away", h.ip, newest)
 		}
 	}
@@ -258,9 +258,7 @@
 func (s *soak) ask(c *caller, h *soakHost, kind string) ending {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTime)
 	defer cancel()
-	e := c.send(ctx, s.f.at(h.ip, portGateway), kind, soakCredential)
-	s.callers.note(e)
-	return e
+	return c.send(ctx, s.f.at(h.ip, portGateway), kind, soakCredential)
 }
 
 // runs adds up how often each request was run by all upstreams.
@@ -279,32 +277,32 @@
 	runs, lost := s.runs(), 0
 	served := 0
 	for _, e := range s.callers.endings {
-		if e.broken != "" {
-			s.broken("%s at %s: %s", e.id, e.host, e.broken)
+		if e.Broken != "" {
+			s.broken("%s at %s: %s", e.ID, e.Address, e.Broken)
 		}
-		if once := e.kind == "orders" || e.kind == "events/once"; once && runs[e.id] > 1 {
-			s.broken("%s ran %d times", e.id, runs[e.id])
+		if once := e.kind == "orders" || e.kind == "events/once"; once && runs[e.ID] > 1 {
+			s.broken("%s ran %d times", e.ID, runs[e.ID])
 		}
-		if promised := e.status == 503 || e.status == 429 || e.status == 408; promised && runs[e.id] > 0 {
-			s.broken("%s was answered %d and has run", e.id, e.status)
+		if promised := e.Status == 503 || e.Status == 429 || e.Status == 408; promised && runs[e.ID] > 0 {
+			s.broken("%s was answered %d and has run", e.ID, e.Status)
 		}
-		if e.credential != soakCredential && (runs[e.id] > 0 || e.status == 200) {
-			s.broken("%s ran with a credential revoked more than %s before", e.id, revokeTime)
+		if e.credential != soakCredential && (runs[e.ID] > 0 || e.Status == 200) {
+			s.broken("%s ran with a credential revoked more than %s before", e.ID, revokeTime)
 		}
 		proper := e.credential == soakCredential && !strings.HasPrefix(e.kind, "v")
-		if denied := e.status/100 == 4 && e.status != 408 && e.status != 429; proper && denied {
-			s.broken("%s was refused with %d", e.id, e.status)
+		if denied := e.Status/100 == 4 && e.Status != 408 && e.Status != 429; proper && denied {
+			s.broken("%s was refused with %d", e.ID, e.Status)
 		}
 		if !s.disturbed(e) {
-			if took := e.ended.Sub(e.sent); took > routeTime+overrun {
-				s.broken("%s took %s at a calm host", e.id, took)
+			if took := e.Ended.Sub(e.Sent); took > routeTime+overrun {
+				s.broken("%s took %s at a calm host", e.ID, took)
 			}
-			if e.cut && e.status == 0 {
+			if e.Cut && e.Status == 0 {
 				lost++
-				s.logf("lost %s at %s", e.id, e.host)
+				s.logf("lost %s at %s", e.ID, e.Address)
 			}
 		}
-		if e.status == 200 && e.whole {
+		if e.Status == 200 && e.Whole {
 			served++
 		}
 	}
@@ -320,8 +318,8 @@
 // disturbed reports whether the host of a request was under a fault near it.
 func (s *soak) disturbed(e ending) bool {
 	for _, h := range s.f.hosts {
-		if strings.HasPrefix(e.host, h.ip+":") {
-			return h.touched.After(e.sent.Add(-calm)) || h.started > 1 || h.frozen
+		if strings.HasPrefix(e.Address, h.ip+":") {
+			return h.touched.After(e.Sent.Add(-calm)) || h.started > 1 || h.frozen
 		}
 	}
 	return true
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# Runs the whole path on this machine: three daemons with the embedded default
-# settings, one upstream emulator, one contract; discovery, one streamed answer, one
-# operator change. Needs nothing but Go. Ends by itself with a summary.
+# Runs the whole path on this machine, twice. First pools: three daemons with the embedded
+# default settings, one upstream emulator, one contract; discovery, streamed answers, one
+# operator change. Then routed services: three daemons that form their group by
+# themselves, a modelled engine that they find in a list, a routing document, streams.
+# Needs nothing but Go. Ends by itself with a summary.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -55,3 +57,22 @@
 marigoldshuntctl timeline | tail -12
 echo "== summary"
 marigoldshuntctl status
+
+echo "== routed services: three hosts form their group, apply examples/routing.toml, find the engine"
+export MARIGOLDSHUNTCTL_HOSTS=127.0.1.1:7101,127.0.1.2:7101,127.0.1.3:7101
+upstream-emulator -address 127.0.1.10:7200 -engine -service engines -data-centre north -slots 64 -seed 1 >"$work/routed-engine.log" 2>&1 &
+pids+=($!)
+for i in 1 2 3; do
+  mkdir "$work/routed-$i"
+  sed "/^control_seeds/! s/127\.0\.1\.1\b/127.0.1.$i/" examples/routed-host.toml >"$work/routed-$i/settings.toml"
+  marigoldshuntd -settings "$work/routed-$i/settings.toml" >"$work/routed-h$i.log" 2>&1 &
+  pids+=($!)
+done
+retry marigoldshuntctl config apply examples/routing.toml
+retry marigoldshuntctl instances
+echo "== 40 streams through discovery of two hosts"
+retry marigoldshunt-load routed -discovery 127.0.1.1:7104,127.0.1.2:7104 -data-centre north -host records.example -path /events/ \
+  -credential demo-district-credential -workers 8 -requests 5 -output-tokens 60
+echo "== the routing document, and one host's metrics"
+marigoldshuntctl routing
+curl -s http://127.0.1.1:9100/metrics 2>/dev/null | grep 'gateway_\(answered\|first_event\)' || true
