Tell a gate's new owner what is at the engine

A new owner began with an empty gate: after each loss or return of a host it sent full prompts to engines that were busy with others. Each host now tells the new owner of the requests that it has at the engine. TestNewOwnerKnowsWhatIsUnderWay waited for ever before.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -72,8 +72,10 @@
 	speeds map[string]*dispatch.Speedometer
 	gates  map[catalog.Key]*ownedGate
 	seq    uint64
-	// calls are the requests of this host that wait for a verdict.
+	// calls are the requests of this host that wait for a verdict, held those that are at
+	// their engine.
 	calls map[uint64]*call
+	held  map[uint64]*Ticket
 }
 
 type ownedGate struct {
@@ -94,7 +96,7 @@
 func New(o Options) *Admission {
 	return &Admission{
 		o: o, hosts: []string{o.Host}, silent: map[string]time.Time{}, speeds: map[string]*dispatch.Speedometer{},
-		gates: map[catalog.Key]*ownedGate{}, calls: map[uint64]*call{},
+		gates: map[catalog.Key]*ownedGate{}, calls: map[uint64]*call{}, held: map[uint64]*Ticket{},
 	}
 }
 
@@ -105,8 +107,34 @@
 		hosts = append(hosts, a.o.Host)
 	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.hosts = hosts
+	moved := a.moveLocked()
+	a.mu.Unlock()
+	for _, m := range moved {
+		a.give(m.owner, m.ask)
+	}
+}
+
+// moved is a request that its new owner has to know of.
+type moved struct {
+	owner string
+	ask   *wire.Ask
+}
+
+// moveLocked finds the requests at engines whose gates have another owner by now. A new
+// owner that did not know of them would send more to a busy engine.
+func (a *Admission) moveLocked() (list []moved) {
+	for _, t := range a.held {
+		owner := a.ownerLocked(t.key)
+		if owner == t.owner {
+			continue
+		}
+		t.owner = owner
+		m := a.message(t)
+		m.Admitted, m.Read = true, t.read
+		list = append(list, moved{owner, m})
+	}
+	return list
 }
 
 // ownerLocked returns the host that owns the gate of an engine.
@@ -121,10 +149,13 @@
 
 // Ticket is an admission. Its methods may be called on a nil ticket.
 type Ticket struct {
-	a     *Admission
-	key   catalog.Key
+	a       *Admission
+	key     catalog.Key
+	seq     uint64
+	request *Request
+	// owner and read are guarded by the Admission.
 	owner string
-	seq   uint64
+	read  bool
 }
 
 // FirstEvent tells the owner that the engine has read the prompt.
@@ -146,8 +177,9 @@
 func (a *Admission) Admit(ctx context.Context, r *Request) (*Ticket, error) {
 	a.mu.Lock()
 	a.seq++
-	t := &Ticket{a: a, key: r.Instance.Key(), owner: a.ownerLocked(r.Instance.Key()), seq: a.seq}
+	t := &Ticket{a: a, key: r.Instance.Key(), owner: a.ownerLocked(r.Instance.Key()), seq: a.seq, request: r}
 	if a.silentLocked(t.owner) {
+		a.held[t.seq] = t
 		a.mu.Unlock()
 		a.count("bypassed")
 		return t, nil
@@ -160,11 +192,18 @@
 		delete(a.calls, t.seq)
 		a.mu.Unlock()
 	}()
-	a.ask(t, r)
-	return a.wait(ctx, t, r, c)
+	a.give(t.owner, a.message(t))
+	if err := a.wait(ctx, t, c); err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	a.held[t.seq] = t
+	a.mu.Unlock()
+	return t, nil
 }
 
-func (a *Admission) wait(ctx context.Context, t *Ticket, r *Request, c *call) (*Ticket, error) {
+// wait returns nil once the request may be sent.
+func (a *Admission) wait(ctx context.Context, t *Ticket, c *call) error {
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
 	due := a.o.Now().Add(silentAfter)
@@ -174,24 +213,24 @@
 		case v := <-c.verdicts:
 			switch {
 			case v.Granted:
-				return t, nil
+				return nil
 			case !v.Queued:
 				a.count("refused")
-				return nil, fault.New(fault.QueueFull, fault.NotRun, "the engine would answer after %s", v.Wait.Round(time.Millisecond)).After(v.Wait)
+				return fault.New(fault.QueueFull, fault.NotRun, "the engine would answer after %s", v.Wait.Round(time.Millisecond)).After(v.Wait)
 			}
 			due, again = time.Time{}, a.o.Now().Add(askAgain)
 		case <-ctx.Done():
 			t.Done()
-			return nil, fault.New(fault.WaitExpired, fault.NotRun, "not admitted in time")
+			return fault.New(fault.WaitExpired, fault.NotRun, "not admitted in time")
 		case <-check.C:
 			now := a.o.Now()
 			if a.lost(t, due, now) {
 				a.count("bypassed")
-				return t, nil
+				return nil
 			}
 			if due.IsZero() && now.After(again) {
 				due = now.Add(silentAfter)
-				a.ask(t, r)
+				a.give(t.owner, a.message(t))
 			}
 		}
 	}
@@ -213,9 +252,9 @@
 	metrics.GetOrRegisterCounter("admission."+name, a.o.Registry).Inc(1)
 }
 
-// ask gives the request to the owner.
-func (a *Admission) ask(t *Ticket, r *Request) {
-	now := a.o.Now()
+// message describes the request to an owner.
+func (a *Admission) message(t *Ticket) *wire.Ask {
+	r, now := t.request, a.o.Now()
 	m := &wire.Ask{
 		Seq: t.seq, ID: t.key.ID, Born: t.key.Born, Service: r.Instance.Service, Slots: r.Slots, MemoryTokens: r.MemoryTokens,
 		Tokens: r.Tokens, AimLeft: r.Aim.Sub(now), EndLeft: r.End.Sub(now), Rank: uint8(r.Rank),
@@ -223,20 +262,32 @@
 	for _, p := range r.Parts {
 		m.Parts = append(m.Parts, wire.PromptPart(p))
 	}
-	if t.owner == a.o.Host {
+	return m
+}
+
+// give gives a request to the owner of its gate.
+func (a *Admission) give(owner string, m *wire.Ask) {
+	if owner == a.o.Host {
 		a.onAsk(a.o.Host, m)
 		return
 	}
-	a.send(t.owner, wire.KindAsk, m)
+	a.send(owner, wire.KindAsk, m)
 }
 
 func (a *Admission) progress(t *Ticket, done bool) {
+	a.mu.Lock()
+	t.read = true
+	if done {
+		delete(a.held, t.seq)
+	}
+	owner := t.owner
+	a.mu.Unlock()
 	m := &wire.Progress{Seq: t.seq, ID: t.key.ID, Born: t.key.Born, Done: done}
-	if t.owner == a.o.Host {
+	if owner == a.o.Host {
 		a.onProgress(a.o.Host, m)
 		return
 	}
-	a.send(t.owner, wire.KindProgress, m)
+	a.send(owner, wire.KindProgress, m)
 }
 
 // send does not report failures: a lost ask is bypassed, a lost progress expires.
@@ -315,6 +366,11 @@
 	}
 	a.mu.Lock()
 	g := a.gateLocked(m, now)
+	if m.Admitted {
+		g.Adopt(ask, m.Read, now)
+		a.mu.Unlock()
+		return
+	}
 	v := g.Ask(ask, now)
 	out := []addressed{{from, wire.Verdict{Seq: m.Seq, Granted: v.Granted, Queued: v.Queued, Wait: v.Wait}}}
 	a.mu.Unlock()
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -140,3 +140,49 @@
 	first.Done()
 	c.Assert(n.hosts["a"].Loads()[0].Running, qt.Equals, 0)
 }
+
+// Guards against a new owner of a gate that takes a busy engine for an idle one.
+func TestNewOwnerKnowsWhatIsUnderWay(t *testing.T) {
+	c := qt.New(t)
+	n := newNet("a", "b", "c")
+	x := n.owned("b")
+	reading, err := n.hosts["a"].Admit(context.Background(), request(x, 50_000))
+	c.Assert(err, qt.IsNil)
+	reading.FirstEvent()
+	second, err := n.hosts["c"].Admit(context.Background(), request(x, 50_000))
+	c.Assert(err, qt.IsNil)
+	// The owner is lost; the others agree on the next one.
+	left := []string{"a", "c"}
+	for _, h := range left {
+		n.hosts[h].SetHosts(left)
+	}
+	owner := n.hosts[n.hosts["a"].owner(x)]
+	for len(owner.Loads()) == 0 || owner.Loads()[0].Running < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(owner.Loads()[0].Backlog > 10_000, qt.IsTrue, qt.Commentf("%+v", owner.Loads()))
+	third := make(chan error, 1)
+	go func() {
+		_, err := n.hosts["a"].Admit(context.Background(), request(x, 10_000))
+		third <- err
+	}()
+	select {
+	case <-third:
+		c.Fatal("admitted while the engine reads another prompt")
+	case <-time.After(150 * time.Millisecond):
+	}
+	second.FirstEvent()
+	c.Assert(<-third, qt.IsNil)
+	reading.Done()
+	second.Done()
+	for owner.Loads()[0].Running > 1 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// owner returns the host that owns the gate of an instance.
+func (a *Admission) owner(i catalog.Instance) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ownerLocked(i.Key())
+}
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -184,6 +184,17 @@
 	g.cache.use(a.Parts, now)
 }
 
+// Adopt takes over a request that another owner of the gate has admitted.
+func (g *Gate) Adopt(a Ask, read bool, now time.Time) {
+	if g.running[a.ID] != nil {
+		return
+	}
+	g.admit(a, g.tokens(a, now), now)
+	if read {
+		g.read(g.running[a.ID], now)
+	}
+}
+
 // FirstEvent notes that the engine has read the prompt of a request.
 func (g *Gate) FirstEvent(id AskID, now time.Time) {
 	r := g.running[id]
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -363,6 +363,9 @@
 	AimLeft, EndLeft time.Duration
 	// Rank says how the request stands to its account's share, 0 is the most urgent.
 	Rank uint8
+	// Admitted tells a new owner of the gate about a request that is at the engine already;
+	// Read means that its prompt was read. There is no verdict.
+	Admitted, Read bool
 }
 
 // Verdict answers an Ask. A queued one gets a second verdict.
