--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -30,7 +30,10 @@
 	Ticks <-chan time.Time
 	// Ready reports whether the host can take leases; nil means always.
 	Ready func() bool
-	Log   logrus.FieldLogger
+	// OnRoundTrip is told how long the leader took to confirm the configuration; nil tells
+	// nobody.
+	OnRoundTrip func(time.Duration)
+	Log         logrus.FieldLogger
 }
 
 // Client connects a host to the control group: it renews, follows the configuration,
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -131,6 +131,9 @@
 	}
 	delete(c.sentRenew, m.Seq)
 	c.target, c.unanswered = e.from, 0
+	if d := c.now - sent.at; c.o.OnRoundTrip != nil {
+		c.effects = append(c.effects, func() { c.o.OnRoundTrip(d) })
+	}
 	if c.config.Revision < m.Revision {
 		return
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"marigoldshunt/internal/control"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
@@ -75,7 +77,9 @@
 }
 
 func (r *controlRole) open() error {
-	log, restored, err := wal.Open(r.d.s.DataFolder, wal.Options{})
+	log, restored, err := wal.Open(r.d.s.DataFolder, wal.Options{
+		OnSync: metrics.GetOrRegisterTimer("wal.sync", r.d.registry).Update,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,6 +114,7 @@
 	d.client = control.NewClient(control.ClientOptions{
 		Host: s.Host, Boot: d.boot, DataCentre: s.DataCentre, ControlHosts: controlHosts(s), Transport: d.peers,
 		Clock: d.clock, Ticks: time.Tick(control.TickInterval), Log: d.part("control"),
+		OnRoundTrip: metrics.GetOrRegisterTimer("control.round_trip", d.registry).Update,
 	})
 	d.engine = engine.New(engine.Options{Metrics: d.registry, ConnectTimeout: upstreamConnectTimeout})
 	d.role = d.newControlRole()
--- a/internal/daemon/edge_test.go
+++ b/internal/daemon/edge_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/config"
@@ -225,6 +226,11 @@
 		return true
 	})
 
+	// The metrics tell how long the control group and the disk take.
+	for _, name := range []string{"control.round_trip", "wal.sync"} {
+		f.Assert(metrics.GetOrRegisterTimer(name, f.hosts[ips[0]].d.registry).Count() > 0, qt.IsTrue, qt.Commentf("%s", name))
+	}
+
 	// Callers ask where to connect, without a credential.
 	var d native.Directory
 	f.until("three addresses", func() bool {
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -25,7 +25,7 @@
 	if o.NewReplicaID == nil {
 		o.NewReplicaID = randomID
 	}
-	l := &Log{dir: dir, fs: o.FS, limit: o.SegmentBytes}
+	l := &Log{dir: dir, fs: o.FS, limit: o.SegmentBytes, onSync: o.OnSync}
 	if err := l.fs.MkdirAll(dir); err != nil {
 		return nil, raft.Restored{}, fault.Wrap(err, fault.StorageFailed, "", "create directory %s", dir)
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -22,6 +22,7 @@
 	"fmt"
 	"io"
 	"path/filepath"
+	"time"
 
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/raft"
@@ -45,6 +46,8 @@
 	FS           FS
 	SegmentBytes int
 	NewReplicaID func() raft.ReplicaID
+	// OnSync is told how long each sync took; nil tells nobody.
+	OnSync func(time.Duration)
 }
 
 // position names an entry.
@@ -89,6 +92,7 @@
 	replica raft.ReplicaID
 	failed  error
 	syncs   uint64
+	onSync  func(time.Duration)
 
 	segments []segment
 	file     File // the last segment
@@ -152,12 +156,19 @@
 }
 
 func (l *Log) sync(f File) error {
-	l.syncs++
+	defer l.timeSync(time.Now())
 	return f.Sync()
 }
 
-func (l *Log) syncDir() error {
+func (l *Log) timeSync(began time.Time) {
 	l.syncs++
+	if l.onSync != nil {
+		l.onSync(time.Since(began))
+	}
+}
+
+func (l *Log) syncDir() error {
+	defer l.timeSync(time.Now())
 	return l.fs.SyncDir(l.dir)
 }
 
