Keep small shared prompt parts in the caller's data centre

Every shared part had one home over all data centres, and a crossing cost 20 ms whatever its length. Up to 1,000 shared tokens now have a home in each data centre, and a crossing costs 5 ms and 20 ms for each KB.

Ruled out: a home in each data centre for all parts, whose first reads would cost as much as the crossings that they save.

--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -14,9 +14,10 @@
 	// slotMs is the time for which a running request holds its slot of a plain service,
 	// used to compare queues.
 	slotMs = 50.0
-	// remoteMs is added for another data centre: the round trip, and the price of the
-	// bytes between data centres.
-	remoteMs = 20.0
+	// remoteMs is added for another data centre, and remoteMsPerKB for each KB of request
+	// and answer that crosses to it and back.
+	remoteMs      = 5.0
+	remoteMsPerKB = 20.0
 	// failingMs is added for an instance whose answers all fail, in proportion below.
 	failingMs = 2_000.0
 	// againMs is added for each shared token that is read again: the time, and the memory
@@ -38,7 +39,7 @@
 		c += suspectMs
 	}
 	if x.DataCentre != d.o.DataCentre {
-		c += remoteMs
+		c += remoteMs + remoteMsPerKB*float64(j.Bytes)/1000
 	}
 	if s.Engine != nil {
 		return c + d.engineCost(s, j, x, home, now)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,6 +27,8 @@
 type Job struct {
 	Service string
 	Parts   []Part
+	// Bytes is the expected length of request and answer together.
+	Bytes int
 	// InputTokens and OutputTokens are 0 for plain services.
 	InputTokens, OutputTokens int
 	// Objective is the time within which the answer, or its first event, is worth most.
@@ -224,15 +226,38 @@
 	if s.Engine == nil || len(j.Parts) < 2 {
 		return nil
 	}
-	var best *instance
-	var bestRank uint64
 	key := j.Parts[len(j.Parts)-2].ID
+	if j.sharedTokens() <= localHomeTokens {
+		if x := d.heaviest(s, key, d.o.DataCentre); x != nil {
+			return x
+		}
+	}
+	return d.heaviest(s, key, "")
+}
+
+// localHomeTokens is the size up to which shared parts have a home in each data centre. A
+// copy more of them costs an engine less than the bytes of a request that crosses.
+const localHomeTokens = 1_000
+
+// sharedTokens are the prompt tokens that other requests share.
+func (j *Job) sharedTokens() (n int) {
+	for _, p := range j.Parts[:max(len(j.Parts)-1, 0)] {
+		n += p.Tokens
+	}
+	return n
+}
+
+// heaviest returns the instance with the highest rendezvous weight for a key, in one data
+// centre or, without a name, in all.
+func (d *Dispatcher) heaviest(s *routing.Service, key uint64, dataCentre string) *instance {
+	var best *instance
+	var bestWeight uint64
 	for _, x := range d.byService[s.Name] {
-		if x.Draining || x.gone || d.outDCs[x.DataCentre] {
+		if x.Draining || x.gone || d.outDCs[x.DataCentre] || dataCentre != "" && x.DataCentre != dataCentre {
 			continue
 		}
-		if r := rendezvous.Weight(key, x.hash); best == nil || r > bestRank {
-			best, bestRank = x, r
+		if w := rendezvous.Weight(key, x.hash); best == nil || w > bestWeight {
+			best, bestWeight = x, w
 		}
 	}
 	return best
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -66,6 +66,45 @@
 	}
 }
 
+// Guards against requests that cross to another data centre for shared parts that are
+// cheaper to read once more, and against a home that one data centre alone can have.
+func TestSmallSharedPartsStayInTheDataCentre(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher("a", "a")
+	small := func(shared uint64) *Job {
+		return &Job{Service: "engines", Parts: []Part{{1, 100}, {shared, 70}, {1_000_000 + shared, 540}}, InputTokens: 710,
+			OutputTokens: 280, Bytes: 6_000, Objective: 1500 * time.Millisecond, Left: 12 * time.Second}
+	}
+	for shared := range uint64(50) {
+		p, err := d.Pick(small(100+shared), at(int(shared)*1_000))
+		c.Assert(err, qt.IsNil)
+		c.Assert(p.Instance.DataCentre, qt.Equals, "dc0")
+		p.FirstEvent()
+		p.Done(Answered, at(int(shared)*1_000))
+	}
+	d.SetOut(map[string]bool{"dc0": true})
+	p, err := d.Pick(small(1), at(60_000))
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Instance.DataCentre == "dc0", qt.IsFalse)
+}
+
+// Guards against a crossing that costs the same for a question and for a long document.
+func TestCrossingCostsByBytes(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher("a", "a")
+	for _, x := range d.byService["plain"] {
+		if x.DataCentre == "dc0" {
+			x.running = 7
+		}
+	}
+	short, err := d.Pick(&Job{Service: "plain", Bytes: 500, Left: time.Second}, at(0))
+	c.Assert(err, qt.IsNil)
+	c.Assert(short.Instance.DataCentre == "dc0", qt.IsFalse)
+	long, err := d.Pick(&Job{Service: "plain", Bytes: 20_000, Left: time.Second}, at(0))
+	c.Assert(err, qt.IsNil)
+	c.Assert(long.Instance.DataCentre, qt.Equals, "dc0")
+}
+
 // Guards against work for instances that drain, are gone, are out of service or were
 // tried already.
 func TestPickLeavesOut(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -185,14 +185,21 @@
 	return fault.New(fault.BodyTooLarge, fault.NotRun, "the body exceeds %d bytes", limit)
 }
 
+// Usual lengths of the heads of a request and its answer together, and of an event.
+const (
+	headBytes  = 800
+	eventBytes = 120
+)
+
 func (q *request) setJob() {
 	d := &q.s.o.Dialect
-	q.job = dispatch.Job{Service: q.service.Name, Objective: q.route.Objective, Account: q.account}
+	q.job = dispatch.Job{Service: q.service.Name, Objective: q.route.Objective, Account: q.account, Bytes: headBytes + len(q.body)}
 	if q.service.Engine != nil {
 		if q.route.PromptAffinity {
 			q.job.Parts = d.promptParts(q.r.Header)
 		}
 		q.job.InputTokens, q.job.OutputTokens = d.usage(q.r.Header)
+		q.job.Bytes += q.job.OutputTokens / max(q.service.Engine.TokensPerEvent, 1) * eventBytes
 	}
 }
 
