End unused connections of callers by their read deadline

The server counts a connection as unused until it has read a whole head. A read deadline in the past ends only the wait for a request.

The host now logs when and how it is overloaded.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // connections knows the connections of callers and closes unused ones: those that are
 // unused for too long, and the longest unused ones when there are too many.
 type connections struct {
@@ -50,8 +53,11 @@
 	}
 }
 
-// closeFirstLocked closes the connection that is unused for the longest time. Its caller
-// opens a new one for its next request, and knows that the host has read nothing.
+// closeFirstLocked ends the connection that is unused for the longest time. Its caller
+// opens a new one for its next request.
+//
+// The read deadline ends the server's wait for a request. Close would also end one that
+// the server has just read, and that is unused only as far as is known here.
 func (c *connections) closeFirstLocked() {
 	e := c.idle.Front()
 	if e == nil {
@@ -59,7 +65,7 @@
 	}
 	i := c.idle.Remove(e).(idleConn)
 	c.open[i.Conn] = nil
-	i.Close()
+	_ = i.SetReadDeadline(past) // a connection that is closed already needs none
 }
 
 // closeOlder closes what is unused since before a time.
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -19,13 +20,29 @@
 	*overload.Guard
 }
 
+// overloadLogInterval is the time between two lines about a host that is overloaded.
+const overloadLogInterval = time.Second
+
 // WatchLag notes how late timers fire until ctx ends.
 func (s *Server) WatchLag(ctx context.Context) {
+	var logged time.Time
+	overloaded := false
 	for began := time.Now(); wait.For(ctx, overload.SampleInterval); began = time.Now() {
-		s.guard.Lock()
 		now := time.Now()
-		s.guard.Observe(now.Sub(began)-overload.SampleInterval, now)
+		lag := now.Sub(began) - overload.SampleInterval
+		s.guard.Lock()
+		s.guard.Observe(lag, now)
+		level := s.guard.Level()
 		s.guard.Unlock()
+		l := s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithField("connections", s.Connections())
+		switch limited := !math.IsInf(level, 1); {
+		case limited && now.Sub(logged) >= overloadLogInterval:
+			logged = now
+			l.WithField("level", math.Round(level)).Warn("Host is overloaded. The accounts that ask most are limited.")
+		case overloaded && !limited:
+			l.Info("Host is not overloaded any more.")
+		}
+		overloaded = !math.IsInf(level, 1)
 	}
 }
 
