--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -68,13 +67,8 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	open := false
-	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && open
+	open, unread := netopt.Peek(c.raw)
+	return open && !unread
 }
 
 // pool keeps unused connections by address.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,6 +78,9 @@
 	if err := q.stillAllowed(); err != nil {
 		return err
 	}
+	if callerLeft(q.r.Context()) {
+		return fault.New(fault.CallerGone, fault.NotRun, "the caller left before the request was sent")
+	}
 	q.sends++
 	f, err := q.s.o.Forward.Forward(ctx, q.forwardRequest(p.Instance))
 	if err != nil {
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -2,15 +2,42 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"marigoldshunt/internal/netopt"
 )
 
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			return context.WithValue(ctx, connKey{}, raw)
+		}
+	}
+	return ctx
+}
+
+// callerLeft reports whether the caller of a request has closed its connection. The server
+// notices that by itself, but on a busy host long after.
+func callerLeft(ctx context.Context) bool {
+	raw, ok := ctx.Value(connKey{}).(syscall.RawConn)
+	if !ok {
+		return false
+	}
+	open, _ := netopt.Peek(raw)
+	return !open
+}
+
 // connections knows the connections of callers and closes unused ones: those that are
 // unused for too long, and the longest unused ones when there are too many.
 type connections struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,7 @@
 	s.guard.Guard = overload.New()
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: o.ReadTimeout, ReadTimeout: 0, MaxHeaderBytes: o.HeaderBytes,
-		ConnState: s.conns.changed,
+		ConnState: s.conns.changed, ConnContext: withConn,
 		// Broken requests of callers are answered by the server and need no line each.
 		ErrorLog:    log.New(io.Discard, "", 0),
 		BaseContext: func(net.Listener) context.Context { return context.Background() },
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -38,7 +38,7 @@
 		switch limited := !math.IsInf(level, 1); {
 		case limited && now.Sub(logged) >= overloadLogInterval:
 			logged = now
-			l.WithField("level", math.Round(level)).Warn("Host is overloaded. The accounts that ask most are limited.")
+			l.WithField("per_second", math.Round(level)).Warn("Host is overloaded. The accounts that ask most are limited.")
 		case overloaded && !limited:
 			l.Info("Host is not overloaded any more.")
 		}
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -108,3 +108,23 @@
 	defer c.mu.Unlock()
 	return c.idle.Len()
 }
+
+// Guards against requests that a busy host sends on after their callers have left.
+func TestCallerLeft(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	near, err := net.Dial("tcp", ln.Addr().String())
+	c.Assert(err, qt.IsNil)
+	far, err := ln.Accept()
+	c.Assert(err, qt.IsNil)
+	defer far.Close()
+	ctx := withConn(context.Background(), far)
+	c.Assert(callerLeft(ctx), qt.IsFalse)
+	c.Assert(near.Close(), qt.IsNil)
+	for end := time.Now().Add(10 * time.Second); !callerLeft(ctx); time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	c.Assert(callerLeft(context.Background()), qt.IsFalse)
+}
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -1,10 +1,12 @@
-// Package netopt makes TCP connections that end when the other side falls silent.
+// Package netopt makes TCP connections that end when the other side falls silent, and
+// looks at their state.
 //
 // A connection whose packets are lost for good, without a reset, otherwise takes what is
 // written to it for many minutes, while new connections to the same place work.
 package netopt
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -45,3 +47,16 @@
 	}
 	return fault.Wrap(err, fault.Internal, "", "set the user timeout of a connection")
 }
+
+// Peek reports what the other side of a connection has done, without waiting and without
+// taking anything: open is false once it has closed or reset the connection, and unread is
+// true while bytes wait to be read.
+func Peek(c syscall.RawConn) (open, unread bool) {
+	err := c.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+		open = unread || errors.Is(err, syscall.EAGAIN)
+	})
+	return open && err == nil, unread
+}
