Refuse new connections at once while even refusals take too long

The guard now also sets the part of the new connections that is taken; the others get their 503 with a Retry-After before the request is parsed. It lowers nothing more while the lag falls by itself.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,7 +106,7 @@
 
 // Serve serves connections of ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(ln)
+	err := s.http.Serve(shedListener{ln, s})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -5,7 +5,8 @@
 // after their callers have left, and the host loses touch with the fleet. The Guard notes
 // how late the host's own timers fire, and while they are late it limits the accounts that
 // ask for most, each to the same rate. It answers loads in which few accounts send most of
-// the fleet's requests to one host.
+// the fleet's requests to one host. Where even refusing takes too long, the Guard has a
+// part of the new connections refused before their requests are looked at.
 //
 // The package does no I/O and reads no clock.
 package overload
@@ -31,6 +32,17 @@
 	// host harms requests that it has accepted already.
 	lower = 0.7
 	raise = 1.1
+	// shedTimer is the mean lag above which new connections are refused. Each change leaves
+	// shedKeep of those that were taken, down to minTaken, and a calm host takes takeMore
+	// more of all. Going back is slow, because the flood is still there when the host has
+	// become calm.
+	shedTimer = 2 * lateTimer
+	shedKeep  = 0.6
+	minTaken  = 0.05
+	takeMore  = 0.01
+	// falling is the part of the lag at the last change below which the lag falls by itself:
+	// the host works off what it had taken.
+	falling = 0.95
 	// minLevel in requests per second keeps every account served a little.
 	minLevel = 5.0
 	// rateLife is the time over which the rate of an account is averaged.
@@ -50,9 +62,13 @@
 type Guard struct {
 	// level is the rate in requests per second that each account may have; it is infinite
 	// while the host is not overloaded.
-	level    float64
-	lag      time.Duration
-	changed  time.Time
+	level float64
+	// taken is the part of the new connections that is not refused.
+	taken   float64
+	lag     time.Duration
+	changed time.Time
+	// lagThen is the lag at the last change.
+	lagThen  time.Duration
 	accounts map[string]*account
 }
 
@@ -64,7 +80,7 @@
 }
 
 // New returns a Guard that accepts everything.
-func New() *Guard { return &Guard{level: math.Inf(1), accounts: map[string]*account{}} }
+func New() *Guard { return &Guard{level: math.Inf(1), taken: 1, accounts: map[string]*account{}} }
 
 // Observe takes how late a timer of the host fired. It is called every SampleInterval.
 func (g *Guard) Observe(lag time.Duration, now time.Time) {
@@ -72,13 +88,17 @@
 	if now.Sub(g.changed) < adjustInterval {
 		return
 	}
+	worse := float64(g.lag) > falling*float64(g.lagThen)
+	g.changed, g.lagThen = now, g.lag
 	switch {
-	case g.lag > lateTimer:
-		g.changed = now
+	case g.lag > lateTimer && worse:
 		g.level = max(min(g.level, g.highest(now))*lower, minLevel)
+		if g.lag > shedTimer {
+			g.taken = max(g.taken*shedKeep, minTaken)
+		}
 	case g.lag < calmTimer && !math.IsInf(g.level, 1):
-		g.changed = now
-		if g.level *= raise; g.level > 2*g.highest(now) {
+		g.taken = min(g.taken+takeMore, 1)
+		if g.level *= raise; g.taken == 1 && g.level > 2*g.highest(now) {
 			g.level = math.Inf(1)
 		}
 	}
@@ -126,6 +146,10 @@
 	return true
 }
 
+// Shed reports whether a new connection is refused at once. u is a random number from 0 up
+// to 1.
+func (g *Guard) Shed(u float64) bool { return u >= g.taken }
+
 // Level returns the rate in requests per second that each account may have, infinite while
 // the host is not overloaded.
 func (g *Guard) Level() float64 { return g.level }
