--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -154,7 +154,10 @@
 	}
 	d := e.d
 	g, ctx := errgroup.WithContext(ctx)
-	ln, err := net.Listen("tcp", e.s.GatewayAddress)
+	// Probes cost four system calls for each connection. The idle time and the deadlines of
+	// requests end connections whose callers are gone.
+	lc := net.ListenConfig{KeepAlive: -1}
+	ln, err := lc.Listen(ctx, "tcp", e.s.GatewayAddress)
 	if err != nil {
 		return fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", e.s.GatewayAddress)
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -98,7 +98,9 @@
 		}
 	case g.lag < calmTimer && !math.IsInf(g.level, 1):
 		g.taken = min(g.taken+takeMore, 1)
-		if g.level *= raise; g.taken == 1 && g.level > 2*g.highest(now) {
+		// Above twice the highest rate the level limits nobody.
+		enough := max(2*g.highest(now), minLevel)
+		if g.level = min(g.level*raise, enough); g.taken == 1 && g.level == enough {
 			g.level = math.Inf(1)
 		}
 	}
