--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,7 @@
 		if f.Run != fault.NotRun {
 			q.ran = true
 			runs++
-			if err := q.s.crashes.check(q.digest); err != nil {
+			if err := q.s.crashes.check(q.fingerprint); err != nil {
 				return err
 			}
 		}
@@ -100,7 +100,7 @@
 // noteBreak has an instance looked at whose connection broke under the request.
 func (q *request) noteBreak(ctx context.Context, p *dispatch.Placement, err error) {
 	if err != nil && ctx.Err() == nil && fault.As(err).Run == fault.MayHaveRun && fault.CodeOf(err) != fault.CallerGone {
-		q.s.crashes.broke(q.service.Name, q.digest, p.Instance)
+		q.s.crashes.broke(q.service.Name, q.fingerprint(), p.Instance)
 	}
 }
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -78,8 +78,11 @@
 	return err
 }
 
-// fingerprint identifies a request by account, method, target and body.
+// fingerprint identifies a request over its repeats by account, method, target and body.
 func (q *request) fingerprint() wire.Digest {
+	if q.digest != nil {
+		return *q.digest
+	}
 	h := sha256.New()
 	for _, part := range []string{q.account, q.r.Method, q.r.Host, q.target} {
 		_, _ = h.Write(append([]byte(part), 0)) // a hash takes everything
@@ -87,13 +90,19 @@
 	_, _ = h.Write(q.body)
 	var d wire.Digest
 	copy(d[:], h.Sum(nil))
+	q.digest = &d
 	return d
 }
 
-// check refuses a request that has crashed too many upstreams.
-func (c *crashes) check(fp wire.Digest) error {
+// check refuses a request that has crashed too many upstreams. The fingerprint is asked for
+// only while there are marks, because it costs a hash of the body.
+func (c *crashes) check(fingerprint func() wire.Digest) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.own)+len(c.recorded) == 0 {
+		return nil
+	}
+	fp := fingerprint()
 	n := len(c.recorded[fp])
 	for instance := range c.own[fp] {
 		if !c.recorded[fp][instance] {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -44,13 +44,13 @@
 	x.broke("s", innocent, catalog.Instance{ID: "c", Address: "c:1"})
 	x.broke("s", bad, catalog.Instance{ID: "a", Address: "a:1"})
 	<-rec.said
-	c.Assert(x.check(bad), qt.IsNil)
+	c.Assert(x.check(is(bad)), qt.IsNil)
 	x.broke("s", bad, catalog.Instance{ID: "b", Address: "b:1"})
 	<-rec.said
-	err := x.check(bad)
+	err := x.check(is(bad))
 	c.Assert(fault.CodeOf(err), qt.Equals, fault.CrashesUpstreams)
 	c.Assert(fault.As(err).Run, qt.Equals, fault.NotRun)
-	c.Assert(x.check(innocent), qt.IsNil)
+	c.Assert(x.check(is(innocent)), qt.IsNil)
 	c.Assert(rec.marks, qt.HasLen, 2)
 }
 
@@ -96,3 +96,5 @@
 	}
 	c.Assert(looks, qt.Equals, 1)
 }
+
+func is(d wire.Digest) func() wire.Digest { return func() wire.Digest { return d } }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -34,8 +34,8 @@
 	// aim is when the first event, or the whole answer, should be there.
 	aim time.Time
 	job dispatch.Job
-	// digest identifies the request over its repeats.
-	digest wire.Digest
+	// digest is the fingerprint once it was computed.
+	digest *wire.Digest
 	// began is true once the head of an answer was written.
 	began bool
 	// lastEvent is the id of the last event that the caller got.
@@ -104,8 +104,7 @@
 	q.header = q.s.o.Dialect.forwarded(q.r.Header, q.account)
 	q.lastEvent = q.r.Header.Get(q.s.o.Dialect.LastEvent)
 	q.setJob()
-	q.digest = q.fingerprint()
-	if err := q.s.crashes.check(q.digest); err != nil {
+	if err := q.s.crashes.check(q.fingerprint); err != nil {
 		return err
 	}
 	q.s.o.Dispatch.countRequest(&q.job)
