Rank accounts by what they were served; a host's own delay is no owner's silence

Ranks now follow from the tokens that an account was served over all hosts, requests under way included, and the last rank gets idle engines only.

The wait is postponed by the host's own delay.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -206,7 +206,8 @@
 func (a *Admission) wait(ctx context.Context, t *Ticket, c *call) error {
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
-	due := a.o.Now().Add(silentAfter)
+	looked := a.o.Now()
+	due := looked.Add(silentAfter)
 	var again time.Time
 	for {
 		select {
@@ -224,6 +225,8 @@
 			return fault.New(fault.WaitExpired, fault.NotRun, "not admitted in time")
 		case <-check.C:
 			now := a.o.Now()
+			due = postponed(due, now.Sub(looked))
+			looked = now
 			if a.lost(t, due, now) {
 				a.count("bypassed")
 				return nil
@@ -236,6 +239,16 @@
 	}
 }
 
+// postponed moves a due time by what this host's own timer is late. To a host that is short
+// of processor time every owner seems silent, and what it sent without consent would reach
+// the engines unpaced.
+func postponed(due time.Time, sinceLastLook time.Duration) time.Time {
+	if late := sinceLastLook - checkInterval; late > 0 && !due.IsZero() {
+		return due.Add(late)
+	}
+	return due
+}
+
 // lost reports whether a verdict is overdue or the gate has another owner by now. A zero
 // due time means that the owner has answered.
 func (a *Admission) lost(t *Ticket, due, now time.Time) bool {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -123,6 +123,17 @@
 	c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
 }
 
+// Guards against a flood that reaches the engines unpaced, because owners seem silent to a
+// host whose own timers fire late.
+func TestOwnDelayIsNotSilence(t *testing.T) {
+	c := qt.New(t)
+	due := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	c.Assert(postponed(due, checkInterval), qt.Equals, due)
+	c.Assert(postponed(due, checkInterval-time.Millisecond), qt.Equals, due)
+	c.Assert(postponed(due, checkInterval+700*time.Millisecond), qt.Equals, due.Add(700*time.Millisecond))
+	c.Assert(postponed(time.Time{}, time.Minute).IsZero(), qt.IsTrue)
+}
+
 // Guards against a caller that leaves and keeps its place in the queue.
 func TestWithdrawnRequestFreesItsPlace(t *testing.T) {
 	c := qt.New(t)
--- a/internal/daemon/edge_loads.go
+++ b/internal/daemon/edge_loads.go
@@ -44,7 +44,7 @@
 				list[i] = dispatch.Load(l)
 			}
 			d.SetPeerLoads(sum.DataCentre, list, now)
-			d.SetPeerDemands(sum.DataCentre, sum.Loads.Demands, sum.Loads.Served, now)
+			d.SetPeerRates(sum.DataCentre, dispatch.AccountRates{Asked: sum.Loads.Demands, Served: sum.Loads.Served}, now)
 			for _, g := range sum.Loads.Gates {
 				d.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs}, now)
 			}
@@ -60,7 +60,8 @@
 			for _, l := range d.OwnLoads() {
 				own.Instances = append(own.Instances, wire.InstanceLoad(l))
 			}
-			own.Demands, own.Served = d.OwnDemands(now)
+			rates := d.OwnRates(now)
+			own.Demands, own.Served = rates.Asked, rates.Served
 		})
 		now := time.Now()
 		e.loadsMu.Lock()
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -43,12 +43,12 @@
 	for _, n := range []int{16, 680, 6_800} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := newShares()
-			s.tiers[WithinContract].capacity = 1_000
+			s.contract = 1_000
 			rates := map[string]float64{}
 			for i := range n {
 				rates[fmt.Sprint("acc", i)] = 10
 			}
-			s.SetPeer("dc1", rates, 1_000, at(0))
+			s.SetPeer("dc1", AccountRates{rates, rates}, at(0))
 			b.ReportAllocs()
 			now := at(0)
 			for i := 0; b.Loop(); i++ {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -85,7 +85,7 @@
 // SetServices takes the services of a new routing document, and the tokens per second that
 // their engines produce together.
 func (d *Dispatcher) SetServices(services []routing.Service, tokensPerSecond float64) {
-	d.shares.tiers[WithinContract].capacity = tokensPerSecond
+	d.shares.contract = tokensPerSecond
 	d.services = map[string]*routing.Service{}
 	for i := range services {
 		d.services[services[i].Name] = &services[i]
@@ -153,8 +153,12 @@
 	}
 }
 
-// Served notes that a generation was admitted.
-func (d *Dispatcher) Served(j *Job, now time.Time) { d.shares.Served(j.tokens(), now) }
+// Refused notes that a generation was not admitted.
+func (d *Dispatcher) Refused(j *Job, now time.Time) {
+	if j.InputTokens > 0 {
+		d.shares.Refused(j.Account, j.tokens(), now)
+	}
+}
 
 // maxDeclined is the number of engines that are asked for admission.
 const maxDeclined = 2
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -45,7 +45,7 @@
 // aimShare is the part of the time to the aim that an accepted prompt may be expected to
 // take. The rest covers what the estimate does not see. Requests beyond their account's
 // share fill idle engines and never delay others for long.
-var aimShare = [...]float64{WithinContract: 0.85, WithinCapacity: 0.3, Excess: 0.1}
+var aimShare = [...]float64{WithinContract: 0.85, WithinCapacity: 0.3, Excess: 0}
 
 // Gate admits requests to one engine. It paces the prompts, so that what waits, waits here
 // in the order of its aims, and refuses at once what would come too late. It answers loads
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -75,13 +75,10 @@
 	}
 }
 
-// SetPeerDemands takes what the callers of another host ask for and are served, in tokens
-// per second, the former by account.
-func (d *Dispatcher) SetPeerDemands(host string, demands map[string]float64, served float64, now time.Time) {
-	d.shares.SetPeer(host, demands, served, now)
+// SetPeerRates takes what the callers of other hosts ask for and are served.
+func (d *Dispatcher) SetPeerRates(from string, r AccountRates, now time.Time) {
+	d.shares.SetPeer(from, r, now)
 }
 
-// OwnDemands returns what this host's callers ask for and are served.
-func (d *Dispatcher) OwnDemands(now time.Time) (demands map[string]float64, served float64) {
-	return d.shares.Own(now)
-}
+// OwnRates returns what this host's callers ask for and are served.
+func (d *Dispatcher) OwnRates(now time.Time) AccountRates { return d.shares.Own(now) }
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// rateLife is the time over which the demand of an account is averaged.
+// rateLife is the time over which the rates of an account are averaged.
 const rateLife = 2 * time.Second
 
 // excessTolerance keeps small differences between hosts from marking requests.
@@ -17,37 +17,40 @@
 
 // Ranks, the most urgent first.
 const (
-	// WithinContract requests are within the account's max-min share of the tokens that the
-	// routing document promises.
+	// WithinContract requests are of accounts that ask for no more than their max-min share
+	// of the tokens that the routing document promises, or were served less than that. So
+	// are those of accounts that ask for no more than their share of what the engines serve
+	// at present, and were served less than half of it.
 	WithinContract Rank = iota
-	// WithinCapacity requests are within its share of what the engines serve at present,
-	// which is more while prompts are found kept.
+	// WithinCapacity requests are of accounts that were served less than their share of
+	// what the engines serve at present, which is more while prompts are found kept.
 	WithinCapacity
 	// Excess requests are beyond both.
 	Excess
 )
 
+// AccountRates are what the callers of some hosts ask for and are served, in tokens per
+// second by account.
+type AccountRates struct{ Asked, Served map[string]float64 }
+
 // Shares ranks the requests of accounts by max-min shares. It answers loads in which few
 // accounts ask for many times the usual.
+//
+// An account's rank follows from what it was served, so an account whose requests meet
+// busier engines than those of others keeps its rank until it has had as much.
 type Shares struct {
-	own    map[string]*rate
-	served rate
-	peers  map[string]peerRates
-	// levelsAt is when the levels of the tiers were computed.
+	own   map[string]*accountRates
+	peers map[string]peerRates
+	// levelsAt is when the levels were computed.
 	levelsAt time.Time
-	// tiers are the shares of WithinContract and WithinCapacity.
-	tiers [2]tier
+	// contract is the capacity that the document promises in tokens per second; 0 means that
+	// nothing is shared out.
+	contract float64
+	// levels are the shares of WithinContract and WithinCapacity.
+	levels [2]float64
 }
 
-// tier is one way to share out a capacity.
-type tier struct {
-	// capacity is in tokens per second; 0 means that nothing is shared out.
-	capacity float64
-	level    float64
-	// credit is the part of an account's demand that is within its share, carried over
-	// from request to request.
-	credit map[string]float64
-}
+type accountRates struct{ asked, served rate }
 
 type rate struct {
 	perSecond float64
@@ -55,17 +58,12 @@
 }
 
 type peerRates struct {
-	demands map[string]float64
-	served  float64
-	at      time.Time
+	AccountRates
+	at time.Time
 }
 
 func newShares() *Shares {
-	s := &Shares{own: map[string]*rate{}, peers: map[string]peerRates{}}
-	for i := range s.tiers {
-		s.tiers[i] = tier{credit: map[string]float64{}, level: math.Inf(1)}
-	}
-	return s
+	return &Shares{own: map[string]*accountRates{}, peers: map[string]peerRates{}, levels: [2]float64{math.Inf(1), math.Inf(1)}}
 }
 
 func (r *rate) decay(now time.Time) {
@@ -77,65 +75,67 @@
 
 func (r *rate) add(tokens float64, now time.Time) {
 	r.decay(now)
-	r.perSecond += tokens / rateLife.Seconds()
+	r.perSecond = max(r.perSecond+tokens/rateLife.Seconds(), 0)
 }
 
-// Served notes that tokens which an account asked for are served.
-func (s *Shares) Served(tokens float64, now time.Time) { s.served.add(tokens, now) }
+func (s *Shares) account(name string) *accountRates {
+	a := s.own[name]
+	if a == nil {
+		a = &accountRates{}
+		s.own[name] = a
+	}
+	return a
+}
 
-// Demand notes that an account asks for tokens and ranks the request.
+// Demand notes that an account asks for tokens and ranks the request. The tokens count as
+// served until Refused, so that requests that come together do not all pass as the first.
 func (s *Shares) Demand(account string, tokens float64, now time.Time) Rank {
-	r := s.own[account]
-	if r == nil {
-		r = &rate{}
-		s.own[account] = r
-	}
-	r.add(tokens, now)
+	a := s.account(account)
+	a.asked.add(tokens, now)
 	s.setLevels(now)
-	demand := s.demand(account, now)
-	for i := range s.tiers {
-		if s.tiers[i].within(account, tokens, demand) {
-			return Rank(i)
-		}
+	asked, served := s.rates(account, now)
+	a.served.add(tokens, now)
+	starved := asked <= s.levels[WithinCapacity] && served < asked*starvedBelow
+	switch {
+	case asked <= s.levels[WithinContract]*excessTolerance || served < s.levels[WithinContract] || starved:
+		return WithinContract
+	case served < s.levels[WithinCapacity]:
+		return WithinCapacity
 	}
 	return Excess
 }
 
-// within takes tokens from the account's share.
-func (t *tier) within(account string, tokens, demand float64) bool {
-	if demand <= t.level*excessTolerance {
-		t.credit[account] = 0
-		return true
-	}
-	c := min(t.credit[account]+tokens*t.level/demand, 2*tokens)
-	ok := c >= tokens
-	if ok {
-		c -= tokens
-	}
-	t.credit[account] = c
-	return ok
+// starvedBelow is the part of its demand below which an account that asks for no more than
+// its share of the present capacity is as urgent as those within their contract.
+const starvedBelow = 0.5
+
+// Refused takes back tokens that an account asked for and did not get.
+func (s *Shares) Refused(account string, tokens float64, now time.Time) {
+	s.account(account).served.add(-tokens, now)
 }
 
-func (s *Shares) demand(account string, now time.Time) float64 {
-	total := 0.0
-	if r := s.own[account]; r != nil {
-		r.decay(now)
-		total = r.perSecond
+// rates returns what an account asks for and is served over all hosts.
+func (s *Shares) rates(account string, now time.Time) (asked, served float64) {
+	if a := s.own[account]; a != nil {
+		a.asked.decay(now)
+		a.served.decay(now)
+		asked, served = a.asked.perSecond, a.served.perSecond
 	}
 	for _, p := range s.peers {
 		if now.Sub(p.at) < peerMaxAge {
-			total += p.demands[account]
+			asked += p.Asked[account]
+			served += p.Served[account]
 		}
 	}
-	return total
+	return asked, served
 }
 
-// levelInterval is the time between two computations of the level.
+// levelInterval is the time between two computations of the levels.
 const levelInterval = 100 * time.Millisecond
 
-// setLevels computes for each tier the rate up to which every account gets what it asks
-// for: the level at which the demands below it, and the level itself for the others, add
-// up to the capacity.
+// setLevels computes the rates up to which every account gets what it asks for: the level
+// at which the demands below it, and the level itself for the others, add up to the
+// capacity.
 func (s *Shares) setLevels(now time.Time) {
 	if now.Sub(s.levelsAt) < levelInterval {
 		return
@@ -145,27 +145,28 @@
 	for a := range s.own {
 		accounts[a] = true
 	}
-	s.served.decay(now)
-	served := s.served.perSecond
 	for _, p := range s.peers {
 		if now.Sub(p.at) >= peerMaxAge {
 			continue
 		}
-		served += p.served
-		for a := range p.demands {
+		for a := range p.Asked {
 			accounts[a] = true
 		}
 	}
 	var demands []float64
+	total := 0.0
 	for a := range accounts {
-		demands = append(demands, s.demand(a, now))
+		asked, served := s.rates(a, now)
+		demands = append(demands, asked)
+		total += served
 	}
 	slices.Sort(demands)
-	contract := s.tiers[WithinContract].capacity
-	s.tiers[WithinCapacity].capacity = max(contract, served*servedMargin)
-	for i := range s.tiers {
-		s.tiers[i].level = maxMinLevel(demands, s.tiers[i].capacity)
+	s.levels[WithinContract] = maxMinLevel(demands, s.contract)
+	capacity := s.contract
+	if capacity > 0 {
+		capacity = max(capacity, total*servedMargin)
 	}
+	s.levels[WithinCapacity] = maxMinLevel(demands, capacity)
 }
 
 // servedMargin lets the shares grow with what the engines serve.
@@ -189,24 +190,22 @@
 // minToldRate is the least demand in tokens per second that other hosts are told.
 const minToldRate = 1.0
 
-// Own returns the demands of this host's callers by account, and what they are served.
-func (s *Shares) Own(now time.Time) (demands map[string]float64, served float64) {
-	demands = map[string]float64{}
-	for a, r := range s.own {
-		if r.decay(now); r.perSecond < minToldRate {
-			delete(s.own, a)
-			for i := range s.tiers {
-				delete(s.tiers[i].credit, a)
-			}
+// Own returns the rates of this host's callers.
+func (s *Shares) Own(now time.Time) AccountRates {
+	out := AccountRates{Asked: map[string]float64{}, Served: map[string]float64{}}
+	for name, a := range s.own {
+		a.asked.decay(now)
+		a.served.decay(now)
+		if a.asked.perSecond < minToldRate {
+			delete(s.own, name)
 			continue
 		}
-		demands[a] = r.perSecond
+		out.Asked[name], out.Served[name] = a.asked.perSecond, a.served.perSecond
 	}
-	s.served.decay(now)
-	return demands, s.served.perSecond
+	return out
 }
 
-// SetPeer takes the demands at another host and what its callers are served.
-func (s *Shares) SetPeer(host string, demands map[string]float64, served float64, now time.Time) {
-	s.peers[host] = peerRates{demands: demands, served: served, at: now}
+// SetPeer takes the rates of the callers of other hosts.
+func (s *Shares) SetPeer(from string, r AccountRates, now time.Time) {
+	s.peers[from] = peerRates{r, now}
 }
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -27,17 +27,20 @@
 }
 
 // Guards against an account that takes the shares of others by asking for many times the
-// usual, also over several hosts, and against marks on accounts within their share.
+// usual, also over several hosts, and against marks on accounts within their share. All
+// that is within the contract is served, and nothing else.
 func TestSharesRankFloods(t *testing.T) {
 	c := qt.New(t)
 	a, b := newShares(), newShares()
-	a.tiers[WithinContract].capacity, b.tiers[WithinContract].capacity = 10_000, 10_000
+	a.contract, b.contract = 10_000, 10_000
 	within := map[string]float64{}
 	for ms := 0; ms < 20_000; ms += 10 {
 		now := at(ms)
 		for i, s := range []*Shares{a, b} {
 			// The flood asks for 20,000 tokens/s at each host, the others for 1,000.
-			if s.Demand("flood", 200, now) == WithinContract && ms >= 10_000 {
+			if rank := s.Demand("flood", 200, now); rank != WithinContract {
+				s.Refused("flood", 200, now)
+			} else if ms >= 10_000 {
 				within["flood"] += 200
 			}
 			for _, quiet := range []string{"x", "y", "z"} {
@@ -49,8 +52,7 @@
 			}
 			if ms%100 == 0 {
 				other := []*Shares{b, a}[i]
-				demands, served := s.Own(now)
-				other.SetPeer([]string{"a", "b"}[i], demands, served, now)
+				other.SetPeer([]string{"a", "b"}[i], s.Own(now), now)
 			}
 		}
 	}
@@ -63,17 +65,51 @@
 func TestSharesOfServedCapacity(t *testing.T) {
 	c := qt.New(t)
 	s := newShares()
-	s.tiers[WithinContract].capacity = 2_000
+	s.contract = 2_000
 	got := map[string]float64{}
+	served := 0.0
 	for ms := 0; ms < 20_000; ms += 10 {
 		now := at(ms)
-		s.Served(100, now)
-		for account, tokens := range map[string]float64{"big": 300, "small": 80} {
-			if s.Demand(account, tokens, now) <= WithinCapacity && ms >= 10_000 {
+		// The engines serve 10,000 tokens/s, five times what the contract promises.
+		served = max(served-100, 0)
+		for _, account := range []string{"big", "small"} {
+			tokens := map[string]float64{"big": 300, "small": 80}[account]
+			if s.Demand(account, tokens, now) == Excess || served > 1_000 {
+				s.Refused(account, tokens, now)
+				continue
+			}
+			served += tokens
+			if ms >= 10_000 {
 				got[account] += tokens
 			}
 		}
 	}
 	c.Assert(got["small"] >= got["big"]/2, qt.IsTrue, qt.Commentf("%v", got))
 	c.Assert(got["big"] >= got["small"]/2, qt.IsTrue, qt.Commentf("%v", got))
+	c.Assert(got["big"]+got["small"] > 80_000, qt.IsTrue, qt.Commentf("%v", got))
+}
+
+// Guards against an account that is refused more often than another one beyond its share,
+// because its prompts meet busier engines, and whose next requests then rank no better.
+func TestSharesMakeUpForRefusals(t *testing.T) {
+	c := qt.New(t)
+	s := newShares()
+	s.contract = 10_000
+	got := map[string]float64{}
+	for ms := 0; ms < 20_000; ms += 10 {
+		now := at(ms)
+		for i, account := range []string{"lucky", "unlucky"} {
+			rank := s.Demand(account, 200, now)
+			// The engines of one account take all that is within the contract, those of the
+			// other one a third of it.
+			if rank != WithinContract || i == 1 && ms%30 != 0 {
+				s.Refused(account, 200, now)
+				continue
+			}
+			if ms >= 10_000 {
+				got[account] += 200
+			}
+		}
+	}
+	c.Assert(got["unlucky"] >= got["lucky"]*0.8, qt.IsTrue, qt.Commentf("%v", got))
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,7 +73,6 @@
 	}
 	q.s.time("admission", asked)
 	defer ticket.Done()
-	q.s.o.Dispatch.served(&q.job)
 	q.ticket = ticket
 	if err := q.stillAllowed(); err != nil {
 		return err
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -68,8 +68,9 @@
 	})
 }
 
-func (x *Dispatch) served(j *dispatch.Job) {
-	x.Update(func(d *dispatch.Dispatcher, now time.Time) { d.Served(j, now) })
+// refused notes that no engine got the request.
+func (x *Dispatch) refused(j *dispatch.Job) {
+	x.Update(func(d *dispatch.Dispatcher, now time.Time) { d.Refused(j, now) })
 }
 
 func (x *Dispatch) takeRepeat(service string) (ok bool) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -212,6 +212,9 @@
 	if err == nil {
 		return nil
 	}
+	if q.sends == 0 {
+		q.s.o.Dispatch.refused(&q.job)
+	}
 	f := fault.As(err)
 	switch {
 	case q.r.Context().Err() != nil:
--- a/internal/loadplay/fleet.go
+++ b/internal/loadplay/fleet.go
@@ -80,6 +80,7 @@
 			return
 		}
 		if !j.MayAskAgain(declined) {
+			f.hosts[t.Host].Refused(j, now)
 			f.w.Refuse(t, dispatch.ReturnDelay(wait, t.Kind.Objective))
 			return
 		}
@@ -105,7 +106,7 @@
 	}
 	f.placed[id], f.asks[t] = &placed{t, j, p, engine}, id
 	if v.Granted {
-		f.grant(id, now)
+		f.grant(id)
 	}
 	return 0, true
 }
@@ -119,9 +120,8 @@
 	panic("an instance that was never listed: " + i.ID)
 }
 
-func (f *fleet) grant(id dispatch.AskID, now time.Time) {
+func (f *fleet) grant(id dispatch.AskID) {
 	p := f.placed[id]
-	f.hosts[p.t.Host].Served(p.job, now)
 	f.w.Send(p.t, p.engine)
 }
 
@@ -157,7 +157,7 @@
 func (f *fleet) next(engine int, now time.Time) {
 	granted, refused := f.gates[engine].Next(now)
 	for _, id := range granted {
-		f.grant(id, now)
+		f.grant(id)
 	}
 	f.refuse(refused, now)
 }
@@ -168,6 +168,7 @@
 		delete(f.asks, p.t)
 		delete(f.placed, id)
 		p.placement.Done(dispatch.Refused, now)
+		f.hosts[p.t.Host].Refused(p.job, now)
 		f.w.Refuse(p.t, dispatch.ReturnDelay(0, p.t.Kind.Objective))
 	}
 }
@@ -184,10 +185,10 @@
 		}
 	}
 	for i, from := range f.hosts {
-		demands, served := from.OwnDemands(now)
+		rates := from.OwnRates(now)
 		for j, to := range f.hosts {
 			if i != j {
-				to.SetPeerDemands(fmt.Sprint(i), demands, served, now)
+				to.SetPeerRates(fmt.Sprint(i), rates, now)
 			}
 		}
 	}
--- a/internal/loadplay/loadplay_test.go
+++ b/internal/loadplay/loadplay_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// Guards against an account that gets less than half of what it asks for or the best served
+// one gets, while few accounts ask for many times their share.
+func TestFleetIsFairUnderFloods(t *testing.T) {
+	for seed := range int64(3) {
+		c := qt.New(t)
+		l, err := ReadFile("../../examples/loads/floods.toml")
+		c.Assert(err, qt.IsNil)
+		l.Seed = seed
+		r := Play(l, newFleet)
+		c.Check(r.Unfair(), qt.Equals, 0, qt.Commentf("seed %d", seed))
+	}
+}
+
 // Guards against a load that the engines bear and the fleet refuses.
 func TestFleetServesWhatFits(t *testing.T) {
 	c := qt.New(t)
--- a/internal/loadplay/result.go
+++ b/internal/loadplay/result.go
@@ -21,6 +21,10 @@
 	// servedBy holds, by account, the tokens of the answers that began in each second, and
 	// askedBy what the account asked for.
 	servedBy, askedBy map[string][]float64
+	// turnedBy counts, by account and second, the requests that were refused or late, and
+	// largest is the largest request of each account.
+	turnedBy map[string][]int
+	largest  map[string]float64
 	// worth holds the worth earned by requests that came in each second.
 	worth, owed []float64
 }
@@ -38,6 +42,7 @@
 	seconds := int((l.Length + drainTime).Seconds()) + 1
 	r := &Result{
 		Policy: policy, load: l, ByKind: map[string]*Tally{}, servedBy: map[string][]float64{}, askedBy: map[string][]float64{},
+		turnedBy: map[string][]int{}, largest: map[string]float64{},
 		worth: make([]float64, seconds), owed: make([]float64, seconds),
 	}
 	for _, k := range l.Kinds {
@@ -46,6 +51,7 @@
 	for _, a := range l.Accounts {
 		r.servedBy[a.Name] = make([]float64, seconds)
 		r.askedBy[a.Name] = make([]float64, seconds)
+		r.turnedBy[a.Name] = make([]int, seconds)
 	}
 	return r
 }
@@ -61,13 +67,16 @@
 func (r *Result) asked(q *Request) {
 	r.each(q, func(t *Tally) { t.Asked++; t.Owed += q.Kind.Worth })
 	r.owed[second(q.At)] += q.Kind.Worth
-	r.askedBy[q.Account][second(q.At)] += float64(q.inputTokens() + q.Output)
+	tokens := float64(q.inputTokens() + q.Output)
+	r.askedBy[q.Account][second(q.At)] += tokens
+	r.largest[q.Account] = max(r.largest[q.Account], tokens)
 }
 
 func (r *Result) answered(t *Try, _ time.Time) {
 	earned := t.Kind.Worth
 	if t.late {
 		earned = t.Kind.LateWorth
+		r.turnedBy[t.Account][second(t.At)]++
 	}
 	r.each(t.Request, func(x *Tally) {
 		x.Earned += earned
@@ -87,6 +96,7 @@
 // held notes how long an attempt was kept until it was refused.
 func (r *Result) held(t *Try, now time.Time) {
 	r.each(t.Request, func(x *Tally) { x.holds = append(x.holds, now.Sub(t.arrived)) })
+	r.turnedBy[t.Account][second(t.At)]++
 }
 
 func (r *Result) failed(t *Try, _ time.Time) { r.each(t.Request, func(x *Tally) { x.Failed++ }) }
@@ -146,6 +156,31 @@
 	return gap
 }
 
+// Unfair counts the spans of six seconds in which an account was turned away in each second
+// and was served less than half of what it asked for or the best served account got,
+// whichever is less, apart from three of its largest requests.
+func (r *Result) Unfair() (spans int) {
+	for from := 0; from+fairWindow <= int(r.load.Length.Seconds()); from++ {
+		best, most := "", -1.0
+		for _, a := range r.load.Accounts {
+			if s := sum(r.servedBy[a.Name][from : from+fairWindow]); s > most {
+				best, most = a.Name, s
+			}
+		}
+		for _, a := range r.load.Accounts {
+			due, always := 0.0, true
+			for s := from; s < from+fairWindow; s++ {
+				due += min(r.askedBy[a.Name][s], r.servedBy[best][s]) / 2
+				always = always && r.turnedBy[a.Name][s] > 0
+			}
+			if always && sum(r.servedBy[a.Name][from:from+fairWindow])+3*r.largest[a.Name] < due {
+				spans++
+			}
+		}
+	}
+	return spans
+}
+
 // backloggedBelow is the part of its demand below which an account counts as backlogged.
 const backloggedBelow = 0.9
 
@@ -159,14 +194,14 @@
 // WriteTable writes the results of one load, a row for each policy and kind.
 func WriteTable(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "policy\tkind\tasked\tin time\tlate\trefused\tfailed\tworth\twait p50\twait p95\trefused after p95\tread\tread again\tfairness gap")
+	fmt.Fprintln(t, "policy\tkind\tasked\tin time\tlate\trefused\tfailed\tworth\twait p50\twait p95\trefused after p95\tread\tread again\tfairness gap\tunfair spans")
 	for _, r := range results {
 		read, again := r.Read()
 		row(t, r.Policy, "all", &r.Total)
-		fmt.Fprintf(t, "\t%d\t%d\t%.2f\n", read, again, r.FairnessGap())
+		fmt.Fprintf(t, "\t%d\t%d\t%.2f\t%d\n", read, again, r.FairnessGap(), r.Unfair())
 		for _, k := range r.load.Kinds {
 			row(t, r.Policy, k.Name, r.ByKind[k.Name])
-			fmt.Fprintln(t, "\t\t\t")
+			fmt.Fprintln(t, "\t\t\t\t")
 		}
 	}
 	return t.Flush()
--- a/internal/loads/bench_test.go
+++ b/internal/loads/bench_test.go
@@ -21,12 +21,13 @@
 			e := New("0-00", "dc0")
 			e.SetHosts(hosts)
 			report := func(i int) wire.Loads {
-				l := wire.Loads{Demands: map[string]float64{}, Served: 100}
+				l := wire.Loads{Demands: map[string]float64{}, Served: map[string]float64{}}
 				for k := range 2 {
 					l.Gates = append(l.Gates, wire.GateLoad{ID: fmt.Sprint("i-7f3a91c2", i, k), Backlog: 3_000, Running: 20, PerMs: 44})
 				}
 				for k := range 4 {
-					l.Demands[fmt.Sprint("account-", (i*4+k)%680)] = 1_000
+					account := fmt.Sprint("account-", (i*4+k)%680)
+					l.Demands[account], l.Served[account] = 1_000, 900
 				}
 				return l
 			}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -128,7 +128,7 @@
 
 // sum adds up the reports of this data centre.
 func (e *Exchange) sum(now time.Time) wire.Loads {
-	out := wire.Loads{Demands: map[string]float64{}}
+	out := wire.Loads{Demands: map[string]float64{}, Served: map[string]float64{}}
 	type key struct {
 		id   string
 		born int64
@@ -150,10 +150,8 @@
 			out.Instances[i].Reading += l.Reading
 		}
 		out.Gates = append(out.Gates, r.loads.Gates...)
-		for account, d := range r.loads.Demands {
-			out.Demands[account] += d
-		}
-		out.Served += r.loads.Served
+		addRates(out.Demands, r.loads.Demands)
+		addRates(out.Served, r.loads.Served)
 	}
 	return out
 }
@@ -217,11 +215,21 @@
 			}
 		}
 	}
-	demands := make(map[string]float64, len(sum.Demands))
-	for account, d := range sum.Demands {
-		demands[account] = max(d-own.Demands[account], 0)
-	}
-	sum.Demands = demands
-	sum.Served = max(sum.Served-own.Served, 0)
+	sum.Demands = withoutRates(sum.Demands, own.Demands)
+	sum.Served = withoutRates(sum.Served, own.Served)
 	return sum
 }
+
+func addRates(sum, rates map[string]float64) {
+	for account, r := range rates {
+		sum[account] += r
+	}
+}
+
+func withoutRates(sum, rates map[string]float64) map[string]float64 {
+	out := make(map[string]float64, len(sum))
+	for account, r := range sum {
+		out[account] = max(r-rates[account], 0)
+	}
+	return out
+}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -47,7 +47,7 @@
 		if e == nil {
 			continue
 		}
-		own := wire.Loads{Instances: []wire.InstanceLoad{{ID: "x", Running: 1}}, Demands: map[string]float64{"a": 5}, Served: 2}
+		own := wire.Loads{Instances: []wire.InstanceLoad{{ID: "x", Running: 1}}, Demands: map[string]float64{"a": 5}, Served: map[string]float64{"a": 2}}
 		for _, s := range e.Tick(own, now) {
 			f.sent[h.Name]++
 			to := f.byName[s.To]
@@ -70,7 +70,7 @@
 			running += l.Running
 		}
 		demand += d.Loads.Demands["a"]
-		served += d.Loads.Served
+		served += d.Loads.Served["a"]
 	}
 	return running, demand, served
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -304,7 +304,7 @@
 	// Demands are the tokens per second that the host's callers ask for, by account.
 	Demands map[string]float64
 	// Served are the tokens per second that they get, told together with Demands.
-	Served float64
+	Served map[string]float64
 }
 
 // LoadSum is the sum of the loads of all hosts in a data centre.
