A busy host does not bypass gates beyond the contract

Verdicts reached that host late, so it took owners for silent. While the guard finds the host busy, only what is within a contract passes a silent gate.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -46,8 +46,10 @@
 	Host      string
 	Transport Transport
 	Now       func() time.Time
-	Log       logrus.FieldLogger
-	Registry  metrics.Registry
+	// Busy reports whether this host is short of processor time; nil means that it never is.
+	Busy     func() bool
+	Log      logrus.FieldLogger
+	Registry metrics.Registry
 }
 
 // Request describes what asks for admission.
@@ -179,9 +181,11 @@
 	a.seq++
 	t := &Ticket{a: a, key: r.Instance.Key(), owner: a.ownerLocked(r.Instance.Key()), seq: a.seq, request: r}
 	if a.silentLocked(t.owner) {
+		defer a.mu.Unlock()
+		if err := a.bypass(r); err != nil {
+			return nil, err
+		}
 		a.held[t.seq] = t
-		a.mu.Unlock()
-		a.count("bypassed")
 		return t, nil
 	}
 	c := &call{verdicts: make(chan wire.Verdict, verdictBuffer)}
@@ -228,8 +232,7 @@
 			due = postponed(due, now.Sub(looked))
 			looked = now
 			if a.lost(t, due, now) {
-				a.count("bypassed")
-				return nil
+				return a.bypass(t.request)
 			}
 			if due.IsZero() && now.After(again) {
 				due = now.Add(silentAfter)
@@ -239,6 +242,18 @@
 	}
 }
 
+// bypass lets a request go without the consent of a silent owner. A busy host refuses what
+// is beyond the account's contract: verdicts reach it late, and what it sent without them
+// would reach the engines unpaced.
+func (a *Admission) bypass(r *Request) error {
+	if a.o.Busy != nil && a.o.Busy() && r.Rank > dispatch.WithinContract {
+		a.count("refused_unasked")
+		return fault.New(fault.QueueFull, fault.NotRun, "the host is too busy to ask the owner of the engine's gate").After(silentAfter)
+	}
+	a.count("bypassed")
+	return nil
+}
+
 // postponed moves a due time by what this host's own timer is late. To a host that is short
 // of processor time every owner seems silent, and what it sent without consent would reach
 // the engines unpaced.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/wire"
 )
@@ -134,6 +135,33 @@
 	c.Assert(postponed(time.Time{}, time.Minute).IsZero(), qt.IsTrue)
 }
 
+// Guards against a busy host that takes late verdicts for silence and sends a flood without
+// them, and against one that holds up what is within a contract.
+func TestBusyHostDoesNotBypassBeyondTheContract(t *testing.T) {
+	c := qt.New(t)
+	n := newNet("a", "b")
+	n.hosts["a"].o.Busy = func() bool { return true }
+	x := n.owned("b")
+	n.mu.Lock()
+	n.silent["b"] = true
+	n.mu.Unlock()
+	for range 2 {
+		for _, rank := range []dispatch.Rank{dispatch.WithinCapacity, dispatch.Excess, dispatch.WithinContract} {
+			r := request(x, 1_000)
+			r.Rank = rank
+			_, err := n.hosts["a"].Admit(context.Background(), r)
+			if rank == dispatch.WithinContract {
+				c.Assert(err, qt.IsNil)
+				continue
+			}
+			f := fault.As(err)
+			c.Assert(f.Code, qt.Equals, fault.QueueFull)
+			c.Assert(f.Run, qt.Equals, fault.NotRun)
+			c.Assert(f.RetryAfter > 0, qt.IsTrue)
+		}
+	}
+}
+
 // Guards against a caller that leaves and keeps its place in the queue.
 func TestWithdrawnRequestFreesItsPlace(t *testing.T) {
 	c := qt.New(t)
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -67,7 +67,7 @@
 	}
 	e.dispatch = gateway.NewDispatch(dispatch.New(dispatch.Options{Host: d.s.Host, DataCentre: d.s.DataCentre}), time.Now)
 	e.admit = admission.New(admission.Options{
-		Host: d.s.Host, Transport: d.peers, Now: time.Now, Log: d.part("admission"), Registry: d.registry,
+		Host: d.s.Host, Transport: d.peers, Now: time.Now, Busy: func() bool { return e.gateway.Busy() }, Log: d.part("admission"), Registry: d.registry,
 	})
 	for _, k := range admission.Kinds {
 		d.peers.Handle(k, e.admit.Handle)
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -59,6 +59,13 @@
 	return fault.New(fault.HostOverloaded, fault.NotRun, "each account may send %.0f requests per second to this host now", s.guard.Level()).After(retryOverloaded)
 }
 
+// Busy reports whether the host is, or lately was, short of processor time.
+func (s *Server) Busy() bool {
+	s.guard.Lock()
+	defer s.guard.Unlock()
+	return s.guard.Busy()
+}
+
 // OverloadLevel returns the rate in requests per second that each account may send to this
 // host, infinite while the host is not overloaded.
 func (s *Server) OverloadLevel() float64 {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -152,6 +152,9 @@
 // to 1.
 func (g *Guard) Shed(u float64) bool { return u >= g.taken }
 
+// Busy reports whether the host is, or lately was, short of processor time.
+func (g *Guard) Busy() bool { return g.lag > calmTimer || !math.IsInf(g.level, 1) }
+
 // Level returns the rate in requests per second that each account may have, infinite while
 // the host is not overloaded.
 func (g *Guard) Level() float64 { return g.level }
