--- a/internal/daemon/edge_loads.go
+++ b/internal/daemon/edge_loads.go
@@ -44,7 +44,7 @@
 				list[i] = dispatch.Load(l)
 			}
 			d.SetPeerLoads(sum.DataCentre, list, now)
-			d.SetPeerRates(sum.DataCentre, dispatch.AccountRates{Asked: sum.Loads.Demands, Served: sum.Loads.Served}, now)
+			d.SetPeerRates(sum.DataCentre, ratesOf(sum.Loads.Rates), now)
 			for _, g := range sum.Loads.Gates {
 				d.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs}, now)
 			}
@@ -52,6 +52,14 @@
 	})
 }
 
+func ratesOf(told map[string]wire.AccountRate) dispatch.AccountRates {
+	out := make(dispatch.AccountRates, len(told))
+	for account, r := range told {
+		out[account] = dispatch.AccountRate{Asked: float64(r.Asked), Served: float64(r.Served)}
+	}
+	return out
+}
+
 // tellLoads reports this host's loads until ctx ends. A relay also spreads the sums.
 func (e *edgeRole) tellLoads(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -60,8 +68,10 @@
 			for _, l := range d.OwnLoads() {
 				own.Instances = append(own.Instances, wire.InstanceLoad(l))
 			}
-			rates := d.OwnRates(now)
-			own.Demands, own.Served = rates.Asked, rates.Served
+			own.Rates = map[string]wire.AccountRate{}
+			for account, r := range d.OwnRates(now) {
+				own.Rates[account] = wire.AccountRate{Asked: float32(r.Asked), Served: float32(r.Served)}
+			}
 		})
 		now := time.Now()
 		e.loadsMu.Lock()
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -44,11 +44,11 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := newShares()
 			s.contract = 1_000
-			rates := map[string]float64{}
+			rates := AccountRates{}
 			for i := range n {
-				rates[fmt.Sprint("acc", i)] = 10
+				rates[fmt.Sprint("acc", i)] = AccountRate{10, 10}
 			}
-			s.SetPeer("dc1", AccountRates{rates, rates}, at(0))
+			s.SetPeer("dc1", rates, at(0))
 			b.ReportAllocs()
 			now := at(0)
 			for i := 0; b.Loop(); i++ {
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -29,9 +29,11 @@
 	Excess
 )
 
-// AccountRates are what the callers of some hosts ask for and are served, in tokens per
-// second by account.
-type AccountRates struct{ Asked, Served map[string]float64 }
+// AccountRate is what callers of one account ask for and are served in tokens per second.
+type AccountRate struct{ Asked, Served float64 }
+
+// AccountRates are rates by account.
+type AccountRates map[string]AccountRate
 
 // Shares ranks the requests of accounts by max-min shares. It answers loads in which few
 // accounts ask for many times the usual.
@@ -58,8 +60,8 @@
 }
 
 type peerRates struct {
-	AccountRates
-	at time.Time
+	rates AccountRates
+	at    time.Time
 }
 
 func newShares() *Shares {
@@ -123,8 +125,9 @@
 	}
 	for _, p := range s.peers {
 		if now.Sub(p.at) < peerMaxAge {
-			asked += p.Asked[account]
-			served += p.Served[account]
+			r := p.rates[account]
+			asked += r.Asked
+			served += r.Served
 		}
 	}
 	return asked, served
@@ -149,7 +152,7 @@
 		if now.Sub(p.at) >= peerMaxAge {
 			continue
 		}
-		for a := range p.Asked {
+		for a := range p.rates {
 			accounts[a] = true
 		}
 	}
@@ -192,7 +195,7 @@
 
 // Own returns the rates of this host's callers.
 func (s *Shares) Own(now time.Time) AccountRates {
-	out := AccountRates{Asked: map[string]float64{}, Served: map[string]float64{}}
+	out := AccountRates{}
 	for name, a := range s.own {
 		a.asked.decay(now)
 		a.served.decay(now)
@@ -200,7 +203,7 @@
 			delete(s.own, name)
 			continue
 		}
-		out.Asked[name], out.Served[name] = a.asked.perSecond, a.served.perSecond
+		out[name] = AccountRate{a.asked.perSecond, a.served.perSecond}
 	}
 	return out
 }
--- a/internal/loads/bench_test.go
+++ b/internal/loads/bench_test.go
@@ -21,13 +21,12 @@
 			e := New("0-00", "dc0")
 			e.SetHosts(hosts)
 			report := func(i int) wire.Loads {
-				l := wire.Loads{Demands: map[string]float64{}, Served: map[string]float64{}}
+				l := wire.Loads{Rates: map[string]wire.AccountRate{}}
 				for k := range 2 {
 					l.Gates = append(l.Gates, wire.GateLoad{ID: fmt.Sprint("i-7f3a91c2", i, k), Backlog: 3_000, Running: 20, PerMs: 44})
 				}
 				for k := range 4 {
-					account := fmt.Sprint("account-", (i*4+k)%680)
-					l.Demands[account], l.Served[account] = 1_000, 900
+					l.Rates[fmt.Sprint("account-", (i*4+k)%680)] = wire.AccountRate{Asked: 1_000, Served: 900}
 				}
 				return l
 			}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -128,7 +128,7 @@
 
 // sum adds up the reports of this data centre.
 func (e *Exchange) sum(now time.Time) wire.Loads {
-	out := wire.Loads{Demands: map[string]float64{}, Served: map[string]float64{}}
+	out := wire.Loads{Rates: map[string]wire.AccountRate{}}
 	type key struct {
 		id   string
 		born int64
@@ -150,8 +150,10 @@
 			out.Instances[i].Reading += l.Reading
 		}
 		out.Gates = append(out.Gates, r.loads.Gates...)
-		addRates(out.Demands, r.loads.Demands)
-		addRates(out.Served, r.loads.Served)
+		for account, add := range r.loads.Rates {
+			sum := out.Rates[account]
+			out.Rates[account] = wire.AccountRate{Asked: sum.Asked + add.Asked, Served: sum.Served + add.Served}
+		}
 	}
 	return out
 }
@@ -215,21 +217,11 @@
 			}
 		}
 	}
-	sum.Demands = withoutRates(sum.Demands, own.Demands)
-	sum.Served = withoutRates(sum.Served, own.Served)
-	return sum
-}
-
-func addRates(sum, rates map[string]float64) {
-	for account, r := range rates {
-		sum[account] += r
+	rates := make(map[string]wire.AccountRate, len(sum.Rates))
+	for account, r := range sum.Rates {
+		mine := own.Rates[account]
+		rates[account] = wire.AccountRate{Asked: max(r.Asked-mine.Asked, 0), Served: max(r.Served-mine.Served, 0)}
 	}
-}
-
-func withoutRates(sum, rates map[string]float64) map[string]float64 {
-	out := make(map[string]float64, len(sum))
-	for account, r := range sum {
-		out[account] = max(r-rates[account], 0)
-	}
-	return out
+	sum.Rates = rates
+	return sum
 }
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -47,7 +47,7 @@
 		if e == nil {
 			continue
 		}
-		own := wire.Loads{Instances: []wire.InstanceLoad{{ID: "x", Running: 1}}, Demands: map[string]float64{"a": 5}, Served: map[string]float64{"a": 2}}
+		own := wire.Loads{Instances: []wire.InstanceLoad{{ID: "x", Running: 1}}, Rates: map[string]wire.AccountRate{"a": {Asked: 5, Served: 2}}}
 		for _, s := range e.Tick(own, now) {
 			f.sent[h.Name]++
 			to := f.byName[s.To]
@@ -69,8 +69,8 @@
 		for _, l := range d.Loads.Instances {
 			running += l.Running
 		}
-		demand += d.Loads.Demands["a"]
-		served += d.Loads.Served["a"]
+		demand += float64(d.Loads.Rates["a"].Asked)
+		served += float64(d.Loads.Rates["a"].Served)
 	}
 	return running, demand, served
 }
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -121,3 +121,24 @@
 	g.Observe(time.Second, start.Add(time.Minute))
 	c.Assert(g.accounts, qt.HasLen, 0)
 }
+
+// BenchmarkAdmit measures one request of many accounts, with the samples that come beside.
+func BenchmarkAdmit(b *testing.B) {
+	for _, n := range []int{16, 680, 6_800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g, now := New(), start
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprint("account-", i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				g.Admit(names[i%n], now)
+				if i%10 == 0 {
+					now = now.Add(SampleInterval)
+					g.Observe(50*time.Millisecond, now)
+				}
+			}
+		})
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -301,12 +301,13 @@
 type Loads struct {
 	Instances []InstanceLoad
 	Gates     []GateLoad
-	// Demands are the tokens per second that the host's callers ask for, by account.
-	Demands map[string]float64
-	// Served are the tokens per second that they get, told together with Demands.
-	Served map[string]float64
+	// Rates are what the host's callers ask for and are served, by account.
+	Rates map[string]AccountRate
 }
 
+// AccountRate is what callers of one account ask for and are served in tokens per second.
+type AccountRate struct{ Asked, Served float32 }
+
 // LoadSum is the sum of the loads of all hosts in a data centre.
 type LoadSum struct {
 	DataCentre string
