One pause of a host is no overload; learn which kept connections upstreams drop

A lag now counts at most 150 ms in the mean that decides. The soak took a refusal without an id for a foreign answer; such a refusal comes before the request is parsed, other answers still need it.

Upstreams may drop kept connections without notice. A connection that was reset before any answer now tells for 20 s how long rest is too long for requests that can't be repeated.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -38,7 +38,7 @@
 	for kept := true; ; kept = false {
 		var c *conn
 		if kept {
-			c = p.take(address)
+			c = p.take(address, true)
 		}
 		if c == nil {
 			var err error
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -24,6 +24,8 @@
 	sent   atomic.Int64
 	since  time.Time
 	reused bool
+	// rested is how long the connection was unused before the present request.
+	rested time.Duration
 	// keep is how long the connection may stay unused, 0 for the pool's KeepIdle.
 	keep time.Duration
 	// closed is told of the first Close.
@@ -80,10 +82,37 @@
 	open   map[string]int
 	swept  time.Time
 	closed bool
+	// forgets is how long connections had rested that upstreams turned out to have dropped
+	// without notice, the shortest one; it holds until forgetsUntil.
+	forgets      time.Duration
+	forgetsUntil time.Time
 }
 
-// take returns an unused connection or nil.
-func (p *pool) take(address string) *conn {
+// forgetTime is how long upstreams are expected to drop connections early after one did.
+const forgetTime = 20 * time.Second
+
+// noteDropped notes that an upstream had dropped a kept connection.
+func (p *pool) noteDropped(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.o.Now()
+	if now.After(p.forgetsUntil) || c.rested < p.forgets {
+		p.forgets = c.rested
+	}
+	p.forgetsUntil = now.Add(forgetTime)
+}
+
+// trusted reports whether a kept connection may carry a request that can't be repeated.
+// Half of the shortest time that was too long leaves room for upstreams that differ.
+func (p *pool) trusted(c *conn, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.After(p.forgetsUntil) || now.Sub(c.since) < p.forgets/2
+}
+
+// take returns an unused connection or nil. For a request that can't be repeated it leaves
+// out connections that the upstream may have dropped.
+func (p *pool) take(address string, repeatable bool) *conn {
 	for {
 		p.mu.Lock()
 		list := p.idle[address]
@@ -94,9 +123,10 @@
 		c := list[len(list)-1]
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
-		if p.fresh(c, p.o.Now()) && c.usable() {
+		now := p.o.Now()
+		if p.fresh(c, now) && (repeatable || p.trusted(c, now)) && c.usable() {
 			c.sent.Store(0)
-			c.reused = true
+			c.reused, c.rested = true, now.Sub(c.since)
 			return c
 		}
 		c.Close()
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"marigoldshunt/internal/fault"
@@ -39,6 +40,8 @@
 	// IDHeader is the header in which an upstream repeats ID; both are empty where it
 	// does not. An answer that repeats another id belongs to an earlier request.
 	IDHeader, ID string
+	// Repeatable requests may go on a connection that the upstream may have dropped.
+	Repeatable bool
 	// MaxConnections bounds the connections of this host to the address; 0 means no limit.
 	MaxConnections int
 }
@@ -73,7 +76,7 @@
 	for kept := true; ; kept = false {
 		var cn *conn
 		if kept {
-			cn = c.pool.take(r.Address)
+			cn = c.pool.take(r.Address, r.Repeatable)
 		}
 		if cn == nil {
 			var err error
@@ -90,6 +93,9 @@
 		}
 		f.stop()
 		cn.Close()
+		if kept && ctx.Err() == nil && droppedEarly(err) {
+			c.pool.noteDropped(cn)
+		}
 		if cn.sent.Load() > 0 {
 			return nil, fault.Wrap(err, fault.UpstreamFailed, fault.MayHaveRun, "connection to upstream %s ended before its answer", r.Address)
 		}
@@ -99,6 +105,12 @@
 	}
 }
 
+// droppedEarly reports whether a kept connection ended before any byte of an answer, as it
+// does when the upstream had forgotten it.
+func droppedEarly(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // headBytes is room for the usual head of a request.
 const headBytes = 1 << 10
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,7 +154,7 @@
 	}
 	return &engine.ForwardRequest{
 		Address: i.Address, Method: q.r.Method, Target: q.target, Host: q.r.Host, Header: h, Body: q.body,
-		IDHeader: d.AttemptID, ID: q.id, MaxConnections: q.s.o.Dispatch.connections(q.service.MaxConnections),
+		IDHeader: d.AttemptID, ID: q.id, Repeatable: q.route.MayRepeat(), MaxConnections: q.s.o.Dispatch.connections(q.service.MaxConnections),
 	}
 }
 
--- a/internal/loadgen/routed.go
+++ b/internal/loadgen/routed.go
@@ -156,7 +156,8 @@
 
 // check reads an answer. It returns an error if the connection ended inside it.
 func (r *RoutedResult) check(resp *http.Response, q *RoutedRequest) error {
-	if id := resp.Header.Get("X-Request-Id"); id != q.ID {
+	// A refusal from before the request was parsed carries no id.
+	if id := resp.Header.Get("X-Request-Id"); id != q.ID && (id != "" || resp.StatusCode != http.StatusServiceUnavailable) {
 		r.wrong("the answer is that of request %q", id)
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -18,9 +18,11 @@
 
 // Parameters of a Guard.
 const (
-	// lagWeight is the weight of a new lag in the mean, so that one late timer, after a
-	// pause of the whole machine, changes little.
+	// lagWeight is the weight of a new lag in the means.
 	lagWeight = 0.25
+	// maxLag is the most that one lag counts in the mean that decides, so that one late
+	// timer, after a pause of the whole machine, changes nothing.
+	maxLag = 150 * time.Millisecond
 	// lateTimer is the mean lag above which the host is overloaded: a small part of the shortest
 	// objectives, and far above what a busy but healthy host shows.
 	lateTimer = 40 * time.Millisecond
@@ -64,11 +66,12 @@
 	// while the host is not overloaded.
 	level float64
 	// taken is the part of the new connections that is not refused.
-	taken   float64
-	lag     time.Duration
-	changed time.Time
-	// lagThen is the lag at the last change.
-	lagThen  time.Duration
+	taken float64
+	// lag is the mean that decides, trend the mean of whole lags, and trendThen what that
+	// was at the last change.
+	lag, trend, trendThen time.Duration
+
+	changed  time.Time
 	accounts map[string]*account
 }
 
@@ -84,12 +87,13 @@
 
 // Observe takes how late a timer of the host fired. It is called every SampleInterval.
 func (g *Guard) Observe(lag time.Duration, now time.Time) {
-	g.lag += time.Duration(lagWeight * float64(lag-g.lag))
+	g.lag += time.Duration(lagWeight * float64(min(lag, maxLag)-g.lag))
+	g.trend += time.Duration(lagWeight * float64(lag-g.trend))
 	if now.Sub(g.changed) < adjustInterval {
 		return
 	}
-	worse := float64(g.lag) > falling*float64(g.lagThen)
-	g.changed, g.lagThen = now, g.lag
+	worse := float64(g.trend) > falling*float64(g.trendThen)
+	g.changed, g.trendThen = now, g.trend
 	switch {
 	case g.lag > lateTimer && worse:
 		g.level = max(min(g.level, g.highest(now))*lower, minLevel)
