--- a/internal/scenario/soak_faults_test.go
+++ b/internal/scenario/soak_faults_test.go
@@ -96,6 +96,7 @@
 		return
 	}
 	i.touch(h)
+	i.log("host %s gets %s", h.ip, s)
 	_ = h.p.signal(s) // it may have ended by itself, which the checks find
 	old := h.p
 	i.after(low, high, func() { i.restart(h, old) })
@@ -110,7 +111,9 @@
 	}
 	if err := i.f.startSoakHost(h); err != nil {
 		i.log("host %s not started: %s", h.ip, err)
+		return
 	}
+	i.log("host %s started", h.ip)
 }
 
 func (i *injector) kill() string {
--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -351,6 +352,18 @@
 	if *soakKeep == "" {
 		return
 	}
+	for _, h := range s.f.hosts {
+		if !h.p.running() {
+			s.t.Logf("the process of host %s has ended: %s", h.ip, h.p.cmd.ProcessState)
+		}
+	}
+	// The runtime writes the stacks of all goroutines into the log of the host.
+	for _, h := range s.f.hosts {
+		if h.p.running() {
+			_ = h.p.signal(syscall.SIGQUIT) // it may just have ended
+			<-h.p.done
+		}
+	}
 	logs, err := filepath.Glob(filepath.Join(s.f.dir, "*.log"))
 	if err != nil {
 		s.t.Log(err)
