--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -61,6 +61,10 @@
 }
 
 func run(args []string, adapters map[string]edge.Adapter) error {
+	// First of all, because a hangup that comes before ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	f, err := parseFlags(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return nil
@@ -91,8 +95,6 @@
 	log.SetLevel(s.LogLevel)
 	leave, abort, stop := signals()
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	return New(Options{
 		Settings: s, SettingsPath: f.settings, Reload: hup, Log: log, Version: version, Adapters: adapters,
 	}).Run(leave, abort)
