--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -26,6 +26,9 @@
 const (
 	// silentAfter is how long an owner may take for its first verdict.
 	silentAfter = 250 * time.Millisecond
+	// busyAfter is how long a request beyond its contract waits for a verdict at a host that
+	// is short of processor time itself.
+	busyAfter = time.Second
 	// silentFor is how long an owner that did not answer is not asked again.
 	silentFor = 500 * time.Millisecond
 	// askAgain is the interval at which a queued request asks whether it is still queued.
@@ -180,12 +183,10 @@
 	a.mu.Lock()
 	a.seq++
 	t := &Ticket{a: a, key: r.Instance.Key(), owner: a.ownerLocked(r.Instance.Key()), seq: a.seq, request: r}
-	if a.silentLocked(t.owner) {
-		defer a.mu.Unlock()
-		if err := a.bypass(r); err != nil {
-			return nil, err
-		}
+	if a.silentLocked(t.owner) && !a.waitsForVerdict(r) {
 		a.held[t.seq] = t
+		a.mu.Unlock()
+		a.count("bypassed")
 		return t, nil
 	}
 	c := &call{verdicts: make(chan wire.Verdict, verdictBuffer)}
@@ -212,6 +213,7 @@
 	defer check.Stop()
 	looked := a.o.Now()
 	due := looked.Add(silentAfter)
+	last := looked.Add(busyAfter)
 	var again time.Time
 	for {
 		select {
@@ -231,8 +233,17 @@
 			now := a.o.Now()
 			due = postponed(due, now.Sub(looked))
 			looked = now
+			if a.waitsForVerdict(t.request) {
+				if now.After(last) && !due.IsZero() {
+					t.Done()
+					a.count("refused_unasked")
+					return fault.New(fault.QueueFull, fault.NotRun, "the host is too busy to ask the owner of the engine's gate").After(silentAfter)
+				}
+				continue
+			}
 			if a.lost(t, due, now) {
-				return a.bypass(t.request)
+				a.count("bypassed")
+				return nil
 			}
 			if due.IsZero() && now.After(again) {
 				due = now.Add(silentAfter)
@@ -242,16 +253,11 @@
 	}
 }
 
-// bypass lets a request go without the consent of a silent owner. A busy host refuses what
-// is beyond the account's contract: verdicts reach it late, and what it sent without them
-// would reach the engines unpaced.
-func (a *Admission) bypass(r *Request) error {
-	if a.o.Busy != nil && a.o.Busy() && r.Rank > dispatch.WithinContract {
-		a.count("refused_unasked")
-		return fault.New(fault.QueueFull, fault.NotRun, "the host is too busy to ask the owner of the engine's gate").After(silentAfter)
-	}
-	a.count("bypassed")
-	return nil
+// waitsForVerdict reports whether a request needs the consent of an owner that seems silent.
+// Verdicts reach a busy host late, and what it sent beyond contracts without them would
+// reach the engines unpaced.
+func (a *Admission) waitsForVerdict(r *Request) bool {
+	return r.Rank > dispatch.WithinContract && a.o.Busy != nil && a.o.Busy()
 }
 
 // postponed moves a due time by what this host's own timer is late. To a host that is short
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -18,11 +18,11 @@
 
 // Parameters of a Guard.
 const (
-	// lagWeight is the weight of a new lag in the means.
+	// lagWeight is the weight of a new lag in the mean.
 	lagWeight = 0.25
-	// maxLag is the most that one lag counts in the mean that decides, so that one late
-	// timer, after a pause of the whole machine, changes nothing.
-	maxLag = 150 * time.Millisecond
+	// againWithin is the time in which a second timer has to be late. One alone follows a
+	// pause of the whole machine and changes nothing.
+	againWithin = time.Second
 	// lateTimer is the mean lag above which the host is overloaded: a small part of the shortest
 	// objectives, and far above what a busy but healthy host shows.
 	lateTimer = 40 * time.Millisecond
@@ -67,9 +67,10 @@
 	level float64
 	// taken is the part of the new connections that is not refused.
 	taken float64
-	// lag is the mean that decides, trend the mean of whole lags, and trendThen what that
-	// was at the last change.
-	lag, trend, trendThen time.Duration
+	// lag is the mean lag, lagThen what it was at the last change.
+	lag, lagThen time.Duration
+	// lates are the times of the last two late timers.
+	lates [2]time.Time
 
 	changed  time.Time
 	accounts map[string]*account
@@ -87,15 +88,18 @@
 
 // Observe takes how late a timer of the host fired. It is called every SampleInterval.
 func (g *Guard) Observe(lag time.Duration, now time.Time) {
-	g.lag += time.Duration(lagWeight * float64(min(lag, maxLag)-g.lag))
-	g.trend += time.Duration(lagWeight * float64(lag-g.trend))
+	g.lag += time.Duration(lagWeight * float64(lag-g.lag))
+	if lag > lateTimer {
+		g.lates = [2]time.Time{g.lates[1], now}
+	}
 	if now.Sub(g.changed) < adjustInterval {
 		return
 	}
-	worse := float64(g.trend) > falling*float64(g.trendThen)
-	g.changed, g.trendThen = now, g.trend
+	worse := float64(g.lag) > falling*float64(g.lagThen)
+	again := !g.lates[0].IsZero() && now.Sub(g.lates[0]) < againWithin
+	g.changed, g.lagThen = now, g.lag
 	switch {
-	case g.lag > lateTimer && worse:
+	case g.lag > lateTimer && worse && again:
 		g.level = max(min(g.level, g.highest(now))*lower, minLevel)
 		if g.lag > shedTimer {
 			g.taken = max(g.taken*shedKeep, minTaken)
@@ -157,7 +161,7 @@
 func (g *Guard) Shed(u float64) bool { return u >= g.taken }
 
 // Busy reports whether the host is, or lately was, short of processor time.
-func (g *Guard) Busy() bool { return g.lag > calmTimer || !math.IsInf(g.level, 1) }
+func (g *Guard) Busy() bool { return !math.IsInf(g.level, 1) }
 
 // Level returns the rate in requests per second that each account may have, infinite while
 // the host is not overloaded.
