A busy host asks again for queued requests

While a host was busy it no longer asked whether a request beyond its contract was still queued, and held it to its end when the owner was gone.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -213,6 +213,7 @@
 	defer check.Stop()
 	looked := a.o.Now()
 	due := looked.Add(silentAfter)
+	// last is when a busy host gives up waiting for a verdict.
 	last := looked.Add(busyAfter)
 	var again time.Time
 	for {
@@ -233,8 +234,8 @@
 			now := a.o.Now()
 			due = postponed(due, now.Sub(looked))
 			looked = now
-			if a.waitsForVerdict(t.request) {
-				if now.After(last) && !due.IsZero() {
+			if !due.IsZero() && a.waitsForVerdict(t.request) {
+				if now.After(last) {
 					t.Done()
 					a.count("refused_unasked")
 					return fault.New(fault.QueueFull, fault.NotRun, "the host is too busy to ask the owner of the engine's gate").After(silentAfter)
@@ -246,7 +247,7 @@
 				return nil
 			}
 			if due.IsZero() && now.After(again) {
-				due = now.Add(silentAfter)
+				due, last = now.Add(silentAfter), now.Add(busyAfter)
 				a.give(t.owner, a.message(t))
 			}
 		}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -162,6 +162,39 @@
 	}
 }
 
+// Guards against a queued request of a busy host that waits to its end for an owner that is
+// gone.
+func TestBusyHostNoticesALostOwner(t *testing.T) {
+	c := qt.New(t)
+	n := newNet("a", "b", "c")
+	n.hosts["a"].o.Busy = func() bool { return true }
+	x := n.owned("b")
+	_, err := n.hosts["c"].Admit(context.Background(), request(x, 50_000))
+	c.Assert(err, qt.IsNil)
+	queued := make(chan error, 1)
+	go func() {
+		r := request(x, 1_000)
+		r.Rank = dispatch.WithinCapacity
+		_, err := n.hosts["a"].Admit(context.Background(), r)
+		queued <- err
+	}()
+	select {
+	case err := <-queued:
+		c.Fatalf("not queued: %v", err)
+	case <-time.After(150 * time.Millisecond):
+	}
+	n.mu.Lock()
+	n.silent["b"] = true
+	n.mu.Unlock()
+	// The request itself would wait for 20 s.
+	select {
+	case err := <-queued:
+		c.Assert(fault.CodeOf(err), qt.Equals, fault.QueueFull)
+	case <-time.After(10 * time.Second):
+		c.Fatal("the request still waits for an owner that is gone")
+	}
+}
+
 // Guards against a caller that leaves and keeps its place in the queue.
 func TestWithdrawnRequestFreesItsPlace(t *testing.T) {
 	c := qt.New(t)
