--- a/internal/scenario/soak_faults_test.go
+++ b/internal/scenario/soak_faults_test.go
@@ -105,6 +105,8 @@
 }
 
 func (i *injector) restart(h *soakHost, old *process) {
+	// A host may have been frozen while it was ending.
+	_ = old.signal(syscall.SIGCONT)
 	<-old.done
 	i.touch(h)
 	if h.p != old {
