Hash the hosts once for each list, add up their loads once for each round of news

Cause, found on reading the change again: with each choice, every cold instance sorted all hosts by hashes of their names, each look after a gate's owner hashed all names, and three packages' news of three data centres added up all loads three times. rendezvous.Members keeps the hashes and includes the host itself, which dispatch and admission each did; a host's rank is counted, not sorted.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -71,7 +70,7 @@
 	o Options
 
 	mu    sync.Mutex
-	hosts []string
+	hosts rendezvous.Members
 	// silent holds until when a silent owner is not asked.
 	silent map[string]time.Time
 	speeds map[string]*dispatch.Speedometer
@@ -100,19 +99,16 @@
 // New returns an Admission of a host that knows no other.
 func New(o Options) *Admission {
 	return &Admission{
-		o: o, hosts: []string{o.Host}, silent: map[string]time.Time{}, speeds: map[string]*dispatch.Speedometer{},
+		o: o, hosts: rendezvous.NewMembers(o.Host, nil), silent: map[string]time.Time{}, speeds: map[string]*dispatch.Speedometer{},
 		gates: map[catalog.Key]*ownedGate{}, calls: map[uint64]*call{}, held: map[uint64]*Ticket{},
 	}
 }
 
 // SetHosts takes the live hosts.
 func (a *Admission) SetHosts(hosts []string) {
-	hosts = slices.Clone(hosts)
-	if !slices.Contains(hosts, a.o.Host) {
-		hosts = append(hosts, a.o.Host)
-	}
+	members := rendezvous.NewMembers(a.o.Host, hosts)
 	a.mu.Lock()
-	a.hosts = hosts
+	a.hosts = members
 	moved := a.moveLocked()
 	a.mu.Unlock()
 	for _, m := range moved {
@@ -144,7 +140,7 @@
 
 // ownerLocked returns the host that owns the gate of an engine.
 func (a *Admission) ownerLocked(k catalog.Key) string {
-	return rendezvous.Best(rendezvous.Hash(k.ID), a.hosts)
+	return a.hosts.Best(rendezvous.Hash(k.ID))
 }
 
 // silentLocked reports whether an owner did not answer lately.
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -79,3 +79,26 @@
 		})
 	}
 }
+
+// BenchmarkPickCold measures one choice while all instances are cold, as after the return
+// of a data centre.
+func BenchmarkPickCold(b *testing.B) {
+	for _, hosts := range []int{12, 96, 370} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			var names []string
+			for i := range hosts {
+				names = append(names, fmt.Sprint("10.1.0.", i))
+			}
+			d := newTestDispatcher(names[0], names...)
+			for _, x := range d.instances {
+				x.coldUntil = at(1_000_000)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if p, err := d.Pick(prompt(uint64(i%50)), at(i)); err == nil {
+					p.Done(Answered, at(i))
+				}
+			}
+		})
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -64,12 +64,13 @@
 	instances map[catalog.Key]*instance
 	byService map[string][]*instance
 	outDCs    map[string]bool
-	hosts     []string
+	hosts     rendezvous.Members
 	repeats   map[string]*repeatBudget
-	// peers are the loads that others told, by data centre, and peerSums their sums.
+	// peers are the loads that others told, by data centre, peerSums their sums, nil until
+	// they are used, and toldAt the time of the last news.
 	peers    map[string]peerLoad
 	peerSums map[catalog.Key]Load
-	summedAt time.Time
+	toldAt   time.Time
 	shares   *Shares
 }
 
@@ -77,8 +78,8 @@
 func New(o Options) *Dispatcher {
 	return &Dispatcher{
 		o: o, services: map[string]*routing.Service{}, instances: map[catalog.Key]*instance{},
-		byService: map[string][]*instance{}, outDCs: map[string]bool{}, hosts: []string{o.Host},
-		repeats: map[string]*repeatBudget{}, peers: map[string]peerLoad{}, peerSums: map[catalog.Key]Load{}, shares: newShares(),
+		byService: map[string][]*instance{}, outDCs: map[string]bool{}, hosts: rendezvous.NewMembers(o.Host, nil),
+		repeats: map[string]*repeatBudget{}, peers: map[string]peerLoad{}, shares: newShares(),
 	}
 }
 
@@ -97,16 +98,11 @@
 
 // SetHosts takes the hosts that share fleet-wide limits, this one included.
 func (d *Dispatcher) SetHosts(hosts []string) {
-	hosts = slices.Clone(hosts)
-	if !slices.Contains(hosts, d.o.Host) {
-		hosts = append(hosts, d.o.Host)
-	}
-	slices.Sort(hosts)
-	d.hosts = hosts
+	d.hosts = rendezvous.NewMembers(d.o.Host, hosts)
 }
 
 // Hosts returns the number of hosts that share fleet-wide limits.
-func (d *Dispatcher) Hosts() int { return len(d.hosts) }
+func (d *Dispatcher) Hosts() int { return d.hosts.Len() }
 
 // SetInstances replaces the list of instances.
 func (d *Dispatcher) SetInstances(list []catalog.Instance, now time.Time) {
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -1,12 +1,8 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"marigoldshunt/internal/catalog"
-	"marigoldshunt/internal/rendezvous"
 	"marigoldshunt/internal/routing"
 )
 
@@ -32,24 +28,13 @@
 	if s.ColdPerSecond <= 0 || !now.Before(x.coldUntil) {
 		return true
 	}
-	share := d.warmingHosts(x.Key())
-	if !slices.Contains(share, d.o.Host) {
+	if d.hosts.Rank(x.hash+uint64(x.Born), d.o.Host) >= maxWarmingHosts {
 		return false
 	}
-	x.cold.fill(s.ColdPerSecond/float64(len(share)), now)
+	x.cold.fill(s.ColdPerSecond/float64(min(d.hosts.Len(), maxWarmingHosts)), now)
 	return x.cold.tokens >= 1
 }
 
-// warmingHosts returns the hosts that send to a cold instance.
-func (d *Dispatcher) warmingHosts(k catalog.Key) []string {
-	key := rendezvous.Hash(k.ID) + uint64(k.Born)
-	hosts := slices.Clone(d.hosts)
-	slices.SortFunc(hosts, func(a, b string) int {
-		return cmp.Compare(rendezvous.Weight(key, rendezvous.Hash(b)), rendezvous.Weight(key, rendezvous.Hash(a)))
-	})
-	return hosts[:min(len(hosts), maxWarmingHosts)]
-}
-
 // Parameters of the budget of repeats. The fleet may repeat a fifth of its requests and
 // some more; a host uses half of its part, since hosts differ in what they count.
 const (
@@ -95,7 +80,7 @@
 // TakeRepeat reports whether a request may be sent once more, and counts it.
 func (d *Dispatcher) TakeRepeat(service string, now time.Time) bool {
 	b := d.budget(service, now)
-	limit := repeatRatio*float64(b.requests[0]+b.requests[1]) + repeatSpare/float64(len(d.hosts))
+	limit := repeatRatio*float64(b.requests[0]+b.requests[1]) + repeatSpare/float64(d.hosts.Len())
 	if float64(b.repeats[0]+b.repeats[1]+1) > limit {
 		return false
 	}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -37,9 +37,15 @@
 // SetPeerLoads takes what the other hosts of a data centre have under way.
 func (d *Dispatcher) SetPeerLoads(dataCentre string, loads []Load, now time.Time) {
 	d.peers[dataCentre] = peerLoad{loads: loads, at: now}
-	d.peerSums, d.summedAt = make(map[catalog.Key]Load, len(d.peerSums)), now
+	d.peerSums, d.toldAt = nil, now
+}
+
+// sumPeers adds up what was told. News of all data centres comes together, so that is done
+// with the first use after them.
+func (d *Dispatcher) sumPeers() {
+	d.peerSums = map[catalog.Key]Load{}
 	for _, p := range d.peers {
-		if now.Sub(p.at) >= peerMaxAge {
+		if d.toldAt.Sub(p.at) >= peerMaxAge {
 			continue
 		}
 		for _, l := range p.loads {
@@ -54,9 +60,12 @@
 
 // peerLoad returns what the other hosts have under way at an instance.
 func (d *Dispatcher) peerLoad(x *instance, now time.Time) Load {
-	if now.Sub(d.summedAt) >= peerMaxAge {
+	if now.Sub(d.toldAt) >= peerMaxAge {
 		return Load{}
 	}
+	if d.peerSums == nil {
+		d.sumPeers()
+	}
 	return d.peerSums[x.Key()]
 }
 
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -3,6 +3,8 @@
 // random weight hashing).
 package rendezvous
 
+import "slices"
+
 // Parameters of 64 bit FNV-1a.
 const (
 	fnvOffset = 14695981039346656037
@@ -34,13 +36,46 @@
 	return x ^ x>>31
 }
 
-// Best returns the member with the highest weight for a key, empty when there is none.
-func Best(key uint64, members []string) string {
+// Members are the names among which keys are distributed. Their hashes are computed once.
+type Members struct {
+	names  []string
+	hashes []uint64
+}
+
+// NewMembers returns the members of a list and self, which the list may lack.
+func NewMembers(self string, list []string) Members {
+	m := Members{names: slices.Clone(list)}
+	if !slices.Contains(list, self) {
+		m.names = append(m.names, self)
+	}
+	for _, name := range m.names {
+		m.hashes = append(m.hashes, Hash(name))
+	}
+	return m
+}
+
+// Len returns the number of members.
+func (m Members) Len() int { return len(m.names) }
+
+// Best returns the member with the highest weight for a key.
+func (m Members) Best(key uint64) string {
 	best, weight := "", uint64(0)
-	for _, m := range members {
-		if w := Weight(key, Hash(m)); best == "" || w > weight || w == weight && m < best {
-			best, weight = m, w
+	for i, name := range m.names {
+		if w := Weight(key, m.hashes[i]); best == "" || w > weight || w == weight && name < best {
+			best, weight = name, w
 		}
 	}
 	return best
 }
+
+// Rank returns the number of members with a higher weight for a key than a member of this
+// name has.
+func (m Members) Rank(key uint64, name string) (rank int) {
+	own := Weight(key, Hash(name))
+	for _, h := range m.hashes {
+		if Weight(key, h) > own {
+			rank++
+		}
+	}
+	return rank
+}
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -19,8 +19,9 @@
 	c := qt.New(t)
 	const keys, n = 40_000, 16
 	count := map[string]int{}
+	m := NewMembers(members(n)[0], members(n))
 	for k := range uint64(keys) {
-		count[Best(k, members(n))]++
+		count[m.Best(k)]++
 	}
 	for _, m := range members(n) {
 		c.Assert(count[m] > keys/n*8/10 && count[m] < keys/n*12/10, qt.IsTrue, qt.Commentf("%s has %d keys", m, count[m]))
@@ -31,8 +32,9 @@
 func TestLossMovesOnlyTheKeysOfTheLost(t *testing.T) {
 	c := qt.New(t)
 	all := members(12)
+	whole, left := NewMembers(all[0], all), NewMembers(all[1], all[1:])
 	for k := range uint64(2_000) {
-		before, after := Best(k, all), Best(k, all[1:])
+		before, after := whole.Best(k), left.Best(k)
 		if before != all[0] {
 			c.Assert(after, qt.Equals, before)
 		}
@@ -42,8 +44,33 @@
 // Guards against a choice that depends on the order of the members.
 func TestBestIgnoresOrder(t *testing.T) {
 	c := qt.New(t)
-	c.Assert(Best(7, []string{"a", "b", "c"}), qt.Equals, Best(7, []string{"c", "a", "b"}))
-	c.Assert(Best(7, nil), qt.Equals, "")
+	for k := range uint64(100) {
+		c.Assert(NewMembers("a", []string{"a", "b", "c"}).Best(k), qt.Equals, NewMembers("c", []string{"c", "a", "b"}).Best(k))
+	}
+	c.Assert(Members{}.Best(7), qt.Equals, "")
+}
+
+// Guards against a member that is missing in its own list, or counted twice.
+func TestMembersHoldSelfOnce(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(NewMembers("a", nil).Len(), qt.Equals, 1)
+	c.Assert(NewMembers("a", []string{"b", "a"}).Len(), qt.Equals, 2)
+	c.Assert(NewMembers("a", []string{"b"}).Len(), qt.Equals, 2)
+}
+
+// Guards against ranks that disagree with the first choice or leave a place out.
+func TestRank(t *testing.T) {
+	c := qt.New(t)
+	names := members(6)
+	m := NewMembers(names[0], names)
+	for k := range uint64(200) {
+		c.Assert(m.Rank(k, m.Best(k)), qt.Equals, 0)
+		places := map[int]bool{}
+		for _, n := range names {
+			places[m.Rank(k, n)] = true
+		}
+		c.Assert(places, qt.HasLen, len(names))
+	}
 }
 
 // Guards against names that run into each other.
