Keep one check of the view, one failure body, one form of Retry-After

The age of the configuration was checked in three places, the body of a refusal and the form of Retry-After were written in four, the socket of a connection was taken out in two. The watcher of the host's lag built a log entry, with a lock and three maps, fifty times a second for lines that are written once a second at most. Behaviour is unchanged but for the message of a request that loses its routing document while it waits.

--- a/internal/daemon/edge_fleet.go
+++ b/internal/daemon/edge_fleet.go
@@ -16,7 +16,7 @@
 // Ready implements edge.Fleet.
 func (e *edgeRole) Ready() bool {
 	v := e.view()
-	return v.Table != nil && v.Age <= e.s.ConfigMaxAge && !v.Leaving
+	return v.Check(e.s.ConfigMaxAge) == nil && !v.Leaving
 }
 
 // Resolve implements edge.Fleet. Callers are sent to the hosts of their own data centre
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/samber/oops"
@@ -121,6 +122,10 @@
 	return &c
 }
 
+// RetryAfterSeconds is a retry delay in seconds as callers of routed services are told it,
+// with three decimals.
+func RetryAfterSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // As returns the first Error in the chain of err, or an Internal error that wraps err.
 // It returns nil for a nil err.
 func As(err error) *Error {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -118,8 +118,8 @@
 // machine stood still.
 func (q *request) stillAllowed() error {
 	v := q.s.o.View()
-	if v.Table == nil || v.Age > q.s.o.MaxConfigAge {
-		return fault.New(fault.HostIsolated, fault.NotRun, "the configuration is %s old", v.Age.Round(time.Millisecond)).After(retrySoon)
+	if err := v.Check(q.s.o.MaxConfigAge); err != nil {
+		return err
 	}
 	if v.Table.NeedsCredential(q.route) && v.Table.Account(q.r.Header.Get(q.s.o.Dialect.Credential)) == nil {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "the credential is not known any more")
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -19,14 +19,22 @@
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	if sc, ok := c.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			return context.WithValue(ctx, connKey{}, raw)
-		}
+	if raw, ok := rawConn(c); ok {
+		return context.WithValue(ctx, connKey{}, raw)
 	}
 	return ctx
 }
 
+// rawConn returns the socket of a connection; ok is false for one without a socket.
+func rawConn(c net.Conn) (raw syscall.RawConn, ok bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := sc.SyscallConn()
+	return raw, err == nil
+}
+
 // callerLeft reports whether the caller of a request has closed its connection. The server
 // notices that by itself, but on a busy host long after.
 func callerLeft(ctx context.Context) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,18 @@
 	Leaving bool
 }
 
+// Check returns HostIsolated if the host may not serve with what it knows: there is no
+// routing document, or the configuration is older than maxAge.
+func (v View) Check(maxAge time.Duration) error {
+	switch {
+	case v.Table == nil:
+		return fault.New(fault.HostIsolated, fault.NotRun, "the host has no routing document yet").After(retrySoon)
+	case v.Age > maxAge:
+		return fault.New(fault.HostIsolated, fault.NotRun, "the configuration is %s old", v.Age.Round(time.Millisecond)).After(retrySoon)
+	}
+	return nil
+}
+
 // Forwarder sends requests to upstreams.
 type Forwarder interface {
 	Forward(ctx context.Context, r *engine.ForwardRequest) (*engine.Forwarded, error)
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/overload"
 	"marigoldshunt/internal/wait"
@@ -34,18 +36,22 @@
 		s.guard.Observe(lag, now)
 		level := s.guard.Level()
 		s.guard.Unlock()
-		l := s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithField("connections", s.Connections())
-		switch limited := !math.IsInf(level, 1); {
+		limited := !math.IsInf(level, 1)
+		switch {
 		case limited && now.Sub(logged) >= overloadLogInterval:
 			logged = now
-			l.WithField("per_second", math.Round(level)).Warn("Host is overloaded. The accounts that ask most are limited.")
+			s.logLag(lag).WithField("per_second", math.Round(level)).Warn("Host is overloaded. The accounts that ask most are limited.")
 		case overloaded && !limited:
-			l.Info("Host is not overloaded any more.")
+			s.logLag(lag).Info("Host is not overloaded any more.")
 		}
-		overloaded = !math.IsInf(level, 1)
+		overloaded = limited
 	}
 }
 
+func (s *Server) logLag(lag time.Duration) *logrus.Entry {
+	return s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithField("connections", s.Connections())
+}
+
 // accept refuses requests that the host is too busy for, before it spends more on them.
 func (s *Server) accept(account string) error {
 	if s.o.MaxRunning > 0 && s.Running() > s.o.MaxRunning {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -77,11 +77,8 @@
 	if v.Leaving {
 		q.w.Header().Set("Connection", "close")
 	}
-	switch {
-	case v.Table == nil:
-		return fault.New(fault.HostIsolated, fault.NotRun, "the host has no routing document yet").After(retrySoon)
-	case v.Age > q.s.o.MaxConfigAge:
-		return fault.New(fault.HostIsolated, fault.NotRun, "the configuration is %s old", v.Age.Round(time.Millisecond)).After(retrySoon)
+	if err := v.Check(q.s.o.MaxConfigAge); err != nil {
+		return err
 	}
 	if err := q.setTarget(); err != nil {
 		return err
@@ -268,19 +265,24 @@
 	h := q.w.Header()
 	h.Set("Content-Type", "application/json")
 	if e.RetryAfter > 0 && status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", fault.RetryAfterSeconds(e.RetryAfter))
 	}
 	if q.s.o.Dialect.AttemptID != "" && q.id != "" {
 		h.Set(q.s.o.Dialect.AttemptID, q.id)
 	}
-	body := []byte(`{"error":{"code":"` + string(e.Code) + `","run_state":"` + string(e.Run) + `"}}` + "\n")
+	body := failureBody(e.Code, e.Run)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	q.w.WriteHeader(status)
-	if _, err := q.w.Write(body); err != nil {
+	if _, err := io.WriteString(q.w, body); err != nil {
 		q.s.count("failure_not_delivered")
 	}
 }
 
+// failureBody is the body of a failure of the host's own.
+func failureBody(code fault.Code, run fault.RunState) string {
+	return `{"error":{"code":"` + string(code) + `","run_state":"` + string(run) + `"}}` + "\n"
+}
+
 // logFailure writes the one line that explains why a request was not answered.
 func (q *request) logFailure(e *fault.Error) {
 	l := q.s.log.WithField("request", q.id).WithField("code", string(e.Code)).WithField("run", string(e.Run)).WithField("sends", q.sends)
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/netopt"
 )
 
@@ -20,9 +21,9 @@
 
 // shedAnswer promises that the request was not run.
 var shedAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\nRetry-After: " +
-	strconv.FormatFloat(retryOverloaded.Seconds(), 'f', 3, 64) + "\r\nContent-Length: " + strconv.Itoa(len(shedBody)) + "\r\n\r\n" + shedBody
+	fault.RetryAfterSeconds(retryOverloaded) + "\r\nContent-Length: " + strconv.Itoa(len(shedBody)) + "\r\n\r\n" + shedBody
 
-const shedBody = `{"error":{"code":"host_overloaded","run_state":"not_run"}}` + "\n"
+var shedBody = failureBody(fault.HostOverloaded, fault.NotRun)
 
 // shedListener refuses a part of the new connections while the host is overloaded, which
 // takes a tenth of the time of a refusal that looks at the request.
@@ -76,14 +77,10 @@
 }
 
 func unread(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
+	raw, ok := rawConn(c)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
 	_, waiting := netopt.Peek(raw)
 	return waiting
 }
--- a/internal/native/native.go
+++ b/internal/native/native.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/edge"
@@ -52,7 +51,7 @@
 		if err != nil {
 			e := fault.As(err)
 			if e.RetryAfter > 0 {
-				w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+				w.Header().Set("Retry-After", fault.RetryAfterSeconds(e.RetryAfter))
 			}
 			http.Error(w, string(e.Code), http.StatusServiceUnavailable)
 			return
