Drop what nothing uses in the load player, the pool and the soak

Policy.Tick had no body in any policy, two accessors and a field had no reader, times were passed that nobody looked at, and two types and two searches for the newest acknowledged version were the same.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -21,9 +21,8 @@
 	raw  syscall.RawConn
 	idle time.Duration
 	// sent is the number of bytes of the current request that the kernel accepted.
-	sent   atomic.Int64
-	since  time.Time
-	reused bool
+	sent  atomic.Int64
+	since time.Time
 	// rested is how long the connection was unused before the present request.
 	rested time.Duration
 	// keep is how long the connection may stay unused, 0 for the pool's KeepIdle.
@@ -126,7 +125,7 @@
 		now := p.o.Now()
 		if p.fresh(c, now) && (repeatable || p.trusted(c, now)) && c.usable() {
 			c.sent.Store(0)
-			c.reused, c.rested = true, now.Sub(c.since)
+			c.rested = now.Sub(c.since)
 			return c
 		}
 		c.Close()
--- a/internal/loadgen/routed.go
+++ b/internal/loadgen/routed.go
@@ -62,7 +62,7 @@
 	Broken string
 }
 
-// Errors of discovery.
+// Bounds of discovery: the hosts that are asked, and the time that each of them has.
 const (
 	maxAsked      = 3
 	discoveryTime = time.Second
--- a/internal/loadplay/baselines.go
+++ b/internal/loadplay/baselines.go
@@ -53,9 +53,6 @@
 // Tell implements Policy.
 func (b *baseline) Tell(time.Time) {}
 
-// Tick implements Policy.
-func (b *baseline) Tick(time.Time) {}
-
 // Engines implements Policy.
 func (b *baseline) Engines(up []bool, _ time.Time) { b.up = append([]bool{}, up...) }
 
--- a/internal/loadplay/fleet.go
+++ b/internal/loadplay/fleet.go
@@ -194,9 +194,6 @@
 	}
 }
 
-// Tick implements Policy.
-func (f *fleet) Tick(time.Time) {}
-
 // Engines implements Policy.
 func (f *fleet) Engines(up []bool, now time.Time) {
 	var list []catalog.Instance
--- a/internal/loadplay/player.go
+++ b/internal/loadplay/player.go
@@ -32,8 +32,6 @@
 	Withdrawn(t *Try, now time.Time)
 	// Tell passes what hosts tell each other, every tellInterval.
 	Tell(now time.Time)
-	// Tick is called every simulated millisecond.
-	Tick(now time.Time)
 	// Engines takes the engines that can be used.
 	Engines(up []bool, now time.Time)
 }
@@ -62,18 +60,14 @@
 	policy  Policy
 	result  *Result
 	tries   map[uint64]*Try
-	// returning are callers that come back after a refusal, with the time.
-	returning []returning
-	sending   []sending
-	now       time.Time
+	// returning are callers that come back after a refusal, sending what is on its way to
+	// an engine.
+	returning, sending []due
+	now                time.Time
 }
 
-type returning struct {
-	t  *Try
-	at time.Time
-}
-
-type sending struct {
+// due is a try that goes on at a later time.
+type due struct {
 	t  *Try
 	at time.Time
 }
@@ -102,7 +96,6 @@
 		if w.now.Sub(start)%tellInterval == 0 {
 			w.policy.Tell(w.now)
 		}
-		w.policy.Tick(w.now)
 		w.deliver()
 	}
 	w.finish()
@@ -118,7 +111,7 @@
 // Send sends a request to an engine.
 func (w *World) Send(t *Try, engine int) {
 	t.engine, t.sent = engine, true
-	w.sending = append(w.sending, sending{t, w.now.Add(linkDelay)})
+	w.sending = append(w.sending, due{t, w.now.Add(linkDelay)})
 }
 
 // Refuse answers a caller that the request has not run. The caller comes back after the
@@ -130,23 +123,17 @@
 	back := w.now.Add(retryAfter)
 	if t.Returns < t.Kind.Returns && back.Before(t.At.Add(t.Kind.Patience)) {
 		next := &Try{Request: t.Request, Host: (t.Host + 1) % w.load.Hosts, Returns: t.Returns + 1}
-		w.returning = append(w.returning, returning{next, back})
+		w.returning = append(w.returning, due{next, back})
 		return
 	}
-	w.result.refused(t, w.now)
+	w.result.refused(t)
 }
 
-// Load returns the load.
-func (w *World) Load() *Load { return w.load }
-
-// Engine returns the model of an engine.
-func (w *World) Engine(i int) *enginemodel.Engine { return w.engines[i] }
-
 // deliver lets requests reach their engines.
 func (w *World) deliver() {
-	due := 0
-	for ; due < len(w.sending) && !w.sending[due].at.After(w.now); due++ {
-		t := w.sending[due].t
+	arrived := 0
+	for ; arrived < len(w.sending) && !w.sending[arrived].at.After(w.now); arrived++ {
+		t := w.sending[arrived].t
 		if t.over {
 			continue
 		}
@@ -159,7 +146,7 @@
 			w.Refuse(t, tellInterval)
 		}
 	}
-	w.sending = w.sending[due:]
+	w.sending = w.sending[arrived:]
 }
 
 // advance plays the engines until now.
@@ -190,10 +177,10 @@
 		t.last = v.At
 	case enginemodel.Finished:
 		w.end(t)
-		w.result.answered(t, v.At)
+		w.result.answered(t)
 	case enginemodel.Broken:
 		w.end(t)
-		w.result.failed(t, v.At)
+		w.result.failed(t)
 	}
 }
 
@@ -205,15 +192,15 @@
 
 // comeBack lets refused callers try again.
 func (w *World) comeBack() {
-	var due []returning
-	w.returning = slices.DeleteFunc(w.returning, func(r returning) bool {
+	var back []due
+	w.returning = slices.DeleteFunc(w.returning, func(r due) bool {
 		if r.at.After(w.now) {
 			return false
 		}
-		due = append(due, r)
+		back = append(back, r)
 		return true
 	})
-	for _, r := range due {
+	for _, r := range back {
 		w.arrive(r.t)
 	}
 }
@@ -239,7 +226,7 @@
 			delete(w.tries, t.ID)
 			w.policy.Withdrawn(t, w.now)
 		}
-		w.result.failed(t, w.now)
+		w.result.failed(t)
 	}
 }
 
@@ -252,7 +239,7 @@
 			w.up[s.Engine], changed = false, true
 			for _, t := range w.at(s.Engine) {
 				w.end(t)
-				w.result.failed(t, w.now)
+				w.result.failed(t)
 			}
 		case (s.At + s.For).Round(tick):
 			w.up[s.Engine], changed = true, true
@@ -278,10 +265,10 @@
 // finish counts what is still open, and the totals of the engines.
 func (w *World) finish() {
 	for _, t := range w.tries {
-		w.result.failed(t, w.now)
+		w.result.failed(t)
 	}
 	for _, r := range w.returning {
-		w.result.refused(r.t, w.now)
+		w.result.refused(r.t)
 	}
 	for _, e := range w.engines {
 		w.result.engines = append(w.result.engines, e.Counts())
--- a/internal/loadplay/result.go
+++ b/internal/loadplay/result.go
@@ -72,7 +72,7 @@
 	r.largest[q.Account] = max(r.largest[q.Account], tokens)
 }
 
-func (r *Result) answered(t *Try, _ time.Time) {
+func (r *Result) answered(t *Try) {
 	earned := t.Kind.Worth
 	if t.late {
 		earned = t.Kind.LateWorth
@@ -91,7 +91,7 @@
 	r.servedBy[t.Account][second(t.first)] += float64(t.inputTokens() + t.Output)
 }
 
-func (r *Result) refused(t *Try, _ time.Time) { r.each(t.Request, func(x *Tally) { x.Refused++ }) }
+func (r *Result) refused(t *Try) { r.each(t.Request, func(x *Tally) { x.Refused++ }) }
 
 // held notes how long an attempt was kept until it was refused.
 func (r *Result) held(t *Try, now time.Time) {
@@ -99,7 +99,7 @@
 	r.turnedBy[t.Account][second(t.At)]++
 }
 
-func (r *Result) failed(t *Try, _ time.Time) { r.each(t.Request, func(x *Tally) { x.Failed++ }) }
+func (r *Result) failed(t *Try) { r.each(t.Request, func(x *Tally) { x.Failed++ }) }
 
 // Worth is the part of the owed worth that was earned.
 func (t *Tally) Worth() float64 { return t.Earned / max(t.Owed, 1e-9) }
--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -187,17 +187,6 @@
 	}
 }
 
-func (s *soak) newest() (version int, at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for v, when := range s.acknowledged {
-		if v > version {
-			version, at = v, when
-		}
-	}
-	return version, at
-}
-
 // probeRevoked sends requests with credentials that a version took away longer ago than
 // the bound.
 func (s *soak) probeRevoked(stop <-chan struct{}) {
@@ -209,10 +198,7 @@
 			return
 		case <-time.After(50 * time.Millisecond):
 		}
-		newest, at := s.newest()
-		if newest < 2 || time.Since(at) < revokeTime {
-			newest = s.revokedBefore(time.Now().Add(-revokeTime))
-		}
+		newest := s.acknowledgedBefore(time.Now().Add(-revokeTime))
 		if newest < 2 {
 			continue
 		}
@@ -223,8 +209,8 @@
 	}
 }
 
-// revokedBefore returns the highest version acknowledged before a time.
-func (s *soak) revokedBefore(limit time.Time) (version int) {
+// acknowledgedBefore returns the highest version acknowledged before a time.
+func (s *soak) acknowledgedBefore(limit time.Time) (version int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for v, at := range s.acknowledged {
@@ -239,7 +225,7 @@
 func (s *soak) recovers() {
 	s.until("ready hosts after the faults", recoverTime, s.allReady)
 	c := s.callers.newCaller(rand.New(rand.NewSource(s.seed)), &http.Transport{})
-	newest, _ := s.newest()
+	newest := s.acknowledgedBefore(time.Now())
 	for _, h := range s.f.hosts {
 		for _, kind := range []string{"reads", "orders", "events", "events/once"} {
 			s.until(kind+" on host "+h.ip, recoverTime, func() bool { return s.ask(c, h, kind).Status == http.StatusOK })
