Log and measure the connections that a host holds, by state

A host that ended by memory left one warning, 8 s before its end, and neither logs nor metrics told whether it held connections that wait for their first header, idle ones, or ones that it was refusing. The warning is now repeated after each change of 4 MB and names these counts, so do the line of an overloaded host and four metrics. No decision has changed.

go test ./internal/gateway ./internal/daemon passes.

--- a/internal/daemon/edge_status.go
+++ b/internal/daemon/edge_status.go
@@ -23,13 +23,17 @@
 // gauges returns the present values of this host's gauge metrics.
 func (e *edgeRole) gauges() map[string]float64 {
 	status := e.status()
+	connections := e.gateway.Connections()
 	out := map[string]float64{
 		"edge.ready": boolGauge(status.Ready), "edge.version": float64(status.Version), "edge.running": float64(status.Running),
 		"edge.list_age_seconds":      float64(status.ListAgeMS) / 1000,
 		"control.config_age_seconds": e.d.controlClient.ConfigAge().Seconds(),
 		"control.revision":           float64(e.d.controlClient.Config().Revision),
 		"control.hosts_alive":        0,
-		"gateway.connections":        float64(e.gateway.Connections()),
+		"gateway.connections":        float64(connections.Open),
+		"gateway.unread_connections": float64(connections.Unread),
+		"gateway.idle_connections":   float64(connections.Idle),
+		"gateway.refusing":           float64(connections.Refusing),
 		"gateway.overload_level":     e.gateway.AccountRateLimit(),
 	}
 	m := readMemory()
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -12,6 +12,9 @@
 	memoryCheckInterval = time.Second
 	// highMemoryPercent is the part of the memory limit above which a host logs a warning.
 	highMemoryPercent = 70
+	// loggedMemoryStep is the change of the memory use, in bytes, after which a host above the
+	// warning threshold logs it again.
+	loggedMemoryStep = 4 << 20
 )
 
 // Requests and connections per MB of the memory limit. A running request takes about 60 KB
@@ -50,19 +53,36 @@
 }
 
 // watchMemory logs a warning each time the memory use crosses highMemoryPercent of the limit,
-// in either direction.
+// in either direction, and each time it changes by loggedMemoryStep while it is above. A process
+// that is killed for its memory use writes no last line, so these lines show what it held.
 func (d *Daemon) watchMemory(ctx context.Context) error {
 	if d.settings.MemoryMB == 0 {
 		return nil
 	}
 	threshold := uint64(d.settings.MemoryMB) << 20 * highMemoryPercent / 100
-	above := false
+	above, logged := false, uint64(0)
 	return runEvery(ctx, memoryCheckInterval, func(time.Time) {
 		m := readMemory()
-		if isAbove := m.totalBytes > threshold; isAbove != above {
-			above = isAbove
-			d.log.WithField("total_kb", m.totalBytes>>10).WithField("live_kb", m.liveBytes>>10).
-				WithField("goroutines", m.goroutines).WithField("short", isAbove).Warn("Memory use crossed the warning threshold.")
+		crossed := above != (m.totalBytes > threshold)
+		above = m.totalBytes > threshold
+		if crossed || above && max(m.totalBytes, logged)-min(m.totalBytes, logged) >= loggedMemoryStep {
+			logged = m.totalBytes
+			d.logMemory(m, above)
 		}
 	})
 }
+
+func (d *Daemon) logMemory(m memoryUse, above bool) {
+	l := d.log.WithField("total_kb", m.totalBytes>>10).WithField("live_kb", m.liveBytes>>10).
+		WithField("goroutines", m.goroutines)
+	if d.edge != nil && d.edge.gateway != nil {
+		c := d.edge.gateway.Connections()
+		l = l.WithField("connections", c.Open).WithField("unread", c.Unread).WithField("idle", c.Idle).
+			WithField("refusing", c.Refusing).WithField("running", d.edge.gateway.Running())
+	}
+	if !above {
+		l.Info("Memory use is below the warning threshold again.")
+		return
+	}
+	l.Warn("Memory use is above the warning threshold.")
+}
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -56,6 +56,20 @@
 	open map[net.Conn]*list.Element
 	// idle holds the idle connections, the longest idle first.
 	idle *list.List
+	// unread holds the connections whose first request has not been read yet.
+	unread map[net.Conn]struct{}
+}
+
+// ConnectionCounts are the numbers of connections of callers, by state.
+type ConnectionCounts struct {
+	// Open counts all connections but those that are being refused.
+	Open int
+	// Unread counts the open connections whose first request has not been read yet.
+	Unread int
+	// Idle counts the open connections that wait for another request.
+	Idle int
+	// Refusing counts the connections that are being refused without parsing a request.
+	Refusing int
 }
 
 type idleConn struct {
@@ -64,7 +78,7 @@
 }
 
 func newConnections(limit int, now func() time.Time) *connections {
-	return &connections{limit: limit, now: now, open: map[net.Conn]*list.Element{}, idle: list.New()}
+	return &connections{limit: limit, now: now, open: map[net.Conn]*list.Element{}, idle: list.New(), unread: map[net.Conn]struct{}{}}
 }
 
 // stateChanged is the ConnState hook of the server.
@@ -75,12 +89,14 @@
 		c.idle.Remove(e)
 	}
 	c.open[conn] = nil
+	delete(c.unread, conn)
 	switch state {
 	case http.StateIdle:
 		c.open[conn] = c.idle.PushBack(idleConn{conn, c.now()})
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, conn)
 	case http.StateNew:
+		c.unread[conn] = struct{}{}
 		if c.limit > 0 && len(c.open) > c.limit {
 			c.closeLongestIdleLocked()
 		}
@@ -111,9 +127,9 @@
 	}
 }
 
-// count returns the number of open connections.
-func (c *connections) count() int {
+// counts returns the numbers of the connections that are not being refused.
+func (c *connections) counts() ConnectionCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open)
+	return ConnectionCounts{Open: len(c.open), Unread: len(c.unread), Idle: c.idle.Len()}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,8 @@
 	limiter lockedLimiter
 	crashes *crashTracker
 	running atomic.Int64
+	// refusing counts the connections that are being refused without parsing a request.
+	refusing atomic.Int64
 	random  struct {
 		sync.Mutex
 		*rand.Rand
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -50,7 +50,9 @@
 }
 
 func (s *Server) logLag(lag time.Duration) *logrus.Entry {
-	return s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithField("connections", s.Connections())
+	counts := s.Connections()
+	return s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithField("connections", counts.Open).
+		WithField("unread", counts.Unread).WithField("idle", counts.Idle).WithField("refusing", counts.Refusing)
 }
 
 // checkLoad refuses a request if the host is too busy, before it spends more time on it.
@@ -81,5 +83,9 @@
 	return s.limiter.RateLimit()
 }
 
-// Connections returns the number of open connections of callers.
-func (s *Server) Connections() int { return s.conns.count() }
+// Connections returns the numbers of the callers' connections.
+func (s *Server) Connections() ConnectionCounts {
+	counts := s.conns.counts()
+	counts.Refusing = int(s.refusing.Load())
+	return counts
+}
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -136,7 +136,7 @@
 	}
 	gw.Assert(exchange(conns[0]), qt.IsNotNil)
 	gw.Assert(exchange(conns[5]), qt.IsNil)
-	gw.Assert(gw.server.Connections() <= 3, qt.IsTrue)
+	gw.Assert(gw.server.Connections().Open <= 3, qt.IsTrue)
 }
 
 func (c *connections) idleCount() int {
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -41,7 +41,11 @@
 			return c, err
 		}
 		l.server.count("shed")
-		go refuseConn(c)
+		l.server.refusing.Add(1)
+		go func() {
+			defer l.server.refusing.Add(-1)
+			refuseConn(c)
+		}()
 	}
 }
 
