--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,7 @@
 	running atomic.Int64
 	// refusing counts the connections that are being refused without parsing a request.
 	refusing atomic.Int64
-	random  struct {
+	random   struct {
 		sync.Mutex
 		*rand.Rand
 	}
