Count connections of callers until they are closed, and refuse those above the limit

Callers saw answers lost and connections cut when a flooded host ended by memory. The host bounded its connections by closing the longest idle one for each new one, and forgot it at once. Where none was idle nothing bounded them at all.

Now a connection counts until it is closed, at most a sixteenth above the limit is open while others close, and a new connection without room is refused with a 503 that tells that it has not run.

Before: TestConnectionsAreBoundedWhileClosingIsSlow {Open:256} at a bound of 32, TestHalfSentRequestsAreBounded 0 of 256 refused, TestRequestsAboveTheConnectionLimitAreRefused no refusal; all pass now, three times with the race detector. TestRefusalsOfSilentConnectionsAreBounded still fails and stays listed.

--- a/internal/daemon/edge_status.go
+++ b/internal/daemon/edge_status.go
@@ -26,15 +26,16 @@
 	connections := e.gateway.Connections()
 	out := map[string]float64{
 		"edge.ready": boolGauge(status.Ready), "edge.version": float64(status.Version), "edge.running": float64(status.Running),
-		"edge.list_age_seconds":      float64(status.ListAgeMS) / 1000,
-		"control.config_age_seconds": e.d.controlClient.ConfigAge().Seconds(),
-		"control.revision":           float64(e.d.controlClient.Config().Revision),
-		"control.hosts_alive":        0,
-		"gateway.connections":        float64(connections.Open),
-		"gateway.unread_connections": float64(connections.Unread),
-		"gateway.idle_connections":   float64(connections.Idle),
-		"gateway.refusing":           float64(connections.Refusing),
-		"gateway.overload_level":     e.gateway.AccountRateLimit(),
+		"edge.list_age_seconds":       float64(status.ListAgeMS) / 1000,
+		"control.config_age_seconds":  e.d.controlClient.ConfigAge().Seconds(),
+		"control.revision":            float64(e.d.controlClient.Config().Revision),
+		"control.hosts_alive":         0,
+		"gateway.connections":         float64(connections.Open),
+		"gateway.unread_connections":  float64(connections.Unread),
+		"gateway.idle_connections":    float64(connections.Idle),
+		"gateway.closing_connections": float64(connections.Closing),
+		"gateway.refusing":            float64(connections.Refusing),
+		"gateway.overload_level":      e.gateway.AccountRateLimit(),
 	}
 	m := readMemory()
 	out["process.memory_bytes"], out["process.live_bytes"] = float64(m.totalBytes), float64(m.liveBytes)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -78,7 +78,7 @@
 	if d.edge != nil && d.edge.gateway != nil {
 		c := d.edge.gateway.Connections()
 		l = l.WithField("connections", c.Open).WithField("unread", c.Unread).WithField("idle", c.Idle).
-			WithField("refusing", c.Refusing).WithField("running", d.edge.gateway.Running())
+			WithField("closing", c.Closing).WithField("refusing", c.Refusing).WithField("running", d.edge.gateway.Running())
 	}
 	if !above {
 		l.Info("Memory use is below the warning threshold again.")
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -48,16 +48,29 @@
 
 // connections tracks the connections of callers and closes idle ones: those that are idle
 // for too long, and the longest idle ones when there are too many.
+//
+// Every connection counts until it is closed. A connection that is being closed may stay open
+// for a long time, because its goroutine needs CPU time to notice, and the host is short of
+// that when its callers open the most connections.
 type connections struct {
 	limit int
 	now   func() time.Time
 
 	mu   sync.Mutex
-	open map[net.Conn]*list.Element
+	open map[net.Conn]*connState
 	// idle holds the idle connections, the longest idle first.
 	idle *list.List
-	// unread holds the connections whose first request has not been read yet.
-	unread map[net.Conn]struct{}
+	// unread is the number of connections whose first request has not been read yet.
+	unread int
+	// closing is the number of idle connections that are being closed.
+	closing int
+}
+
+// connState is the state of an open connection.
+type connState struct {
+	unread, closing bool
+	// idle is the element of connections.idle, nil unless the connection is idle.
+	idle *list.Element
 }
 
 // ConnectionCounts are the numbers of connections of callers, by state.
@@ -68,54 +81,92 @@
 	Unread int
 	// Idle counts the open connections that wait for another request.
 	Idle int
+	// Closing counts the open connections that are being closed because they were idle.
+	Closing int
 	// Refusing counts the connections that are being refused without parsing a request.
 	Refusing int
 }
 
+const (
+	// closingDivisor is the ratio of the connection limit to the number of connections above
+	// it that may be open while others are being closed, which is at least minClosing.
+	closingDivisor = 16
+	minClosing     = 2
+)
+
 type idleConn struct {
 	net.Conn
 	since time.Time
 }
 
 func newConnections(limit int, now func() time.Time) *connections {
-	return &connections{limit: limit, now: now, open: map[net.Conn]*list.Element{}, idle: list.New(), unread: map[net.Conn]struct{}{}}
+	return &connections{limit: limit, now: now, open: map[net.Conn]*connState{}, idle: list.New()}
+}
+
+// makeRoom reports whether one more connection may be opened. At the limit it closes the
+// longest idle connection to make room.
+func (c *connections) makeRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit <= 0 {
+		return true
+	}
+	if len(c.open) >= c.limit+max(c.limit/closingDivisor, minClosing) {
+		return false
+	}
+	return len(c.open)-c.closing < c.limit || c.closeLongestIdleLocked()
 }
 
 // stateChanged is the ConnState hook of the server.
 func (c *connections) stateChanged(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.open[conn]; e != nil {
-		c.idle.Remove(e)
+	st := c.open[conn]
+	if st == nil {
+		st = &connState{}
+		c.open[conn] = st
 	}
-	c.open[conn] = nil
-	delete(c.unread, conn)
+	c.resetLocked(st)
 	switch state {
+	case http.StateNew:
+		st.unread = true
+		c.unread++
 	case http.StateIdle:
-		c.open[conn] = c.idle.PushBack(idleConn{conn, c.now()})
+		st.idle = c.idle.PushBack(idleConn{conn, c.now()})
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, conn)
-	case http.StateNew:
-		c.unread[conn] = struct{}{}
-		if c.limit > 0 && len(c.open) > c.limit {
-			c.closeLongestIdleLocked()
-		}
 	}
 }
 
-// closeLongestIdleLocked closes the connection that has been idle the longest. The caller at
-// its other end opens a new one for the next request.
+// resetLocked removes a connection from the counts of its old state.
+func (c *connections) resetLocked(st *connState) {
+	if st.idle != nil {
+		c.idle.Remove(st.idle)
+	}
+	if st.unread {
+		c.unread--
+	}
+	if st.closing {
+		c.closing--
+	}
+	*st = connState{}
+}
+
+// closeLongestIdleLocked closes the connection that has been idle the longest; ok is false
+// if there is none. The caller at its other end opens a new one for the next request.
 //
 // It sets a read deadline that ends the server's wait for a request. Close would also abort
 // a request that the server has just read, on a connection that still counts as idle here.
-func (c *connections) closeLongestIdleLocked() {
+func (c *connections) closeLongestIdleLocked() (ok bool) {
 	e := c.idle.Front()
 	if e == nil {
-		return
+		return false
 	}
 	longest := c.idle.Remove(e).(idleConn)
-	c.open[longest.Conn] = nil
+	c.open[longest.Conn] = &connState{closing: true}
+	c.closing++
 	_ = longest.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
+	return true
 }
 
 // closeIdleSince closes the connections that have been idle since before cutoff.
@@ -131,5 +182,5 @@
 func (c *connections) counts() ConnectionCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return ConnectionCounts{Open: len(c.open), Unread: len(c.unread), Idle: c.idle.Len()}
+	return ConnectionCounts{Open: len(c.open), Unread: c.unread, Idle: c.idle.Len(), Closing: c.closing}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,7 +78,8 @@
 	MaxHeaderBytes    int
 	ReadHeaderTimeout time.Duration
 	// MaxConnections bounds the connections of callers, MaxRunning the concurrent requests;
-	// 0 means no limit.
+	// 0 means no limit. While connections are being closed to make room, a sixteenth more may
+	// be open.
 	MaxConnections, MaxRunning int
 	Log                        logrus.FieldLogger
 	Registry                   metrics.Registry
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -52,7 +52,8 @@
 func (s *Server) logLag(lag time.Duration) *logrus.Entry {
 	counts := s.Connections()
 	return s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithField("connections", counts.Open).
-		WithField("unread", counts.Unread).WithField("idle", counts.Idle).WithField("refusing", counts.Refusing)
+		WithField("unread", counts.Unread).WithField("idle", counts.Idle).
+		WithField("closing", counts.Closing).WithField("refusing", counts.Refusing)
 }
 
 // checkLoad refuses a request if the host is too busy, before it spends more time on it.
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -26,8 +26,8 @@
 
 var shedBody = failureBody(fault.HostOverloaded, fault.NotRun)
 
-// shedListener refuses a fraction of new connections while the host is overloaded. That
-// takes a tenth of the time of a refusal that parses the request.
+// shedListener refuses new connections at the connection limit, and a fraction of them while
+// the host is overloaded. That takes a tenth of the time of a refusal that parses the request.
 type shedListener struct {
 	net.Listener
 	server *Server
@@ -37,8 +37,11 @@
 func (l shedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil || !l.server.shed() {
-			return c, err
+		if err != nil {
+			return nil, err
+		}
+		if !l.server.shed() && l.server.conns.makeRoom() {
+			return c, nil
 		}
 		l.server.count("shed")
 		l.server.refusing.Add(1)
