Refuse connections without holding a goroutine and a buffer for each

A host that is short of CPU time refuses a part of the new connections. A deadline that passed before the goroutine ran also closed connections whose request had arrived.

Accept now reads what has arrived and responds at once with one buffer; only connections whose request is still on its way wait, at most a sixteenth of the connection limit, and above that they are closed unread.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 
 // Serve accepts connections on ln until Shutdown or Close.
 func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(shedListener{ln, s})
+	err := s.http.Serve(newShedListener(ln, s))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -12,12 +12,17 @@
 
 // Limits for connections that are refused before their requests are parsed.
 const (
-	// shedTimeout bounds the time spent on such a connection, and shedReadBytes one read of
-	// its request. The request is read, because closing a connection with unread bytes resets
-	// it and may lose the response.
-	shedTimeout   = 300 * time.Millisecond
-	shedReadBytes = 16 << 10
-	maxDrainReads = 4
+	// refuseTimeout bounds the wait for the request of such a connection, and
+	// refuseReadBytes one read of it. The request is read, because closing a connection with
+	// unread bytes resets it and may lose the response.
+	refuseTimeout   = 300 * time.Millisecond
+	refuseReadBytes = 16 << 10
+	maxDrainReads   = 4
+	// refusingDivisor is the ratio of the connection limit to the number of connections that
+	// wait at once for the request that they refuse; maxRefusing is that number without a
+	// connection limit.
+	refusingDivisor = 16
+	maxRefusing     = 256
 )
 
 // shedResponse is a 503, which guarantees that the request was not run.
@@ -31,10 +36,16 @@
 type shedListener struct {
 	net.Listener
 	server *Server
+	// buf receives the requests that are refused by Accept itself.
+	buf []byte
+}
+
+func newShedListener(ln net.Listener, s *Server) *shedListener {
+	return &shedListener{Listener: ln, server: s, buf: make([]byte, refuseReadBytes)}
 }
 
 // Accept implements net.Listener.
-func (l shedListener) Accept() (net.Conn, error) {
+func (l *shedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
@@ -44,12 +55,42 @@
 			return c, nil
 		}
 		l.server.count("shed")
-		l.server.refusing.Add(1)
-		go func() {
-			defer l.server.refusing.Add(-1)
-			refuseConn(c)
-		}()
+		l.refuse(c)
+	}
+}
+
+// refuse responds to the first request of a connection without parsing it. On a host that is
+// short of CPU time the request has arrived already, and no goroutine or buffer is held for
+// it. The number of connections that wait for their request is bounded; above it they are
+// closed unread, which tells callers that nothing has run.
+func (l *shedListener) refuse(c net.Conn) {
+	if raw, ok := rawConn(c); ok && netopt.ReadAvailable(raw, l.buf) > 0 {
+		respondRefusal(c, l.buf)
+		return
+	}
+	if !l.server.beginRefusal() {
+		l.server.count("shed_unread")
+		_ = c.Close() // no error matters on a connection without an exchange
+		return
 	}
+	go func() {
+		defer l.server.refusing.Add(-1)
+		refuseConn(c)
+	}()
+}
+
+// beginRefusal counts one more connection that is being refused, and reports false if there
+// are too many.
+func (s *Server) beginRefusal() bool {
+	most := int64(maxRefusing)
+	if s.opts.MaxConnections > 0 {
+		most = int64(max(s.opts.MaxConnections/refusingDivisor, 1))
+	}
+	if s.refusing.Add(1) <= most {
+		return true
+	}
+	s.refusing.Add(-1)
+	return false
 }
 
 // shed reports whether to refuse a new connection.
@@ -60,25 +101,33 @@
 	return s.limiter.Shed(fraction)
 }
 
-// refuseConn responds to the first request of a connection without parsing it.
+// refuseConn waits for the first request of a connection and responds to it without parsing
+// it.
 func refuseConn(c net.Conn) {
-	defer c.Close()
-	if c.SetDeadline(time.Now().Add(shedTimeout)) != nil {
+	buf := make([]byte, refuseReadBytes)
+	if c.SetReadDeadline(time.Now().Add(refuseTimeout)) != nil {
+		_ = c.Close() // already closed
 		return
 	}
-	buf := make([]byte, shedReadBytes)
-	if _, err := c.Read(buf); err != nil {
+	// A goroutine that gets CPU time late finds its deadline passed and the request there.
+	if n, _ := c.Read(buf); n == 0 && !hasUnread(c) {
+		_ = c.Close() // the caller sent nothing
 		return
 	}
+	respondRefusal(c, buf)
+}
+
+// respondRefusal responds to a request of which the beginning was read, and closes the
+// connection. The response fits into the socket buffer, so writing it does not wait.
+func respondRefusal(c net.Conn, buf []byte) {
+	defer c.Close()
 	if _, err := io.WriteString(c, shedResponse); err != nil {
 		return
 	}
 	// Unread bytes would make Close reset the connection.
+	raw, ok := rawConn(c)
 	for range maxDrainReads {
-		if !hasUnread(c) {
-			return
-		}
-		if _, err := c.Read(buf); err != nil {
+		if !ok || netopt.ReadAvailable(raw, buf) == 0 {
 			return
 		}
 	}
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -64,3 +64,18 @@
 	})
 	return open && err == nil, unread
 }
+
+// ReadAvailable reads bytes that have arrived, without waiting. It returns 0 if there are
+// none or the connection has ended.
+func ReadAvailable(c syscall.RawConn, p []byte) int {
+	n := 0
+	err := c.Control(func(fd uintptr) {
+		if read, err := syscall.Read(int(fd), p); err == nil {
+			n = read
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
