Leave room for requests that wait in sockets in the runtime's memory limit

The third part of the incident's cause: the runtime may use 85 percent of the memory limit before its collector works harder, and the connections that the host allows hold up to 24 MB of unread requests at 112 MB: 119 MB together. The limit is 70 percent now.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -33,7 +33,7 @@
 const (
 	// goMemoryPercent is the part of the process's memory limit that the Go runtime may use. The
 	// rest is for memory that the runtime does not count: the program itself and socket buffers.
-	goMemoryPercent = 85
+	goMemoryPercent = 70
 	// logFlushTimeout bounds the wait for the last log lines at exit.
 	logFlushTimeout = 200 * time.Millisecond
 	// logTimeFormat has milliseconds, so that log lines of several hosts can be sorted by time.
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -25,6 +25,10 @@
 	connectionsPerMB = 10
 )
 
+// unreadBytesPerConnection is the size of a request with a long prompt that waits in its
+// socket. Such bytes count towards the memory limit and not towards the Go runtime's.
+const unreadBytesPerConnection = 20 << 10
+
 // maxRunning returns how many requests the memory limit allows at once, 0 for no limit.
 func maxRunning(s *settings.Settings) int { return s.MemoryMB * runningPerMB }
 
