Bind the promise of a formation to its hosts, not to its request id

Cause: promiseForm let a promise through whenever the request id was the same, whatever hosts the request named, and commitForm compared only the id. A caller that repeats an id with other hosts (after a corrected list, say) gets the promise of a replica that belongs to the first list.

Seen by operators: two formations with different, overlapping hosts could each collect all their promises and form a group of their own, with one replica in both memberships.

Change: a promise is given again only for the hosts it was given for, and a commit is taken only for those hosts. Another id for the same hosts may still take over, since it forms the same group.

Ruled out: the check of a formed replica (FormedBy) isn't at fault; a formed replica answers with its members, and the coordinator refuses others.

TestFormationRefusesRequestIDWithOtherHosts before: got "", want "membership_conflict". After: passes; all tests of internal/control pass.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -248,6 +248,27 @@
 	c.Assert(sim.nodes["h4"].formed(), qt.IsFalse)
 }
 
+// Guards against a repeated request id with other hosts that gets a promise given to the
+// first hosts, so that two groups form.
+func TestFormationRefusesRequestIDWithOtherHosts(t *testing.T) {
+	c := qt.New(t)
+	sim := newSimulation(t, 6, "h1", "h2", "h3", "h4")
+	n := sim.nodes["h2"]
+	replica := uint64(n.opts.Storage.ReplicaID())
+	promise := func(hosts ...string) error {
+		return n.promiseForm(wire.Form{Op: wire.FormPromise, RequestID: "a", Hosts: hosts})
+	}
+	c.Assert(promise("h1", "h2", "h3"), qt.IsNil)
+	c.Assert(promise("h1", "h2", "h3"), qt.IsNil)
+	c.Assert(fault.CodeOf(promise("h2", "h4")), qt.Equals, fault.MembershipConflict)
+	err := n.commitForm(wire.Form{
+		Op: wire.FormCommit, RequestID: "a", Hosts: []string{"h2", "h4"},
+		Members: []wire.FormMember{{ID: replica, Host: "h2"}, {ID: replica + 1, Host: "h4"}},
+	})
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.MembershipConflict)
+	c.Assert(n.formed(), qt.IsFalse)
+}
+
 // A delayed FormCommit must not reset a replica that already follows the group's log.
 func TestLateFormCommit(t *testing.T) {
 	c := qt.New(t)
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -14,8 +14,8 @@
 
 // formJob is the formation of a control group that this node coordinates. All hosts first
 // promise to take part, then all get the same membership. A promise binds a blank replica
-// to one request, or another one for the same hosts, so that two requests with different,
-// overlapping hosts cannot both form a group.
+// to the hosts of one request, so that two requests with different, overlapping hosts
+// cannot both form a group.
 type formJob struct {
 	requestID string
 	hosts     []string
@@ -158,7 +158,7 @@
 		return fault.New(fault.AlreadyFormed, fault.NotRun, "host %q is joining a group", n.opts.Host)
 	}
 	// Another request for the same hosts forms the same group, so it may take over.
-	if p := n.promise; p != nil && p.RequestID != m.RequestID && !slices.Equal(p.Hosts, m.Hosts) {
+	if p := n.promise; p != nil && !slices.Equal(p.Hosts, m.Hosts) {
 		return fault.New(fault.MembershipConflict, fault.NotRun, "host %q takes part in another formation", n.opts.Host)
 	}
 	n.promise = &m
@@ -169,7 +169,7 @@
 	if err := n.checkFormedBy(m.RequestID); err != nil || n.formed() {
 		return err
 	}
-	if p := n.promise; p == nil || p.RequestID != m.RequestID {
+	if p := n.promise; p == nil || p.RequestID != m.RequestID || !slices.Equal(p.Hosts, m.Hosts) {
 		return fault.New(fault.MembershipConflict, fault.NotRun, "host %q has not promised this formation", n.opts.Host)
 	}
 	if n.raft != nil {
