Keep the request ids of formations by long lists of seeds apart

Cause: formFromSeeds cut "seeds A,B,..." to 64 bytes, the longest request id that the state accepts. Lists that differ only after that got one id.

Seen by operators: with the promise check that went by the id alone, hosts whose settings name different long lists of seeds took part in one formation as if they agreed.

Short lists keep their id, so that a group formed by an earlier version still knows its request.

--- a/internal/daemon/form.go
+++ b/internal/daemon/form.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +18,12 @@
 	formRetryInterval = 200 * time.Millisecond
 )
 
+const (
+	// maxRequestIDBytes bounds the request id of a formation.
+	maxRequestIDBytes = 64
+	seedRequestPrefix = "seeds "
+)
+
 // formFromSeeds forms the control group when the whole system starts for the first time.
 // All seeds run it with the same request ID, so that it does not matter which is first.
 func (d *Daemon) formFromSeeds(ctx context.Context) error {
@@ -26,10 +34,7 @@
 	}
 	slices.Sort(seeds)
 	seeds = slices.Compact(seeds)
-	requestID := "seeds " + strings.Join(seeds, ",")
-	if len(requestID) > 64 {
-		requestID = requestID[:64]
-	}
+	requestID := seedRequestID(seeds)
 	for ctx.Err() == nil {
 		attemptCtx, cancel := context.WithTimeout(ctx, formTimeout)
 		err := node.Form(attemptCtx, requestID, seeds)
@@ -46,3 +51,14 @@
 	}
 	return nil
 }
+
+// seedRequestID returns the request id of a formation by the given sorted seeds. It holds
+// their digest if their names are too long.
+func seedRequestID(seeds []string) string {
+	names := strings.Join(seeds, ",")
+	if id := seedRequestPrefix + names; len(id) <= maxRequestIDBytes {
+		return id
+	}
+	digest := sha256.Sum256([]byte(names))
+	return (seedRequestPrefix + hex.EncodeToString(digest[:]))[:maxRequestIDBytes]
+}
