Refuse a data directory that holds the replica of another host

Seen by operators: a host started with the disk or data folder of another control host ran that host's replica. Its group sends to the host in the membership, so the replica campaigned and voted under an identity that the others look for elsewhere, and no error said why.

Change: Options.Host, set by the daemon.

the control role stops and doesn't retry, the host goes on as a router. A membership that lacks the replica says nothing and is accepted, as for learners.

The segments' headers already refuse it; TestSnapshotOfAnotherReplica shows so in its first half, which passed before.

TestOpenRefusesTheDiskOfAnotherHost before: got "", want "storage_foreign". After: both pass, and the tests of internal/wal, control, daemon, admin, ctl and fault.

--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -95,7 +95,7 @@
 	case fault.OrderFailed, fault.UpstreamFailed:
 		return fasthttp.StatusBadGateway
 	case fault.NotLeader, fault.NoQuorum, fault.HostIsolated, fault.HostLeaving, fault.RegionUnreachable,
-		fault.PeerUnreachable, fault.SchedulerLost, fault.StorageFailed, fault.StorageCorrupt:
+		fault.PeerUnreachable, fault.SchedulerLost, fault.StorageFailed, fault.StorageCorrupt, fault.StorageForeign:
 		return fasthttp.StatusServiceUnavailable
 	case fault.Timeout:
 		return fasthttp.StatusGatewayTimeout
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -97,7 +97,7 @@
 	case fault.InvalidConfig, fault.BadRequest, fault.BodyTooLarge, fault.FrameTooLarge:
 		return ExitInvalid
 	case fault.PeerUnreachable, fault.Timeout, fault.NotLeader, fault.NoQuorum, fault.HostIsolated,
-		fault.HostLeaving, fault.StorageFailed, fault.StorageCorrupt, fault.RegionUnreachable:
+		fault.HostLeaving, fault.StorageFailed, fault.StorageCorrupt, fault.StorageForeign, fault.RegionUnreachable:
 		if e.RunState == fault.MayHaveRun {
 			return ExitUnknown
 		}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -81,6 +81,7 @@
 
 func (r *controlRole) open() error {
 	walLog, restored, err := wal.Open(r.d.settings.DataFolder, wal.Options{
+		Host:   r.d.settings.Host,
 		OnSync: metrics.GetOrRegisterTimer("wal.sync", r.d.registry).Update,
 	})
 	if err != nil {
@@ -168,7 +169,8 @@
 }
 
 // run runs the control role until ctx ends. A storage failure stops the role but not the
-// host; opening the data folder is then retried until it succeeds or the data is corrupt.
+// host; opening the data folder is then retried until it succeeds or the data is corrupt or
+// belongs to another host.
 func (r *controlRole) run(ctx context.Context) error {
 	for r.d.settings.DataFolder != "" && ctx.Err() == nil {
 		if n := r.node.Load(); n != nil {
@@ -180,7 +182,7 @@
 			r.close()
 		}
 		wait.For(ctx, reopenInterval)
-		if fault.CodeOf(r.lastFailure()) == fault.StorageCorrupt {
+		if code := fault.CodeOf(r.lastFailure()); code == fault.StorageCorrupt || code == fault.StorageForeign {
 			// A retry can't help. The data is left as it is for an operator.
 			return nil
 		}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -69,6 +69,7 @@
 	StaleFence             Code = "stale_fence"
 	StorageFailed          Code = "storage_failed"
 	StorageCorrupt         Code = "storage_corrupt"
+	StorageForeign         Code = "storage_foreign"
 	PeerUnauthorised       Code = "peer_unauthorised"
 	PeerUnreachable        Code = "peer_unreachable"
 	FrameInvalid           Code = "frame_invalid"
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -12,9 +12,10 @@
 )
 
 // Open locks the directory, creates it if needed, and returns the state that was saved
-// there. It returns StorageCorrupt for files that are damaged or missing and
-// StorageFailed when the file system fails or another process holds the lock. It changes
-// files only after it found all of them intact.
+// there. It returns StorageCorrupt for files that are damaged, missing or of different
+// replicas, StorageForeign for the replica of another host, and StorageFailed when the file
+// system fails or another process holds the lock. It changes files only after it found all
+// of them intact.
 func Open(dir string, opts Options) (*Log, raft.Restored, error) {
 	if opts.FS == nil {
 		opts.FS = OSFS{}
@@ -34,7 +35,7 @@
 		return nil, raft.Restored{}, fault.Wrap(err, fault.StorageFailed, "", "lock directory %s", dir)
 	}
 	l.dirLock = lock
-	r, err := l.open(opts.NewReplicaID)
+	r, err := l.open(opts.Host, opts.NewReplicaID)
 	if err != nil {
 		_ = l.Close()
 		return nil, raft.Restored{}, err
@@ -75,7 +76,7 @@
 	return out, nil
 }
 
-func (l *Log) open(newID func() raft.ReplicaID) (raft.Restored, error) {
+func (l *Log) open(host string, newID func() raft.ReplicaID) (raft.Restored, error) {
 	var r raft.Restored
 	var file snapshotFile
 	files, err := l.listFiles()
@@ -113,9 +114,29 @@
 		r.Entries = slices.Clone(entries[l.snapshot.Index-l.base.Index:])
 	}
 	r.Hard = l.hard
+	if err := l.checkHost(host, r); err != nil {
+		return r, err
+	}
 	return r, l.finishRecovery(files, end)
 }
 
+// checkHost returns StorageForeign if the latest membership assigns the replica to another
+// host. A membership without the replica says nothing about its host.
+func (l *Log) checkHost(host string, r raft.Restored) error {
+	members := r.Snapshot.Members
+	for _, e := range r.Entries {
+		if e.Kind == raft.EntryMembers {
+			members = e.Members
+		}
+	}
+	for _, m := range members {
+		if m.ID == l.replica && host != "" && m.Host != host {
+			return fault.New(fault.StorageForeign, "", "directory %s holds replica %d of host %q, this is host %q", l.dir, m.ID, m.Host, host)
+		}
+	}
+	return nil
+}
+
 func corruptf(format string, args ...any) error {
 	return fault.New(fault.StorageCorrupt, "", format, args...)
 }
@@ -168,7 +189,7 @@
 		return f, l.recordFailure(err, "read a snapshot")
 	}
 	payload, next, ok := framePayload(number, data, 0)
-	if !ok || next != len(data) || wire.Unmarshal(payload, &f) != nil || f.Version != formatVersion || f.Snapshot.Index != number {
+	if !ok || next != len(data) || wire.Unmarshal(payload, &f) != nil || f.Version != formatVersion || f.Replica == 0 || f.Snapshot.Index != number {
 		return f, corruptf("snapshot %d is damaged", number)
 	}
 	l.replica = f.Replica
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -43,6 +43,9 @@
 // Options holds the parameters of Open. Zero values mean OSFS, DefaultSegmentBytes and
 // ids from the system's random source.
 type Options struct {
+	// Host is the host that opens the log. If set, data that the group's membership assigns
+	// to another host is refused.
+	Host         string
 	FS           FS
 	SegmentBytes int
 	NewReplicaID func() raft.ReplicaID
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -306,6 +306,58 @@
 	}
 }
 
+// Guards against a snapshot that is used although another replica took it.
+func TestSnapshotOfAnotherReplica(t *testing.T) {
+	c := qt.New(t)
+	dir, _ := buildLog(t, 1)
+	other, _ := buildLog(t, 1)
+	data := readFile(c, dataFiles(other)[0])
+	_, code := openWith(c, dataFiles(dir)[0], data)
+	c.Assert(code, qt.Equals, fault.StorageCorrupt)
+
+	frame, err := encodeFrame(20, 0, snapshotFile{Version: formatVersion, Segment: 1, Snapshot: raft.Snapshot{Index: 20, Term: 3}})
+	c.Assert(err, qt.IsNil)
+	_, code = openWith(c, dataFiles(dir)[0], frame)
+	c.Assert(code, qt.Equals, fault.StorageCorrupt)
+}
+
+// Guards against a host that runs the replica of another host, from whose data directory or
+// disk it was started.
+func TestOpenRefusesTheDiskOfAnotherHost(t *testing.T) {
+	c := qt.New(t)
+	listed := func(host string) []raft.Member { return []raft.Member{{ID: 42, Host: host}, {ID: 43, Host: "h9"}} }
+	snapshot := &raft.Snapshot{Index: 3, Term: 1, Members: listed("h1")}
+	entry := raft.Entry{Index: 4, Term: 1, Kind: raft.EntryMembers, Members: listed("h2")}
+	for _, x := range []struct {
+		snapshot *raft.Snapshot
+		entries  []raft.Entry
+		host     string
+		want     fault.Code
+	}{
+		{nil, nil, "h2", ""},
+		{snapshot, nil, "h1", ""},
+		{snapshot, nil, "h2", fault.StorageForeign},
+		{snapshot, nil, "", ""},
+		{snapshot, []raft.Entry{entry}, "h2", ""},
+		{snapshot, []raft.Entry{entry}, "h1", fault.StorageForeign},
+		{&raft.Snapshot{Index: 3, Term: 1, Members: []raft.Member{{ID: 43, Host: "h9"}}}, nil, "h2", ""},
+	} {
+		dir := t.TempDir()
+		l, _, err := Open(dir, Options{NewReplicaID: func() raft.ReplicaID { return 42 }})
+		c.Assert(err, qt.IsNil)
+		if x.snapshot != nil {
+			c.Assert(l.SaveSnapshot(*x.snapshot), qt.IsNil)
+		}
+		c.Assert(l.Save(nil, x.entries), qt.IsNil)
+		c.Assert(l.Close(), qt.IsNil)
+		l, _, err = Open(dir, Options{Host: x.host})
+		c.Assert(fault.CodeOf(err), qt.Equals, x.want, qt.Commentf("%+v", x))
+		if err == nil {
+			c.Assert(l.Close(), qt.IsNil)
+		}
+	}
+}
+
 // Guards against a failed sync or a full disk after which acknowledged data is lost, the
 // next call succeeds, or the error has no code.
 func TestStorageFailures(t *testing.T) {
