Copy the routing document in config.Clone

Cause: Clone copied every map but shared the pointer to the routing document, with its routes, splits, credentials, engines and priorities.

What callers saw: none in production; the one caller is the test that Apply leaves its receiver as it was, which therefore couldn't see a change of the routing document.

Change: Clone copies it in full. Ruled out: ApplyAll, which replaces the pointer and never writes through it.

TestCloneCopiesRouting before: the original's version became 99. After: passes, with all tests of internal/config and internal/routing.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -267,7 +267,7 @@
 	return nil
 }
 
-// Clone returns a deep copy that shares the routing document.
+// Clone returns a deep copy.
 func (c *Config) Clone() *Config {
 	n := *c
 	n.Contracts = cloneMap(c.Contracts, cloneContract)
@@ -276,6 +276,7 @@
 	n.DataCentres = cloneMap(c.DataCentres, func(d DataCentre) DataCentre { return d })
 	n.Hosts = cloneMap(c.Hosts, func(h Host) Host { return h })
 	n.Operators = cloneMap(c.Operators, cloneOperator)
+	n.Routing = c.Routing.clone()
 	return &n
 }
 
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/routing"
@@ -12,6 +13,16 @@
 	return &Routing{Version: d.Version, Digest: sha256.Sum256(source), Source: source, Document: *d}
 }
 
+// clone returns a deep copy; nil if r is nil.
+func (r *Routing) clone() *Routing {
+	if r == nil {
+		return nil
+	}
+	n := *r
+	n.Source, n.Document = slices.Clone(r.Source), r.Document.Clone()
+	return &n
+}
+
 // putRouting replaces the routing document by one with a higher version. A lower version
 // and a resend of the version in force change nothing. Both are accepted, because the
 // document in force is at least as new. Other content under the version in force is a
--- a/internal/config/routing_test.go
+++ b/internal/config/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -33,6 +34,33 @@
 	c.Assert(cfg.Routing.Document.Accounts[0].Credentials, qt.HasLen, 1)
 }
 
+// Guards against a write to a clone that reaches the routing document of the original.
+func TestCloneCopiesRouting(t *testing.T) {
+	c := qt.New(t)
+	data, err := os.ReadFile("../../examples/routing.toml")
+	c.Assert(err, qt.IsNil)
+	changes, err := ParseFile("routing.toml", data)
+	c.Assert(err, qt.IsNil)
+	priority := 2
+	changes[0].Routing.Document.Accounts[0].Priority = &priority
+	cfg, err := New().ApplyAll(changes, 1)
+	c.Assert(err, qt.IsNil)
+	routes, source := fmt.Sprintf("%+v", cfg.Routing.Document.Routes), string(cfg.Routing.Source)
+	clone := cfg.Clone()
+	c.Assert(clone, qt.DeepEquals, cfg)
+	r := clone.Routing
+	d := &r.Document
+	r.Version, r.Source[0], d.Routes[0].Name, d.Routes[0].Split[0].Weight = 99, 'x', "x", 99
+	d.Services[1].Engine.Slots, d.Accounts[0].Credentials[0], *d.Accounts[0].Priority = 99, "x", 99
+	c.Check(cfg.Routing.Version, qt.Not(qt.Equals), uint64(99))
+	c.Check(string(cfg.Routing.Source), qt.Equals, source)
+	c.Check(fmt.Sprintf("%+v", cfg.Routing.Document.Routes), qt.Equals, routes)
+	c.Check(cfg.Routing.Document.Services[1].Engine.Slots, qt.Equals, 64)
+	c.Check(cfg.Routing.Document.Accounts[0].Credentials[0], qt.Not(qt.Equals), "x")
+	c.Check(priority, qt.Equals, 2)
+	c.Check(New().Clone().Routing, qt.IsNil)
+}
+
 // Guards against a file that is accepted although a part of it has no effect.
 func TestRoutingFileRefuses(t *testing.T) {
 	c := qt.New(t)
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -5,7 +5,10 @@
 // The package is pure: it parses nothing and does no I/O.
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind determines whether the gateway may run a request more than once.
 type Kind string
@@ -116,3 +119,28 @@
 	Accounts []Account `json:"accounts" msgpack:"a"`
 	Limits   Limits    `json:"limits" msgpack:"l"`
 }
+
+// Clone returns a deep copy.
+func (d *Document) Clone() Document {
+	n := *d
+	n.Routes, n.Services, n.Accounts = slices.Clone(d.Routes), slices.Clone(d.Services), slices.Clone(d.Accounts)
+	for i := range n.Routes {
+		n.Routes[i].Split = slices.Clone(n.Routes[i].Split)
+	}
+	for i := range n.Services {
+		n.Services[i].Engine = clonePointer(n.Services[i].Engine)
+	}
+	for i := range n.Accounts {
+		a := &n.Accounts[i]
+		a.Credentials, a.Priority = slices.Clone(a.Credentials), clonePointer(a.Priority)
+	}
+	return n
+}
+
+func clonePointer[T any](p *T) *T {
+	if p == nil {
+		return nil
+	}
+	v := *p
+	return &v
+}
