Resolve reloaded control hosts with the reloaded settings

Cause: a reload of the settings file stored only the names of control_hosts. resolve kept reading the addresses from the settings of the start, and a reload that changed an address but no name was taken for no change.

Seen by operators: after a control host was renamed or moved in the settings file the log said "Control hosts reloaded", and the host had no address for the new name, so it couldn't find the group through it until a restart.

Change: the daemon keeps the last valid settings for control_hosts and control_seeds; names and addresses come from there. A name that is gone from the file falls back to the configuration, as after a restart. TestSeedsReload reads the seeds from their new place; its condition is the same.

Ruled out: hosts named by their IP address (control_seeds) were resolved right all along.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -30,16 +30,13 @@
 	node atomic.Pointer[control.Node]
 	// failure is why the role last stopped or the data folder could not be opened.
 	failure atomic.Pointer[fault.Error]
-	// settingsHosts are the hosts that control_hosts or control_seeds names. They may know
-	// the control group.
-	settingsHosts atomic.Pointer[[]string]
 	// walLog is used only by the goroutine of run once that has started.
 	walLog *wal.Log
 }
 
 func (d *Daemon) newControlRole() *controlRole {
 	r := &controlRole{d: d}
-	r.setSettingsHosts(controlHosts(d.settings))
+	r.updateControlHosts()
 	if d.settings.DataFolder == "" {
 		return r
 	}
@@ -49,18 +46,11 @@
 	return r
 }
 
-// setSettingsHosts sets the hosts from the settings. A control host also finds its group
-// through the members named in its log, because the hosts from the settings may by now be
-// outside the group.
-func (r *controlRole) setSettingsHosts(hosts []string) {
-	r.settingsHosts.Store(&hosts)
-	r.updateControlHosts()
-}
-
 // updateControlHosts gives the client the hosts through which it can find the group: those
-// from the settings and the known members.
+// from the settings and the known members, because the hosts from the settings may by now
+// be outside the group.
 func (r *controlRole) updateControlHosts() {
-	hosts := slices.Clone(*r.settingsHosts.Load())
+	hosts := controlHosts(r.d.controlSettings.Load())
 	if n := r.node.Load(); n != nil {
 		for _, m := range n.Status().Members {
 			if !slices.Contains(hosts, m.Host) {
@@ -92,7 +82,7 @@
 		Clock: r.d.clock, Ticks: time.Tick(control.TickInterval),
 		Rand:   rand.New(rand.NewSource(int64(r.d.boot ^ uint64(walLog.ReplicaID())))),
 		Orders: orderSender{r.d.engine}, Log: r.d.logFor("control"), GroupView: r.groupView(),
-		Seeds: func() []string { return *r.settingsHosts.Load() },
+		Seeds: func() []string { return controlHosts(r.d.controlSettings.Load()) },
 	})
 	if err != nil {
 		walLog.Close()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -75,8 +76,11 @@
 type Daemon struct {
 	opts     Options
 	settings *settings.Settings
-	log      *logrus.Entry
-	registry metrics.Registry
+	// controlSettings are the last valid settings. Only their control_hosts and control_seeds
+	// are used.
+	controlSettings atomic.Pointer[settings.Settings]
+	log             *logrus.Entry
+	registry        metrics.Registry
 	// boot identifies the run of the daemon: its start time in Unix milliseconds.
 	boot  uint64
 	clock boottimeClock
@@ -108,6 +112,7 @@
 		boot:     uint64(time.Now().UnixMilli()),
 		hlc:      hlc.New(time.Now),
 	}
+	d.controlSettings.Store(s)
 	d.timeline = timeline.NewRing(s.Host, d.hlc)
 	d.recorder = newRecorder(d.timeline)
 	d.peers = peer.New(peer.Options{
@@ -164,13 +169,13 @@
 // since they must be found before there is a configuration. With control_seeds it follows
 // from the name if that is an IP address. Otherwise it comes from the configuration.
 func (d *Daemon) resolve(host string) (string, bool) {
-	address := ""
-	for _, h := range d.settings.ControlHosts {
+	address, s := "", d.controlSettings.Load()
+	for _, h := range s.ControlHosts {
 		if h.Name == host {
 			address = h.Address
 		}
 	}
-	if address == "" && len(d.settings.ControlSeeds) > 0 {
+	if address == "" && len(s.ControlSeeds) > 0 {
 		address = d.seededAddress(host)
 	}
 	if address == "" {
--- a/internal/daemon/edge_test.go
+++ b/internal/daemon/edge_test.go
@@ -307,7 +307,7 @@
 	changed := strings.Replace(string(text), "127.0.0.3:1", "127.0.0.9:1", 1)
 	f.Assert(os.WriteFile(d.opts.SettingsPath, []byte(changed), 0o600), qt.IsNil)
 	f.waitFor("the new seed", func() bool {
-		seeds := *d.controlRole.settingsHosts.Load()
+		seeds := controlHosts(d.controlSettings.Load())
 		return len(seeds) == 3 && seeds[2] == "127.0.0.9"
 	})
 	_, err = netip.ParseAddr(d.settings.Host)
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -52,10 +52,11 @@
 		d.log.WithError(err).Warn("Changed settings are invalid. The previous ones stay in use.")
 		return
 	}
-	hosts := controlHosts(s)
-	if slices.Equal(hosts, *d.controlRole.settingsHosts.Load()) {
+	previous := d.controlSettings.Load()
+	if slices.Equal(s.ControlHosts, previous.ControlHosts) && slices.Equal(s.ControlSeeds, previous.ControlSeeds) {
 		return
 	}
-	d.controlRole.setSettingsHosts(hosts)
-	d.log.WithField("control_hosts", len(hosts)).Info("Control hosts reloaded from the settings file.")
+	d.controlSettings.Store(s)
+	d.controlRole.updateControlHosts()
+	d.log.WithField("control_hosts", len(controlHosts(s))).Info("Control hosts reloaded from the settings file.")
 }
