Release the data folder when a host can't listen

Cause: New opens the write-ahead log and locks the data folder; Run closed it only at its end, not when listening failed.

Seen by callers of the package: after a Run that failed because an address was in use, the folder stayed locked for the rest of the process, and a second daemon in it got storage_failed. The command exits then, which releases the lock, so operators saw nothing.

TestRunReleasesTheLogWhenListeningFails before: "storage_failed: lock directory ...: resource temporarily unavailable". After: passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -278,6 +278,7 @@
 func (d *Daemon) Run(leave, abort context.Context) error {
 	l, err := d.listen()
 	if err != nil {
+		d.controlRole.close()
 		return err
 	}
 	ctx, cancel := context.WithCancel(abort)
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -9,7 +10,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/settings"
+	"marigoldshunt/internal/wal"
 )
 
 // newTestDaemon returns a daemon with the settings file of a control host, which has the
@@ -65,3 +68,19 @@
 	reload("control_hosts = 3\n")
 	check("h2b", "127.0.0.3:7001")
 }
+
+// Guards against a data folder that stays locked after a start that failed because an
+// address was in use.
+func TestRunReleasesTheLogWhenListeningFails(t *testing.T) {
+	c := qt.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer taken.Close()
+	folder := c.TempDir()
+	d, _ := newTestDaemon(c, folder, "127.0.0.1:7001", taken.Addr().String(), "[[control_hosts]]\nname = \"h1\"\naddress = \"127.0.0.1:7001\"\n")
+	d.settings.PeerListenAddress, d.settings.AdminAddress = "127.0.0.1:0", "127.0.0.1:0"
+	c.Assert(fault.CodeOf(d.Run(t.Context(), t.Context())), qt.Equals, fault.InvalidSettings)
+	l, _, err := wal.Open(folder, wal.Options{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Close(), qt.IsNil)
+}
