Count refusals of the emulator's simulated engine as refusals

Cause: serveEngine returned "complete" after it had answered 400 or 503, since the response was whole. finish took that for a success: it counted Ended, and it raised the successes that warm a cold emulator.

Seen by operators: an emulator with a simulated engine and cold_capacity got warm from requests that it refused (two refusals lifted the capacity from 4 to 16), so a cold overload went unnoticed, and the counter "ended" held refusals.

Change: such a job is marked as refused, counted in the new counter "refused", and no success.

Ruled out: refusals before admission (refuse mode, bodies that can't be read) never counted. internal/loadgen counts a request as complete only with status 200; TestRunRouted showed that before.

TestEngineRefusalsAreNotSuccesses before: Ended 2, want 0; capacity 16, want 4. After: passes, with all tests of internal/emulator and internal/loadgen, three times.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -134,6 +134,7 @@
 func (e *Emulator) serveEngine(w http.ResponseWriter, r *http.Request, j *job, lastEvent int, cut bool) bool {
 	parts, output, ok := parsePrompt(r.Header)
 	if !ok {
+		j.refused = true
 		http.Error(w, "X-Prompt-Parts and X-Token-Usage are needed", http.StatusBadRequest)
 		return true
 	}
@@ -151,6 +152,7 @@
 		e.mu.Unlock()
 		return false
 	case !accepted:
+		j.refused = true
 		w.Header().Set("X-Not-Run", "true")
 		http.Error(w, "the engine is full", http.StatusServiceUnavailable)
 		return true
--- a/internal/emulator/engine_test.go
+++ b/internal/emulator/engine_test.go
@@ -66,6 +66,26 @@
 	}
 }
 
+// Guards against refusals of a simulated engine that count as successes, which warm a cold
+// upstream.
+func TestEngineRefusalsAreNotSuccesses(t *testing.T) {
+	opts := fastEngine()
+	opts.Slots, opts.QueueLength, opts.Step = 1, 0, 5*time.Millisecond
+	h := startEmulator(t, Options{Engine: opts, ColdCapacity: 4, WarmAfter: 1, Slots: 64, Seed: 1})
+	h.postStream("a", "1:10", "10,100000")
+	h.Assert(h.postStream("b", "1:10", "10,10").StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	h.Assert(h.postStream("c", "1:x", "1,1").StatusCode, qt.Equals, http.StatusBadRequest)
+	for h.emulator.Load().Queued > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	h.emulator.mu.Lock()
+	defer h.emulator.mu.Unlock()
+	h.Check(h.emulator.debug.Refused, qt.Equals, 2)
+	h.Check(h.emulator.debug.Ended, qt.Equals, 0)
+	h.Check(h.emulator.debug.Cancelled, qt.Equals, 0)
+	h.Check(h.emulator.capacityLocked(), qt.Equals, 4)
+}
+
 // Guards against a cold simulated engine that does not fail at more than ColdPerSecond
 // requests in one second.
 func TestColdEngineFailsUnderOverload(t *testing.T) {
--- a/internal/emulator/work.go
+++ b/internal/emulator/work.go
@@ -30,9 +30,10 @@
 	Runs     int            `json:"runs"`
 	// LastRunMS is when the latest run or resumption began, in Unix milliseconds.
 	LastRunMS int64 `json:"last_run_ms"`
-	// Ended counts the admitted requests whose complete response was written, including
-	// refusals of a simulated engine. Cancelled counts the other admitted requests.
+	// Ended counts the admitted requests whose complete response was written, Refused those
+	// that a simulated engine refused. Cancelled counts the other admitted requests.
 	Ended     int `json:"ended"`
+	Refused   int `json:"refused"`
 	Cancelled int `json:"cancelled"`
 	Resumed   int `json:"resumed"`
 	// ColdOverloads counts failures because of more work than a cold upstream can handle.
@@ -81,6 +82,8 @@
 	cancel      context.CancelFunc
 	slots       chan struct{}
 	hasSlot     bool
+	// refused is true if the response is a refusal of the simulated engine.
+	refused bool
 }
 
 // admit admits a request, refuses it with 503, or lets the upstream crash or fail under it.
@@ -212,9 +215,12 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if complete {
+	switch {
+	case j.refused:
+		e.debug.Refused++
+	case complete:
 		e.debug.Ended++
-	} else {
+	default:
 		e.debug.Cancelled++
 	}
 	if j.slots == e.slots {
@@ -224,7 +230,7 @@
 			e.queued = max(e.queued-1, 0)
 		}
 	}
-	if complete && j.boot == e.boots {
+	if complete && !j.refused && j.boot == e.boots {
 		e.successes++
 	}
 	e.sampleLocked()
