Tell the load player's policies how an attempt at an engine ended

Cause: the player told the fleet's dispatchers that an attempt was answered whenever it ended: also when the engine refused it, crashed under it or was gone, and when the caller's time ran out. Each such end lowered the failure rate and cleared the suspicion of that engine.

The player's counts of requests (in time, late, refused, failed) were right before; only what the dispatcher learnt was wrong.

Change: Policy.Done gets the outcome: answered, failed, refused, unreachable or cancelled.

TestOnlyWholeResponsesAreAnswers before (round robin): 17,598 attempts reported as answered, 1,579 were answered, none failed or refused. After: passes, with all tests of internal/loadplay.

--- a/internal/loadplay/baselines.go
+++ b/internal/loadplay/baselines.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/rendezvous"
 )
 
@@ -46,7 +47,7 @@
 func (b *baseline) FirstEvent(*Attempt, time.Time) {}
 
 // Done implements Policy.
-func (b *baseline) Done(a *Attempt, _ time.Time) { b.inFlight[a.Host][a.engine]-- }
+func (b *baseline) Done(a *Attempt, _ dispatch.Outcome, _ time.Time) { b.inFlight[a.Host][a.engine]-- }
 
 // Cancelled implements Policy.
 func (b *baseline) Cancelled(*Attempt, time.Time) {}
--- a/internal/loadplay/fleet.go
+++ b/internal/loadplay/fleet.go
@@ -137,7 +137,7 @@
 }
 
 // Done implements Policy.
-func (f *fleet) Done(a *Attempt, now time.Time) { f.end(a, dispatch.Answered, now) }
+func (f *fleet) Done(a *Attempt, outcome dispatch.Outcome, now time.Time) { f.end(a, outcome, now) }
 
 // Cancelled implements Policy.
 func (f *fleet) Cancelled(a *Attempt, now time.Time) { f.end(a, dispatch.Cancelled, now) }
--- a/internal/loadplay/loadplay_test.go
+++ b/internal/loadplay/loadplay_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/fault"
 )
 
@@ -81,6 +82,36 @@
 	}
 }
 
+// outcomeCounter counts the outcomes that the simulation reports to a policy.
+type outcomeCounter struct {
+	Policy
+	outcomes map[dispatch.Outcome]int
+}
+
+func (p outcomeCounter) Done(a *Attempt, outcome dispatch.Outcome, now time.Time) {
+	p.outcomes[outcome]++
+	p.Policy.Done(a, outcome, now)
+}
+
+// Guards against engines' refusals, crashes and expired requests that a policy learns of as
+// answers.
+func TestOnlyWholeResponsesAreAnswers(t *testing.T) {
+	c := qt.New(t)
+	for _, p := range Policies() {
+		counter := outcomeCounter{outcomes: map[dispatch.Outcome]int{}}
+		r := Simulate(testLoad(c, 7), func(s *Simulation) Policy {
+			counter.Policy = p(s)
+			return counter
+		})
+		c.Check(counter.outcomes[dispatch.Answered], qt.Equals, r.Total.InTime+r.Total.Late, qt.Commentf("%s: %v", r.Policy, counter.outcomes))
+		c.Check(counter.outcomes[dispatch.Failed] > 0, qt.IsTrue, qt.Commentf("%s: %v", r.Policy, counter.outcomes))
+		if r.Policy == "round robin" {
+			c.Check(counter.outcomes[dispatch.Refused] > 0, qt.IsTrue, qt.Commentf("%v", counter.outcomes))
+			c.Check(counter.outcomes[dispatch.Cancelled] > 0, qt.IsTrue, qt.Commentf("%v", counter.outcomes))
+		}
+	}
+}
+
 // Guards against accepting load files with unknown, missing or invalid values.
 func TestReadFileRefusesInvalidLoads(t *testing.T) {
 	c := qt.New(t)
--- a/internal/loadplay/player.go
+++ b/internal/loadplay/player.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/enginemodel"
 )
 
@@ -28,7 +29,7 @@
 	HandleAttempt(a *Attempt, now time.Time)
 	// FirstEvent and Done report the first event and the end of a request that was sent.
 	FirstEvent(a *Attempt, now time.Time)
-	Done(a *Attempt, now time.Time)
+	Done(a *Attempt, outcome dispatch.Outcome, now time.Time)
 	// Cancelled reports that the caller disconnected before the request was sent.
 	Cancelled(a *Attempt, now time.Time)
 	// ExchangeLoads exchanges load data between the hosts. It is called every
@@ -140,12 +141,13 @@
 		if a.ended {
 			continue
 		}
-		taken := s.up[a.engine]
+		taken, outcome := s.up[a.engine], dispatch.Unreachable
 		if taken {
 			taken, _ = s.engines[a.engine].Add(enginemodel.Request{ID: a.ID, Parts: a.Parts, Output: a.Output}, s.now)
+			outcome = dispatch.Refused
 		}
 		if !taken {
-			s.policy.Done(a, s.now)
+			s.policy.Done(a, outcome, s.now)
 			s.Refuse(a, exchangeInterval)
 		}
 	}
@@ -179,18 +181,18 @@
 		a.late = a.late || v.At.Sub(a.lastEventAt) > a.Kind.EventGap
 		a.lastEventAt = v.At
 	case enginemodel.Finished:
-		s.endAttempt(a)
+		s.endAttempt(a, dispatch.Answered)
 		s.result.recordResponse(a)
 	case enginemodel.Aborted:
-		s.endAttempt(a)
+		s.endAttempt(a, dispatch.Failed)
 		s.result.recordFailed(a)
 	}
 }
 
-func (s *Simulation) endAttempt(a *Attempt) {
+func (s *Simulation) endAttempt(a *Attempt, outcome dispatch.Outcome) {
 	a.ended = true
 	delete(s.attempts, a.ID)
-	s.policy.Done(a, s.now)
+	s.policy.Done(a, outcome, s.now)
 }
 
 // startRetries starts the retries that are due.
@@ -223,7 +225,7 @@
 	for _, a := range expired {
 		if a.sent {
 			s.engines[a.engine].Remove(a.ID, s.now)
-			s.endAttempt(a)
+			s.endAttempt(a, dispatch.Cancelled)
 		} else {
 			a.ended = true
 			delete(s.attempts, a.ID)
@@ -241,7 +243,7 @@
 		case outage.At.Round(tick):
 			s.up[outage.Engine], changed = false, true
 			for _, a := range s.requestsAt(outage.Engine) {
-				s.endAttempt(a)
+				s.endAttempt(a, dispatch.Failed)
 				s.result.recordFailed(a)
 			}
 		case (outage.At + outage.For).Round(tick):
