--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -152,19 +152,19 @@
 	return nil
 }
 
-// snapshotDue reports whether to take a snapshot. One is due after SnapshotEntries entries
+// snapshotDue reports whether to take a snapshot. One is due after MinSnapshotEntries entries
 // if the log since the last snapshot is at least as large as that snapshot, which keeps the
-// cost of snapshots in proportion to the log. In any case one is due after 16 times as many
-// entries or maxLogBytes.
+// cost of snapshots in proportion to the log. In any case one is due after maxSnapshotFactor
+// times as many entries or maxLogBytes.
 func (n *Node) snapshotDue() bool {
 	entries := n.applied - n.snapshotIndex
 	switch {
 	case entries == 0:
 		return false
-	case n.logBytes >= maxLogBytes || entries >= 16*n.opts.SnapshotEntries:
+	case n.logBytes >= maxLogBytes || entries >= maxSnapshotFactor*n.opts.MinSnapshotEntries:
 		return true
 	}
-	return entries >= n.opts.SnapshotEntries && n.logBytes >= n.snapshotBytes
+	return entries >= n.opts.MinSnapshotEntries && n.logBytes >= n.snapshotBytes
 }
 
 // compact takes a snapshot when one is due and drops the log entries that it covers.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -35,10 +35,11 @@
 	// and whether this host is one of them. If set, the node joins the group automatically;
 	// if nil, operators have to add it.
 	GroupView func() (leader string, known, listed bool)
-	// SnapshotEntries sets the number of entries between snapshots, see snapshotDue; 0
-	// means 4,096.
-	SnapshotEntries uint64
-	Log             logrus.FieldLogger
+	// MinSnapshotEntries is the least number of entries between two snapshots unless the log
+	// grows beyond maxLogBytes; 0 means 4,096. Up to maxSnapshotFactor times as many entries
+	// may lie between two snapshots of a large state, see snapshotDue.
+	MinSnapshotEntries uint64
+	Log                logrus.FieldLogger
 	// Seeds returns the hosts listed in the settings; nil means none. The leader announces
 	// itself to those that send it no Renew, because hosts that know only the seeds may ask
 	// them for the leader.
@@ -143,8 +144,8 @@
 	if opts.WallClock == nil {
 		opts.WallClock = time.Now
 	}
-	if opts.SnapshotEntries == 0 {
-		opts.SnapshotEntries = defaultSnapshotEntries
+	if opts.MinSnapshotEntries == 0 {
+		opts.MinSnapshotEntries = defaultMinSnapshotEntries
 	}
 	if opts.spawn == nil {
 		opts.spawn = func(f func()) { go f() }
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -66,15 +66,17 @@
 	inboxBytes  = 64 << 20
 	// maxEventsPerSync is the number of events handled before the log is written, so that
 	// one sync serves many proposals.
-	maxEventsPerSync       = 2_048
-	maxOpenProposals       = 32_768
-	maxPendingRenews       = 8_192
-	maxCommandBytes        = 8 << 20
-	batchCommands          = 512
-	batchBytes             = 256 << 10
-	maxTrackedHosts        = 4_096
-	maxOrdersInFlight      = 64
-	defaultSnapshotEntries = 4_096
+	maxEventsPerSync          = 2_048
+	maxOpenProposals          = 32_768
+	maxPendingRenews          = 8_192
+	maxCommandBytes           = 8 << 20
+	batchCommands             = 512
+	batchBytes                = 256 << 10
+	maxTrackedHosts           = 4_096
+	maxOrdersInFlight         = 64
+	defaultMinSnapshotEntries = 4_096
+	// maxSnapshotFactor times MinSnapshotEntries is the most entries between two snapshots.
+	maxSnapshotFactor = 16
 	// maxLogBytes forces a snapshot before the entries of large commands fill the disk.
 	maxLogBytes = 32 << 20
 	// maxInlineBytes is the size from which messages are sent in chunks. Below it, the
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -155,7 +155,7 @@
 	}
 	opts := NodeOptions{Host: h, Boot: sim.boots, Storage: sim.disks[h], Restored: sim.disks[h].restored(), Transport: simTransport{sim, h},
 		Clock: sim, WallClock: func() time.Time { return sim.wall.Add(sim.now) }, Rand: rand.New(rand.NewSource(sim.rng.Int63())),
-		Orders: sim.orders, SnapshotEntries: sim.snapshotEntries, Log: discardLogger(), spawn: spawn}
+		Orders: sim.orders, MinSnapshotEntries: sim.snapshotEntries, Log: discardLogger(), spawn: spawn}
 	if sim.seeds != nil {
 		opts.Seeds = func() []string { return sim.seeds }
 		opts.GroupView = func() (string, bool, bool) {
