Say what a body limit of 0 means, and refuse negative limits by name

Cause: the gateway took body_bytes 0 for 4 MiB, while 0 means "no limit" for the other limits of a routing document; a negative limit or event gap was accepted and did nothing, or, for body_bytes, meant 4 MiB too.

Change: routing.DefaultBodyBytes and the comment of BodyBytes say it. Check refuses a negative header_bytes, body_bytes, header_timeout, idle_timeout or event_gap with invalid_config and the name.

Ruled out: no limit at all. A host keeps each body until the request has ended, so one caller could use up its memory.

TestBodyLimitWithoutSetting shows the 4 MiB; it passed on the old code too. TestCheckRefuses before: five new cases got "", want "invalid_config". After: passes, with all tests of internal/routing, gateway, config and platform.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,9 +84,6 @@
 	Registry                   metrics.Registry
 }
 
-// defaultBodyBytes bounds request bodies if the routing document sets no limit.
-const defaultBodyBytes = 4 << 20
-
 // Server is the HTTP server for the callers of routed services.
 type Server struct {
 	opts    Options
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -146,8 +146,8 @@
 // doesn't occupy an upstream.
 func (q *request) readBody(limits routing.Limits) error {
 	limit := int64(limits.BodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
+	if limit == 0 {
+		limit = routing.DefaultBodyBytes
 	}
 	if q.r.ContentLength > limit {
 		return q.bodyTooLarge(limit)
--- a/internal/routing/check.go
+++ b/internal/routing/check.go
@@ -22,6 +22,9 @@
 	if len(d.Routes) > maxRoutes || len(d.Services) > maxServices || len(d.Accounts) > maxAccounts {
 		return invalid("the document has more than %d routes, %d services or %d accounts", maxRoutes, maxServices, maxAccounts)
 	}
+	if err := d.Limits.check(); err != nil {
+		return err
+	}
 	services := map[string]bool{}
 	for _, s := range d.Services {
 		if s.Name == "" || services[s.Name] {
@@ -35,6 +38,21 @@
 	return d.checkAccounts()
 }
 
+func (l *Limits) check() error {
+	for _, x := range []struct {
+		name  string
+		value int64
+	}{
+		{"header_bytes", int64(l.HeaderBytes)}, {"body_bytes", int64(l.BodyBytes)},
+		{"header_timeout", int64(l.HeaderTimeout)}, {"idle_timeout", int64(l.IdleTimeout)},
+	} {
+		if x.value < 0 {
+			return invalid("limits: %s is negative", x.name)
+		}
+	}
+	return nil
+}
+
 func (d *Document) checkRoutes(services map[string]bool) error {
 	type hostPrefix struct{ host, prefix string }
 	seen := map[hostPrefix]bool{}
@@ -59,6 +77,9 @@
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
 		return invalid("route %q: prefix %q does not begin and end with a slash", r.Name, r.PathPrefix)
 	}
+	if r.EventGap < 0 {
+		return invalid("route %q: event_gap %s is negative", r.Name, r.EventGap)
+	}
 	if r.Timeout <= 0 {
 		return invalid("route %q: the timeout %s is not above 0", r.Name, r.Timeout)
 	}
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -97,11 +97,16 @@
 	Priority *int `json:"priority,omitempty" msgpack:"p"`
 }
 
-// Limits bound what callers may send. If BodyBytes is 0, the gateway uses its default; if
-// IdleTimeout is 0, idle connections are not closed. HeaderBytes and HeaderTimeout have no
-// effect: the gateway takes these limits from its Options.
+// DefaultBodyBytes bounds request bodies if the document sets no limit, because a host keeps
+// a body in memory until the request has ended.
+const DefaultBodyBytes = 4 << 20
+
+// Limits bound what callers may send. If IdleTimeout is 0, idle connections are not closed.
+// HeaderBytes and HeaderTimeout have no effect: the gateway takes these limits from its
+// Options.
 type Limits struct {
-	HeaderBytes   int           `json:"header_bytes" msgpack:"h"`
+	HeaderBytes int `json:"header_bytes" msgpack:"h"`
+	// BodyBytes bounds the body of a request; 0 means DefaultBodyBytes.
 	BodyBytes     int           `json:"body_bytes" msgpack:"b"`
 	HeaderTimeout time.Duration `json:"header_timeout" msgpack:"t"`
 	IdleTimeout   time.Duration `json:"idle_timeout" msgpack:"i"`
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -57,6 +57,11 @@
 		"unknown kind":         func(d *routing.Document) { d.Routes[0].Kind = "both" },
 		"prefix":               func(d *routing.Document) { d.Routes[0].PathPrefix = "/v1" },
 		"shared credential":    func(d *routing.Document) { d.Accounts[1].Credentials = []string{"k1"} },
+		"negative body":        func(d *routing.Document) { d.Limits.BodyBytes = -1 },
+		"negative header":      func(d *routing.Document) { d.Limits.HeaderBytes = -1 },
+		"negative header time": func(d *routing.Document) { d.Limits.HeaderTimeout = -1 },
+		"negative idle time":   func(d *routing.Document) { d.Limits.IdleTimeout = -1 },
+		"negative event gap":   func(d *routing.Document) { d.Routes[0].EventGap = -1 },
 		"service twice":        func(d *routing.Document) { d.Services[1].Name = "x" },
 	} {
 		d := document()
