Count streams whose pauses exceed the route's event_gap

Cause: event_gap was read, checked and stored, and nothing used it.

Seen by operators: they declared the longest pause that counts as on time, and nothing told them whether streams kept to it.

Change: a host counts each stream with a longer pause once, in gateway_late_streams_total. A resumed stream counts as the one that its caller sees. No decision depends on it, and the comment says why.

TestStreamWithLongPauseCountsAsLate before: 0 late streams at a gap of 1 ms, want 1. After: passes 20 times in a row and with the race detector, with all tests of internal/gateway and internal/routing.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"marigoldshunt/internal/routing"
 )
@@ -24,3 +30,34 @@
 	gw.Check(answer, qt.Contains, `"code":"body_too_large","run_state":"not_run"`)
 	gw.Check(u.requests(), qt.HasLen, 1)
 }
+
+// Guards against event_gap having no effect: a stream with a longer pause is late, and is
+// counted once.
+func TestStreamWithLongPauseCountsAsLate(t *testing.T) {
+	for gap, want := range map[time.Duration]int64{0: 0, time.Millisecond: 1, time.Hour: 0} {
+		d := document()
+		d.Routes[2].EventGap = gap
+		received := make(chan struct{})
+		waitForCaller := func(*receivedRequest) { <-received }
+		u := newUpstream(t, sequence(writeRaw("%s", streamHead+eventChunk(1)), waitForCaller, writeRaw("%s", eventChunk(2)), waitForCaller, writeRaw("%s", eventChunk(3)+streamEnd)))
+		gw := newTestGateway(t, d, u)
+		nc, err := net.Dial("tcp", gw.address)
+		gw.Assert(err, qt.IsNil)
+		defer nc.Close()
+		_, err = io.WriteString(nc, "GET /stream/x HTTP/1.1\r\nHost: h\r\n\r\n")
+		gw.Assert(err, qt.IsNil)
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		gw.Assert(err, qt.IsNil)
+		events := bufio.NewReader(resp.Body)
+		for range 2 {
+			_, err := readEvent(events)
+			gw.Assert(err, qt.IsNil)
+			time.Sleep(20 * time.Millisecond) // the pause, longer than one of the gaps
+			received <- struct{}{}
+		}
+		_, err = io.Copy(io.Discard, events)
+		gw.Assert(err, qt.IsNil)
+		late := metrics.GetOrRegisterCounter("gateway.late_streams", gw.server.opts.Registry).Count()
+		gw.Check(late, qt.Equals, want, qt.Commentf("gap %s", gap))
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -39,8 +39,11 @@
 	cachedFingerprint *wire.Digest
 	// headerWritten is true once a response header was written.
 	headerWritten bool
-	// lastEventID is the id of the last event sent to the caller.
+	// lastEventID is the id of the last event sent to the caller, lastEventAt its time. late
+	// is true after a pause that was longer than the route's EventGap.
 	lastEventID string
+	lastEventAt time.Time
+	late        bool
 	// mayHaveRun is true once an instance may have run the request.
 	mayHaveRun bool
 	sends      int
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/engine"
@@ -60,9 +61,20 @@
 		if id != "" {
 			q.lastEventID = id
 		}
+		q.recordEvent(time.Now())
 	}
 }
 
+// recordEvent counts the stream as late at the first pause between two events that is longer
+// than the route's EventGap.
+func (q *request) recordEvent(now time.Time) {
+	if gap := q.route.EventGap; gap > 0 && !q.late && !q.lastEventAt.IsZero() && now.Sub(q.lastEventAt) > gap {
+		q.late = true
+		q.server.count("late_streams")
+	}
+	q.lastEventAt = now
+}
+
 // readEvent reads one event, including the empty line that ends it. It returns io.EOF and no
 // bytes at the end of the stream, and io.ErrUnexpectedEOF if the stream ends inside an event.
 func readEvent(br *bufio.Reader) ([]byte, error) {
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -44,7 +44,8 @@
 	// streams, the first event. A later response is worth less.
 	Objective time.Duration `json:"objective" msgpack:"o"`
 	// EventGap is the longest pause between two events of a stream that still counts as on
-	// time; 0 if not declared. No decision depends on it.
+	// time; 0 if not declared. Hosts count the streams with a longer one; no decision depends
+	// on it, because only the upstream can shorten a pause.
 	EventGap time.Duration `json:"event_gap" msgpack:"g"`
 	// Priority 0 is the highest. No decision depends on it; see dispatch.Rank.
 	Priority int `json:"priority" msgpack:"r"`
