Refuse requests of lower priority first on a host that is nearly full

Cause: the priorities of routes and accounts were read, checked and stored, and no decision used them.

What callers saw: a host at its limit of running requests refused whatever came next, of the highest priority as well.

Change: each priority of the document below the highest may use a tenth less of the host's places for running requests, at most half less. An account's priority overrides its route's. Documents with one priority are served as before, and so is the highest priority. The refusal is host_overloaded, not_run, with the same Retry-After.

Ruled out: a place in the order of the engines' gates. That order follows max-min shares of accounts and would need measurements with the users' load.

TestLowerPriorityIsRefusedFirst before: 200 for the first request beyond the places of each lower priority, want 503. After: passes; TestOnePriorityUsesAllPlaces shows that one priority loses no place and passed before too. All tests of internal/gateway, routing and daemon pass, with the race detector.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -61,3 +61,56 @@
 		gw.Check(late, qt.Equals, want, qt.Commentf("gap %s", gap))
 	}
 }
+
+// Guards against priorities having no effect: a host that serves nearly as many requests as
+// it can must keep its last places for requests of the highest priority.
+func TestLowerPriorityIsRefusedFirst(t *testing.T) {
+	const maxRunning = 100
+	low, high := 5, 1
+	d := document()
+	d.Routes[1].Priority = 3
+	d.Accounts = []routing.Account{
+		{Name: "plain", Credentials: []string{"plain"}}, {Name: "low", Credentials: []string{"low"}, Priority: &low}, {Name: "high", Credentials: []string{"high"}, Priority: &high},
+	}
+	u := newUpstream(t, writeRaw("%s", rawResponse(200, "ok")))
+	gw := newTestGatewayWith(t, d, func(o *Options) { o.MaxRunning = maxRunning }, u)
+	status := func(running int64, path, credential string) int {
+		// The request itself is the last of the running ones.
+		gw.server.running.Add(running - 1)
+		defer gw.server.running.Add(1 - running)
+		resp, body, _ := gw.do("GET", path, "", "X-Api-Key: "+credential)
+		for gw.server.Running() >= int(running) {
+			time.Sleep(time.Millisecond) // the handler ends after its response
+		}
+		if resp.StatusCode == 503 {
+			gw.Check(body, qt.Contains, `"code":"host_overloaded","run_state":"not_run"`)
+			gw.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		}
+		return resp.StatusCode
+	}
+	// The document has the priorities 0, 1, 3 and 5; each lower one may use a tenth less.
+	for _, x := range []struct {
+		path, credential string
+		most             int64
+	}{
+		{"/read/x", "plain", 100}, {"/read/x", "high", 90}, {"/order/x", "plain", 80}, {"/order/x", "high", 90}, {"/read/x", "low", 70},
+	} {
+		gw.Check(status(x.most, x.path, x.credential), qt.Equals, 200, qt.Commentf("%+v", x))
+		gw.Check(status(x.most+1, x.path, x.credential), qt.Equals, 503, qt.Commentf("%+v", x))
+	}
+	gw.Check(status(1, "/read/x", "low"), qt.Equals, 200)
+}
+
+// Guards against refusing requests early when all have the same priority.
+func TestOnePriorityUsesAllPlaces(t *testing.T) {
+	d := document()
+	for i := range d.Routes {
+		d.Routes[i].Priority = 2
+	}
+	u := newUpstream(t, writeRaw("%s", rawResponse(200, "ok")))
+	gw := newTestGatewayWith(t, d, func(o *Options) { o.MaxRunning = 100 }, u)
+	gw.server.running.Add(99)
+	defer gw.server.running.Add(-99)
+	resp, _, _ := gw.do("GET", "/read/x", "")
+	gw.Check(resp.StatusCode, qt.Equals, 200)
+}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -53,10 +53,19 @@
 	return s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithField("connections", s.Connections())
 }
 
-// checkLoad refuses a request if the host is too busy, before it spends more time on it.
-func (s *Server) checkLoad(account string) error {
-	if s.opts.MaxRunning > 0 && s.Running() > s.opts.MaxRunning {
-		return fault.New(fault.HostOverloaded, fault.NotRun, "the host serves %d requests already", s.opts.MaxRunning).WithRetryAfter(overloadRetryAfter)
+// Each level of priority below the highest may use levelReservePercent less of a host's
+// places for requests than the level above it, down to maxReservedLevels levels.
+const (
+	levelReservePercent = 10
+	maxReservedLevels   = 5
+)
+
+// checkLoad refuses a request if the host is too busy, before it spends more time on it. A
+// host that is nearly full refuses requests of lower priority first.
+func (s *Server) checkLoad(account string, priorityLevel int) error {
+	limit := s.opts.MaxRunning * (100 - min(priorityLevel, maxReservedLevels)*levelReservePercent) / 100
+	if s.opts.MaxRunning > 0 && s.Running() > limit {
+		return fault.New(fault.HostOverloaded, fault.NotRun, "the host serves %d requests already", limit).WithRetryAfter(overloadRetryAfter)
 	}
 	s.limiter.Lock()
 	defer s.limiter.Unlock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -26,9 +26,11 @@
 	route   *routing.Route
 	service *routing.Service
 	account string
-	target  string
-	body    []byte
-	header  http.Header
+	// priorityLevel is 0 for the highest priority of the routing document.
+	priorityLevel int
+	target        string
+	body          []byte
+	header        http.Header
 	// deadline is the earlier of the route's timeout and the caller's own deadline.
 	deadline time.Time
 	// objectiveDeadline is the target time of the whole response or, for streams, the first
@@ -94,7 +96,7 @@
 	if err := q.authenticate(view.Table); err != nil {
 		return err
 	}
-	if err := q.server.checkLoad(q.account); err != nil {
+	if err := q.server.checkLoad(q.account, q.priorityLevel); err != nil {
 		return err
 	}
 	q.service = view.Table.Service(q.route.Pick(q.server.randomFraction()))
@@ -134,6 +136,7 @@
 	} else if t.NeedsCredential(q.route) {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "the credential is not known")
 	}
+	q.priorityLevel = t.PriorityLevel(q.route, a)
 	return nil
 }
 
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -47,7 +47,8 @@
 	// time; 0 if not declared. Hosts count the streams with a longer one; no decision depends
 	// on it, because only the upstream can shorten a pause.
 	EventGap time.Duration `json:"event_gap" msgpack:"g"`
-	// Priority 0 is the highest. No decision depends on it; see dispatch.Rank.
+	// Priority 0 is the highest. A host that is nearly full refuses requests of lower priority
+	// first. The order at engines does not depend on it; see dispatch.Rank.
 	Priority int `json:"priority" msgpack:"r"`
 	// Public routes need no credential.
 	Public bool `json:"public" msgpack:"b"`
@@ -94,7 +95,7 @@
 	Name string `json:"name" msgpack:"n"`
 	// Credentials are omitted from status pages and logs (see config.Redacted).
 	Credentials []string `json:"credentials,omitempty" msgpack:"c"`
-	// Priority overrides the route's; nil if the account has none. No decision depends on it.
+	// Priority overrides the route's; nil if the account has none.
 	Priority *int `json:"priority,omitempty" msgpack:"p"`
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,6 +1,9 @@
 package routing
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Table is an immutable index of one document.
 type Table struct {
@@ -8,6 +11,8 @@
 	byHost   map[string]map[string]*Route
 	services map[string]*Service
 	accounts map[string]*Account
+	// priorities are the different priorities of routes and accounts in ascending order.
+	priorities []int
 }
 
 // NewTable indexes a document, which must not change afterwards.
@@ -20,6 +25,7 @@
 			t.byHost[host] = map[string]*Route{}
 		}
 		t.byHost[host][r.PathPrefix] = r
+		t.priorities = append(t.priorities, r.Priority)
 	}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
@@ -28,7 +34,12 @@
 		for _, c := range d.Accounts[i].Credentials {
 			t.accounts[c] = &d.Accounts[i]
 		}
+		if p := d.Accounts[i].Priority; p != nil {
+			t.priorities = append(t.priorities, *p)
+		}
 	}
+	slices.Sort(t.priorities)
+	t.priorities = slices.Compact(t.priorities)
 	return t
 }
 
@@ -64,6 +75,17 @@
 	return t.accounts[credential]
 }
 
+// PriorityLevel returns how many priorities of the document are higher than that of a request
+// on r by account a, which may be nil.
+func (t *Table) PriorityLevel(r *Route, a *Account) int {
+	priority := r.Priority
+	if a != nil && a.Priority != nil {
+		priority = *a.Priority
+	}
+	level, _ := slices.BinarySearch(t.priorities, priority)
+	return level
+}
+
 // NeedsCredential reports whether requests on r must carry a credential.
 func (t *Table) NeedsCredential(r *Route) bool {
 	return len(t.Document.Accounts) > 0 && !r.Public
