Refuse headers beyond header_bytes of the routing document

Cause: header_bytes was read, checked and stored. The gateway took its limit only from the settings.

What callers saw: a header above the operators' limit was served as long as the host's own limit, with 4 KiB of slack in the HTTP server, allowed it.

Change: such a request is refused with 431 header_too_large, not_run, before it is routed, and its connection is closed. The settings' limit still holds, since it bounds what a host reads into memory. Spaces around values, which the parser drops, don't count, so no request within the limit is refused.

Ruled out: setting the HTTP server's limit at run time; it reads the field without a lock. internal/frontend serves pools, to which the routing document doesn't apply; it is unchanged.

TestHeaderBytesOfDocument before: 1,001 bytes got 200, want 431 at a limit of 1,000. After: passes five times in a row, with all tests of internal/gateway, routing, fault and daemon (race detector).

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -35,6 +35,7 @@
 	Forbidden              Code = "forbidden"
 	NotFound               Code = "not_found"
 	BodyTooLarge           Code = "body_too_large"
+	HeaderTooLarge         Code = "header_too_large"
 	PoolNotAllowed         Code = "pool_not_allowed"
 	PoolUnknown            Code = "pool_unknown"
 	RateLimited            Code = "rate_limited"
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -114,3 +114,26 @@
 	resp, _, _ := gw.do("GET", "/read/x", "")
 	gw.Check(resp.StatusCode, qt.Equals, 200)
 }
+
+// Guards against header_bytes of the routing document having no effect.
+func TestHeaderBytesOfDocument(t *testing.T) {
+	d := document()
+	d.Limits.HeaderBytes = 1000
+	u := newUpstream(t, writeRaw("%s", rawResponse(200, "ok")))
+	gw := newTestGateway(t, d, u)
+	const fixed = "GET /read/x HTTP/1.1\r\nHost:h\r\nConnection:close\r\nX-Fill:\r\n\r\n"
+	send := func(size int) string {
+		return gw.sendRaw(strings.Replace(fixed, "X-Fill:", "X-Fill:"+strings.Repeat("f", size-len(fixed)), 1))
+	}
+	gw.Check(send(1000), qt.Contains, "HTTP/1.1 200 ")
+	answer := send(1001)
+	gw.Check(answer, qt.Contains, "HTTP/1.1 431 ")
+	gw.Check(answer, qt.Contains, `"code":"header_too_large","run_state":"not_run"`)
+	gw.Check(u.requests(), qt.HasLen, 1)
+	gw.setView(func(v *View) {
+		n := *d
+		n.Limits.HeaderBytes = 0
+		v.Table = routing.NewTable(&n)
+	})
+	gw.Check(send(1001), qt.Contains, "HTTP/1.1 200 ")
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -86,6 +86,9 @@
 	if err := view.Check(q.server.opts.MaxConfigAge); err != nil {
 		return err
 	}
+	if err := q.checkHeaderSize(view.Table.Document.Limits.HeaderBytes); err != nil {
+		return err
+	}
 	if err := q.setTarget(); err != nil {
 		return err
 	}
@@ -118,6 +121,28 @@
 // affect other hosts.
 const shortRetryAfter = 100 * time.Millisecond
 
+// checkHeaderSize refuses a request whose header exceeds the document's limit, if it sets one.
+func (q *request) checkHeaderSize(limit int) error {
+	if limit == 0 || headerSize(q.r) <= limit {
+		return nil
+	}
+	q.w.Header().Set("Connection", "close")
+	return fault.New(fault.HeaderTooLarge, fault.NotRun, "the header exceeds %d bytes", limit)
+}
+
+// headerSize returns the size in bytes of the request line and the header, without the optional
+// spaces around values, which the parser drops.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + len("\r\n")
+	size += len("Host:") + len(r.Host) + len("\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(":") + len(v) + len("\r\n")
+		}
+	}
+	return size + len("\r\n")
+}
+
 func (q *request) setTarget() error {
 	q.target = q.r.RequestURI
 	if !strings.HasPrefix(q.target, "/") {
@@ -245,6 +270,8 @@
 		return http.StatusUnauthorized
 	case fault.NotFound:
 		return http.StatusNotFound
+	case fault.HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case fault.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case fault.RunExpired:
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -104,9 +104,10 @@
 const DefaultBodyBytes = 4 << 20
 
 // Limits bound what callers may send. If IdleTimeout is 0, idle connections are not closed.
-// HeaderBytes and HeaderTimeout have no effect: the gateway takes these limits from its
-// Options.
+// HeaderTimeout has no effect: the gateway takes it from its Options.
 type Limits struct {
+	// HeaderBytes bounds the request line and the header together; 0 means the limit in the
+	// settings of the host, which holds in any case.
 	HeaderBytes int `json:"header_bytes" msgpack:"h"`
 	// BodyBytes bounds the body of a request; 0 means DefaultBodyBytes.
 	BodyBytes     int           `json:"body_bytes" msgpack:"b"`
