Apply header_timeout of the routing document to callers' connections

Cause: header_timeout was read, checked and stored. The HTTP server's limit is fixed when it starts and came from the settings.

What callers saw: a caller that sent a header more slowly than the operators allow kept its connection until the settings' limit.

Change: a connection sets its read deadline by the document in force while it reads a header: from the connect, or from the first byte of a later request, so that idle time doesn't count. The settings' limit still holds. A document that sets the same or a longer time changes nothing. A caller at the limit gets what it got at the settings' limit: the connection is closed, in the middle of a line after a 400 of the HTTP server.

TestHeaderTimeoutOfDocument before: "i/o timeout" after 10 s at a limit of 100 ms. After: passes ten times in a row; TestHeaderTimeoutEndsWithTheHeader shows that body and answer aren't bounded; both and all tests of internal/gateway and daemon pass with the race detector.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,7 +107,7 @@
 	s.limiter.Limiter = overload.New()
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: opts.ReadHeaderTimeout, ReadTimeout: 0, MaxHeaderBytes: opts.MaxHeaderBytes,
-		ConnState: s.conns.stateChanged, ConnContext: withRawConn,
+		ConnState: s.connStateChanged, ConnContext: withRawConn,
 		// The server responds to malformed requests itself; they are not logged one by one.
 		ErrorLog:    log.New(io.Discard, "", 0),
 		BaseContext: func(net.Listener) context.Context { return context.Background() },
@@ -117,7 +117,7 @@
 
 // Serve accepts connections on ln until Shutdown or Close.
 func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(shedListener{ln, s})
+	err := s.http.Serve(headerListener{shedListener{ln, s}, s.headerTimeout})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- /dev/null
+++ b/internal/gateway/headertimeout.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+// headerListener accepts connections whose headers are bounded by timeout.
+type headerListener struct {
+	net.Listener
+	timeout func() time.Duration
+}
+
+// Accept implements net.Listener.
+func (l headerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if t, ok := c.(*net.TCPConn); ok {
+		return &headerConn{TCPConn: t, timeout: l.timeout}, err
+	}
+	return c, err
+}
+
+// headerConn is a connection of a caller. It applies the routing document's HeaderTimeout,
+// because the limit of the HTTP server is fixed when that starts.
+//
+// Its fields are used by one goroutine at a time: the server changes the state of an open
+// connection only while nothing reads from it.
+type headerConn struct {
+	*net.TCPConn
+	timeout func() time.Duration
+	state   http.ConnState
+	// headerStart is when the first byte of a header was waited for on a new connection, or
+	// read on an idle one; zero if no header is being read.
+	headerStart time.Time
+	// limited is true while the read deadline is that of the header.
+	limited bool
+}
+
+// Read implements net.Conn.
+func (c *headerConn) Read(p []byte) (int, error) {
+	if c.state == http.StateNew && c.headerStart.IsZero() {
+		c.headerStart = time.Now()
+	}
+	if !c.headerStart.IsZero() {
+		if timeout := c.timeout(); timeout > 0 {
+			c.limited = true
+			if err := c.SetReadDeadline(c.headerStart.Add(timeout)); err != nil {
+				return 0, err
+			}
+		}
+	}
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.state == http.StateIdle && c.headerStart.IsZero() {
+		c.headerStart = time.Now()
+	}
+	return n, err
+}
+
+// stateChanged follows the state that the HTTP server reports.
+func (c *headerConn) stateChanged(state http.ConnState) {
+	if state == http.StateClosed {
+		return // a read may still be ending
+	}
+	c.state, c.headerStart = state, time.Time{}
+	if c.limited {
+		c.limited = false
+		_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is already closed
+	}
+}
+
+// connStateChanged is the ConnState hook of the HTTP server.
+func (s *Server) connStateChanged(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*headerConn); ok {
+		c.stateChanged(state)
+	}
+	s.conns.stateChanged(conn, state)
+}
+
+// headerTimeout returns the limit of the routing document; 0 if it sets none below that of the
+// HTTP server.
+func (s *Server) headerTimeout() time.Duration {
+	t := s.opts.View().Table
+	if t == nil || t.Document.Limits.HeaderTimeout >= s.opts.ReadHeaderTimeout {
+		return 0
+	}
+	return t.Document.Limits.HeaderTimeout
+}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -137,3 +137,77 @@
 	})
 	gw.Check(send(1001), qt.Contains, "HTTP/1.1 200 ")
 }
+
+// Guards against header_timeout of the routing document having no effect, on a new connection
+// or on one that has carried a request.
+func TestHeaderTimeoutOfDocument(t *testing.T) {
+	d := document()
+	u := newUpstream(t, writeRaw("%s", rawResponse(200, "ok")))
+	gw := newTestGatewayWith(t, d, func(o *Options) { o.ReadHeaderTimeout = time.Minute }, u)
+	whole, part := "GET /read/x HTTP/1.1\r\nHost: h\r\n\r\n", "GET /read/x HTTP/1.1\r\nHo"
+	dial := func() (net.Conn, *bufio.Reader) {
+		nc, err := net.Dial("tcp", gw.address)
+		gw.Assert(err, qt.IsNil)
+		t.Cleanup(func() { nc.Close() })
+		gw.Assert(nc.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+		return nc, bufio.NewReader(nc)
+	}
+	sendWhole := func(nc net.Conn, br *bufio.Reader) {
+		_, err := io.WriteString(nc, whole)
+		gw.Assert(err, qt.IsNil)
+		resp, err := http.ReadResponse(br, nil)
+		gw.Assert(err, qt.IsNil)
+		gw.Check(resp.StatusCode, qt.Equals, 200)
+		_, err = io.Copy(io.Discard, resp.Body)
+		gw.Assert(err, qt.IsNil)
+	}
+	// The server closes the connection at the limit, in some cases after a 400.
+	sendPart := func(nc net.Conn, br *bufio.Reader) {
+		_, err := io.WriteString(nc, part)
+		gw.Assert(err, qt.IsNil)
+		answer, err := io.ReadAll(br)
+		gw.Check(err, qt.IsNil)
+		gw.Check(string(answer), qt.Matches, "(?s)|HTTP/1.1 400 .*")
+	}
+	used, usedReader := dial()
+	sendWhole(used, usedReader)
+
+	limited := *d
+	limited.Limits.HeaderTimeout = 100 * time.Millisecond
+	gw.setView(func(v *View) { v.Table = routing.NewTable(&limited) })
+	fresh, freshReader := dial()
+	sendPart(fresh, freshReader)
+	time.Sleep(2 * limited.Limits.HeaderTimeout) // an idle connection isn't reading a header
+	sendWhole(used, usedReader)
+	sendPart(used, usedReader)
+	gw.Check(u.requests(), qt.HasLen, 2)
+}
+
+// Guards against a header_timeout that also bounds the body or the response, on a connection
+// whose header came in two parts.
+func TestHeaderTimeoutEndsWithTheHeader(t *testing.T) {
+	d := document()
+	d.Limits.HeaderTimeout = 300 * time.Millisecond
+	pause := func(*receivedRequest) { time.Sleep(2 * d.Limits.HeaderTimeout) }
+	u := newUpstream(t, sequence(pause, writeRaw("%s", rawResponse(200, "ok"))))
+	gw := newTestGatewayWith(t, d, func(o *Options) { o.ReadHeaderTimeout = time.Minute }, u)
+	nc, err := net.Dial("tcp", gw.address)
+	gw.Assert(err, qt.IsNil)
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for range 2 {
+		for _, part := range []string{"POST /read/x HTTP/1.1\r\nHo", "st: h\r\nContent-Length: 4\r\n\r\nab", "cd"} {
+			_, err := io.WriteString(nc, part)
+			gw.Assert(err, qt.IsNil)
+			if part == "cd" {
+				break
+			}
+			time.Sleep(d.Limits.HeaderTimeout / 30)
+		}
+		resp, err := http.ReadResponse(br, nil)
+		gw.Assert(err, qt.IsNil)
+		gw.Check(resp.StatusCode, qt.Equals, 200)
+		_, err = io.Copy(io.Discard, resp.Body)
+		gw.Assert(err, qt.IsNil)
+	}
+}
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -104,13 +104,15 @@
 const DefaultBodyBytes = 4 << 20
 
 // Limits bound what callers may send. If IdleTimeout is 0, idle connections are not closed.
-// HeaderTimeout has no effect: the gateway takes it from its Options.
 type Limits struct {
 	// HeaderBytes bounds the request line and the header together; 0 means the limit in the
 	// settings of the host, which holds in any case.
 	HeaderBytes int `json:"header_bytes" msgpack:"h"`
 	// BodyBytes bounds the body of a request; 0 means DefaultBodyBytes.
-	BodyBytes     int           `json:"body_bytes" msgpack:"b"`
+	BodyBytes int `json:"body_bytes" msgpack:"b"`
+	// HeaderTimeout bounds the time to read a header, from the connect or from the first byte
+	// of a later request; 0 means the limit in the settings of the host, which holds in any
+	// case.
 	HeaderTimeout time.Duration `json:"header_timeout" msgpack:"t"`
 	IdleTimeout   time.Duration `json:"idle_timeout" msgpack:"i"`
 	// TokensPerSecond is the total throughput of the engines, from which the fair shares of
