--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -30,16 +30,13 @@
 	node atomic.Pointer[control.Node]
 	// failure is why the role last stopped or the data folder could not be opened.
 	failure atomic.Pointer[fault.Error]
-	// settingsHosts are the hosts that control_hosts or control_seeds names. They may know
-	// the control group.
-	settingsHosts atomic.Pointer[[]string]
 	// walLog is used only by the goroutine of run once that has started.
 	walLog *wal.Log
 }
 
 func (d *Daemon) newControlRole() *controlRole {
 	r := &controlRole{d: d}
-	r.setSettingsHosts(controlHosts(d.settings))
+	r.updateControlHosts()
 	if d.settings.DataFolder == "" {
 		return r
 	}
@@ -49,18 +46,11 @@
 	return r
 }
 
-// setSettingsHosts sets the hosts from the settings. A control host also finds its group
-// through the members named in its log, because the hosts from the settings may by now be
-// outside the group.
-func (r *controlRole) setSettingsHosts(hosts []string) {
-	r.settingsHosts.Store(&hosts)
-	r.updateControlHosts()
-}
-
 // updateControlHosts gives the client the hosts through which it can find the group: those
-// from the settings and the known members.
+// from the settings and the known members, because the hosts from the settings may by now
+// be outside the group.
 func (r *controlRole) updateControlHosts() {
-	hosts := slices.Clone(*r.settingsHosts.Load())
+	hosts := controlHosts(r.d.controlSettings.Load())
 	if n := r.node.Load(); n != nil {
 		for _, m := range n.Status().Members {
 			if !slices.Contains(hosts, m.Host) {
@@ -81,6 +71,7 @@
 
 func (r *controlRole) open() error {
 	walLog, restored, err := wal.Open(r.d.settings.DataFolder, wal.Options{
+		Host:   r.d.settings.Host,
 		OnSync: metrics.GetOrRegisterTimer("wal.sync", r.d.registry).Update,
 	})
 	if err != nil {
@@ -91,7 +82,7 @@
 		Clock: r.d.clock, Ticks: time.Tick(control.TickInterval),
 		Rand:   rand.New(rand.NewSource(int64(r.d.boot ^ uint64(walLog.ReplicaID())))),
 		Orders: orderSender{r.d.engine}, Log: r.d.logFor("control"), GroupView: r.groupView(),
-		Seeds: func() []string { return *r.settingsHosts.Load() },
+		Seeds: func() []string { return controlHosts(r.d.controlSettings.Load()) },
 	})
 	if err != nil {
 		walLog.Close()
@@ -168,7 +159,8 @@
 }
 
 // run runs the control role until ctx ends. A storage failure stops the role but not the
-// host; opening the data folder is then retried until it succeeds or the data is corrupt.
+// host; opening the data folder is then retried until it succeeds or the data is corrupt or
+// belongs to another host.
 func (r *controlRole) run(ctx context.Context) error {
 	for r.d.settings.DataFolder != "" && ctx.Err() == nil {
 		if n := r.node.Load(); n != nil {
@@ -180,7 +172,7 @@
 			r.close()
 		}
 		wait.For(ctx, reopenInterval)
-		if fault.CodeOf(r.lastFailure()) == fault.StorageCorrupt {
+		if code := fault.CodeOf(r.lastFailure()); code == fault.StorageCorrupt || code == fault.StorageForeign {
 			// A retry can't help. The data is left as it is for an operator.
 			return nil
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,9 +85,6 @@
 	Registry                   metrics.Registry
 }
 
-// defaultBodyBytes bounds request bodies if the routing document sets no limit.
-const defaultBodyBytes = 4 << 20
-
 // Server is the HTTP server for the callers of routed services.
 type Server struct {
 	opts    Options
@@ -113,7 +110,7 @@
 	s.limiter.Limiter = overload.New()
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: opts.ReadHeaderTimeout, ReadTimeout: 0, MaxHeaderBytes: opts.MaxHeaderBytes,
-		ConnState: s.conns.stateChanged, ConnContext: withRawConn,
+		ConnState: s.connStateChanged, ConnContext: withRawConn,
 		// The server responds to malformed requests itself; they are not logged one by one.
 		ErrorLog:    log.New(io.Discard, "", 0),
 		BaseContext: func(net.Listener) context.Context { return context.Background() },
@@ -123,7 +120,7 @@
 
 // Serve accepts connections on ln until Shutdown or Close.
 func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(newShedListener(ln, s))
+	err := s.http.Serve(headerListener{newShedListener(ln, s), s.headerTimeout})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -26,9 +26,11 @@
 	route   *routing.Route
 	service *routing.Service
 	account string
-	target  string
-	body    []byte
-	header  http.Header
+	// priorityLevel is 0 for the highest priority of the routing document.
+	priorityLevel int
+	target        string
+	body          []byte
+	header        http.Header
 	// deadline is the earlier of the route's timeout and the caller's own deadline.
 	deadline time.Time
 	// objectiveDeadline is the target time of the whole response or, for streams, the first
@@ -39,8 +41,11 @@
 	cachedFingerprint *wire.Digest
 	// headerWritten is true once a response header was written.
 	headerWritten bool
-	// lastEventID is the id of the last event sent to the caller.
+	// lastEventID is the id of the last event sent to the caller, lastEventAt its time. late
+	// is true after a pause that was longer than the route's EventGap.
 	lastEventID string
+	lastEventAt time.Time
+	late        bool
 	// mayHaveRun is true once an instance may have run the request.
 	mayHaveRun bool
 	sends      int
@@ -81,6 +86,9 @@
 	if err := view.Check(q.server.opts.MaxConfigAge); err != nil {
 		return err
 	}
+	if err := q.checkHeaderSize(view.Table.Document.Limits.HeaderBytes); err != nil {
+		return err
+	}
 	if err := q.setTarget(); err != nil {
 		return err
 	}
@@ -91,7 +99,7 @@
 	if err := q.authenticate(view.Table); err != nil {
 		return err
 	}
-	if err := q.server.checkLoad(q.account); err != nil {
+	if err := q.server.checkLoad(q.account, q.priorityLevel); err != nil {
 		return err
 	}
 	q.service = view.Table.Service(q.route.Pick(q.server.randomFraction()))
@@ -113,6 +121,28 @@
 // affect other hosts.
 const shortRetryAfter = 100 * time.Millisecond
 
+// checkHeaderSize refuses a request whose header exceeds the document's limit, if it sets one.
+func (q *request) checkHeaderSize(limit int) error {
+	if limit == 0 || headerSize(q.r) <= limit {
+		return nil
+	}
+	q.w.Header().Set("Connection", "close")
+	return fault.New(fault.HeaderTooLarge, fault.NotRun, "the header exceeds %d bytes", limit)
+}
+
+// headerSize returns the size in bytes of the request line and the header, without the optional
+// spaces around values, which the parser drops.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + len("\r\n")
+	size += len("Host:") + len(r.Host) + len("\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(":") + len(v) + len("\r\n")
+		}
+	}
+	return size + len("\r\n")
+}
+
 func (q *request) setTarget() error {
 	q.target = q.r.RequestURI
 	if !strings.HasPrefix(q.target, "/") {
@@ -131,6 +161,7 @@
 	} else if t.NeedsCredential(q.route) {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "the credential is not known")
 	}
+	q.priorityLevel = t.PriorityLevel(q.route, a)
 	return nil
 }
 
@@ -146,8 +177,8 @@
 // doesn't occupy an upstream.
 func (q *request) readBody(limits routing.Limits) error {
 	limit := int64(limits.BodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
+	if limit == 0 {
+		limit = routing.DefaultBodyBytes
 	}
 	if q.r.ContentLength > limit {
 		return q.bodyTooLarge(limit)
@@ -239,6 +270,8 @@
 		return http.StatusUnauthorized
 	case fault.NotFound:
 		return http.StatusNotFound
+	case fault.HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case fault.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case fault.RunExpired:
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -5,7 +5,10 @@
 // The package is pure: it parses nothing and does no I/O.
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind determines whether the gateway may run a request more than once.
 type Kind string
@@ -41,9 +44,11 @@
 	// streams, the first event. A later response is worth less.
 	Objective time.Duration `json:"objective" msgpack:"o"`
 	// EventGap is the longest pause between two events of a stream that still counts as on
-	// time; 0 if not declared. No decision depends on it.
+	// time; 0 if not declared. Hosts count the streams with a longer one; no decision depends
+	// on it, because only the upstream can shorten a pause.
 	EventGap time.Duration `json:"event_gap" msgpack:"g"`
-	// Priority 0 is the highest. No decision depends on it; see dispatch.Rank.
+	// Priority 0 is the highest. A host that is nearly full refuses requests of lower priority
+	// first. The order at engines does not depend on it; see dispatch.Rank.
 	Priority int `json:"priority" msgpack:"r"`
 	// Public routes need no credential.
 	Public bool `json:"public" msgpack:"b"`
@@ -90,16 +95,24 @@
 	Name string `json:"name" msgpack:"n"`
 	// Credentials are omitted from status pages and logs (see config.Redacted).
 	Credentials []string `json:"credentials,omitempty" msgpack:"c"`
-	// Priority overrides the route's; nil if the account has none. No decision depends on it.
+	// Priority overrides the route's; nil if the account has none.
 	Priority *int `json:"priority,omitempty" msgpack:"p"`
 }
 
-// Limits bound what callers may send. If BodyBytes is 0, the gateway uses its default; if
-// IdleTimeout is 0, idle connections are not closed. HeaderBytes and HeaderTimeout have no
-// effect: the gateway takes these limits from its Options.
+// DefaultBodyBytes bounds request bodies if the document sets no limit, because a host keeps
+// a body in memory until the request has ended.
+const DefaultBodyBytes = 4 << 20
+
+// Limits bound what callers may send. If IdleTimeout is 0, idle connections are not closed.
 type Limits struct {
-	HeaderBytes   int           `json:"header_bytes" msgpack:"h"`
-	BodyBytes     int           `json:"body_bytes" msgpack:"b"`
+	// HeaderBytes bounds the request line and the header together; 0 means the limit in the
+	// settings of the host, which holds in any case.
+	HeaderBytes int `json:"header_bytes" msgpack:"h"`
+	// BodyBytes bounds the body of a request; 0 means DefaultBodyBytes.
+	BodyBytes int `json:"body_bytes" msgpack:"b"`
+	// HeaderTimeout bounds the time to read a header, from the connect or from the first byte
+	// of a later request; 0 means the limit in the settings of the host, which holds in any
+	// case.
 	HeaderTimeout time.Duration `json:"header_timeout" msgpack:"t"`
 	IdleTimeout   time.Duration `json:"idle_timeout" msgpack:"i"`
 	// TokensPerSecond is the total throughput of the engines, from which the fair shares of
@@ -116,3 +129,28 @@
 	Accounts []Account `json:"accounts" msgpack:"a"`
 	Limits   Limits    `json:"limits" msgpack:"l"`
 }
+
+// Clone returns a deep copy.
+func (d *Document) Clone() Document {
+	n := *d
+	n.Routes, n.Services, n.Accounts = slices.Clone(d.Routes), slices.Clone(d.Services), slices.Clone(d.Accounts)
+	for i := range n.Routes {
+		n.Routes[i].Split = slices.Clone(n.Routes[i].Split)
+	}
+	for i := range n.Services {
+		n.Services[i].Engine = clonePointer(n.Services[i].Engine)
+	}
+	for i := range n.Accounts {
+		a := &n.Accounts[i]
+		a.Credentials, a.Priority = slices.Clone(a.Credentials), clonePointer(a.Priority)
+	}
+	return n
+}
+
+func clonePointer[T any](p *T) *T {
+	if p == nil {
+		return nil
+	}
+	v := *p
+	return &v
+}
