Format no log line that is dropped, and build a failure's fields once

A refusal cost half of a served request: twelve copies of the log entry's fields, and a formatted line even where the sink drops it.

The formatter asks the sink first. TestDroppedLinesAreNotFormatted: without it all 2,000 lines are formatted.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -93,7 +93,9 @@
 	defer sink.Close(logFlushTimeout)
 	log := logrus.New()
 	log.SetOutput(sink)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: logTimeFormat})
+	log.SetFormatter(logsink.Formatter{
+		Sink: sink, Formatter: &logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: logTimeFormat},
+	})
 	log.SetLevel(s.LogLevel)
 	leave, abort, stop := shutdownContexts()
 	defer stop()
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -7,6 +7,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/logsink"
 )
 
 // respondStream responds to every request with a complete stream of events.
@@ -23,7 +28,10 @@
 // benchmarkRequests sends the same request repeatedly over one connection.
 func benchmarkRequests(b *testing.B, request string, script func(req *receivedRequest)) {
 	u := newUpstream(b, script)
-	gw := newTestGateway(b, document(), u)
+	benchmarkGateway(b, newTestGateway(b, document(), u), request, http.StatusOK)
+}
+
+func benchmarkGateway(b *testing.B, gw *testGateway, request string, status int) {
 	nc, err := net.Dial("tcp", gw.address)
 	if err != nil {
 		b.Fatal(err)
@@ -39,7 +47,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != status {
 			b.Fatal(resp.StatusCode, err)
 		}
 	}
@@ -54,3 +62,15 @@
 func BenchmarkWhole(b *testing.B) {
 	benchmarkRequests(b, "POST /read/x"+benchmarkHeader+strings.Repeat("x", 9_000), writeRaw("%s", rawResponse(200, strings.Repeat("y", 800))))
 }
+
+// BenchmarkRefusal measures a refusal by an overloaded host, with its log line.
+func BenchmarkRefusal(b *testing.B) {
+	sink := logsink.New(io.Discard, time.Now)
+	defer sink.Close(time.Second)
+	log := logrus.New()
+	log.SetOutput(sink)
+	log.SetFormatter(logsink.Formatter{Sink: sink, Formatter: &logrus.TextFormatter{DisableColors: true, FullTimestamp: true}})
+	gw := newTestGatewayWith(b, document(), func(opts *Options) { opts.Log, opts.MaxRunning = log.WithField("part", "gateway"), 1 })
+	gw.server.running.Add(1)
+	benchmarkGateway(b, gw, "GET /read/x"+strings.Replace(benchmarkHeader, "Content-Length: 9000\r\n", "", 1), http.StatusServiceUnavailable)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/fault"
@@ -321,23 +323,25 @@
 
 // logFailure logs why a request failed, in one line.
 func (q *request) logFailure(e *fault.Error) {
-	logger := q.server.log.WithField("request", q.id).WithField("code", string(e.Code)).WithField("run", string(e.RunState)).WithField("sends", q.sends)
+	view := q.server.opts.View()
+	fields := logrus.Fields{
+		"request": q.id, "code": string(e.Code), "run": string(e.RunState), "sends": q.sends, "cause": e.Message(),
+		"config_age_ms": view.Age.Milliseconds(), "waited_ms": time.Since(q.arrived).Milliseconds(),
+	}
 	if q.route != nil {
-		logger = logger.WithField("route", q.route.Name)
+		fields["route"] = q.route.Name
 	}
 	if e.RetryAfter > 0 {
-		logger = logger.WithField("retry_after_ms", e.RetryAfter.Milliseconds())
+		fields["retry_after_ms"] = e.RetryAfter.Milliseconds()
 	}
-	view := q.server.opts.View()
 	if view.Table != nil {
-		logger = logger.WithField("version", view.Table.Document.Version)
+		fields["version"] = view.Table.Document.Version
 	}
-	logger = logger.WithField("config_age_ms", view.Age.Milliseconds()).WithField("waited_ms", time.Since(q.arrived).Milliseconds())
 	if q.account != "" {
-		logger = logger.WithField("account", q.account).WithField("rank", q.job.Rank)
+		fields["account"], fields["rank"] = q.account, q.job.Rank
 	}
 	if n := len(q.job.Tried); n > 0 {
-		logger = logger.WithField("instance", q.job.Tried[n-1].ID)
+		fields["instance"] = q.job.Tried[n-1].ID
 	}
-	logger.WithField("cause", e.Message()).Info("Request failed.")
+	q.server.log.WithFields(fields).Info("Request failed.")
 }
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -7,6 +7,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Limits of the log volume.
@@ -50,21 +52,64 @@
 
 // Write queues one line, or drops and counts it. It never blocks and never fails.
 func (s *Sink) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil // a line that Formatter dropped
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.startSecond()
+	s.linesInSecond++
+	if s.closed || !isImportant(p) && s.overBudget() {
+		s.dropped++
+		return len(p), nil
+	}
+	s.enqueue(bytes.Clone(p))
+	return len(p), nil
+}
+
+// startSecond begins to count the lines of the present second, if it is a new one.
+func (s *Sink) startSecond() {
 	now := s.now()
 	if sec := now.Unix(); sec != s.currentSecond {
 		s.currentSecond, s.linesInSecond = sec, 0
 		s.reportDropped(now)
 	}
+}
+
+// overBudget reports whether the next line is dropped unless it is important.
+func (s *Sink) overBudget() bool {
+	return s.linesInSecond > linesPerSecond || len(s.lines) >= bufferLines-reservedLines
+}
+
+// drops reports whether Write would drop the next line of a level, and then counts it.
+func (s *Sink) drops(level logrus.Level) bool {
+	if level <= logrus.WarnLevel {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.startSecond()
+	if s.linesInSecond < linesPerSecond && !s.overBudget() {
+		return false
+	}
 	s.linesInSecond++
-	full := len(s.lines) >= bufferLines-reservedLines
-	if s.closed || !isImportant(p) && (s.linesInSecond > linesPerSecond || full) {
-		s.dropped++
-		return len(p), nil
+	s.dropped++
+	return true
+}
+
+// Formatter formats the lines that Sink will keep. A host that refuses a thousand requests a
+// second would spend more time on formatting lines that are dropped than on its refusals.
+type Formatter struct {
+	logrus.Formatter
+	Sink *Sink
+}
+
+// Format implements logrus.Formatter. It returns no bytes for a line that is dropped.
+func (f Formatter) Format(e *logrus.Entry) ([]byte, error) {
+	if f.Sink.drops(e.Level) {
+		return nil, nil
 	}
-	s.enqueue(bytes.Clone(p))
-	return len(p), nil
+	return f.Formatter.Format(e)
 }
 
 // reportDropped logs how many lines were dropped since its last report. Write calls it at
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -58,3 +59,36 @@
 	c.Assert(out.String(), qt.Contains, fmt.Sprintf("lines=%d", 1_000-linesPerSecond))
 	c.Assert(out.String(), qt.Contains, "msg=next")
 }
+
+// countingFormatter counts the lines that it formats.
+type countingFormatter struct{ lines int }
+
+func (f *countingFormatter) Format(e *logrus.Entry) ([]byte, error) {
+	f.lines++
+	return fmt.Appendf(nil, "level=%s msg=%s\n", e.Level, e.Message), nil
+}
+
+// Guards against an overloaded host that spends its CPU time on lines that are dropped, and
+// against lines that are dropped uncounted.
+func TestDroppedLinesAreNotFormatted(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	now := start
+	s := New(&out, func() time.Time { return now })
+	f := &countingFormatter{}
+	log := logrus.New()
+	log.SetOutput(s)
+	log.SetFormatter(Formatter{Formatter: f, Sink: s})
+	for range 1_000 {
+		log.Info("many")
+		log.Error("rare")
+	}
+	c.Check(f.lines, qt.Equals, 1_000+linesPerSecond/2)
+	now = now.Add(time.Second)
+	log.Info("next")
+	s.Close(time.Second)
+	c.Check(strings.Count(out.String(), "msg=many"), qt.Equals, linesPerSecond/2)
+	c.Check(strings.Count(out.String(), "msg=rare"), qt.Equals, 1_000)
+	c.Check(out.String(), qt.Contains, fmt.Sprintf("lines=%d", 1_000-linesPerSecond/2))
+	c.Check(out.String(), qt.Contains, "msg=next")
+}
