Take a cold instance's token only when a request is placed there

Cause: best took the token while it chose, before Pick compared the cost with the time that the request has left. A refused request used up the rate limit of a cold instance, so that the next one, which could have run there, got 429 or 503 and the instance warmed up more slowly. It needs a cost of more than 60 s above the time left: a suspect cold instance that is the only one left. Ruled out: sending more than the limit; the token was taken too often, never too rarely. Not changed: a token stays used when the gate of the engine refuses after Pick.

TestRefusalTakesNoTokenOfAColdInstance on the code before: got non-nil error, queue_full: no instance of service "engines" can take the request now.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -202,6 +202,9 @@
 		return nil, fault.New(fault.QueueFull, fault.NotRun, "all instances of service %q are busy", j.Service).WithRetryAfter(
 			min(time.Duration(cost*float64(time.Millisecond))-limit+noInstanceRetryAfter, maxPickRetryAfter))
 	}
+	if coldLimitApplies(s, best, now) {
+		best.coldBucket.tokens--
+	}
 	return best.place(j, best == preferred, now), nil
 }
 
@@ -213,8 +216,7 @@
 	maxPickRetryAfter    = time.Second
 )
 
-// best returns the eligible instance with the lowest cost, and the cost in ms. If the
-// instance is cold, best also takes a token of its rate limit.
+// best returns the eligible instance with the lowest cost, and the cost in ms.
 func (d *Dispatcher) best(s *routing.Service, j *Job, preferred *instance, now time.Time) (*instance, float64) {
 	var best *instance
 	bestCost := 0.0
@@ -227,9 +229,6 @@
 			best, bestCost = x, c
 		}
 	}
-	if best != nil && s.ColdPerSecond > 0 && now.Before(best.coldUntil) {
-		best.coldBucket.tokens--
-	}
 	return best, bestCost
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -171,6 +171,22 @@
 	}
 }
 
+// Guards against a refusal that uses up the rate limit of a cold instance, so that the next
+// request, which could run there, is refused.
+func TestRefusalTakesNoTokenOfAColdInstance(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher("a", "a")
+	cold := catalog.Instance{ID: "new", Service: "engines", DataCentre: "dc1", ColdFor: time.Minute}
+	d.SetInstances([]catalog.Instance{cold}, at(0))
+	d.instances[cold.Key()].suspectUntil = at(1_000)
+	j := &Job{Service: "engines", InputTokens: 4_000, Remaining: time.Millisecond}
+	_, err := d.Pick(j, at(0))
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.QueueFull)
+	j.Remaining = time.Second
+	_, err = d.Pick(j, at(0))
+	c.Assert(err, qt.IsNil)
+}
+
 // Guards against sending further requests to an unreachable instance at once, and against
 // never trying it again.
 func TestUnreachableInstance(t *testing.T) {
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -22,11 +22,15 @@
 // a second.
 const maxHostsPerColdInstance = 4
 
+func coldLimitApplies(s *routing.Service, x *instance, now time.Time) bool {
+	return s.ColdPerSecond > 0 && now.Before(x.coldUntil)
+}
+
 // coldLimitAllows reports whether the cold-start limit lets this host send a request to x
 // now. The rate of a cold instance is divided among a few hosts, which all hosts derive
 // from the same list.
 func (d *Dispatcher) coldLimitAllows(s *routing.Service, x *instance, now time.Time) bool {
-	if s.ColdPerSecond <= 0 || !now.Before(x.coldUntil) {
+	if !coldLimitApplies(s, x, now) {
 		return true
 	}
 	if d.hosts.Rank(x.hash+uint64(x.Born), d.opts.Host) >= maxHostsPerColdInstance {
