Count a resumed stream when it is sent, and keep mayRetry a question

Cause: mayRetry moved the resume offset and counted the resume while it answered whether a retry is allowed. Operators saw a resumed stream in router.streams_resumed where the scheduler then refused the retry; a second call would have moved the offset twice, so that the caller missed events. runAttempts moves the offset now, and execute counts each send that resumes a stream. Ruled out: a wrong offset today; there is one call per attempt, and an attempt that began no answer delivers no events.

Before: TestRefusedResumeIsNotCounted: got int64(1), want int64(0); TestMayRetryKeepsTheResumeOffset: got int(3), want int(0). After: pass, with all tests of the package. No decision changed.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -149,6 +149,9 @@
 // execute sends the request to the granted upstream and reports the outcome to the
 // scheduler.
 func (r *Router) execute(ctx context.Context, cs *callState, req *openRequest, g wire.Grant) attemptResult {
+	if cs.sink.began {
+		r.counters.resumes.Inc(1)
+	}
 	limit := cs.contract.MaxRun
 	if left := time.Until(cs.call.Deadline); !cs.call.Deadline.IsZero() && left < limit {
 		limit = left
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -112,6 +112,7 @@
 			return cs.failure(res)
 		}
 		cs.avoid = res.upstream
+		cs.resumeOffset += res.DeliveredEvents
 		r.counters.retries.Inc(1)
 		if res.Outcome == wire.OutcomeRefused {
 			if !wait.For(ctx, refusedRetryDelay) {
@@ -136,7 +137,7 @@
 
 // mayRetry reports whether another attempt is allowed. A request that may have run is
 // retried only if it is idempotent. Once any of the answer was passed on, it must also
-// be a stream of a pool that resumes streams; mayRetry then moves resumeOffset forward.
+// be a stream of a pool that resumes streams.
 func (r *Router) mayRetry(cs *callState, res attemptResult, n int) bool {
 	if n >= maxAttempts || !retry.Retryable(res.Outcome, cs.call.Idempotent) {
 		return false
@@ -144,15 +145,7 @@
 	if !mayHaveRun(res.Outcome) {
 		return r.opts.Clock.Now() < cs.waitUntil
 	}
-	if !cs.sink.began {
-		return true
-	}
-	if cs.pool.Resume && cs.call.Stream {
-		cs.resumeOffset += res.DeliveredEvents
-		r.counters.resumes.Inc(1)
-		return true
-	}
-	return false
+	return !cs.sink.began || cs.pool.Resume && cs.call.Stream
 }
 
 // withRunState corrects the run state when a later attempt did not run: an earlier one
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -319,6 +319,31 @@
 	}
 }
 
+// Guards against counting a stream as resumed whose next attempt was refused.
+func TestRefusedResumeIsNotCounted(t *testing.T) {
+	f := newFixture(t)
+	f.cfg.Pools["p"] = config.Pool{Name: "p", Resume: true}
+	f.upstream = func(_ *engine.Request, s engine.Sink) engine.Result {
+		s.Begin(200, "text/event-stream", nil)
+		return engine.Result{Outcome: wire.OutcomeBroken, ResponseBegan: true, DeliveredEvents: 3}
+	}
+	_, end := f.serve(frontend.Call{Idempotent: true, Stream: true})
+	f.deliver(wire.KindGrant, f.grantFor(f.nextTicket(), "u1"))
+	f.nextMessage(wire.KindFinish)
+	f.deliver(wire.KindRefusal, wire.Refusal{ID: f.nextTicket().ID, Pool: "p", Code: fault.RetryBudgetSpent})
+	f.Assert(<-end, qt.IsNotNil)
+	f.Assert(f.r.counters.resumes.Count(), qt.Equals, int64(0))
+}
+
+// Guards against a stream that resumes at a wrong event because a question moved its offset.
+func TestMayRetryKeepsTheResumeOffset(t *testing.T) {
+	f := newFixture(t)
+	cs := &callState{call: &frontend.Call{Idempotent: true, Stream: true}, pool: config.Pool{Resume: true}, sink: &sink{began: true}}
+	res := attemptResult{Result: engine.Result{Outcome: wire.OutcomeBroken, ResponseBegan: true, DeliveredEvents: 3}}
+	f.Assert(f.r.mayRetry(cs, res, 1), qt.IsTrue)
+	f.Assert(cs.resumeOffset, qt.Equals, 0)
+}
+
 // Guards against reporting "not run" for a request whose earlier attempt may have run.
 func TestRefusedRetryMayHaveRun(t *testing.T) {
 	f := newFixture(t)
