Mark an owner unresponsive where its reply is bypassed

Cause: mayBypass marked the owner of a gate as unresponsive for 500 ms while it answered whether a request may be sent without a reply. It has one caller, which acts on the answer, so no host was marked wrongly; a second call would have let others bypass an owner without any request being sent. The mark stands beside the bypass now. No decision changed: an owner is marked under the same condition.

TestMayBypassMarksNoOwner on the code before: unexpected length, len(got) 1, want 0. TestOverdueOwnerIsMarkedUnresponsive passes before and after; it shows that the mark stays. All tests of the package pass with the race detector.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -243,6 +243,9 @@
 				continue
 			}
 			if a.mayBypass(p, replyDue, now) {
+				if a.replyOverdue(p, replyDue, now) {
+					a.markUnresponsive(p.owner, now)
+				}
 				a.countEvent("bypassed")
 				return nil
 			}
@@ -272,16 +275,23 @@
 }
 
 // mayBypass reports whether a request may be sent without a reply, because the reply is
-// overdue or the gate has another owner by now. It marks an owner whose reply is overdue as
-// unresponsive. A zero due time means that the owner has answered.
+// overdue, the owner is unresponsive or the gate has another owner by now. A zero due time
+// means that the owner has answered.
 func (a *Admission) mayBypass(p *Permit, due, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !due.IsZero() && now.After(due) && p.owner != a.opts.Host {
-		a.unresponsiveUntil[p.owner] = now.Add(unresponsivePeriod)
-		return true
-	}
-	return !due.IsZero() && a.unresponsiveLocked(p.owner) || a.ownerLocked(p.key) != p.owner
+	return a.replyOverdue(p, due, now) || !due.IsZero() && a.unresponsiveLocked(p.owner) || a.ownerLocked(p.key) != p.owner
+}
+
+// replyOverdue reports whether another host owes a reply since the due time.
+func (a *Admission) replyOverdue(p *Permit, due, now time.Time) bool {
+	return !due.IsZero() && now.After(due) && p.owner != a.opts.Host
+}
+
+func (a *Admission) markUnresponsive(owner string, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unresponsiveUntil[owner] = now.Add(unresponsivePeriod)
 }
 
 func (a *Admission) countEvent(name string) {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -125,6 +125,28 @@
 	c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
 }
 
+// Guards against an owner that is no longer asked because of a question, although no request
+// was sent without its reply.
+func TestMayBypassMarksNoOwner(t *testing.T) {
+	c := qt.New(t)
+	a := newNetwork("a", "b").hosts["a"]
+	now := time.Now()
+	p := &Permit{a: a, owner: "b", key: catalog.Key{ID: "x"}}
+	c.Assert(a.mayBypass(p, now.Add(-time.Second), now), qt.IsTrue)
+	c.Assert(a.unresponsiveUntil, qt.HasLen, 0)
+}
+
+// Guards against each request waiting for the reply of an owner that did not respond to the
+// one before.
+func TestOverdueOwnerIsMarkedUnresponsive(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork("a", "b")
+	n.silent["b"] = true
+	_, err := n.hosts["a"].Admit(context.Background(), request(n.instanceOwnedBy("b"), 1_000))
+	c.Assert(err, qt.IsNil)
+	c.Assert(n.hosts["a"].unresponsiveUntil["b"].IsZero(), qt.IsFalse)
+}
+
 // Guards against bypassing owners that are responsive. They seem unresponsive to a host
 // whose own timers fire late, and its requests would reach the engines unpaced.
 func TestTimerDelayExtendsReplyTimeout(t *testing.T) {
