Queue a late request as due at its deadline

Cause: the gate gave a request whose first event was overdue a new due time 300 ms ahead, which is before that of most requests of its rank. It went first although it could not be in time, and made others late that could. It is now due at its deadline: it waits behind those due before that, and is refused as soon as it can't begin by then (before: when its deadline had passed). The limit on the wait with which it is accepted stays at 300 ms, so a late request is accepted only behind a short queue.

TestLateRequestsWaitBehindThoseInTime on the code before: got the grant of request 2, want that of 3. After: pass, with the tests of dispatch, admission and loadplay.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -79,9 +79,6 @@
 type waitingRequest struct {
 	AdmissionRequest
 	tokens int
-	// late marks a request that arrived after its first event was due; it waits until its
-	// deadline.
-	late bool
 }
 
 // NewGate returns the gate of an engine with a number of slots and a memory in tokens.
@@ -95,21 +92,21 @@
 		return reply
 	}
 	tokens := g.tokensToRead(r, now)
-	wait := g.expectedWait(r, tokens, now)
-	late := r.FirstEventDue.Before(now)
-	if late {
-		// A request may arrive after its first event was due, for example a retry after a
-		// refusal. It gets a new due time and is queued by that.
-		r.FirstEventDue = now.Add(lateExtension)
+	limit := r.FirstEventDue.Sub(now)
+	if limit < 0 {
+		// A retry after a failed attempt may arrive after its first event was due. It must not
+		// make others late, so it is queued as due at its deadline.
+		r.FirstEventDue, limit = r.Deadline, maxLateWait
 	}
-	if wait > time.Duration(maxWaitFraction[r.Rank]*float64(r.FirstEventDue.Sub(now))) && !g.idle() || len(g.waiting) >= maxWaiting {
+	wait := g.expectedWait(r, tokens, now)
+	if wait > time.Duration(maxWaitFraction[r.Rank]*float64(limit)) && !g.idle() || len(g.waiting) >= maxWaiting {
 		return AdmissionReply{Wait: wait}
 	}
 	if len(g.waiting) == 0 && g.hasRoom(tokens) {
 		g.admit(r, tokens, now)
 		return AdmissionReply{Granted: true, Wait: wait}
 	}
-	g.enqueue(waitingRequest{r, tokens, late})
+	g.enqueue(waitingRequest{r, tokens})
 	return AdmissionReply{Queued: true, Wait: wait}
 }
 
@@ -126,8 +123,9 @@
 	return AdmissionReply{}, false
 }
 
-// lateExtension is the time within which the first event of a late request becomes due.
-const lateExtension = 300 * time.Millisecond
+// maxLateWait stands for the time until the first event is due in the limit on the expected
+// wait of a late request.
+const maxLateWait = 300 * time.Millisecond
 
 func (g *Gate) idle() bool { return g.readingTokens == 0 && len(g.waiting) == 0 }
 
@@ -241,7 +239,7 @@
 	ahead := g.unreadTokens(now)
 	kept := g.waiting[:0]
 	for _, w := range g.waiting {
-		if w.late || !now.Add(g.speed.readTime(ahead+w.tokens)).After(w.FirstEventDue) {
+		if !now.Add(g.speed.readTime(ahead + w.tokens)).After(w.FirstEventDue) {
 			ahead += w.tokens
 			kept = append(kept, w)
 			continue
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -77,6 +77,23 @@
 	c.Assert(order, qt.DeepEquals, []uint64{3, 5, 2, 4})
 }
 
+// Guards against a request whose first event is overdue that makes others of its rank late,
+// and against refusing it before its deadline.
+func TestLateRequestsWaitBehindThoseInTime(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGate()
+	g.Request(newAdmissionRequest(1, 4_000, 0, 800, WithinConfiguredShare), at(0))
+	late := newAdmissionRequest(2, 500, 0, -100, WithinConfiguredShare)
+	late.Deadline = at(3_000)
+	c.Assert(g.Request(late, at(0)).Queued, qt.IsTrue)
+	c.Assert(g.Request(newAdmissionRequest(3, 4_000, 0, 800, WithinConfiguredShare), at(0)).Queued, qt.IsTrue)
+	c.Assert(g.RefuseLate(at(310)), qt.HasLen, 0)
+	g.FirstEvent(AdmissionID{"h", 1}, at(320))
+	granted, _ := g.AdmitWaiting(at(320))
+	c.Assert(granted, qt.DeepEquals, []AdmissionID{{"h", 3}})
+	c.Assert(g.RefuseLate(at(3_001)), qt.DeepEquals, []AdmissionID{{"h", 2}})
+}
+
 // Guards against a gate that stays blocked by a request whose host has died, and against
 // counting a cancelled request.
 func TestGateDropsLostAndCancelledRequests(t *testing.T) {
