Forget a removed upstream when its reported requests end

Cause: only the end of a granted request forgot an upstream that the configuration no longer names. Where its last slots were occupied by reported requests without a known grant, expireSlots and reconcile freed them and left the upstream in the list. Operators saw it in the status until the scheduler changed, and every decision walked past it. Ruled out: grants to it (it is out of service) and its slots in the bound (inService does not count it).

TestRemovedUpstreamIsForgottenWithItsLastSlot on the code before: unexpected length, len(got) 2, want 1, after the longest run and after a report. After: pass, with all tests of the package.

--- a/internal/sched/configure.go
+++ b/internal/sched/configure.go
@@ -47,9 +47,7 @@
 	for _, u := range slices.Clone(p.sortedUpstreams) {
 		if cu, ok := c.Upstreams[u.name]; !ok || cu.Pool != p.pool.Name {
 			u.removed, u.out = true, true
-			if u.occupied() == 0 {
-				p.forgetUpstream(u)
-			}
+			p.forgetIfUnused(u)
 		}
 		if !u.out {
 			p.inService++
@@ -86,8 +84,12 @@
 	return u
 }
 
-// forgetUpstream removes an upstream that the configuration no longer names.
-func (p *Pool) forgetUpstream(u *upstream) {
+// forgetIfUnused removes an upstream that the configuration no longer names once its slots
+// are free.
+func (p *Pool) forgetIfUnused(u *upstream) {
+	if !u.removed || u.occupied() > 0 {
+		return
+	}
 	for _, b := range u.broken {
 		b.fp.removeBroken(u.name)
 		p.unref(b.fp)
--- a/internal/sched/finish.go
+++ b/internal/sched/finish.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"marigoldshunt/internal/fault"
@@ -103,9 +104,7 @@
 	if a.removed && a.running == 0 {
 		delete(p.accounts, a.name)
 	}
-	if u.removed && u.occupied() == 0 {
-		p.forgetUpstream(u)
-	}
+	p.forgetIfUnused(u)
 }
 
 // makeOrphan keeps the slot of a grant occupied after its router was lost, at most for the
@@ -157,9 +156,10 @@
 // longest run time has passed.
 func (p *Pool) expireSlots(now time.Duration) {
 	freed := false
-	for _, u := range p.sortedUpstreams {
+	for _, u := range slices.Backward(p.sortedUpstreams) { // forgetIfUnused removes u from the list
 		if u.unattributed > 0 && now >= u.unattributedUntil {
 			u.unattributed = 0
+			p.forgetIfUnused(u)
 			freed = true
 		}
 	}
--- a/internal/sched/sync_test.go
+++ b/internal/sched/sync_test.go
@@ -139,6 +139,23 @@
 	}
 }
 
+// Guards against listing a removed upstream forever, because its last slot was occupied by
+// reported requests without a known grant.
+func TestRemovedUpstreamIsForgottenWithItsLastSlot(t *testing.T) {
+	for name, free := range map[string]func(h *harness){
+		"the longest run time has passed": func(h *harness) { h.p.Expire(h.now+time.Minute, nil) },
+		"a report shows that they ended":  func(h *harness) { h.now += time.Second; h.report("u0", "", 0, 0) },
+	} {
+		c, h := newTest(t, fixedLimit(4), 2)
+		h.report("u0", "", 3, 0)
+		delete(h.cfg.Upstreams, "u0")
+		h.p.Configure(h.now, h.cfg)
+		c.Check(h.upstreamStatus("u0").Other, qt.Equals, 3)
+		free(h)
+		c.Check(h.p.Status(h.now).Upstreams, qt.HasLen, 1, qt.Commentf(name))
+	}
+}
+
 // Reported requests of unknown routers occupy slots, and the delay of a report alone
 // neither takes nor frees a slot.
 func TestReportedRequestsOccupySlots(t *testing.T) {
--- a/internal/sched/upstream.go
+++ b/internal/sched/upstream.go
@@ -325,6 +325,7 @@
 	if surplus > n {
 		p.releaseOrphans(surplus-n, u)
 	}
+	p.forgetIfUnused(u)
 }
 
 // recordLive records the number of live grants for the reconciliation of later reports. It
