Resend a grant once however many Syncs ask for it

Cause: each Sync that lists a granted ticket as waiting added the ticket to resend, and Next sent the grant for each entry, also when a later Sync listed the request as running. Two Syncs before the scheduler may grant (a new connection within the 300 ms of the sync window, or while it has no lease) sent the grant twice and counted two; without a lease the list grew with each Sync. The ticket itself now says whether its grant has to be sent again. Ruled out: two runs or a lost slot. The router ignores the second grant while the request is open and returns it once it has ended; the return of an unknown ticket has no effect.

Before: TestGrantIsResentOnceAfterTwoSyncs: unexpected length, len(got) 2, want 1; TestGrantIsNotResentOnceItsRequestRuns: len(got) 1, want 0. TestGrantIsResentAfterItsRouterReturns passes before and after; it guards the mark on a lost router's ticket.

--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -218,7 +218,12 @@
 	for len(p.resend) > 0 {
 		id := p.resend[len(p.resend)-1]
 		p.resend = p.resend[:len(p.resend)-1]
-		if ts := p.tickets[id]; ts != nil && ts.upstream != nil && !ts.orphan {
+		ts := p.tickets[id]
+		if ts == nil || !ts.resend {
+			continue
+		}
+		ts.resend = false
+		if !ts.orphan {
 			return p.grantOf(ts), true
 		}
 	}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -30,6 +30,8 @@
 	estimateUnknown bool
 	orphan          bool
 	orphanUntil     time.Duration
+	// resend is true while Pool.resend lists the ticket and the grant has to be sent again.
+	resend bool
 	// prevRunning and nextRunning link the tickets that run at the same upstream.
 	prevRunning, nextRunning *ticketState
 	// trialGeneration is the fingerprint's generation when the grant took one of its trial
--- a/internal/sched/sync.go
+++ b/internal/sched/sync.go
@@ -81,7 +81,10 @@
 	if ts := p.tickets[t.ID]; ts != nil {
 		if ts.upstream != nil {
 			p.adoptOrphan(ts)
-			p.resend = append(p.resend, t.ID)
+			if !ts.resend {
+				ts.resend = true
+				p.resend = append(p.resend, t.ID)
+			}
 		}
 		return
 	}
@@ -110,6 +113,7 @@
 	ts := p.tickets[r.Ticket.ID]
 	if ts != nil && ts.upstream != nil {
 		p.adoptOrphan(ts)
+		ts.resend = false
 		return
 	}
 	u := p.upstreams[r.Upstream]
--- a/internal/sched/sync_test.go
+++ b/internal/sched/sync_test.go
@@ -102,6 +102,46 @@
 	c.Check(h.p.Status(h.now).Waiting, qt.Equals, 0)
 }
 
+// Guards against sending a grant twice, because the router sent two Syncs before the scheduler
+// could grant again.
+func TestGrantIsResentOnceAfterTwoSyncs(t *testing.T) {
+	c, h := newTest(t, fixedLimit(1), 1)
+	tk := h.ticket("a")
+	c.Assert(h.p.Submit(h.now, &tk), qt.IsNil)
+	h.grantN(c, 1)
+	for range 2 {
+		h.p.Sync(h.now, "r", 1, &wire.Sync{Waiting: []wire.Ticket{tk}})
+	}
+	h.grantN(c, 1)
+	h.p.Sync(h.now, "r", 1, &wire.Sync{Waiting: []wire.Ticket{tk}})
+	h.grantN(c, 1)
+}
+
+// Guards against sending the grant of a request that runs by now.
+func TestGrantIsNotResentOnceItsRequestRuns(t *testing.T) {
+	c, h := newTest(t, fixedLimit(1), 1)
+	tk := h.ticket("a")
+	c.Assert(h.p.Submit(h.now, &tk), qt.IsNil)
+	h.grantN(c, 1)
+	h.p.Sync(h.now, "r", 1, &wire.Sync{Waiting: []wire.Ticket{tk}})
+	h.p.Sync(h.now, "r", 1, &wire.Sync{Running: []wire.RunningRequest{{Ticket: tk, Upstream: "u0"}}})
+	h.grantN(c, 0)
+}
+
+// Guards against never resending a grant whose router was lost before it could be sent again.
+func TestGrantIsResentAfterItsRouterReturns(t *testing.T) {
+	c, h := newTest(t, fixedLimit(1), 1)
+	tk := h.ticket("a")
+	c.Assert(h.p.Submit(h.now, &tk), qt.IsNil)
+	h.grantN(c, 1)
+	sync := &wire.Sync{Waiting: []wire.Ticket{tk}}
+	h.p.Sync(h.now, "r", 1, sync)
+	h.p.DropRouter(h.now, "r", 1)
+	h.grantN(c, 0)
+	h.p.Sync(h.now, "r", 1, sync)
+	h.grantN(c, 1)
+}
+
 // The slots of a lost router's requests are neither granted while these may still run nor
 // kept forever.
 func TestDropRouter(t *testing.T) {
