Tell a new scheduler when the requests it takes over were granted

Cause: a Sync did not say when a running request was granted, and adopt set the time to 0, the start of the process. A crash mark from the replicated state that is older than the process lies before that: the same crash then counted twice, and a request that had crashed one upstream once was refused for an hour. In a process older than the mark it was the other way: the crash of a request granted after the mark counted as the one that set it. An upstream that had been unreachable at any time before the grant marked an adopted request whose connection broke later, without waiting for a report. RunningRequest has the age of the grant now, as its last field. A host that does not send it gives a time before all marks, so its crash adds none where one is, as the comment had promised. Ruled out: the order in which orphans are freed; adopted requests still come first unless this scheduler granted older ones. The age starts when the router takes the grant, so it is short by the messages' way, a few ms.

Before: TestCrashOfAdoptedRequestCountsByItsGrantTime: got 1 quarantined, want 0 (process runs for 1s, granted 31m0s ago and age unknown); got 0, want 1 (2h0m0s, 29m0s ago). TestAdoptedRequestIsNotBlamedForAnEarlierFailure: len(got) 1, want 0. After: pass, and TestSyncTellsTheAgeOfRunningRequests, with all tests of sched, scheduler, router and wire.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -125,7 +125,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pool(g.Pool)
-	fresh := r.opts.Clock.Now()-g.Echo <= GrantMaxAge
+	now := r.opts.Clock.Now()
+	fresh := now-g.Echo <= GrantMaxAge
 	if !fresh || g.Fence < p.fence || g.Echo < p.syncedAt || !inService(c, g.Upstream) {
 		r.counters.rejectedGrants.Inc(1)
 		delete(r.openRequests, req.ticket.ID.Seq)
@@ -133,7 +134,7 @@
 		return false
 	}
 	r.counters.grants.Inc(1)
-	req.upstream, req.estimate = g.Upstream, g.Estimate
+	req.upstream, req.estimate, req.grantedAt = g.Upstream, g.Estimate, now
 	if t, ok := p.shareTags[req.ticket.Account]; !ok || g.Tag > t {
 		p.shareTags[req.ticket.Account] = g.Tag
 	}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -92,7 +92,7 @@
 	for _, req := range r.openRequestsIn(p.name) {
 		t := req.ticketAt(now)
 		if req.upstream != "" {
-			s.Running = append(s.Running, wire.RunningRequest{Ticket: t, Upstream: req.upstream, Estimate: req.estimate})
+			s.Running = append(s.Running, wire.RunningRequest{Ticket: t, Upstream: req.upstream, Estimate: req.estimate, Age: now - req.grantedAt})
 		} else {
 			s.Waiting = append(s.Waiting, t)
 		}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -33,8 +33,10 @@
 	decided bool
 	// upstream is set from the moment the request is sent.
 	upstream string
-	// estimate is the cost that was charged for the grant.
+	// estimate is the cost that was charged for the grant, grantedAt the router clock at which
+	// the request took it.
 	estimate  float64
+	grantedAt time.Duration
 	decisions chan decision
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -153,6 +153,25 @@
 	return frontend.Call{IdempotencyKey: "0190c0de-0000-7000-8000-000000000001"}
 }
 
+// Guards against a scheduler that does not know when the requests that it takes over were
+// granted.
+func TestSyncTellsTheAgeOfRunningRequests(t *testing.T) {
+	f := newFixture(t)
+	synced := make(chan wire.Sync, 1)
+	f.upstream = func(_ *engine.Request, s engine.Sink) engine.Result {
+		f.advance(3 * time.Second)
+		f.r.PeerUp("s")
+		synced <- f.nextMessage(wire.KindSync).msg.(wire.Sync)
+		return completeAnswer(s)
+	}
+	_, end := f.serve(idempotent())
+	f.deliver(wire.KindGrant, f.grantFor(f.nextTicket(), "u1"))
+	running := (<-synced).Running
+	f.Assert(running, qt.HasLen, 1)
+	f.Assert(running[0].Age, qt.Equals, 3*time.Second)
+	f.Assert(<-end, qt.IsNil)
+}
+
 // Guards against losing the answer or the report of its cost when nothing fails.
 func TestGrantedRequestIsAnsweredAndReported(t *testing.T) {
 	f := newFixture(t)
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -137,3 +137,45 @@
 		}
 	}
 }
+
+// Guards against a wrong count of crashes after a change of the scheduler. The crash of an
+// adopted request that was granted before a mark is the crash that set the mark, and one
+// granted after it is another crash, however long this process runs.
+func TestCrashOfAdoptedRequestCountsByItsGrantTime(t *testing.T) {
+	const markAge = 30 * time.Minute
+	for _, processAge := range []time.Duration{time.Second, 2 * time.Hour} {
+		for _, tc := range []struct {
+			age         time.Duration
+			quarantined int
+		}{{markAge + time.Minute, 0}, {markAge - time.Minute, 1}, {0, 0}} {
+			c, h := newTest(t, fixedLimit(2), 1)
+			h.now = processAge
+			h.report("u0", "i1", 0, 0)
+			h.p.RestoreMark(wire.Digest{crashingRequest}, "u0", h.now-markAge+CrashMarkDuration)
+			tk := h.ticket("a")
+			tk.Fingerprint = wire.Digest{crashingRequest}
+			h.p.Sync(h.now, "r", 1, &wire.Sync{Running: []wire.RunningRequest{{Ticket: tk, Upstream: "u0", Age: tc.age}}})
+			h.finish(Grant{ID: tk.ID, Upstream: "u0"}, wire.OutcomeBroken, 1)
+			h.now += time.Millisecond
+			h.report("u0", "i2", 0, 0)
+			c.Check(h.p.Status(h.now).Quarantined, qt.Equals, tc.quarantined, qt.Commentf("process runs for %s, granted %s ago", processAge, tc.age))
+		}
+	}
+}
+
+// Guards against a crash mark for an adopted request that was granted after its upstream was
+// unreachable.
+func TestAdoptedRequestIsNotBlamedForAnEarlierFailure(t *testing.T) {
+	c, h := newTest(t, fixedLimit(3), 1)
+	h.submitN("a", 2)
+	gs := h.grantN(c, 2)
+	h.finish(gs[0], wire.OutcomeUnreachable, 0)
+	h.now += 10 * time.Second
+	h.report("u0", "", 1, 0)
+	tk := h.ticket("a")
+	tk.Fingerprint = wire.Digest{crashingRequest}
+	tk.ID.Host = "r2"
+	h.p.Sync(h.now, "r2", 1, &wire.Sync{Running: []wire.RunningRequest{{Ticket: tk, Upstream: "u0", Age: time.Second}}})
+	h.finish(gs[1], wire.OutcomeBroken, 1)
+	c.Check(h.finish(Grant{ID: tk.ID, Upstream: "u0"}, wire.OutcomeBroken, 1).Marks, qt.HasLen, 0)
+}
--- a/internal/sched/sync.go
+++ b/internal/sched/sync.go
@@ -108,6 +108,10 @@
 	p.enqueue(now, a, t)
 }
 
+// unknownGrantTime is before all times, so a crash of the request adds no mark if the upstream
+// already has one for the fingerprint.
+const unknownGrantTime = time.Duration(math.MinInt64)
+
 // adopt takes over a running request that an earlier scheduler granted.
 func (p *Pool) adopt(now time.Duration, r *wire.RunningRequest) {
 	ts := p.tickets[r.Ticket.ID]
@@ -138,9 +142,11 @@
 	ts.estimateUnknown = ts.estimate == 0
 	ts.account.service += ts.estimate
 	p.occupySlot(now, ts, u)
-	// The time of the grant is unknown. So a success does not raise the upstream's limit,
-	// and a crash adds no mark if the upstream already has one for the fingerprint.
-	ts.epoch, ts.instance, ts.grantedAt = u.epoch-1, "", 0
+	// The grant is from an earlier epoch, so a success does not raise the upstream's limit.
+	ts.epoch, ts.instance, ts.grantedAt = u.epoch-1, "", unknownGrantTime
+	if r.Age > 0 {
+		ts.grantedAt = now - r.Age
+	}
 	u.unattributed = max(u.unattributed-1, 0)
 	p.updatePhase(ts.account, true)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -178,6 +178,8 @@
 	Upstream string
 	// Estimate is the cost that the account was charged at dispatch.
 	Estimate float64
+	// Age is the time since the grant, 0 from a host that does not know it.
+	Age time.Duration
 }
 
 // UpstreamLimit is the concurrency limit of an upstream in the latest grant that a router
