Return the stale grant of a request that has ended

Cause: the router ignored a grant decided before its last Sync, also where its request had ended after that Sync. The slot then idled until the scheduler, asked by the Sync, had sent the grant again and the router had returned that one: one more way there and back. Such a grant is returned at once now. The scheduler ignores the return of an unknown ticket. The fault as it was filed, that an ignored grant of an open request leaves its slot idle, can't happen: the Sync lists the request as waiting, so the scheduler sends the grant again.

TestStaleGrantOfAnEndedRequestIsReturned on the code before: unexpected length, len(got) 0, want 1. After: pass, with the race detector.

--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -186,29 +186,35 @@
 
 // onGrant passes a grant to its request. It counts and ignores grants of an older
 // scheduler, grants decided before the last Sync, and grants for requests that no longer
-// wait. A grant for a request that is no longer open is also returned.
+// wait. A grant for a request that is no longer open is also returned. A stale grant for an
+// open one is not: the Sync lists the request, so the scheduler sends the grant again, and the
+// return would free the slot that it uses.
 func (r *Router) onGrant(from string, g wire.Grant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pool(g.Pool)
-	if g.Fence < p.fence || g.Echo < p.syncedAt {
+	if g.Fence < p.fence {
 		r.counters.ignoredMessages.Inc(1)
 		return
 	}
-	if g.Fence > p.fence {
-		p.fence, p.scheduler = g.Fence, from
+	stale := g.Echo < p.syncedAt
+	if !stale {
+		if g.Fence > p.fence {
+			p.fence, p.scheduler = g.Fence, from
+		}
+		p.recordGrant(g, r.opts.Clock.Now())
 	}
-	p.recordGrant(g, r.opts.Clock.Now())
 	req := r.openRequests[g.ID.Seq]
-	if req == nil || g.ID != req.ticket.ID || req.upstream != "" || req.decided {
-		r.counters.ignoredMessages.Inc(1)
-		if req == nil || g.ID != req.ticket.ID {
-			r.returnGrant(p, g)
-		}
+	isOpen := req != nil && g.ID == req.ticket.ID
+	if isOpen && !stale && req.upstream == "" && !req.decided {
+		req.decided = true
+		req.decisions <- decision{grant: &g}
 		return
 	}
-	req.decided = true
-	req.decisions <- decision{grant: &g}
+	r.counters.ignoredMessages.Inc(1)
+	if !isOpen {
+		r.returnGrant(p, g)
+	}
 }
 
 // recordGrant stores the pool's virtual time and the upstream's limit, from which a
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -242,6 +242,27 @@
 	f.Assert(<-end, qt.IsNil)
 }
 
+// Guards against a slot that idles for another round trip, because the grant of a request that
+// ended after the last Sync is ignored.
+func TestStaleGrantOfAnEndedRequestIsReturned(t *testing.T) {
+	f := newFixture(t)
+	req := f.r.openTicket(&callState{call: &frontend.Call{Account: "a", Pool: "p"}, waitUntil: time.Minute}, false, false)
+	stale := f.grantFor(f.nextTicket(), "u1")
+	f.advance(time.Millisecond)
+	f.r.PeerUp("s")
+	f.nextMessage(wire.KindSync)
+	f.deliver(wire.KindGrant, stale)
+	f.Assert(f.sent, qt.HasLen, 0) // the scheduler sends the grant of an open request again
+	f.r.withdraw(req)
+	f.nextMessage(wire.KindCancel)
+	f.deliver(wire.KindGrant, stale)
+	f.Assert(f.sent, qt.HasLen, 1)
+	f.Assert(f.nextMessage(wire.KindGrantReturn).msg.(wire.GrantReturn).ID, qt.Equals, stale.ID)
+	stale.Fence = 4
+	f.deliver(wire.KindGrant, stale)
+	f.Assert(f.sent, qt.HasLen, 0)
+}
+
 // Guards against leaking a slot when its grant arrives after the wait has expired.
 func TestLateGrantIsReturned(t *testing.T) {
 	f := newFixture(t)
