--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -153,6 +153,25 @@
 	return frontend.Call{IdempotencyKey: "0190c0de-0000-7000-8000-000000000001"}
 }
 
+// Guards against a scheduler that does not know when the requests that it takes over were
+// granted.
+func TestSyncTellsTheAgeOfRunningRequests(t *testing.T) {
+	f := newFixture(t)
+	synced := make(chan wire.Sync, 1)
+	f.upstream = func(_ *engine.Request, s engine.Sink) engine.Result {
+		f.advance(3 * time.Second)
+		f.r.PeerUp("s")
+		synced <- f.nextMessage(wire.KindSync).msg.(wire.Sync)
+		return completeAnswer(s)
+	}
+	_, end := f.serve(idempotent())
+	f.deliver(wire.KindGrant, f.grantFor(f.nextTicket(), "u1"))
+	running := (<-synced).Running
+	f.Assert(running, qt.HasLen, 1)
+	f.Assert(running[0].Age, qt.Equals, 3*time.Second)
+	f.Assert(<-end, qt.IsNil)
+}
+
 // Guards against losing the answer or the report of its cost when nothing fails.
 func TestGrantedRequestIsAnsweredAndReported(t *testing.T) {
 	f := newFixture(t)
@@ -223,6 +242,27 @@
 	f.Assert(<-end, qt.IsNil)
 }
 
+// Guards against a slot that idles for another round trip, because the grant of a request that
+// ended after the last Sync is ignored.
+func TestStaleGrantOfAnEndedRequestIsReturned(t *testing.T) {
+	f := newFixture(t)
+	req := f.r.openTicket(&callState{call: &frontend.Call{Account: "a", Pool: "p"}, waitUntil: time.Minute}, false, false)
+	stale := f.grantFor(f.nextTicket(), "u1")
+	f.advance(time.Millisecond)
+	f.r.PeerUp("s")
+	f.nextMessage(wire.KindSync)
+	f.deliver(wire.KindGrant, stale)
+	f.Assert(f.sent, qt.HasLen, 0) // the scheduler sends the grant of an open request again
+	f.r.withdraw(req)
+	f.nextMessage(wire.KindCancel)
+	f.deliver(wire.KindGrant, stale)
+	f.Assert(f.sent, qt.HasLen, 1)
+	f.Assert(f.nextMessage(wire.KindGrantReturn).msg.(wire.GrantReturn).ID, qt.Equals, stale.ID)
+	stale.Fence = 4
+	f.deliver(wire.KindGrant, stale)
+	f.Assert(f.sent, qt.HasLen, 0)
+}
+
 // Guards against leaking a slot when its grant arrives after the wait has expired.
 func TestLateGrantIsReturned(t *testing.T) {
 	f := newFixture(t)
@@ -319,6 +359,31 @@
 	}
 }
 
+// Guards against counting a stream as resumed whose next attempt was refused.
+func TestRefusedResumeIsNotCounted(t *testing.T) {
+	f := newFixture(t)
+	f.cfg.Pools["p"] = config.Pool{Name: "p", Resume: true}
+	f.upstream = func(_ *engine.Request, s engine.Sink) engine.Result {
+		s.Begin(200, "text/event-stream", nil)
+		return engine.Result{Outcome: wire.OutcomeBroken, ResponseBegan: true, DeliveredEvents: 3}
+	}
+	_, end := f.serve(frontend.Call{Idempotent: true, Stream: true})
+	f.deliver(wire.KindGrant, f.grantFor(f.nextTicket(), "u1"))
+	f.nextMessage(wire.KindFinish)
+	f.deliver(wire.KindRefusal, wire.Refusal{ID: f.nextTicket().ID, Pool: "p", Code: fault.RetryBudgetSpent})
+	f.Assert(<-end, qt.IsNotNil)
+	f.Assert(f.r.counters.resumes.Count(), qt.Equals, int64(0))
+}
+
+// Guards against a stream that resumes at a wrong event because a question moved its offset.
+func TestMayRetryKeepsTheResumeOffset(t *testing.T) {
+	f := newFixture(t)
+	cs := &callState{call: &frontend.Call{Idempotent: true, Stream: true}, pool: config.Pool{Resume: true}, sink: &sink{began: true}}
+	res := attemptResult{Result: engine.Result{Outcome: wire.OutcomeBroken, ResponseBegan: true, DeliveredEvents: 3}}
+	f.Assert(f.r.mayRetry(cs, res, 1), qt.IsTrue)
+	f.Assert(cs.resumeOffset, qt.Equals, 0)
+}
+
 // Guards against reporting "not run" for a request whose earlier attempt may have run.
 func TestRefusedRetryMayHaveRun(t *testing.T) {
 	f := newFixture(t)
