Add a failing test of the limit of a flooded host

Too little was served to accounts that keep to one address. The limit falls by 30 percent each 100 ms while earlier requests still keep the host busy with their events.

The simulation leaves 0.21 to 0.31 of the CPU idle at 600 to 1,500 requests/s.

--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -164,3 +164,68 @@
 		})
 	}
 }
+
+// streamingHost is a CPU on which an accepted request causes most of its work later, with the
+// events of its response.
+type streamingHost struct {
+	l       *Limiter
+	perMs   float64
+	backlog float64
+	// later is the work of each of the next milliseconds.
+	later [streamMs]float64
+	// idleMs is the unused CPU time, lagSum the sum of the lags at each millisecond.
+	idleMs, lagSum float64
+}
+
+const (
+	streamMs = 1_000
+	// firstPart is the part of a request's work that its acceptance causes.
+	firstPart = 0.3
+)
+
+func (h *streamingHost) simulate(rng *rand.Rand, fromMs, ms int, perSecond float64) {
+	h.idleMs, h.lagSum = 0, 0
+	for at := fromMs; at < fromMs+ms; at++ {
+		now := start.Add(time.Duration(at) * time.Millisecond)
+		h.backlog += h.later[at%streamMs]
+		h.later[at%streamMs] = 0
+		for n := perSecond / 1000; n > 0; n-- {
+			if rng.Float64() >= n {
+				continue
+			}
+			if !h.l.Admit("hot", now) {
+				h.backlog += 0.1
+				continue
+			}
+			h.backlog += firstPart
+			for i := range 10 {
+				h.later[(at+(i+1)*streamMs/10-1)%streamMs] += (1 - firstPart) / 10
+			}
+		}
+		h.idleMs += max(h.perMs-h.backlog, 0) / h.perMs
+		h.backlog = max(h.backlog-h.perMs, 0)
+		lag := time.Duration(h.backlog / h.perMs * float64(time.Millisecond))
+		h.lagSum += float64(lag.Milliseconds())
+		if at%20 == 0 {
+			h.l.Observe(lag, now)
+		}
+	}
+}
+
+// Guards against a limit that falls far below what the host can serve, because requests that
+// were accepted earlier still keep it busy.
+func TestFloodedHostUsesItsCPU(t *testing.T) {
+	for _, perSecond := range []float64{600, 900, 1_500} {
+		for seed := range int64(5) {
+			h := &streamingHost{l: New(), perMs: 0.3}
+			rng := rand.New(rand.NewSource(seed))
+			h.simulate(rng, 0, 4_000, perSecond)
+			const ms = 20_000
+			h.simulate(rng, 4_000, ms, perSecond)
+			idle, lag := h.idleMs/ms, h.lagSum/ms
+			comment := qt.Commentf("%.0f/s, seed %d: idle %.3f, mean lag %.0f ms", perSecond, seed, idle, lag)
+			qt.Check(t, idle <= 0.1, qt.IsTrue, comment)
+			qt.Check(t, lag <= 100, qt.IsTrue, comment)
+		}
+	}
+}
