Limit accounts of an overloaded host by the rate that it accepted in the last second

Accounts that keep to one address were served too little: a flooded host cut their limit by 30 percent each 100 ms while it worked off the events of requests that it had accepted before, down to 55 requests/s, and then idled while the account waited. The limit now falls to 80 percent of the rate accepted in the last second, and only above 240 ms of lag again and again; it rises by 5 percent a check, as what it admits shows a second later, and by 10 after a calm second.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -32,15 +32,22 @@
 	calmLag = 15 * time.Millisecond
 	// adjustInterval is the time between two checks of the limits.
 	adjustInterval = 100 * time.Millisecond
-	// limitDecrease and limitIncrease are the factors of a change of the rate limit. The
-	// decrease is faster, because an overloaded host harms requests that it has accepted
-	// already.
-	limitDecrease = 0.7
-	limitIncrease = 1.1
+	// limitDecrease is the factor of a decrease of the rate limit. It applies to the rate at
+	// which the host accepted requests in the last second, since the events of their responses
+	// keep the host busy for about that long after the limit has fallen. Above deepLag the
+	// limit itself falls by deepDecrease at each check.
+	limitDecrease = 0.8
+	deepDecrease  = 0.7
+	deepLag       = 6 * overloadLag
+	// limitIncrease is the factor of an increase. It is small, because the work that it admits
+	// shows only about a second later; after calmTime without lag it is calmIncrease.
+	limitIncrease = 1.05
+	calmIncrease  = 1.1
+	calmTime      = time.Second
 	// shedLag is the mean lag above which new connections are refused. Each check then
 	// multiplies the accepted fraction by acceptDecrease, down to minAccepted, and on a calm
-	// host adds acceptIncrease to it. Recovery is slow, because the flood is still there
-	// when the host has become calm.
+	// host adds acceptIncrease to it. Recovery is slow, because the flood is still there when
+	// the host has become calm.
 	shedLag        = 2 * overloadLag
 	acceptDecrease = 0.6
 	minAccepted    = 0.05
@@ -71,6 +78,8 @@
 	limit float64
 	// accepted is the fraction of the new connections that is not refused.
 	accepted float64
+	// calmSince is the time of the last check at which the lag was not below calmLag.
+	calmSince time.Time
 	// lag is the mean lag, lagAtCheck its value when the limits were last checked, at
 	// checkedAt.
 	lag, lagAtCheck time.Duration
@@ -83,9 +92,10 @@
 
 // account is the request rate and the token bucket of one account at this host.
 type account struct {
-	rate   float64
-	at     time.Time
-	tokens float64
+	// rate and accepted are the mean rates of its requests and of those that were accepted.
+	rate, accepted float64
+	at             time.Time
+	tokens         float64
 }
 
 // New returns a Limiter that accepts everything.
@@ -102,41 +112,62 @@
 	if now.Sub(l.checkedAt) < adjustInterval {
 		return
 	}
+	rate, accepted := l.highestRates(now)
 	notFalling := float64(l.lag) > fallingRatio*float64(l.lagAtCheck)
 	repeated := !l.lateTimes[0].IsZero() && now.Sub(l.lateTimes[0]) < repeatWithin
 	l.checkedAt, l.lagAtCheck = now, l.lag
+	if l.lag >= calmLag {
+		l.calmSince = now
+	}
 	switch {
 	case l.lag > overloadLag && notFalling && repeated:
-		l.limit = max(min(l.limit, l.highestRate(now))*limitDecrease, minLimit)
+		l.limit = max(l.decreased(accepted), minLimit)
 		if l.lag > shedLag {
 			l.accepted = max(l.accepted*acceptDecrease, minAccepted)
 		}
 	case l.lag < calmLag && !math.IsInf(l.limit, 1):
 		l.accepted = min(l.accepted+acceptIncrease, 1)
 		// Above twice the highest rate the limit affects no account.
-		unlimited := max(2*l.highestRate(now), minLimit)
-		if l.limit = min(l.limit*limitIncrease, unlimited); l.accepted == 1 && l.limit == unlimited {
+		unlimited := max(2*rate, minLimit)
+		if l.limit = min(l.limit*l.increase(now), unlimited); l.accepted == 1 && l.limit == unlimited {
 			l.limit = math.Inf(1)
 		}
 	}
 }
 
-// highestRate returns the highest rate of an account, and drops accounts that have become
-// inactive.
-func (l *Limiter) highestRate(now time.Time) (rate float64) {
+// increase returns the factor of an increase of the rate limit.
+func (l *Limiter) increase(now time.Time) float64 {
+	if now.Sub(l.calmSince) < calmTime {
+		return limitIncrease
+	}
+	return calmIncrease
+}
+
+// decreased returns the rate limit after a decrease; accepted is the highest rate at which the
+// requests of an account were accepted.
+func (l *Limiter) decreased(accepted float64) float64 {
+	if l.lag > deepLag {
+		return min(l.limit, accepted) * deepDecrease
+	}
+	return min(l.limit, accepted*limitDecrease)
+}
+
+// highestRates returns the highest rate of an account and the highest rate at which the
+// requests of an account were accepted, and drops accounts that have become inactive.
+func (l *Limiter) highestRates(now time.Time) (rate, accepted float64) {
 	for name, a := range l.accounts {
 		if a.decay(now); a.rate < 1/rateTimeConstant.Seconds()/8 {
 			delete(l.accounts, name)
 			continue
 		}
-		rate = max(rate, a.rate)
+		rate, accepted = max(rate, a.rate), max(accepted, a.accepted)
 	}
-	return rate
+	return rate, accepted
 }
 
 func (a *account) decay(now time.Time) {
-	a.rate *= math.Exp(-now.Sub(a.at).Seconds() / rateTimeConstant.Seconds())
-	a.at = now
+	left := math.Exp(-now.Sub(a.at).Seconds() / rateTimeConstant.Seconds())
+	a.rate, a.accepted, a.at = a.rate*left, a.accepted*left, now
 }
 
 // Admit records a request of an account and reports whether the host accepts it.
@@ -154,6 +185,7 @@
 	a.rate += 1 / rateTimeConstant.Seconds()
 	if math.IsInf(l.limit, 1) {
 		a.tokens = minBurst
+		a.accepted += 1 / rateTimeConstant.Seconds()
 		return true
 	}
 	a.tokens = min(a.tokens+since*l.limit, max(l.limit*burstTime.Seconds(), minBurst))
@@ -161,6 +193,7 @@
 		return false
 	}
 	a.tokens--
+	a.accepted += 1 / rateTimeConstant.Seconds()
 	return true
 }
 
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -216,7 +216,7 @@
 // were accepted earlier still keep it busy.
 func TestFloodedHostUsesItsCPU(t *testing.T) {
 	for _, perSecond := range []float64{600, 900, 1_500} {
-		for seed := range int64(5) {
+		for seed := range int64(40) {
 			h := &streamingHost{l: New(), perMs: 0.3}
 			rng := rand.New(rand.NewSource(seed))
 			h.simulate(rng, 0, 4_000, perSecond)
