Close the emulator's listener before its crash is visible

Cause: crashLocked closed the connections at once and the listener in a goroutine; /debug/refuse wrote its response before either. A caller that saw the crash could still connect and be served by the new instance, so TestCrashRefusesAndReturnsAsNewInstance found no refused connection.

The emulator now closes its listener first, then the connections; a connection that was accepted before and is seen after is closed. The response of /debug/refuse has its length, since its connection is closed next, and comes after the listener is closed.

TestListenerIsClosedBeforeCrashIsVisible records the order of the events.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net"
@@ -85,6 +86,7 @@
 	mu                  sync.Mutex
 	rng                 *rand.Rand
 	srv                 *http.Server
+	listener            net.Listener
 	conns               map[net.Conn]struct{}
 	address             string
 	closed              bool
@@ -179,7 +181,7 @@
 		if e.isClosed() {
 			return nil
 		}
-		if err != http.ErrServerClosed {
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("serve %s: %w", ln.Addr(), err)
 		}
 		if ln = e.relisten(); ln == nil {
@@ -194,7 +196,7 @@
 	if e.closed {
 		return nil, false
 	}
-	e.address = ln.Addr().String()
+	e.address, e.listener = ln.Addr().String(), ln
 	e.srv = &http.Server{Handler: e.routes(), ConnState: e.connState, ReadHeaderTimeout: time.Minute}
 	return e.srv, true
 }
@@ -225,6 +227,11 @@
 		delete(e.conns, c)
 		return
 	}
+	if s == http.StateNew && time.Now().Before(e.refuseConnsUntil) {
+		// The listener accepted it before it was closed.
+		c.Close()
+		return
+	}
 	e.conns[c] = struct{}{}
 }
 
@@ -260,12 +267,17 @@
 	e.shownAt = shownAt
 }
 
-// crashLocked is failLocked, followed by a period in which connections are refused.
+// crashLocked closes the listener for a period and then does the same as failLocked, so that
+// a caller that sees the crash is refused.
 func (e *Emulator) crashLocked(down time.Duration) {
-	e.refuseConnsUntil = time.Now().Add(down)
+	e.refuseConnectionsLocked(down)
 	e.failLocked()
-	if srv := e.srv; srv != nil {
-		go srv.Close()
+}
+
+func (e *Emulator) refuseConnectionsLocked(d time.Duration) {
+	e.refuseConnsUntil = time.Now().Add(d)
+	if e.listener != nil {
+		e.listener.Close()
 	}
 }
 
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +27,10 @@
 	c := qt.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
+	return serveEmulator(c, opts, ln)
+}
+
+func serveEmulator(c *qt.C, opts Options, ln net.Listener) *harness {
 	e := New(opts)
 	done := make(chan error, 1)
 	go func() { done <- e.Serve(ln) }()
@@ -168,3 +173,63 @@
 	h.Assert(len(ev.Events) > 0 && len(ev.Events) < 7, qt.IsTrue, qt.Commentf("%v", ev))
 	h.Assert(ev.Events[0].Seq > 1, qt.IsTrue)
 }
+
+// recordingListener records when it is first closed and its connections are first written to
+// and closed.
+type recordingListener struct {
+	net.Listener
+	mu     sync.Mutex
+	events []string
+}
+
+func (l *recordingListener) record(event string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !slices.Contains(l.events, event) {
+		l.events = append(l.events, event)
+	}
+}
+
+func (l *recordingListener) Close() error {
+	l.record("listener closed")
+	return l.Listener.Close()
+}
+
+func (l *recordingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return recordedConn{c, l}, err
+}
+
+type recordedConn struct {
+	net.Conn
+	listener *recordingListener
+}
+
+func (c recordedConn) Write(b []byte) (int, error) {
+	c.listener.record("response written")
+	return c.Conn.Write(b)
+}
+
+func (c recordedConn) Close() error {
+	c.listener.record("connection closed")
+	return c.Conn.Close()
+}
+
+// Guards against a crash that is visible to callers while connections are still accepted.
+func TestListenerIsClosedBeforeCrashIsVisible(t *testing.T) {
+	for _, test := range []struct{ path, body, visibleAs string }{
+		{chatPath, `{"user":"` + CrashTrigger + `"}`, "connection closed"},
+		{"/debug/refuse?for_ms=50", "", "response written"},
+	} {
+		c := qt.New(t)
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		ln := &recordingListener{Listener: tcp}
+		h := serveEmulator(c, Options{}, ln)
+		_, _, err = h.post(test.path, "r1", test.body)
+		c.Check(err != nil, qt.Equals, test.visibleAs == "connection closed")
+		ln.mu.Lock()
+		c.Check(ln.events[:2], qt.DeepEquals, []string{"listener closed", test.visibleAs})
+		ln.mu.Unlock()
+	}
+}
--- a/internal/emulator/http.go
+++ b/internal/emulator/http.go
@@ -41,14 +41,24 @@
 		http.Error(w, "for_ms must be a positive number of milliseconds", http.StatusBadRequest)
 		return
 	}
-	writeJSON(w, map[string]int{"for_ms": ms})
 	d := time.Duration(ms) * time.Millisecond
 	if r.URL.Query().Get("mode") == "503" {
 		e.RefuseRequests(d)
+		writeJSON(w, map[string]int{"for_ms": ms})
 		return
 	}
+	e.mu.Lock()
+	e.refuseConnectionsLocked(d)
+	e.mu.Unlock()
+	body := fmt.Sprintf("{\"for_ms\":%d}\n", ms)
+	// With its length, the response is complete although its connection is closed next.
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, body)
 	_ = http.NewResponseController(w).Flush()
-	e.RefuseConnections(d)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failLocked()
 }
 
 type chatRequest struct {
