Wait for the earlier change of a data centre before the bench makes the next

Cause: setDataCentreOut read the data centre from the configuration of the first host, which may not have applied the change that the same function made before; the change then expected an old revision. Seen once beside other work as 'revision_conflict: data_centre "bellingham" is at revision 4, the change expects 1'. The wait stands before the next change, so that the times of the outage are taken as before.

TestDataCentreChangesWaitForTheEarlierChange changes through a host that applies each change only later. Before (without the wait): 'revision_conflict: data_centre "north" is at revision 2, the change expects 1'.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/fault"
 )
 
@@ -95,6 +96,42 @@
 	c.Assert(len(read.Rows), qt.Equals, len(rep.Rows))
 }
 
+// laggingHost accepts changes at once and applies each only at the third read after it.
+type laggingHost struct {
+	applied, accepted *config.Config
+	reads             int
+}
+
+func (h *laggingHost) Config() *config.Config {
+	if h.reads++; h.reads >= 3 {
+		h.applied = h.accepted
+	}
+	return h.applied
+}
+
+func (h *laggingHost) Change(_ context.Context, _, _ string, changes []config.Change) (uint64, error) {
+	next, err := h.accepted.ApplyAll(changes, h.accepted.Revision+1)
+	if err != nil {
+		return 0, err
+	}
+	h.accepted, h.reads = next, 0
+	return next.Revision, nil
+}
+
+// Guards against a change of a data centre based on a configuration without the change before.
+func TestDataCentreChangesWaitForTheEarlierChange(t *testing.T) {
+	c := qt.New(t)
+	h := &laggingHost{accepted: config.New()}
+	_, err := h.Change(context.Background(), "create", operatorName, []config.Change{{DataCentre: &config.DataCentre{Name: "north"}}})
+	c.Assert(err, qt.IsNil)
+	h.applied = h.accepted
+	f := &fleet{}
+	for _, out := range []bool{true, false, true} {
+		c.Assert(f.setDataCentreOut(context.Background(), h, "north", out), qt.IsNil)
+		c.Assert(h.accepted.DataCentres["north"].Out, qt.Equals, out)
+	}
+}
+
 // Guards against starting a fleet with invalid options.
 func TestBadOptionsAreRefused(t *testing.T) {
 	c := qt.New(t)
--- a/internal/bench/datacentre.go
+++ b/internal/bench/datacentre.go
@@ -162,7 +162,7 @@
 
 func (r *run) fleetOutage(ctx context.Context, dataCentre string) (outage, error) {
 	removed, _ := r.splitUpstreams(dataCentre)
-	return r.runOutage(ctx, r.callerAddresses(), removed, func(out bool) error { return r.setDataCentreOut(ctx, dataCentre, out) }, r.opts.Seed+3)
+	return r.runOutage(ctx, r.callerAddresses(), removed, func(out bool) error { return r.setDataCentreOut(ctx, r.hosts[0].daemon, dataCentre, out) }, r.opts.Seed+3)
 }
 
 func (r *run) baselineOutage(ctx context.Context, dataCentre string) (outage, error) {
@@ -182,11 +182,22 @@
 	}, r.opts.Seed+3)
 }
 
-func (r *run) setDataCentreOut(ctx context.Context, dataCentre string, out bool) error {
-	h := r.hosts[0]
-	d := h.daemon.Config().DataCentres[dataCentre]
+// changingHost is a host through which the bench changes the configuration.
+type changingHost interface {
+	Config() *config.Config
+	Change(ctx context.Context, requestID, operator string, changes []config.Change) (uint64, error)
+}
+
+// setDataCentreOut takes a data centre out of service or back. The time from here to the next
+// call may be shorter than the host needs to apply this change, so the next call waits for it.
+func (f *fleet) setDataCentreOut(ctx context.Context, h changingHost, dataCentre string, out bool) error {
+	err := f.await(ctx, "the earlier change on the host that makes the next", func() bool { return h.Config().Revision >= f.dataCentreRevision })
+	if err != nil {
+		return err
+	}
+	d := h.Config().DataCentres[dataCentre]
 	d.Out = out
-	_, err := h.daemon.Change(ctx, requestID(), operatorName, []config.Change{{DataCentre: &d, IfRevision: d.Revision}})
+	f.dataCentreRevision, err = h.Change(ctx, requestID(), operatorName, []config.Change{{DataCentre: &d, IfRevision: d.Revision}})
 	return err
 }
 
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -88,8 +88,10 @@
 	tokensPerSecond float64
 	// peerDataCentres maps peer addresses to data centres.
 	peerDataCentres map[string]string
-	logger          *logrus.Logger
-	failed          chan error
+	// dataCentreRevision is the revision of the last change by setDataCentreOut.
+	dataCentreRevision uint64
+	logger             *logrus.Logger
+	failed             chan error
 }
 
 // startFleet starts emulators and hosts and applies the profile's configuration.
