Keep the ports of test and bench fleets reserved until their end

Cause: the harnesses chose a port by closing a listener. A process that another goroutine has forked and that has not executed its program yet holds a copy of the listener, so that the port stays in use after the close; and between the close and the start of the server, or while a host is down, the port could go to any other socket. Seen once in orders_partition as "address already in use".

A port is now reserved by a socket that is bound, never listens and is held until the fleet ends. It covers restarts and crashes as well, which a listener passed to the first process would not.

--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -20,6 +20,7 @@
 	"marigoldshunt/internal/daemon"
 	"marigoldshunt/internal/emulator"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/freeport"
 	"marigoldshunt/internal/settings"
 )
 
@@ -88,6 +89,8 @@
 	tokensPerSecond float64
 	// peerDataCentres maps peer addresses to data centres.
 	peerDataCentres map[string]string
+	// reserved holds the addresses of the hosts, also while they are stopped.
+	reserved []*freeport.Port
 	// dataCentreRevision is the revision of the last change by setDataCentreOut.
 	dataCentreRevision uint64
 	logger             *logrus.Logger
@@ -179,12 +182,12 @@
 	s.Host, s.DataCentre, s.DataFolder = c.Name, c.DataCentre, ""
 	ip := fmt.Sprintf("127.0.0.%d", 20+len(f.hosts))
 	for _, a := range []*string{&s.CallerAddress, &s.AdminAddress, &s.PeerAddress} {
-		ln, err := net.Listen("tcp", ip+":0")
+		p, err := freeport.Reserve(ip, 0)
 		if err != nil {
-			return config.Change{}, fault.Wrap(err, fault.InvalidSettings, "", "no free port")
+			return config.Change{}, err
 		}
-		*a = ln.Addr().String()
-		ln.Close()
+		f.reserved = append(f.reserved, p)
+		*a = p.Address()
 	}
 	s.PeerListenAddress = s.PeerAddress
 	c.CallerAddress, c.AdminAddress, c.PeerAddress = s.CallerAddress, s.AdminAddress, s.PeerAddress
@@ -267,6 +270,9 @@
 		_ = e.Close()
 	}
 	f.network.close()
+	for _, p := range f.reserved {
+		_ = p.Close()
+	}
 	os.RemoveAll(f.dataDir)
 }
 
--- a/internal/daemon/edge_test.go
+++ b/internal/daemon/edge_test.go
@@ -24,6 +24,7 @@
 	"marigoldshunt/internal/control"
 	"marigoldshunt/internal/emulator"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/freeport"
 	"marigoldshunt/internal/native"
 	"marigoldshunt/internal/routing"
 	"marigoldshunt/internal/settings"
@@ -45,18 +46,13 @@
 	done chan error
 }
 
-// freePort returns a port that was free on all loopback addresses.
-func freePort(c *qt.C) int {
-	ln, err := net.Listen("tcp", "0.0.0.0:0")
-	c.Assert(err, qt.IsNil)
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
-}
-
 func newEdgeFleet(t *testing.T) *edgeFleet {
 	f := &edgeFleet{C: qt.New(t), t: t, hosts: map[string]*edgeHost{}}
 	for i := range f.ports {
-		f.ports[i] = freePort(f.C)
+		port, err := freeport.Reserve("0.0.0.0", 0)
+		f.Assert(err, qt.IsNil)
+		t.Cleanup(func() { f.Check(port.Close(), qt.IsNil) })
+		f.ports[i] = port.Port()
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	f.Assert(err, qt.IsNil)
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -22,6 +22,7 @@
 
 	"marigoldshunt/internal/admin"
 	"marigoldshunt/internal/ctl"
+	"marigoldshunt/internal/freeport"
 )
 
 const (
@@ -33,8 +34,6 @@
 	statusTimeout = 2 * time.Second
 	operatorKey   = "marigoldshunt-scenario-operator"
 	peerKey       = "marigoldshunt-scenario-peer-shared-key"
-	// firstPort and lastPort are below the range from which the system picks ports itself.
-	firstPort, lastPort = 20000, 30000
 	// A test process listens on lockPort to reserve its loopback network.
 	lockPort                  = 19999
 	firstNetwork, lastNetwork = 64, 250
@@ -43,7 +42,6 @@
 var (
 	ctlContext   = context.Background()
 	networkCount atomic.Int32
-	portCounter  atomic.Int32
 )
 
 // host is one daemon with its addresses. Other hosts reach its peer address through relay.
@@ -65,6 +63,7 @@
 type fleet struct {
 	dir, addressPrefix string
 	network            *network
+	reserved           []*freeport.Port
 	hosts              map[string]*host
 	upstreams          map[string]*upstream
 	pools              []string
@@ -118,29 +117,22 @@
 		u.process.kill()
 	}
 	f.network.close()
+	for _, p := range f.reserved {
+		_ = p.Close()
+	}
 	f.background.Wait()
 	f.http.CloseIdleConnections()
 }
 
-// listenFree listens on an unused port of the fleet's address with the given last byte.
-func (f *fleet) listenFree(lastByte int) (string, net.Listener, error) {
-	for range lastPort - firstPort {
-		port := firstPort + int(portCounter.Add(1))%(lastPort-firstPort)
-		a := net.JoinHostPort(f.addressPrefix+strconv.Itoa(lastByte), strconv.Itoa(port))
-		if ln, err := net.Listen("tcp", a); err == nil {
-			return a, ln, nil
-		}
-	}
-	return "", nil, fmt.Errorf("no free port at %s%d", f.addressPrefix, lastByte)
-}
-
-func (f *fleet) freeAddress(lastByte int) string {
-	a, ln, err := f.listenFree(lastByte)
+// freeAddress reserves a port of the fleet's address with the given last byte until the fleet
+// is closed.
+func (f *fleet) freeAddress(lastByte int) (string, error) {
+	p, err := freeport.Reserve(f.addressPrefix+strconv.Itoa(lastByte), 0)
 	if err != nil {
-		return "127.0.0.1:0"
+		return "", err
 	}
-	ln.Close()
-	return a
+	f.reserved = append(f.reserved, p)
+	return p.Address(), nil
 }
 
 func hashKey(key string) string {
@@ -193,12 +185,17 @@
 func (f *fleet) addHost(name string, rest []string) error {
 	number := len(f.hosts) + 1
 	h := &host{name: name, dataCentre: rest[0], ip: f.addressPrefix + strconv.Itoa(number), control: slices.Contains(rest, "control")}
-	h.caller, h.admin, h.peer = f.freeAddress(number), f.freeAddress(number), f.freeAddress(number)
-	relay, ln, err := f.listenFree(100 + number)
+	for _, a := range []*string{&h.caller, &h.admin, &h.peer} {
+		var err error
+		if *a, err = f.freeAddress(number); err != nil {
+			return err
+		}
+	}
+	ln, err := net.Listen("tcp", f.addressPrefix+strconv.Itoa(100+number)+":0")
 	if err != nil {
 		return err
 	}
-	h.relay = relay
+	h.relay = ln.Addr().String()
 	f.network.relay(name, h.ip, h.peer, ln)
 	f.hosts[name] = h
 	fmt.Fprintf(&f.config, "[[host]]\nname = %q\ndata_centre = %q\ncaller_address = %q\nadmin_address = %q\npeer_address = %q\n",
@@ -207,9 +204,12 @@
 }
 
 func (f *fleet) addUpstream(name string, rest []string) error {
-	u := &upstream{name: name, pool: rest[0], dataCentre: rest[1], address: f.freeAddress(50 + len(f.upstreams))}
+	address, err := f.freeAddress(50 + len(f.upstreams))
+	if err != nil {
+		return err
+	}
+	u := &upstream{name: name, pool: rest[0], dataCentre: rest[1], address: address}
 	args := append([]string{"-name", name, "-address", u.address, "-seed", strconv.Itoa(len(f.upstreams) + 1)}, rest[2:]...)
-	var err error
 	u.process, err = startProcess(f.dir, name, "upstream-emulator", args...)
 	f.upstreams[name] = u
 	fmt.Fprintf(&f.config, "[[upstream]]\nname = %q\npool = %q\ndata_centre = %q\naddress = %q\nchecks_fence = true\nchecks_sender = false\n",
--- a/internal/scenario/soak_fleet_test.go
+++ b/internal/scenario/soak_fleet_test.go
@@ -21,6 +21,7 @@
 	"marigoldshunt/internal/ctl"
 	"marigoldshunt/internal/emulator"
 	"marigoldshunt/internal/enginemodel"
+	"marigoldshunt/internal/freeport"
 )
 
 // Sizes of the soak fleet.
@@ -56,7 +57,7 @@
 // soakFleet is a fleet of routed services in the native formats.
 type soakFleet struct {
 	dir, addressPrefix string
-	ports              [portCount]int
+	ports              [portCount]*freeport.Port
 	network            *network
 	hosts              []*soakHost
 	upstreams          []*soakUpstream
@@ -76,7 +77,7 @@
 
 func newSoakFleet(dir string) (*soakFleet, error) {
 	f := &soakFleet{dir: dir, addressPrefix: fmt.Sprintf("127.%d.%d.", loopbackNetwork(), networkCount.Add(1)), network: newNetwork()}
-	if err := f.choosePorts(); err != nil {
+	if err := f.reservePorts(); err != nil {
 		return nil, err
 	}
 	for i := range soakHosts {
@@ -92,19 +93,10 @@
 	return f, f.serveList()
 }
 
-// choosePorts finds ports that are free on the first address of the network.
-func (f *soakFleet) choosePorts() error {
+// reservePorts reserves the ports of the hosts on all addresses.
+func (f *soakFleet) reservePorts() (err error) {
 	for i := range f.ports {
-		a, ln, err := (&fleet{addressPrefix: f.addressPrefix}).listenFree(1)
-		if err != nil {
-			return err
-		}
-		ln.Close()
-		_, port, err := net.SplitHostPort(a)
-		if err != nil {
-			return err
-		}
-		if f.ports[i], err = strconv.Atoi(port); err != nil {
+		if f.ports[i], err = freeport.Reserve("0.0.0.0", 0); err != nil {
 			return err
 		}
 	}
@@ -112,7 +104,7 @@
 }
 
 func (f *soakFleet) address(ip string, port int) string {
-	return net.JoinHostPort(ip, strconv.Itoa(f.ports[port]))
+	return net.JoinHostPort(ip, strconv.Itoa(f.ports[port].Port()))
 }
 
 func dataCentreOf(i int) string { return []string{"north", "south"}[i%2] }
@@ -253,6 +245,9 @@
 		_ = u.Close()
 	}
 	f.network.close()
+	for _, p := range f.ports {
+		_ = p.Close()
+	}
 	if f.listServer != nil {
 		_ = f.listServer.Close()
 	}
