Close the emulator without its lock, so that Close cannot wait for itself

Cause: Close held the lock of the emulator while http.Server.Close waited for the goroutine that accepts connections. That goroutine takes the same lock for each new connection (connState), so that a connection which arrived just then stopped both for good.

TestCloseWhileConnectionIsAccepted accepts a connection while the listener is closed.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -244,13 +244,15 @@
 // Close ends all requests and stops serving.
 func (e *Emulator) Close() error {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.closed = true
 	e.cancelInstance()
-	if e.srv == nil {
+	srv := e.srv
+	e.mu.Unlock()
+	if srv == nil {
 		return nil
 	}
-	return e.srv.Close()
+	// Without mu, since it waits for the goroutine of Serve, which calls connState.
+	return srv.Close()
 }
 
 // failLocked closes all connections and starts a new, cold instance.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -233,3 +233,51 @@
 		ln.mu.Unlock()
 	}
 }
+
+// lateListener accepts one connection when it is closed, and none before.
+type lateListener struct {
+	net.Listener
+	accepted chan net.Conn
+	closed   sync.Once
+}
+
+func (l *lateListener) Close() error {
+	l.closed.Do(func() {
+		_, near := net.Pipe()
+		l.accepted <- near
+		close(l.accepted)
+	})
+	return l.Listener.Close()
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	if c, ok := <-l.accepted; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Guards against a Close that never returns because a connection is accepted meanwhile.
+func TestCloseWhileConnectionIsAccepted(t *testing.T) {
+	c := qt.New(t)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ln := &lateListener{Listener: tcp, accepted: make(chan net.Conn, 1)}
+	e := New(Options{})
+	served, closed := make(chan error, 1), make(chan error, 1)
+	go func() { served <- e.Serve(ln) }()
+	for listening := false; !listening; {
+		e.mu.Lock()
+		listening = e.srv != nil
+		e.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	go func() { closed <- e.Close() }()
+	select {
+	case err = <-closed:
+		c.Assert(err, qt.IsNil)
+		c.Assert(<-served, qt.IsNil)
+	case <-time.After(10 * time.Second):
+		t.Fatal("Close waits for the goroutine that accepts connections, which waits for Close")
+	}
+}
