Let requests wait until the crash marks of their fingerprint are written

Cause: a scheduler queues a crash mark for the replicated log and refuses or grants the request again at once. If its host died before the write, the next scheduler did not know the mark: the caller had been told that the request is refused after two upstreams, sent it again, and a third one crashed (answered may_have_run).

While a mark of a fingerprint is queued or being written, requests with this fingerprint wait in their account's queue; then they are granted or refused. The count outlives lease terms. A mark that finds the queue full is never written and not awaited; a scheduler that shuts down refuses nothing for marks that it has not written.

What remains, and stands in docs/design.md 5.1: a host that is lost between a crash and the write of its mark forgets this one crash. Without a write to the log before each first run that cannot be excluded.

The harness of internal/sched tells the pool at once that marks are written, as its tests take for granted; no assertion differs.

--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -137,3 +137,28 @@
 		}
 	}
 }
+
+// Guards against refusing a request that an earlier scheduler admitted while a crash mark of
+// this one is not written.
+func TestSyncedRequestWaitsForUnwrittenMark(t *testing.T) {
+	c, h := newTest(t, fixedLimit(2), 3)
+	h.reportAll("i")
+	crash := func() {
+		h.submit("a", withFingerprint(crashingRequest))
+		g := h.grantN(c, 1)[0]
+		h.p.Finish(h.now, &wire.Finish{ID: g.ID, Pool: "m", Upstream: g.Upstream, Outcome: wire.OutcomeBroken, Queued: -1})
+		c.Assert(h.p.ApplyLoadReport(h.now, LoadReport{Upstream: g.Upstream, Instance: "j", SampledAt: h.now}).Marks, qt.HasLen, 1)
+	}
+	crash()
+	h.p.MarkWritten(h.now, wire.Digest{crashingRequest})
+	crash()
+	waiting := h.ticket("a")
+	waiting.Fingerprint = wire.Digest{crashingRequest}
+	h.p.Sync(h.now, "r", 1, &wire.Sync{Pool: "m", Waiting: []wire.Ticket{waiting}})
+	c.Assert(h.p.Expire(h.now, nil), qt.HasLen, 0)
+	c.Assert(h.grantAll(), qt.HasLen, 0)
+	h.p.MarkWritten(h.now, wire.Digest{crashingRequest})
+	refused := h.p.Expire(h.now, nil)
+	c.Assert(refused, qt.HasLen, 1)
+	c.Assert(refused[0].Code, qt.Equals, fault.CrashesUpstreams)
+}
--- a/internal/sched/fingerprint.go
+++ b/internal/sched/fingerprint.go
@@ -46,6 +46,8 @@
 	proven      bool
 	markCount   int
 	markedUntil time.Duration
+	// unwritten counts the crash marks that are not known to be in the replicated log.
+	unwritten int
 	// refs counts tickets and broken connections that refer to the fingerprint.
 	refs       int
 	lru        *lruList
@@ -54,6 +56,11 @@
 
 func (f *fingerprint) quarantined() bool { return f.markCount >= quarantineCrashMarks }
 
+// refusable reports whether requests are refused. While marks are not written, requests wait:
+// if the scheduler's host is lost, the next scheduler would let a refused request run when
+// its caller sends it again.
+func (f *fingerprint) refusable() bool { return f.quarantined() && f.unwritten == 0 }
+
 // crashCandidate reports whether the fingerprint has a crash mark or a broken connection
 // that may become one. The client may repeat the request before the cause is known.
 func (f *fingerprint) crashCandidate() bool {
@@ -113,16 +120,17 @@
 	}
 }
 
-// allows reports whether the fingerprint may run at the upstream. An upstream marked for
-// the fingerprint gets the request again only when it is the pool's only one in service. A
-// crash candidate does not run beside another one, since a crash caused by one would give
-// the other its second mark.
+// allows reports whether the fingerprint may run at the upstream. It may not run again before
+// its earlier crash marks are written, so that the loss of a scheduler's host loses at most
+// one. An upstream marked for the fingerprint gets the request again only when it is the
+// pool's only one in service. A crash candidate does not run beside another one, since a crash
+// caused by one would give the other its second mark.
 func (p *Pool) allows(now time.Duration, f *fingerprint, u *upstream) bool {
 	if f == nil {
 		return true
 	}
 	f.expireCrashMarks(now)
-	if f.quarantined() || f.crashCandidate() && u.runsCrashCandidate(f) {
+	if f.quarantined() || f.unwritten > 0 || f.crashCandidate() && u.runsCrashCandidate(f) {
 		return false
 	}
 	if f.proven {
@@ -189,6 +197,7 @@
 	if t != nil && t.marked && (f.quarantined() || grantedAt <= t.markedAt) {
 		return
 	}
+	f.unwritten++
 	p.applyCrashMark(f, u.name, now, now+CrashMarkDuration)
 	eff.Marks = append(eff.Marks, CrashMark{Fingerprint: f.digest, Upstream: u.name, Until: now + CrashMarkDuration})
 }
@@ -218,7 +227,7 @@
 	}
 	f.markCount++
 	f.markedUntil = max(f.markedUntil, until)
-	if f.quarantined() {
+	if f.refusable() {
 		p.refuseQuarantined(f, now)
 	}
 }
@@ -236,6 +245,30 @@
 	p.applyCrashMark(f, upstream, until-CrashMarkDuration, until)
 }
 
+// AwaitMark tells that a restored crash mark of the fingerprint is still being written.
+func (p *Pool) AwaitMark(digest wire.Digest) {
+	if f := p.fingerprints[digest]; f != nil {
+		f.unwritten++
+	}
+}
+
+// MarkWritten tells that a crash mark of the fingerprint, from Effects or AwaitMark, was
+// written or is given up. Next and Expire then grant or refuse the requests that waited.
+func (p *Pool) MarkWritten(now time.Duration, digest wire.Digest) {
+	f := p.fingerprints[digest]
+	if f == nil || f.unwritten == 0 {
+		return
+	}
+	if f.unwritten--; f.unwritten > 0 {
+		return
+	}
+	f.expireCrashMarks(now)
+	if f.quarantined() {
+		p.refuseQuarantined(f, now)
+	}
+	p.wakeParked()
+}
+
 // refuseQuarantined refuses the waiting tickets of a quarantined fingerprint.
 func (p *Pool) refuseQuarantined(f *fingerprint, now time.Duration) {
 	for _, ts := range p.tickets {
--- a/internal/sched/helpers_test.go
+++ b/internal/sched/helpers_test.go
@@ -131,11 +131,19 @@
 	for _, e := range edits {
 		e(&f)
 	}
-	return h.p.Finish(h.now, &f)
+	return h.writeMarks(h.p.Finish(h.now, &f))
+}
+
+// writeMarks tells the pool that the crash marks are written.
+func (h *harness) writeMarks(e Effects) Effects {
+	for _, m := range e.Marks {
+		h.p.MarkWritten(h.now, m.Fingerprint)
+	}
+	return e
 }
 
 func (h *harness) report(upstream, instance string, running, queued int) Effects {
-	return h.p.ApplyLoadReport(h.now, LoadReport{Upstream: upstream, Instance: instance, Running: running, Queued: queued, SampledAt: h.now})
+	return h.writeMarks(h.p.ApplyLoadReport(h.now, LoadReport{Upstream: upstream, Instance: instance, Running: running, Queued: queued, SampledAt: h.now}))
 }
 
 // reportAll reports every upstream as idle and running the instance.
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -234,7 +234,7 @@
 	}
 	m.tracef("finish %v %s at %s: outcome %d, cost %.1f", t.ID, t.Account, t.upstream, f.Outcome, t.cost)
 	m.remove(t)
-	m.marks = append(m.marks, m.h.p.Finish(m.h.now, &f).Marks...)
+	m.marks = append(m.marks, m.h.writeMarks(m.h.p.Finish(m.h.now, &f)).Marks...)
 	if m.rng.IntN(4) == 0 {
 		m.h.p.Finish(m.h.now, &f)
 	}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -101,7 +101,7 @@
 	}
 	if f := p.fingerprints[t.Fingerprint]; f != nil {
 		f.expireCrashMarks(now)
-		if f.quarantined() {
+		if f.refusable() {
 			return p.refusal(t.ID, crashesUpstreams, f.markedUntil-now)
 		}
 	}
--- a/internal/sched/protect_test.go
+++ b/internal/sched/protect_test.go
@@ -260,7 +260,7 @@
 			}
 			other := &ticketState{upstream: u}
 			h.p.applyOutcome(h.now, other, &wire.Finish{Outcome: wire.OutcomeUnreachable}, &e)
-			return e.Marks
+			return h.writeMarks(e).Marks
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/sched/sync.go
+++ b/internal/sched/sync.go
@@ -91,7 +91,7 @@
 	switch {
 	case a == nil || a.removed:
 		r = p.refusal(t.ID, fault.PoolNotAllowed, 0)
-	case f != nil && f.quarantined():
+	case f != nil && f.refusable():
 		r = p.refusal(t.ID, crashesUpstreams, f.markedUntil-now)
 	case a.waiting >= 2*a.contract.QueueLength:
 		// The queue may grow to twice its length, so that tickets submitted here before the
--- a/internal/scheduler/ports.go
+++ b/internal/scheduler/ports.go
@@ -50,7 +50,8 @@
 	CacheEvents(ctx context.Context, address string, since uint64) (CacheBatch, error)
 }
 
-// CrashStore writes a crash mark to the replicated state.
+// CrashStore writes a crash mark to the replicated state. MarkCrash returns when the mark is
+// written or the write has failed.
 type CrashStore interface {
 	MarkCrash(ctx context.Context, pool string, fingerprint wire.Digest, upstream string)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -70,7 +70,10 @@
 	term          *leaseTerm
 	earlyMessages []message
 	crashMarks    map[crashMarkKey]time.Duration
-	counters      Counters
+	// unwrittenMarks counts the crash marks of each fingerprint that are queued or being
+	// written.
+	unwrittenMarks map[wire.Digest]int
+	counters       Counters
 
 	pollJobs          chan pollJob
 	pendingCrashMarks chan sched.CrashMark
@@ -120,7 +123,7 @@
 // New returns a Scheduler without a lease.
 func New(opts Options) *Scheduler {
 	return &Scheduler{
-		opts: opts, crashMarks: map[crashMarkKey]time.Duration{},
+		opts: opts, crashMarks: map[crashMarkKey]time.Duration{}, unwrittenMarks: map[wire.Digest]int{},
 		pollJobs:          make(chan pollJob, pollWorkers),
 		pendingCrashMarks: make(chan sched.CrashMark, maxPendingCrashMarks), termStarted: make(chan struct{}, 1),
 	}
@@ -169,10 +172,30 @@
 			return nil
 		case m := <-s.pendingCrashMarks:
 			s.opts.CrashStore.MarkCrash(ctx, s.opts.Pool, m.Fingerprint, m.Upstream)
+			if ctx.Err() != nil {
+				return nil
+			}
+			s.markWritten(m.Fingerprint)
 		}
 	}
 }
 
+// markWritten lets the requests continue that waited for a crash mark.
+func (s *Scheduler) markWritten(fingerprint wire.Digest) {
+	s.mu.Lock()
+	if s.unwrittenMarks[fingerprint]--; s.unwrittenMarks[fingerprint] == 0 {
+		delete(s.unwrittenMarks, fingerprint)
+	}
+	var out []outgoing
+	if t := s.term; t != nil && t.core != nil {
+		now := s.opts.Clock.Now()
+		t.core.MarkWritten(now, fingerprint)
+		out = s.collectGrants(s.expireTickets(now, nil))
+	}
+	s.mu.Unlock()
+	s.send(out)
+}
+
 // LeaseGained starts a lease term with an empty state and asks the live hosts for their
 // Sync messages to rebuild it.
 func (s *Scheduler) LeaseGained(pool string, fence uint64) {
@@ -216,6 +239,11 @@
 			t.core.RestoreMark(k.fingerprint, k.upstream, until)
 		}
 	}
+	for fingerprint, count := range s.unwrittenMarks {
+		for range count {
+			t.core.AwaitMark(fingerprint)
+		}
+	}
 	early := s.earlyMessages
 	s.earlyMessages = nil
 	for _, m := range early {
@@ -290,14 +318,17 @@
 	s.crashMarks[k] = max(until, s.crashMarks[k])
 }
 
-// queueCrashMarks stores new crash marks and queues them for the replicated state.
+// queueCrashMarks stores new crash marks and queues them for the replicated state. Requests
+// do not wait for a mark that finds the queue full, since it is never written.
 func (s *Scheduler) queueCrashMarks(e sched.Effects) {
 	for _, m := range e.Marks {
 		s.storeCrashMark(crashMarkKey{m.Fingerprint, m.Upstream}, m.Until)
 		select {
 		case s.pendingCrashMarks <- m:
+			s.unwrittenMarks[m.Fingerprint]++
 		default:
 			s.counters.MarksLost++
+			s.term.core.MarkWritten(s.opts.Clock.Now(), m.Fingerprint)
 		}
 	}
 }
