Report a host of the soak that does not end instead of waiting for it

Cause: the injector waited without a bound for a process that got SIGTERM or SIGKILL, so that a host that never ends was a hang of the soak without a trace, until the time limit of go test. It now fails the seed after 10 s beyond the pause of the fault (the shutdown deadline is 3 s), lets the host write its stacks to its log and kills it.

Trial with hosts that are stopped by SIGSTOP instead of SIGTERM, seeds 500 and 501: before, the code waits for good; after, "seed 500: host 127.169.1.2 has not ended" and the same for 501, and the soak ends.

--- a/internal/scenario/soak_faults_test.go
+++ b/internal/scenario/soak_faults_test.go
@@ -18,6 +18,8 @@
 	minWipeInterval = 8 * time.Second
 	// signalReadyAfter is the time after which a started process handles signals.
 	signalReadyAfter = time.Second
+	// exitTimeout bounds the wait for a process after the shutdown deadline of its settings.
+	exitTimeout = 10 * time.Second
 )
 
 // injector causes a random series of overlapping faults from one seed.
@@ -25,6 +27,8 @@
 	f   *soakFleet
 	rng *rand.Rand
 	log func(format string, args ...any)
+	// reportViolation fails the test.
+	reportViolation func(format string, args ...any)
 	// pending holds the actions that undo the current faults, each with its time.
 	pending  []pendingUndo
 	lastWipe time.Time
@@ -109,7 +113,14 @@
 func (i *injector) restart(h *soakHost, old *process) {
 	// The host may have been frozen while it was ending.
 	_ = old.signal(syscall.SIGCONT)
-	<-old.done
+	select {
+	case <-old.done:
+	case <-time.After(exitTimeout):
+		i.reportViolation("host %s has not ended", h.ip)
+		_ = old.signal(syscall.SIGQUIT) // the stacks go to its log
+		time.Sleep(signalReadyAfter)
+		old.kill()
+	}
 	i.markDisturbed(h)
 	if h.process != old {
 		// Another restart has already replaced the process, after a second signal during
--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -120,7 +120,7 @@
 	work.Add(2)
 	go func() { defer work.Done(); s.applyVersions(stop) }()
 	go func() { defer work.Done(); s.sendRevoked(stop) }()
-	i := &injector{f: s.fleet, rng: rand.New(rand.NewSource(s.seed)), log: s.logf}
+	i := &injector{f: s.fleet, rng: rand.New(rand.NewSource(s.seed)), log: s.logf, reportViolation: s.reportViolation}
 	i.run(*soakLength)
 	s.logf("healed")
 	close(stop)
