engine: bound what an upstream that never stops sending makes a host hold

Cause: http.ReadResponse reads a status line, a header line and header lines without a bound and puts a malformed line whole, and quoted, into its error. Interim responses and the body of a response to another request were read until the deadline. A connection on which bytes came after a complete response stayed idle with a full receive buffer, since idle connections were looked at only when a request took one or gave one back. The wait for the end of a stream after [DONE] bounded each read and not the whole, so that a slow trailer held the request until its run time ended. A load report or the response to an order might have 8 MiB, eight at once.

What callers and operators saw: the request of a caller held until its deadline instead of a 502 at once, and a host that grew by hundreds of MB for one request until the memory limit ended it.

Change: a head together with its interim responses has at most 64 KiB, a skipped body MaxResponseBytes, a load report 64 KiB, the text of an error 256 bytes. Two tests of the pool now use a clock that may be read by two goroutines; what they check is unchanged.

Ruled out: chunk extensions and trailers (net/http and fasthttp bound them), heads and interim responses in Do (fasthttp bounds them), events without end (1 MiB), bodies that are held whole.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -13,6 +13,21 @@
 // errTooLarge reports a response larger than MaxResponseBytes.
 var errTooLarge = errors.New("answer exceeds the size limit")
 
+// maxErrorBytes bounds the text of an error that may repeat the bytes of an upstream.
+const maxErrorBytes = 256
+
+// shortError shortens the text of an error to maxErrorBytes.
+type shortError struct{ error }
+
+// Error implements error.
+func (e shortError) Error() string {
+	text := e.error.Error()
+	return text[:min(len(text), maxErrorBytes)]
+}
+
+// Unwrap returns the error with its whole text.
+func (e shortError) Unwrap() error { return e.error }
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	connPool         *connPool
@@ -88,7 +103,7 @@
 		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
 		}
-		return err
+		return shortError{err}
 	}
 	x.body = x.resp.BodyStream()
 	return nil
@@ -111,7 +126,7 @@
 	}
 	b, err := io.ReadAll(io.LimitReader(x.body, int64(limit)+1))
 	if err != nil {
-		return b, err
+		return b, shortError{err}
 	}
 	if len(b) > limit {
 		return nil, errTooLarge
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,11 @@
 	bw        *bufio.Writer
 	raw       syscall.RawConn
 	ioTimeout time.Duration
+	// readDeadline, unless zero, bounds all reads together.
+	readDeadline time.Time
+	// headBytesLeft is how many more bytes of a response head may be read, -1 while no head
+	// is read.
+	headBytesLeft int
 	// bytesSent is the number of bytes of the current request that the kernel accepted.
 	bytesSent atomic.Int64
 	idleSince time.Time
@@ -54,12 +60,28 @@
 	return n, err
 }
 
-// Read bounds each read by ioTimeout.
+// errHeadTooLarge reports a response head that is larger than maxHeadBytes.
+var errHeadTooLarge = errors.New("the head of the response exceeds the size limit")
+
+// Read bounds each read by ioTimeout, all of them by readDeadline, and the bytes by
+// headBytesLeft.
 func (c *conn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.ioTimeout)); err != nil {
+	deadline := time.Now().Add(c.ioTimeout)
+	if !c.readDeadline.IsZero() && c.readDeadline.Before(deadline) {
+		deadline = c.readDeadline
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	if c.headBytesLeft < 0 {
+		return c.Conn.Read(p)
+	}
+	if c.headBytesLeft == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
+	c.headBytesLeft -= n
+	return n, err
 }
 
 // usable reports whether an idle connection is open and has no unread data. Data that
@@ -80,8 +102,9 @@
 	idleConns map[string][]*conn
 	// openCount counts the open connections that Forward dialled, by address.
 	openCount map[string]int
-	lastSweep time.Time
-	closed    bool
+	// sweeping is true while the next sweep of the idle connections is due.
+	sweeping bool
+	closed   bool
 	// minDroppedIdle is the shortest time for which a connection had been idle when an
 	// upstream turned out to have dropped it without notice. It applies until
 	// minDroppedIdleUntil.
@@ -134,7 +157,7 @@
 	}
 }
 
-// sweepInterval is the minimum time between two sweeps of the idle connections.
+// sweepInterval is the time between two sweeps of the idle connections.
 const sweepInterval = time.Second
 
 // withinIdleLimit reports whether a connection has been idle for less than its limit.
@@ -173,45 +196,74 @@
 	}
 }
 
-// put keeps c for a later request, or closes it if the pool is closed or full.
+// put keeps c for a later request. It closes c if the pool is closed or full, or if bytes
+// came after the response, which belong to no request.
 func (p *connPool) put(address string, c *conn) {
 	c.idleSince = p.opts.Now()
-	for _, expired := range p.sweep(c.idleSince) {
-		expired.Close()
-	}
 	p.mu.Lock()
-	if p.closed || len(p.idleConns[address]) >= p.opts.MaxIdlePerAddress {
+	if p.closed || len(p.idleConns[address]) >= p.opts.MaxIdlePerAddress || c.br.Buffered() > 0 {
 		p.mu.Unlock()
 		c.Close()
 		return
 	}
 	p.idleConns[address] = append(p.idleConns[address], c)
+	p.scheduleSweepLocked()
 	p.mu.Unlock()
 }
 
-// sweep removes and returns connections that were idle for too long, including those to
-// upstreams that receive no more requests.
-func (p *connPool) sweep(now time.Time) (expired []*conn) {
+func (p *connPool) scheduleSweepLocked() {
+	if !p.sweeping && !p.closed && len(p.idleConns) > 0 {
+		p.sweeping = true
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
+}
+
+// sweep closes the idle connections that were idle for too long, that upstreams closed, or
+// on which bytes came that belong to no request. These would fill the receive buffer of a
+// connection that is not used again.
+func (p *connPool) sweep() {
+	now := p.opts.Now()
+	unusable := map[*conn]bool{}
+	for _, c := range p.allIdle() {
+		if open, unread := netopt.CheckConn(c.raw); !open || unread || !p.withinIdleLimit(c, now) {
+			unusable[c] = true
+		}
+	}
+	for _, c := range p.removeIdle(unusable) {
+		c.Close()
+	}
+}
+
+func (p *connPool) allIdle() (all []*conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.lastSweep) < sweepInterval {
-		return nil
+	for _, list := range p.idleConns {
+		all = append(all, list...)
 	}
-	p.lastSweep = now
+	return all
+}
+
+// removeIdle removes and returns those of the connections that are still idle, and schedules
+// the next sweep.
+func (p *connPool) removeIdle(conns map[*conn]bool) (removed []*conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for address, list := range p.idleConns {
 		remaining := list[:0]
 		for _, c := range list {
-			if p.withinIdleLimit(c, now) {
-				remaining = append(remaining, c)
+			if conns[c] {
+				removed = append(removed, c)
 			} else {
-				expired = append(expired, c)
+				remaining = append(remaining, c)
 			}
 		}
 		if p.idleConns[address] = remaining; len(remaining) == 0 {
 			delete(p.idleConns, address)
 		}
 	}
-	return expired
+	p.sweeping = false
+	p.scheduleSweepLocked()
+	return removed
 }
 
 // dial opens a connection within the connect timeout.
@@ -220,7 +272,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, ioTimeout: p.opts.IOTimeout}
+	c := &conn{Conn: nc, ioTimeout: p.opts.IOTimeout, headBytesLeft: -1}
 	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
 		nc.Close()
 		return nil, err
--- a/internal/engine/do.go
+++ b/internal/engine/do.go
@@ -203,7 +203,7 @@
 	for {
 		event, data, err := er.next()
 		if err != nil {
-			a.failInResponse(err)
+			a.failInResponse(shortError{err})
 			return
 		}
 		if !a.res.ResponseBegan {
@@ -236,9 +236,9 @@
 	}
 	// The terminating chunk should follow [DONE] at once. If it doesn't arrive in time, the
 	// connection is closed.
-	a.exchange.conn.ioTimeout = drainTimeout
+	a.exchange.conn.readDeadline = time.Now().Add(drainTimeout)
 	_, err := er.br.ReadByte()
-	a.exchange.conn.ioTimeout = a.client.opts.IOTimeout
+	a.exchange.conn.readDeadline = time.Time{}
 	a.exchange.complete = errors.Is(err, io.EOF)
 }
 
--- a/internal/engine/dropped_test.go
+++ b/internal/engine/dropped_test.go
@@ -58,11 +58,11 @@
 func TestIdleLimitAfterDroppedConnection(t *testing.T) {
 	c := qt.New(t)
 	address, connections := startDroppingUpstream(t)
-	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	client := New(Options{Now: func() time.Time { return now }})
+	now := newTestClock()
+	client := New(Options{Now: now.Now})
 	defer client.Close()
 	forward := func(repeatable bool, after time.Duration) error {
-		now = now.Add(after)
+		now.Advance(after)
 		f, err := client.Forward(t.Context(), &ForwardRequest{Address: address, Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Repeatable: repeatable})
 		if err != nil {
 			return err
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -45,6 +45,18 @@
 	return nil
 }
 
+// testClock is a clock that tests advance. Sweeps of the idle connections read it too.
+type testClock struct{ ns atomic.Int64 }
+
+func newTestClock() *testClock {
+	c := &testClock{}
+	c.ns.Store(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).UnixNano())
+	return c
+}
+
+func (c *testClock) Now() time.Time          { return time.Unix(0, c.ns.Load()) }
+func (c *testClock) Advance(d time.Duration) { c.ns.Add(int64(d)) }
+
 // closeMark at the end of a response text closes the connection after the text.
 const closeMark = "<close>"
 
@@ -266,12 +278,12 @@
 // Guards against connections that stay open to upstreams without requests.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	c := qt.New(t)
-	now := time.Now()
-	cl := New(Options{Now: func() time.Time { return now }})
+	now := newTestClock()
+	cl := New(Options{Now: now.Now})
 	defer cl.Close()
 	old, other := startScripted(t, okJSON), startScripted(t, okJSON)
 	c.Assert(cl.Do(context.Background(), chatRequest(old.address, false), &recordingSink{}).Outcome, qt.Equals, wire.OutcomeDone)
-	now = now.Add(defaultIdleConnTimeout)
+	now.Advance(defaultIdleConnTimeout)
 	c.Assert(cl.Do(context.Background(), chatRequest(other.address, false), &recordingSink{}).Outcome, qt.Equals, wire.OutcomeDone)
 	<-old.connectionEnded
 }
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -23,6 +23,9 @@
 	// writeEndWait is how long the rest of a request may take after its whole response was
 	// read.
 	writeEndWait = 200 * time.Millisecond
+	// maxHeadBytes bounds the head of a response together with the interim responses before
+	// it. A head may be several times as large as that of a request.
+	maxHeadBytes = 64 << 10
 	// maxStaleResponses is the number of responses to earlier requests that are skipped.
 	maxStaleResponses = 2
 	// keepAliveMargin is subtracted from the timeout in the Keep-Alive header of an upstream,
@@ -153,21 +156,33 @@
 			f.setResponse(resp)
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := f.skipBody(resp); err != nil {
 			return err
 		}
 	}
 	return fault.New(fault.UpstreamFailed, "", "the answers belong to other requests")
 }
 
+// skipBody reads the body of a response to an earlier request.
+func (f *ForwardResponse) skipBody(resp *http.Response) error {
+	limit := int64(f.connPool.opts.MaxResponseBytes)
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
+	if err == nil && n > limit {
+		return errTooLarge
+	}
+	return err
+}
+
 func (f *ForwardResponse) readHeader(method string) (*http.Response, error) {
+	f.conn.headBytesLeft = maxHeadBytes
+	defer func() { f.conn.headBytesLeft = -1 }()
 	for {
 		resp, err := http.ReadResponse(f.conn.br, &http.Request{Method: method})
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
-			return nil, err
+			return nil, shortError{err}
 		}
 		if resp.StatusCode >= 200 {
 			return resp, nil
@@ -194,7 +209,7 @@
 // closes the connection, which cancels the request at most upstreams.
 func (f *ForwardResponse) Close() {
 	live := f.stopContextWatch()
-	if !live || !f.bodyEnded || !f.Framed || f.resp.Close || f.conn.br.Buffered() > 0 || !f.requestWritten() {
+	if !live || !f.bodyEnded || !f.Framed || f.resp.Close || !f.requestWritten() {
 		f.conn.Close()
 		return
 	}
--- a/internal/engine/side.go
+++ b/internal/engine/side.go
@@ -10,6 +10,10 @@
 	"marigoldshunt/internal/fault"
 )
 
+// maxReportBytes bounds a load report and the response to an order. Several of them are read
+// at once, and each takes some hundred bytes.
+const maxReportBytes = 64 << 10
+
 // noReport is the result for a response that is not a load report.
 var noReport = LoadReport{Running: -1, Queued: -1}
 
@@ -18,7 +22,7 @@
 // has counts of -1. A missing response is an error, and so is 503, with which an upstream
 // refuses work.
 func (c *Client) FetchLoad(ctx context.Context, address string) (LoadReport, error) {
-	status, body, err := c.callUpstream(ctx, address, fasthttp.MethodGet, "/load", nil)
+	status, body, err := c.callUpstream(ctx, address, fasthttp.MethodGet, "/load", nil, maxReportBytes)
 	if err != nil {
 		return LoadReport{}, fault.Wrap(err, fault.UpstreamFailed, "", "GET %s/load", address)
 	}
@@ -47,7 +51,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.OrderFailed, "", "encode order")
 	}
-	status, _, err := c.callUpstream(ctx, address, fasthttp.MethodPost, "/orders", body)
+	status, _, err := c.callUpstream(ctx, address, fasthttp.MethodPost, "/orders", body, maxReportBytes)
 	switch {
 	case err != nil:
 		return fault.Wrap(err, fault.OrderFailed, fault.MayHaveRun, "order %d to %s", o.Fence, address)
@@ -60,7 +64,7 @@
 }
 
 func (c *Client) getJSON(ctx context.Context, address, path string, v any) error {
-	status, body, err := c.callUpstream(ctx, address, fasthttp.MethodGet, path, nil)
+	status, body, err := c.callUpstream(ctx, address, fasthttp.MethodGet, path, nil, c.opts.MaxResponseBytes)
 	if err != nil {
 		return fault.Wrap(err, fault.UpstreamFailed, "", "GET %s%s", address, path)
 	}
@@ -70,8 +74,9 @@
 	return fault.Wrap(json.Unmarshal(body, v), fault.UpstreamFailed, "", "GET %s%s", address, path)
 }
 
-// callUpstream sends a request of this host itself, rather than one of a caller.
-func (c *Client) callUpstream(ctx context.Context, address, method, path string, body []byte) (int, []byte, error) {
+// callUpstream sends a request of this host itself, rather than one of a caller. A response
+// with a body of more than limit bytes is an error.
+func (c *Client) callUpstream(ctx context.Context, address, method, path string, body []byte, limit int) (int, []byte, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(method)
@@ -87,6 +92,6 @@
 		return 0, nil, err
 	}
 	status := x.resp.StatusCode()
-	b, err := x.readAll(c.opts.MaxResponseBytes)
+	b, err := x.readAll(limit)
 	return status, b, err
 }
