platform, native: read lists through the engine's client, bounded as a whole

Cause: the list of instances was read with a general HTTP client that keeps its connection. Bytes after a response stayed on the connection: a second response that came after a page was taken for the next page or the next read, and a server that went on sending kept a connection with a full receive buffer. A list might have 200 pages of 4 MiB each, and the native list a head of 10 MiB.

What operators saw: an older list in use after a newer one was asked for; hosts that grow while the platform's list misbehaves.

A GET of a host itself whose reused connection was dropped is sent once more, as the client before it did. The reader of the platform's host list, every 2 s, asks to close the connection after each read.

Ruled out: heads, bodies, chunks and trailers without end in the two fasthttp readers, which bound them.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -40,17 +40,19 @@
 	sent bool
 	// connected is true once there was a connection.
 	connected bool
-	complete  bool
+	// reused is true if the connection had carried another request before.
+	reused   bool
+	complete bool
 }
 
-// roundTrip sends req and reads the header of the response. Until finish is called,
-// cancelling ctx closes the connection.
+// roundTrip sends req, on an idle connection if reuse is set and there is one, and reads the
+// header of the response. Until finish is called, cancelling ctx closes the connection.
 //
 // A reused connection that accepts no byte of the request is replaced by a new one: the
 // upstream cannot have seen the request. Once a byte was accepted, nothing is sent again.
-func (p *connPool) roundTrip(ctx context.Context, address string, req *fasthttp.Request) (*exchange, error) {
+func (p *connPool) roundTrip(ctx context.Context, address string, req *fasthttp.Request, reuse bool) (*exchange, error) {
 	x := &exchange{connPool: p, address: address}
-	for reuse := true; ; reuse = false {
+	for ; ; reuse = false {
 		var c *conn
 		if reuse {
 			c = p.takeIdle(address, true)
@@ -62,7 +64,7 @@
 			}
 			reuse = false
 		}
-		x.connected = true
+		x.connected, x.reused = true, reuse
 		x.conn = c
 		x.stopContextWatch = context.AfterFunc(ctx, func() { c.Close() })
 		err := req.Write(c.bw)
--- a/internal/engine/side.go
+++ b/internal/engine/side.go
@@ -74,8 +74,15 @@
 	return fault.Wrap(json.Unmarshal(body, v), fault.UpstreamFailed, "", "GET %s%s", address, path)
 }
 
+// Get requests a path of any server with its own HTTP interface, such as the list of
+// instances. A body of more than limit bytes is an error.
+func (c *Client) Get(ctx context.Context, address, path string, limit int) (status int, body []byte, err error) {
+	return c.callUpstream(ctx, address, fasthttp.MethodGet, path, nil, limit)
+}
+
 // callUpstream sends a request of this host itself, rather than one of a caller. A response
-// with a body of more than limit bytes is an error.
+// with a body of more than limit bytes is an error. A GET whose reused connection turns out
+// to be dropped is sent again on a new one.
 func (c *Client) callUpstream(ctx context.Context, address, method, path string, body []byte, limit int) (int, []byte, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -86,7 +93,11 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
-	x, err := c.connPool.roundTrip(ctx, address, req)
+	x, err := c.connPool.roundTrip(ctx, address, req, true)
+	if err != nil && x.reused && method == fasthttp.MethodGet && ctx.Err() == nil && isDropped(err) {
+		x.finish()
+		x, err = c.connPool.roundTrip(ctx, address, req, false)
+	}
 	defer x.finish()
 	if err != nil {
 		return 0, nil, err
--- a/internal/native/native.go
+++ b/internal/native/native.go
@@ -7,11 +7,11 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/edge"
+	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/gateway"
 )
@@ -64,12 +64,12 @@
 
 // InstanceSource implements edge.Adapter.
 func (Adapter) InstanceSource(address string) catalog.Source {
-	return &instanceSource{address: address, client: &http.Client{}}
+	return &instanceSource{address: address, client: engine.New(engine.Options{})}
 }
 
 type instanceSource struct {
 	address string
-	client  *http.Client
+	client  *engine.Client
 }
 
 // maxListBytes is enough for a list of several thousand instances.
@@ -77,20 +77,15 @@
 
 // Instances implements catalog.Source.
 func (s *instanceSource) Instances(ctx context.Context) ([]catalog.Instance, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+"/v1/instances", nil)
+	status, body, err := s.client.Get(ctx, s.address, "/v1/instances", maxListBytes)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.UpstreamFailed, "", "list of instances")
 	}
-	resp, err := s.client.Do(req)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.UpstreamFailed, "", "list of instances")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fault.New(fault.UpstreamFailed, "", "the list of instances answers with %d", resp.StatusCode)
+	if status != http.StatusOK {
+		return nil, fault.New(fault.UpstreamFailed, "", "the list of instances answers with %d", status)
 	}
 	var in catalog.Entries
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&in); err != nil {
+	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, fault.Wrap(err, fault.UpstreamFailed, "", "list of instances")
 	}
 	var out []catalog.Instance
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -178,6 +178,8 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(r.opts.Source)
+	// On a kept connection, bytes after one response would be taken for the next one.
+	req.SetConnectionClose()
 	if err := r.client.DoTimeout(req, resp, fetchTimeout); err != nil {
 		return nil, fault.Wrap(err, fault.NotFound, "", "fetch the host list")
 	}
