engine: take connections for all requests by one rule, in the pool

Cause: Forward and Do each had their own way to a connection. Only Forward avoided idle connections that the upstream has probably dropped for requests that can't be repeated, and learned from failed ones; Do took any. Only connections that Forward dialled counted for MaxConnections, so that those of Do, load polls and orders came on top.

What callers and operators saw: a request that can't be repeated answered may_have_run though the upstream never saw it; connections that an upstream resets because it has more than it accepts.

Change: connPool.acquire and closeFailed hold both rules and are used by Forward, Do and the requests of the host itself. Requests to pools say whether they may be repeated (the route's idempotence). An order is not repeatable, a GET of the host is.

Tests: TestDoIdleLimitAfterDroppedConnection, before: 2 connections where 3 were due, whether Do or Forward had noticed the dropped one. TestAllConnectionsCountForTheLimit, before: Forward opened a third connection with a limit of 2 ("upstream_failed", want "queue_full"). Both faults have one cause and one mend.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -50,38 +50,38 @@
 //
 // A reused connection that accepts no byte of the request is replaced by a new one: the
 // upstream cannot have seen the request. Once a byte was accepted, nothing is sent again.
-func (p *connPool) roundTrip(ctx context.Context, address string, req *fasthttp.Request, reuse bool) (*exchange, error) {
+func (p *connPool) roundTrip(ctx context.Context, address string, req *fasthttp.Request, reuse, repeatable bool) (*exchange, error) {
 	x := &exchange{connPool: p, address: address}
 	for ; ; reuse = false {
-		var c *conn
-		if reuse {
-			c = p.takeIdle(address, true)
+		c, reused, err := p.acquire(ctx, address, reuse, repeatable, 0)
+		if err != nil {
+			return x, err
 		}
-		if c == nil {
-			var err error
-			if c, err = p.dial(ctx, address); err != nil {
-				return x, err
-			}
-			reuse = false
-		}
-		x.connected, x.reused = true, reuse
+		x.connected, x.reused = true, reused
 		x.conn = c
 		x.stopContextWatch = context.AfterFunc(ctx, func() { c.Close() })
-		err := req.Write(c.bw)
-		if err == nil {
-			err = c.bw.Flush()
-		}
-		x.sent = c.bytesSent.Load() > 0
-		if err == nil {
-			return x, x.readHeader(req)
+		if err = x.send(req); err == nil {
+			return x, nil
 		}
-		if reuse && !x.sent && ctx.Err() == nil {
-			x.stopContextWatch()
-			c.Close()
-			continue
+		p.closeFailed(ctx, c, reused, err)
+		if !reused || x.sent || ctx.Err() != nil {
+			return x, err
 		}
-		return x, x.readEarlyResponse(req, err)
+		x.stopContextWatch()
+	}
+}
+
+// send writes the request and reads the header of its response.
+func (x *exchange) send(req *fasthttp.Request) error {
+	err := req.Write(x.conn.bw)
+	if err == nil {
+		err = x.conn.bw.Flush()
+	}
+	x.sent = x.conn.bytesSent.Load() > 0
+	if err != nil {
+		return x.readEarlyResponse(req, err)
 	}
+	return x.readHeader(req)
 }
 
 // readEarlyResponse reads a response that the upstream sent before it had read the whole
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -115,6 +116,34 @@
 // minDroppedIdleTTL is how long minDroppedIdle applies after the latest dropped connection.
 const minDroppedIdleTTL = 20 * time.Second
 
+// acquire returns an idle connection, or a new one if there is none, or if reuse is false.
+// For a request that can't be repeated it takes no connection that the upstream has probably
+// dropped.
+func (p *connPool) acquire(ctx context.Context, address string, reuse, repeatable bool, maxConnections int) (c *conn, reused bool, err error) {
+	if reuse {
+		if c = p.takeIdle(address, repeatable); c != nil {
+			return c, true, nil
+		}
+	}
+	c, err = p.dialLimited(ctx, address, maxConnections)
+	return c, false, err
+}
+
+// closeFailed closes a connection on which a request failed with err before its response. It
+// learns from a reused one that the upstream had dropped.
+func (p *connPool) closeFailed(ctx context.Context, c *conn, reused bool, err error) {
+	c.Close()
+	if reused && ctx.Err() == nil && isDropped(err) {
+		p.recordDropped(c)
+	}
+}
+
+// isDropped reports whether err shows that a reused connection ended without a response, as
+// it does if the upstream had dropped the connection while it was idle.
+func isDropped(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // recordDropped records that an upstream had dropped an idle connection.
 func (p *connPool) recordDropped(c *conn) {
 	p.mu.Lock()
--- a/internal/engine/do.go
+++ b/internal/engine/do.go
@@ -79,7 +79,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	a.request.copyTo(req)
 	var err error
-	if a.exchange, err = a.client.connPool.roundTrip(a.ctx, a.request.Address, req, true); err != nil {
+	if a.exchange, err = a.client.connPool.roundTrip(a.ctx, a.request.Address, req, true, a.request.Repeatable); err != nil {
 		a.failBeforeResponse(err)
 		return
 	}
--- a/internal/engine/dropped_test.go
+++ b/internal/engine/dropped_test.go
@@ -85,3 +85,42 @@
 	c.Assert(forward(false, minDroppedIdleTTL+time.Millisecond), qt.IsNil)
 	c.Assert(connections.Load(), qt.Equals, int64(3))
 }
+
+// Guards against requests to pools that can't be repeated and are sent on connections that
+// upstreams drop without notice, whichever kind of request noticed that.
+func TestDoIdleLimitAfterDroppedConnection(t *testing.T) {
+	for _, noticedBy := range []string{"Do", "Forward"} {
+		t.Run(noticedBy, func(t *testing.T) {
+			c := qt.New(t)
+			address, connections := startDroppingUpstream(t)
+			now := newTestClock()
+			client := New(Options{Now: now.Now})
+			defer client.Close()
+			do := func(repeatable bool, after time.Duration) error {
+				now.Advance(after)
+				r := chatRequest(address, false)
+				r.Repeatable = repeatable
+				if res := client.Do(t.Context(), r, &discardingSink{}); res.Err != nil {
+					return res.Err
+				}
+				return nil
+			}
+			c.Assert(do(true, 0), qt.IsNil)
+			if noticedBy == "Do" {
+				c.Assert(fault.As(do(true, 400*time.Millisecond)).RunState, qt.Equals, fault.MayHaveRun)
+			} else {
+				now.Advance(400 * time.Millisecond)
+				_, err := client.Forward(t.Context(), &ForwardRequest{Address: address, Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Repeatable: true})
+				c.Assert(fault.As(err).RunState, qt.Equals, fault.MayHaveRun)
+			}
+			c.Assert(do(true, 0), qt.IsNil)
+			c.Assert(do(false, 150*time.Millisecond), qt.IsNil)
+			c.Assert(connections.Load(), qt.Equals, int64(2))
+			c.Assert(do(false, 300*time.Millisecond), qt.IsNil)
+			c.Assert(connections.Load(), qt.Equals, int64(3))
+			c.Assert(do(true, 300*time.Millisecond), qt.IsNil)
+			c.Assert(do(false, minDroppedIdleTTL+time.Millisecond), qt.IsNil)
+			c.Assert(connections.Load(), qt.Equals, int64(3))
+		})
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,6 +38,8 @@
 	PrefixDigest wire.Digest
 	// Offset is the number of events that earlier attempts delivered to the caller.
 	Offset int
+	// Repeatable requests may be sent on a connection that the upstream may have dropped.
+	Repeatable bool
 	// Stream asks for server-sent events.
 	Stream bool
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/emulator"
@@ -393,3 +394,40 @@
 		}
 	}
 }
+
+// Guards against more connections to an upstream than it accepts: those of requests to pools
+// and of the host's own requests count, too.
+func TestAllConnectionsCountForTheLimit(t *testing.T) {
+	c := qt.New(t)
+	u := startScripted(t, "")
+	cl := New(Options{})
+	defer cl.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error {
+		cl.Do(ctx, chatRequest(u.address, false), &recordingSink{})
+		return nil
+	})
+	g.Go(func() error {
+		_, _ = cl.FetchLoad(ctx, u.address)
+		return nil
+	})
+	for u.requests.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	forward := func(limit int) error {
+		short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := cl.Forward(short, &ForwardRequest{Address: u.address, Method: "GET", Target: "/", Host: "h", Header: http.Header{}, MaxConnections: limit})
+		return err
+	}
+	err := forward(2)
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.QueueFull, qt.Commentf("%v", err))
+	c.Assert(fault.As(err).RunState, qt.Equals, fault.NotRun)
+	c.Assert(u.requests.Load(), qt.Equals, int64(2))
+	c.Assert(fault.CodeOf(forward(3)), qt.Equals, fault.UpstreamFailed)
+	cancel()
+	_ = g.Wait()
+	// Closed connections count no longer.
+	c.Assert(fault.CodeOf(forward(1)), qt.Equals, fault.UpstreamFailed)
+}
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"marigoldshunt/internal/fault"
@@ -79,43 +78,27 @@
 func (c *Client) Forward(ctx context.Context, r *ForwardRequest) (*ForwardResponse, error) {
 	request := r.encode()
 	for reuse := true; ; reuse = false {
-		var cn *conn
-		if reuse {
-			cn = c.connPool.takeIdle(r.Address, r.Repeatable)
-		}
-		if cn == nil {
-			var err error
-			if cn, err = c.connPool.dialLimited(ctx, r.Address, r.MaxConnections); err != nil {
-				return nil, err
-			}
-			reuse = false
+		cn, reused, err := c.connPool.acquire(ctx, r.Address, reuse, r.Repeatable, r.MaxConnections)
+		if err != nil {
+			return nil, err
 		}
 		f := &ForwardResponse{connPool: c.connPool, address: r.Address, conn: cn}
 		f.stopContextWatch = context.AfterFunc(ctx, func() { cn.Close() })
-		err := f.roundTrip(r, request)
+		err = f.roundTrip(r, request)
 		if err == nil {
 			return f, nil
 		}
 		f.stopContextWatch()
-		cn.Close()
-		if reuse && ctx.Err() == nil && isDropped(err) {
-			c.connPool.recordDropped(cn)
-		}
+		c.connPool.closeFailed(ctx, cn, reused, err)
 		if cn.bytesSent.Load() > 0 {
 			return nil, fault.Wrap(err, fault.UpstreamFailed, fault.MayHaveRun, "connection to upstream %s ended before its answer", r.Address)
 		}
-		if !reuse || ctx.Err() != nil {
+		if !reused || ctx.Err() != nil {
 			return nil, fault.Wrap(err, fault.UpstreamFailed, fault.NotRun, "upstream %s accepted nothing", r.Address)
 		}
 	}
 }
 
-// isDropped reports whether err shows that a reused connection ended without a response, as
-// it does if the upstream had dropped the connection while it was idle.
-func isDropped(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
 // typicalHeaderBytes is the buffer space for the request line and header of a typical
 // request.
 const typicalHeaderBytes = 1 << 10
--- a/internal/engine/side.go
+++ b/internal/engine/side.go
@@ -93,10 +93,11 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
-	x, err := c.connPool.roundTrip(ctx, address, req, true)
-	if err != nil && x.reused && method == fasthttp.MethodGet && ctx.Err() == nil && isDropped(err) {
+	repeatable := method == fasthttp.MethodGet
+	x, err := c.connPool.roundTrip(ctx, address, req, true, repeatable)
+	if err != nil && x.reused && repeatable && ctx.Err() == nil && isDropped(err) {
 		x.finish()
-		x, err = c.connPool.roundTrip(ctx, address, req, false)
+		x, err = c.connPool.roundTrip(ctx, address, req, false, repeatable)
 	}
 	defer x.finish()
 	if err != nil {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -164,6 +164,7 @@
 		Method: cs.call.Method, Path: cs.call.Path, Query: cs.call.Query,
 		ContentType: cs.call.ContentType, Body: cs.call.Body, Header: cs.call.Header,
 		ID: cs.call.ID, IdempotencyKey: cs.call.IdempotencyKey, PrefixDigest: cs.call.PrefixDigest, Offset: cs.resumeOffset, Stream: cs.call.Stream,
+		Repeatable: cs.call.Idempotent,
 	}, cs.sink)
 	if res.Outcome == wire.OutcomeCancelled {
 		res.Err = cancelReason(ctx, runCtx, res.Err)
