gateway: keep the quarantine when a host has many crash marks

Cause: the marks that a host set itself were all cleared once there were 4,096 of them. Each crash of an upstream marks up to 256 requests that ran there, so that a sender of distinct requests reached the bound and ended the quarantine of the request that crashes upstreams, which might then crash two more.

Change: the bound stays; past it the request that was marked the longest time ago is dropped, first one with a single mark, which refuses nothing yet, and a quarantined one only if there are no others. Refusing new marks was ruled out: a crashing request that comes after 4,096 others would never be quarantined. Dropping the oldest of all was ruled out too: 4,096 single marks would still end a quarantine.

Test: TestManyMarksKeepTheQuarantine, before: "" where "request_crashes_upstreams" was due. After: it passes, with the other tests of the package and -race.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -42,25 +42,12 @@
 
 	mu sync.Mutex
 	// own are the crash marks that this host set, recorded those that the control group has.
-	own, recorded crashMarks
+	own      *ownCrashMarks
+	recorded crashMarks
 	// broken holds the requests whose connection broke, by the instance being probed.
 	broken map[catalog.Key][]brokenRequest
 }
 
-// crashMarks holds the instances that each request crashed, by fingerprint.
-type crashMarks map[wire.Digest]map[string]bool
-
-func (m crashMarks) add(fp wire.Digest, instance string) {
-	if m[fp] == nil {
-		m[fp] = map[string]bool{}
-	}
-	m[fp][instance] = true
-}
-
-// maxOwnCrashMarks bounds the host's own marks, which the control group may not have
-// confirmed.
-const maxOwnCrashMarks = 4_096
-
 // brokenRequest is a request whose connection to an instance broke.
 type brokenRequest struct {
 	service     string
@@ -68,7 +55,7 @@
 }
 
 func newCrashTracker(store CrashStore) *crashTracker {
-	return &crashTracker{store: store, dial: probeDial, own: crashMarks{}, recorded: crashMarks{}, broken: map[catalog.Key][]brokenRequest{}}
+	return &crashTracker{store: store, dial: probeDial, own: newOwnCrashMarks(), recorded: crashMarks{}, broken: map[catalog.Key][]brokenRequest{}}
 }
 
 func probeDial(ctx context.Context, address string) error {
@@ -101,12 +88,12 @@
 func (c *crashTracker) check(fingerprint func() wire.Digest) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.own)+len(c.recorded) == 0 {
+	if c.own.len()+len(c.recorded) == 0 {
 		return nil
 	}
 	fp := fingerprint()
 	n := len(c.recorded[fp])
-	for instance := range c.own[fp] {
+	for instance := range c.own.marks[fp] {
 		if !c.recorded[fp][instance] {
 			n++
 		}
@@ -142,9 +129,6 @@
 	delete(c.broken, instance.Key())
 	if err != nil {
 		for _, s := range list {
-			if len(c.own) >= maxOwnCrashMarks {
-				clear(c.own)
-			}
 			c.own.add(s.fingerprint, instance.ID)
 		}
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -99,4 +99,33 @@
 	c.Assert(probes, qt.Equals, 1)
 }
 
+// Guards against a sender of many distinct requests that ends the quarantine of a request
+// that crashes upstreams, and against marks that are kept without bound.
+func TestManyMarksKeepTheQuarantine(t *testing.T) {
+	c := qt.New(t)
+	tracker := newCrashTracker(discardCrashMarks{})
+	bad := wire.Digest{1}
+	tracker.own.add(bad, "a")
+	tracker.own.add(bad, "b")
+	distinct := func(i int) wire.Digest { return wire.Digest{2, byte(i), byte(i >> 8), byte(i >> 16)} }
+	for i := range 3 * maxOwnCrashMarks {
+		tracker.own.add(distinct(i), "a")
+	}
+	c.Assert(fault.CodeOf(tracker.check(fixedFingerprint(bad))), qt.Equals, fault.CrashesUpstreams)
+	c.Assert(tracker.own.len(), qt.Equals, maxOwnCrashMarks)
+	// The oldest single marks are dropped, the newest kept.
+	tracker.own.add(distinct(3*maxOwnCrashMarks-1), "b")
+	c.Assert(fault.CodeOf(tracker.check(fixedFingerprint(distinct(3*maxOwnCrashMarks-1)))), qt.Equals, fault.CrashesUpstreams)
+	tracker.own.add(distinct(0), "b")
+	c.Assert(tracker.check(fixedFingerprint(distinct(0))), qt.IsNil)
+	// Of quarantined requests alone, the oldest is dropped.
+	for i := range 2 * maxOwnCrashMarks {
+		tracker.own.add(distinct(i), "a")
+		tracker.own.add(distinct(i), "b")
+	}
+	c.Assert(tracker.own.len(), qt.Equals, maxOwnCrashMarks)
+	c.Assert(tracker.check(fixedFingerprint(bad)), qt.IsNil)
+	c.Assert(fault.CodeOf(tracker.check(fixedFingerprint(distinct(2*maxOwnCrashMarks-1)))), qt.Equals, fault.CrashesUpstreams)
+}
+
 func fixedFingerprint(d wire.Digest) func() wire.Digest { return func() wire.Digest { return d } }
