admission: keep counting requests that run longer than 15 s

Cause: a gate dropped each admitted request 15 s after its admission, since its host may have died or its messages may be lost. A stream that runs longer was dropped too, and its slot given to another request.

What operators saw: an engine with more requests than slots, summed over the hosts, once its streams last over 15 s: waits at the engine that the gate does not know of, and refusals by engines that are full.

Change: each host confirms its admitted requests every 7 s, with the message that tells a new owner of them but without the prompt; a gate drops those that were not confirmed for 15 s. A gate with long streams and no new request for a minute is no longer dropped either, and a request that was sent without the owner's reply is known to it after 7 s. Confirmations and handovers of requests that have ended meanwhile are not sent. The load player no longer drops: none of its hosts dies. Ruled out: counting until the deadline, since the slots of a dead host would idle for as long as its route allows. A host that is cut off from the owner for over 15 s but not from the engine still goes uncounted, as it does when it sends without a reply.

Tests: TestLongStreamsKeepTheSumWithinTheSlots (admission, three hosts, an engine with 6 slots, streams that do not end), before: 9 requests at an engine with 6 slots after 20 s. TestGateCountsLongStreams (dispatch), before: 0 running where 2 were due after 16 s. After: both pass, three times with -race; the other tests of admission, dispatch and loadplay pass. Not measured: control traffic.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -114,12 +114,23 @@
 	a.hosts = members
 	handovers := a.handoversLocked()
 	a.mu.Unlock()
-	for _, m := range handovers {
-		a.sendRequest(m.owner, m.request)
+	a.announce(handovers)
+}
+
+// announce sends the messages about requests that have not ended meanwhile. An owner that
+// learns of a request after its end would count it until the gate drops it as lost.
+func (a *Admission) announce(list []handover) {
+	for _, m := range list {
+		a.mu.Lock()
+		_, running := a.admitted[m.request.Seq]
+		a.mu.Unlock()
+		if running {
+			a.sendRequest(m.owner, m.request)
+		}
 	}
 }
 
-// handover is an admitted request of which the new owner of its gate has to be told.
+// handover is an admitted request of which the owner of its gate has to be told.
 type handover struct {
 	owner   string
 	request *wire.AdmissionRequest
@@ -134,7 +145,7 @@
 		if owner == p.owner {
 			continue
 		}
-		p.owner = owner
+		p.owner, p.announcedAt = owner, a.opts.Now()
 		m := a.requestMessage(p)
 		m.Admitted, m.Read = true, p.read
 		list = append(list, handover{owner, m})
@@ -142,6 +153,22 @@
 	return list
 }
 
+// confirmationsLocked returns the messages by which the owners keep counting the admitted
+// requests of this host. Without them an owner can't tell a long stream from a request whose
+// host has died. They leave out the prompt, which the owner knows.
+func (a *Admission) confirmationsLocked(now time.Time) (list []handover) {
+	for _, p := range a.admitted {
+		if now.Sub(p.announcedAt) < dispatch.ConfirmInterval {
+			continue
+		}
+		p.announcedAt = now
+		m := a.requestMessage(p)
+		m.Admitted, m.Read, m.Parts = true, p.read, nil
+		list = append(list, handover{p.owner, m})
+	}
+	return list
+}
+
 // ownerLocked returns the host that owns the gate of an engine.
 func (a *Admission) ownerLocked(k catalog.Key) string {
 	return a.hosts.Best(rendezvous.Hash(k.ID))
@@ -158,9 +185,11 @@
 	key     catalog.Key
 	seq     uint64
 	request *Request
-	// owner and read are guarded by the mutex of the Admission.
+	// owner, read and announcedAt are guarded by the mutex of the Admission.
 	owner string
 	read  bool
+	// announcedAt is when the owner was last told of the request.
+	announcedAt time.Time
 }
 
 // FirstEvent tells the owner that the engine has read the prompt.
@@ -184,7 +213,7 @@
 	a.seq++
 	p := &Permit{a: a, key: r.Instance.Key(), owner: a.ownerLocked(r.Instance.Key()), seq: a.seq, request: r}
 	if a.unresponsiveLocked(p.owner) && !a.needsReply(r) {
-		a.admitted[p.seq] = p
+		a.admitLocked(p)
 		a.mu.Unlock()
 		a.countEvent("bypassed")
 		return p, nil
@@ -202,11 +231,16 @@
 		return nil, err
 	}
 	a.mu.Lock()
-	a.admitted[p.seq] = p
+	a.admitLocked(p)
 	a.mu.Unlock()
 	return p, nil
 }
 
+func (a *Admission) admitLocked(p *Permit) {
+	p.announcedAt = a.opts.Now()
+	a.admitted[p.seq] = p
+}
+
 // wait returns nil once the request may be sent, with or without a reply.
 func (a *Admission) wait(ctx context.Context, p *Permit, w *waiter) error {
 	check := time.NewTicker(checkInterval)
@@ -327,7 +361,7 @@
 }
 
 // send does not return failures. A request whose message to the owner is lost is sent
-// without a reply, and one whose progress is lost is dropped by its gate after a timeout.
+// without a reply, and one whose end is lost is dropped by its gate after a timeout.
 func (a *Admission) send(to string, kind wire.Kind, msg any) {
 	if err := a.opts.Transport.Send(to, kind, msg); err != nil {
 		a.opts.Log.WithError(err).WithField("to", to).Debug("Failed to send an admission message.")
@@ -460,9 +494,14 @@
 	return out
 }
 
-// Tick refuses waiting requests that can't be served in time any more, grants those that
-// have room, and drops lost requests and unused gates.
+// Tick confirms the admitted requests of this host, refuses waiting requests that can't be
+// served in time any more, grants those that have room, and drops lost requests and unused
+// gates.
 func (a *Admission) Tick(now time.Time) {
+	a.mu.Lock()
+	confirmations := a.confirmationsLocked(now)
+	a.mu.Unlock()
+	a.announce(confirmations)
 	a.mu.Lock()
 	var out []addressedReply
 	for k, g := range a.gates {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -22,6 +22,8 @@
 	mu     sync.Mutex
 	hosts  map[string]*Admission
 	silent map[string]bool
+	// synchronous delivers each message before Send returns.
+	synchronous bool
 }
 
 type networkTransport struct {
@@ -38,7 +40,11 @@
 	h := p.n.hosts[to]
 	silent := p.n.silent[to] || p.n.silent[p.host]
 	p.n.mu.Unlock()
-	if h != nil && !silent {
+	switch {
+	case h == nil || silent:
+	case p.n.synchronous:
+		h.Handle(p.host, 1, kind, payload)
+	default:
 		go h.Handle(p.host, 1, kind, payload)
 	}
 	return nil
@@ -261,3 +267,48 @@
 	defer a.mu.Unlock()
 	return a.ownerLocked(i.Key())
 }
+
+// Guards against more requests at an engine than it has slots, summed over the hosts, while
+// streams last longer than the timeout of lost requests.
+func TestLongStreamsKeepTheSumWithinTheSlots(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork("a", "b", "c")
+	n.synchronous = true
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, h := range n.hosts {
+		h.opts.Now = func() time.Time { return now }
+	}
+	x := n.instanceOwnedBy("b")
+	const slots = 6
+	running := 0
+	admit := func(host string) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*checkInterval)
+		defer cancel()
+		r := request(x, 100)
+		r.Slots, r.FirstEventDue, r.Deadline = slots, now.Add(time.Minute), now.Add(2*time.Minute)
+		if permit, err := n.hosts[host].Admit(ctx, r); err == nil {
+			permit.FirstEvent()
+			running++
+		}
+	}
+	// No stream ends.
+	for range 100 {
+		now = now.Add(time.Second)
+		for _, host := range []string{"a", "b", "c"} {
+			if running < slots || now.Second()%10 == 0 {
+				admit(host)
+			}
+			n.hosts[host].Tick(now)
+		}
+		c.Assert(running <= slots, qt.IsTrue, qt.Commentf("%d requests at an engine with %d slots at %s", running, slots, now))
+	}
+	c.Assert(running, qt.Equals, slots)
+	// Those of a host that is lost are dropped.
+	n.silent["a"] = true
+	now = now.Add(time.Minute)
+	for _, host := range []string{"c", "b"} {
+		n.hosts[host].Tick(now)
+	}
+	admit("c")
+	c.Assert(running, qt.Equals, slots+1)
+}
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -39,7 +39,7 @@
 	maxReadingTokens = 4_000
 	// maxWaiting bounds the queue of one gate.
 	maxWaiting = 1_024
-	// admittedTimeout is the time after which an admitted request that has not ended is
+	// admittedTimeout is the time without a confirmation after which an admitted request is
 	// dropped, in case its host has died or its messages were lost.
 	admittedTimeout = 15 * time.Second
 )
@@ -71,6 +71,8 @@
 	tokens  int
 	reading bool
 	at      time.Time
+	// confirmedAt is when the request's host last said that it runs.
+	confirmedAt time.Time
 	// tokensToFirstEvent estimates, at admission, the prompt tokens that the engine reads
 	// until this request's first event, its own included.
 	tokensToFirstEvent int
@@ -186,13 +188,18 @@
 		g.readingSince = now
 	}
 	g.readingTokens += tokens
-	g.running[r.ID] = &admittedRequest{tokens: tokens, reading: true, at: now, tokensToFirstEvent: g.unreadTokens(now)}
+	g.running[r.ID] = &admittedRequest{tokens: tokens, reading: true, at: now, confirmedAt: now, tokensToFirstEvent: g.unreadTokens(now)}
 	g.cache.markUsed(r.Parts, now)
 }
 
-// Adopt adds a request that another owner of the gate has admitted.
+// ConfirmInterval is how often a host has to confirm its admitted requests with Adopt. Two
+// confirmations fit into admittedTimeout.
+const ConfirmInterval = 7 * time.Second
+
+// Adopt adds a request that was admitted without this gate, or confirms one that still runs.
 func (g *Gate) Adopt(r AdmissionRequest, read bool, now time.Time) {
-	if g.running[r.ID] != nil {
+	if known := g.running[r.ID]; known != nil {
+		known.confirmedAt = now
 		return
 	}
 	g.admit(r, g.tokensToRead(r, now), now)
@@ -275,10 +282,10 @@
 	return granted, refused
 }
 
-// DropLost drops admitted requests that have not ended within admittedTimeout.
+// DropLost drops admitted requests that were not confirmed for admittedTimeout.
 func (g *Gate) DropLost(now time.Time) {
 	for id, r := range g.running {
-		if now.Sub(r.at) > admittedTimeout {
+		if now.Sub(r.confirmedAt) > admittedTimeout {
 			g.Done(id, now)
 		}
 	}
--- a/internal/dispatch/gate_test.go
+++ b/internal/dispatch/gate_test.go
@@ -91,6 +91,36 @@
 	c.Assert(g.Request(newAdmissionRequest(3, 100, 20_000, 800, WithinConfiguredShare), at(20_000)).Granted, qt.IsTrue)
 }
 
+// Guards against admitting more requests than an engine has slots while its streams last long,
+// and against counting those of a host that has died forever.
+func TestGateCountsLongStreams(t *testing.T) {
+	c := qt.New(t)
+	g := NewGate(2, 200_000, NewSpeedEstimator())
+	const minute = 60_000
+	for seq := uint64(1); seq <= 2; seq++ {
+		c.Assert(g.Request(newAdmissionRequest(seq, 100, 0, minute, WithinConfiguredShare), at(0)).Granted, qt.IsTrue)
+		g.FirstEvent(AdmissionID{"h", seq}, at(50))
+	}
+	for now := 0; now < minute; now += 1_000 {
+		if now%5_000 == 0 {
+			g.Adopt(newAdmissionRequest(1, 100, 0, minute, WithinConfiguredShare), true, at(now))
+			if now < minute/2 {
+				g.Adopt(newAdmissionRequest(2, 100, 0, minute, WithinConfiguredShare), true, at(now))
+			}
+		}
+		g.DropLost(at(now))
+		_, running := g.Backlog(at(now))
+		switch {
+		case now <= minute/2:
+			c.Assert(running, qt.Equals, 2, qt.Commentf("after %d ms", now))
+		case now > minute/2+int(admittedTimeout.Milliseconds()):
+			c.Assert(running, qt.Equals, 1, qt.Commentf("after %d ms", now))
+		}
+	}
+	c.Assert(g.Request(newAdmissionRequest(3, 100, minute, minute, WithinConfiguredShare), at(minute)).Granted, qt.IsTrue)
+	c.Assert(g.Request(newAdmissionRequest(4, 100, minute, minute, WithinConfiguredShare), at(minute)).Granted, qt.IsFalse)
+}
+
 // Guards against keeping a waiting request past its end instead of refusing it.
 func TestGateRefusesRequestsPastTheirDeadline(t *testing.T) {
 	c := qt.New(t)
--- a/internal/loadplay/fleet.go
+++ b/internal/loadplay/fleet.go
@@ -179,7 +179,6 @@
 // ExchangeLoads implements Policy.
 func (f *fleet) ExchangeLoads(now time.Time) {
 	for i, g := range f.gates {
-		g.DropLost(now)
 		f.refuse(g.RefuseLate(now), now)
 		f.runGate(i, now)
 		backlog, running := g.Backlog(now)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -379,8 +379,9 @@
 	// Rank is the urgency of the request. It depends on how much of its share the account has
 	// received. 0 is the most urgent.
 	Rank uint8
-	// Admitted is true when the engine has the request already and the message only informs
-	// a new owner of the gate, which sends no AdmissionReply. Read is true when the engine
+	// Admitted is true when the engine has the request already. The message then informs a
+	// new owner of the gate or confirms that the request still runs, and there is no
+	// AdmissionReply. Read is true when the engine
 	// has read the prompt.
 	Admitted, Read bool
 }
