gateway: bound what all responses together hold

Cause: a response is read up to 1 MiB before it is passed on, so that one that breaks off can be sent again. With up to six requests running for each MB of the memory limit, responses that are large and slow, or never end, took many times the limit.

What operators saw: a host ended by its memory limit while an upstream sent large bodies slowly.

Change: each response may hold 64 KiB; what it holds beyond takes a part of a host-wide bound of a tenth of the memory limit, and without room the response is passed on from its first 64 KiB. It stays complete for the caller; if it breaks off, it is cut instead of sent again. Refusing such requests was ruled out, since their upstream has run them.

Not covered: streams, whose events have up to 1 MiB each.

--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -25,6 +25,15 @@
 // maxRunning returns how many requests the memory limit allows at once, 0 for no limit.
 func maxRunning(s *settings.Settings) int { return s.MemoryMB * runningPerMB }
 
+// bufferedPercent is the part of the memory limit that responses may hold while they are read
+// whole. Reading one takes more than its size, since its buffer is copied as it grows.
+const bufferedPercent = 10
+
+// maxBufferedBytes returns the MaxBufferedBytes of the gateway, 0 for no limit.
+func maxBufferedBytes(s *settings.Settings) int64 {
+	return int64(s.MemoryMB) << 20 * bufferedPercent / 100
+}
+
 // maxConnections returns how many connections of callers the settings and the memory limit
 // allow.
 func maxConnections(s *settings.Settings) int {
--- a/internal/endlesstest/endlesstest.go
+++ b/internal/endlesstest/endlesstest.go
@@ -81,6 +81,8 @@
 	s := &Server{Address: ln.Addr().String(), closed: make(chan struct{}, 1024)}
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
+	// One copy serves all connections, so that it does not count as memory of the client.
+	start := []byte(r.Start)
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -89,7 +91,7 @@
 			}
 			s.Accepted.Add(1)
 			go func() {
-				s.serve(c, r, done)
+				serve(c, r, start, done)
 				c.Close()
 				s.closed <- struct{}{}
 			}()
@@ -99,11 +101,11 @@
 }
 
 // serve returns once the client has closed the connection.
-func (s *Server) serve(c net.Conn, r Response, done <-chan struct{}) {
+func serve(c net.Conn, r Response, start []byte, done <-chan struct{}) {
 	if _, err := c.Read(make([]byte, writeBytes)); err != nil {
 		return
 	}
-	if _, err := c.Write([]byte(r.Start)); err != nil {
+	if _, err := c.Write(start); err != nil {
 		return
 	}
 	time.Sleep(r.Delay)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -180,13 +180,10 @@
 	return q.relayPlain(ctx, p, resp)
 }
 
-// maxBuffered is the size up to which a response is read whole before it is relayed, so that
-// a truncated one can still be retried or turned into an error.
-const maxBuffered = 1 << 20
-
 // relayPlain relays a response that is not a stream.
 func (q *request) relayPlain(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	body, whole, release, err := q.server.bufferBody(resp.Body)
+	defer release()
 	if err != nil {
 		return q.truncated(ctx, p, err)
 	}
@@ -198,7 +195,7 @@
 		}
 	}
 	q.copyHeader(resp)
-	if len(body) <= maxBuffered {
+	if whole {
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		if q.r.Method == http.MethodHead && resp.Length >= 0 {
 			q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
@@ -210,7 +207,9 @@
 	if _, err := q.w.Write(body); err != nil {
 		return dispatch.Cancelled, fault.Wrap(err, fault.CallerGone, fault.MayHaveRun, "the caller left")
 	}
-	if len(body) > maxBuffered {
+	if !whole {
+		body = nil
+		release()
 		if _, err := io.Copy(q.w, resp.Body); err != nil {
 			return q.truncated(ctx, p, err)
 		}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -6,6 +6,10 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,3 +101,47 @@
 		})
 	}
 }
+
+// Guards against many responses at once that fill the host's memory, each within the bound
+// for one, and against cutting them where the host has no room to hold them whole.
+func TestManyLargeResponses(t *testing.T) {
+	const (
+		requests = 64
+		size     = maxBuffered - 1
+		maxTotal = 4 * maxBuffered
+	)
+	body := strings.Repeat("x", size)
+	head := "HTTP/1.1 200 OK\r\nX-Proof: p1\r\nConnection: close\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n"
+	for _, tc := range []struct {
+		endlesstest.Response
+		timeout  time.Duration
+		complete int64
+	}{
+		{endlesstest.Response{Name: "complete", Start: head + body, Repeat: "x", Interval: time.Hour}, 20 * time.Second, requests},
+		{endlesstest.Response{Name: "slow", Start: head + body[:size-1000], Repeat: "x", Interval: 20 * time.Millisecond}, time.Second, 0},
+	} {
+		t.Run(tc.Name, func(t *testing.T) {
+			c := qt.New(t)
+			u := endlesstest.Start(t, tc.Response)
+			d := document()
+			d.Routes[1].Timeout = tc.timeout
+			gw := newTestGatewayWith(t, d, func(o *Options) { o.MaxBufferedBytes = maxTotal })
+			gw.server.opts.Dispatcher.SetInstances(catalog.List{Instances: []catalog.Instance{{ID: "i", Service: "svc", Address: u.Address, DataCentre: "dc"}}})
+			var complete atomic.Int64
+			grown := endlesstest.HeapGrowth(func() {
+				var g sync.WaitGroup
+				for range requests {
+					g.Go(func() {
+						if status, ok := gw.discard("/order/x"); ok && status == http.StatusOK {
+							complete.Add(1)
+						}
+					})
+				}
+				g.Wait()
+			})
+			c.Check(grown < 4*maxTotal+requests*4*freeBufferedBytes, qt.IsTrue, qt.Commentf("the heap grew by %d bytes", grown))
+			c.Check(complete.Load(), qt.Equals, tc.complete)
+			c.Check(gw.server.buffered.Load(), qt.Equals, int64(0))
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,8 +80,11 @@
 	// MaxConnections bounds the connections of callers, MaxRunning the concurrent requests;
 	// 0 means no limit.
 	MaxConnections, MaxRunning int
-	Log                        logrus.FieldLogger
-	Registry                   metrics.Registry
+	// MaxBufferedBytes bounds what all responses together hold beyond freeBufferedBytes each;
+	// 0 means no limit.
+	MaxBufferedBytes int64
+	Log              logrus.FieldLogger
+	Registry         metrics.Registry
 }
 
 // defaultBodyBytes bounds request bodies if the routing document sets no limit.
@@ -96,7 +99,9 @@
 	limiter lockedLimiter
 	crashes *crashTracker
 	running atomic.Int64
-	random  struct {
+	// buffered is the part of MaxBufferedBytes in use.
+	buffered atomic.Int64
+	random   struct {
 		sync.Mutex
 		*rand.Rand
 	}
