gateway: count large events of streams for the bound of all responses

Cause: an event may have 1 MiB, and nothing bounded what the streams of a host hold together while their events grow slowly.

Change: an event beyond 64 KiB takes room like a response that is read whole, and gives it back once it is written. Without room the stream fails as it does at an event of more than 1 MiB.

Test: TestManyLargeResponses, new case "slow event", before: the heap grew by 131 MB with a bound of 32 MiB. After: it passes, three times, and the package twice with -race.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -182,8 +182,9 @@
 
 // relayPlain relays a response that is not a stream.
 func (q *request) relayPlain(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
-	body, whole, release, err := q.server.bufferBody(resp.Body)
-	defer release()
+	room := q.server.newRoom()
+	defer room.release()
+	body, whole, err := bufferBody(resp.Body, room)
 	if err != nil {
 		return q.truncated(ctx, p, err)
 	}
@@ -209,7 +210,7 @@
 	}
 	if !whole {
 		body = nil
-		release()
+		room.release()
 		if _, err := io.Copy(q.w, resp.Body); err != nil {
 			return q.truncated(ctx, p, err)
 		}
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"io"
-	"sync"
-)
+import "io"
 
 const (
 	// maxBuffered is the size up to which a response is read whole before it is relayed, so
@@ -14,25 +11,42 @@
 )
 
 // bufferBody reads the beginning of a body; whole is true if that is all of it. A body of more
-// than freeBufferedBytes is read up to maxBuffered only while MaxBufferedBytes allows it.
-// release gives that part of MaxBufferedBytes back and may be called more than once.
-func (s *Server) bufferBody(r io.Reader) (body []byte, whole bool, release func(), err error) {
-	release = func() {}
+// than freeBufferedBytes is read up to maxBuffered only if there is room.
+func bufferBody(r io.Reader, room *room) (body []byte, whole bool, err error) {
 	body, err = io.ReadAll(io.LimitReader(r, freeBufferedBytes+1))
-	if err != nil || len(body) <= freeBufferedBytes || !s.reserveBuffer() {
-		return body, len(body) <= freeBufferedBytes, release, err
+	if err != nil || len(body) <= freeBufferedBytes || !room.reserve() {
+		return body, len(body) <= freeBufferedBytes, err
 	}
-	release = sync.OnceFunc(func() { s.buffered.Add(-maxBuffered) })
 	rest, err := io.ReadAll(io.LimitReader(r, int64(maxBuffered+1-len(body))))
 	body = append(body, rest...)
-	return body, len(body) <= maxBuffered, release, err
+	return body, len(body) <= maxBuffered, err
+}
+
+// room is what one response holds of MaxBufferedBytes: maxBuffered or nothing.
+type room struct {
+	server *Server
+	held   bool
 }
 
-// reserveBuffer reserves maxBuffered bytes of MaxBufferedBytes.
-func (s *Server) reserveBuffer() bool {
-	if s.buffered.Add(maxBuffered) <= s.opts.MaxBufferedBytes || s.opts.MaxBufferedBytes == 0 {
+func (s *Server) newRoom() *room { return &room{server: s} }
+
+// reserve returns false if MaxBufferedBytes is in use.
+func (r *room) reserve() bool {
+	if r.held {
 		return true
 	}
-	s.buffered.Add(-maxBuffered)
-	return false
+	limit := r.server.opts.MaxBufferedBytes
+	r.held = r.server.buffered.Add(maxBuffered) <= limit || limit == 0
+	if !r.held {
+		r.server.buffered.Add(-maxBuffered)
+	}
+	return r.held
+}
+
+// release may be called more than once.
+func (r *room) release() {
+	if r.held {
+		r.server.buffered.Add(-maxBuffered)
+		r.held = false
+	}
 }
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -111,20 +111,25 @@
 		maxTotal = 4 * maxBuffered
 	)
 	body := strings.Repeat("x", size)
+	stream := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Proof: p1\r\n\r\n"
 	head := "HTTP/1.1 200 OK\r\nX-Proof: p1\r\nConnection: close\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n"
 	for _, tc := range []struct {
 		endlesstest.Response
+		path     string
 		timeout  time.Duration
 		complete int64
 	}{
-		{endlesstest.Response{Name: "complete", Start: head + body, Repeat: "x", Interval: time.Hour}, 20 * time.Second, requests},
-		{endlesstest.Response{Name: "slow", Start: head + body[:size-1000], Repeat: "x", Interval: 20 * time.Millisecond}, time.Second, 0},
+		{endlesstest.Response{Name: "complete", Start: head + body, Repeat: "x", Interval: time.Hour}, "/order/x", 20 * time.Second, requests},
+		{endlesstest.Response{Name: "slow", Start: head + body[:size-1000], Repeat: "x", Interval: 20 * time.Millisecond}, "/order/x", time.Second, 0},
+		{endlesstest.Response{Name: "slow event", Start: stream + body[:size-1000], Repeat: "x", Interval: 20 * time.Millisecond}, "/stream/x", time.Second, 0},
 	} {
 		t.Run(tc.Name, func(t *testing.T) {
 			c := qt.New(t)
 			u := endlesstest.Start(t, tc.Response)
 			d := document()
-			d.Routes[1].Timeout = tc.timeout
+			for i := range d.Routes {
+				d.Routes[i].Timeout = tc.timeout
+			}
 			gw := newTestGatewayWith(t, d, func(o *Options) { o.MaxBufferedBytes = maxTotal })
 			gw.server.opts.Dispatcher.SetInstances(catalog.List{Instances: []catalog.Instance{{ID: "i", Service: "svc", Address: u.Address, DataCentre: "dc"}}})
 			var complete atomic.Int64
@@ -132,7 +137,7 @@
 				var g sync.WaitGroup
 				for range requests {
 					g.Go(func() {
-						if status, ok := gw.discard("/order/x"); ok && status == http.StatusOK {
+						if status, ok := gw.discard(tc.path); ok && status == http.StatusOK {
 							complete.Add(1)
 						}
 					})
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -112,7 +112,7 @@
 		br := bufio.NewReaderSize(bytes.NewReader(data), 16)
 		var all []byte
 		for {
-			event, err := readEvent(br)
+			event, err := readEvent(br, func() bool { return true })
 			all = append(all, event...)
 			if err != nil {
 				break
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,8 +24,11 @@
 	br := bufio.NewReader(resp.Body)
 	rc := http.NewResponseController(q.w)
 	first := true
+	room := q.server.newRoom()
+	defer room.release()
 	for {
-		event, err := readEvent(br)
+		room.release()
+		event, err := readEvent(br, room.reserve)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			if !q.headerWritten {
 				q.copyHeader(resp)
@@ -65,7 +68,8 @@
 
 // readEvent reads one event, including the empty line that ends it. It returns io.EOF and no
 // bytes at the end of the stream, and io.ErrUnexpectedEOF if the stream ends inside an event.
-func readEvent(br *bufio.Reader) ([]byte, error) {
+// An event of more than freeBufferedBytes is read only if reserve has room for it.
+func readEvent(br *bufio.Reader, reserve func() bool) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := br.ReadSlice('\n')
@@ -79,6 +83,9 @@
 		case len(bytes.TrimRight(line, "\r\n")) == 0:
 			return event, nil
 		}
+		if len(event) > freeBufferedBytes && !reserve() {
+			return event, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "no room for an event of more than %d bytes", freeBufferedBytes)
+		}
 		if len(event) > maxEventBytes {
 			return event, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "an event exceeds %d bytes", maxEventBytes)
 		}
