--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"marigoldshunt/internal/fault"
@@ -23,6 +22,9 @@
 	// writeEndWait is how long the rest of a request may take after its whole response was
 	// read.
 	writeEndWait = 200 * time.Millisecond
+	// maxHeadBytes bounds the head of a response together with the interim responses before
+	// it. A head may be several times as large as that of a request.
+	maxHeadBytes = 64 << 10
 	// maxStaleResponses is the number of responses to earlier requests that are skipped.
 	maxStaleResponses = 2
 	// keepAliveMargin is subtracted from the timeout in the Keep-Alive header of an upstream,
@@ -76,43 +78,27 @@
 func (c *Client) Forward(ctx context.Context, r *ForwardRequest) (*ForwardResponse, error) {
 	request := r.encode()
 	for reuse := true; ; reuse = false {
-		var cn *conn
-		if reuse {
-			cn = c.connPool.takeIdle(r.Address, r.Repeatable)
-		}
-		if cn == nil {
-			var err error
-			if cn, err = c.connPool.dialLimited(ctx, r.Address, r.MaxConnections); err != nil {
-				return nil, err
-			}
-			reuse = false
+		cn, reused, err := c.connPool.acquire(ctx, r.Address, reuse, r.Repeatable, r.MaxConnections)
+		if err != nil {
+			return nil, err
 		}
 		f := &ForwardResponse{connPool: c.connPool, address: r.Address, conn: cn}
 		f.stopContextWatch = context.AfterFunc(ctx, func() { cn.Close() })
-		err := f.roundTrip(r, request)
+		err = f.roundTrip(r, request)
 		if err == nil {
 			return f, nil
 		}
 		f.stopContextWatch()
-		cn.Close()
-		if reuse && ctx.Err() == nil && isDropped(err) {
-			c.connPool.recordDropped(cn)
-		}
+		c.connPool.closeFailed(ctx, cn, reused, err)
 		if cn.bytesSent.Load() > 0 {
 			return nil, fault.Wrap(err, fault.UpstreamFailed, fault.MayHaveRun, "connection to upstream %s ended before its answer", r.Address)
 		}
-		if !reuse || ctx.Err() != nil {
+		if !reused || ctx.Err() != nil {
 			return nil, fault.Wrap(err, fault.UpstreamFailed, fault.NotRun, "upstream %s accepted nothing", r.Address)
 		}
 	}
 }
 
-// isDropped reports whether err shows that a reused connection ended without a response, as
-// it does if the upstream had dropped the connection while it was idle.
-func isDropped(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
 // typicalHeaderBytes is the buffer space for the request line and header of a typical
 // request.
 const typicalHeaderBytes = 1 << 10
@@ -153,21 +139,33 @@
 			f.setResponse(resp)
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := f.skipBody(resp); err != nil {
 			return err
 		}
 	}
 	return fault.New(fault.UpstreamFailed, "", "the answers belong to other requests")
 }
 
+// skipBody reads the body of a response to an earlier request.
+func (f *ForwardResponse) skipBody(resp *http.Response) error {
+	limit := int64(f.connPool.opts.MaxResponseBytes)
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
+	if err == nil && n > limit {
+		return errTooLarge
+	}
+	return err
+}
+
 func (f *ForwardResponse) readHeader(method string) (*http.Response, error) {
+	f.conn.headBytesLeft = maxHeadBytes
+	defer func() { f.conn.headBytesLeft = -1 }()
 	for {
 		resp, err := http.ReadResponse(f.conn.br, &http.Request{Method: method})
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
-			return nil, err
+			return nil, shortError{err}
 		}
 		if resp.StatusCode >= 200 {
 			return resp, nil
@@ -194,7 +192,7 @@
 // closes the connection, which cancels the request at most upstreams.
 func (f *ForwardResponse) Close() {
 	live := f.stopContextWatch()
-	if !live || !f.bodyEnded || !f.Framed || f.resp.Close || f.conn.br.Buffered() > 0 || !f.requestWritten() {
+	if !live || !f.bodyEnded || !f.Framed || f.resp.Close || !f.requestWritten() {
 		f.conn.Close()
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,8 +81,11 @@
 	// 0 means no limit. While connections are being closed to make room, a sixteenth more may
 	// be open.
 	MaxConnections, MaxRunning int
-	Log                        logrus.FieldLogger
-	Registry                   metrics.Registry
+	// MaxBufferedBytes bounds what all responses together hold beyond freeBufferedBytes each;
+	// 0 means no limit.
+	MaxBufferedBytes int64
+	Log              logrus.FieldLogger
+	Registry         metrics.Registry
 }
 
 // Server is the HTTP server for the callers of routed services.
@@ -96,6 +99,8 @@
 	running atomic.Int64
 	// refusing counts the connections that are being refused without parsing a request.
 	refusing atomic.Int64
+	// buffered is the part of MaxBufferedBytes in use.
+	buffered atomic.Int64
 	random   struct {
 		sync.Mutex
 		*rand.Rand
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -50,7 +50,7 @@
 		gw.Assert(err, qt.IsNil)
 		events := bufio.NewReader(resp.Body)
 		for range 2 {
-			_, err := readEvent(events)
+			_, err := readEvent(events, func() bool { return true })
 			gw.Assert(err, qt.IsNil)
 			time.Sleep(20 * time.Millisecond) // the pause, longer than one of the gaps
 			received <- struct{}{}
