Close idle connections for new ones also at the highest number of connections

makeRoom refused at a sixteenth above the limit before it looked for an idle connection. When the connections that it was closing received requests, all of them counted as idle or active again and none as being closed, and the host refused every new connection, of every account, until callers or the idle timeout closed some. Now a refused connection still ends the longest idle one, until enough are being closed that the next ones find room.

Ruled out: connections counted twice or never uncounted (ConnState reports New in the accept goroutine and Closed after the close, each once).

TestIdleConnectionsMakeRoomAtTheHighestCount failed ({Open:34 Unread:0 Idle:34 Closing:0}) and passes; the tests of connections of ./internal/gateway pass three times with the race detector.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -104,17 +104,15 @@
 }
 
 // makeRoom reports whether one more connection may be opened. At the limit it closes the
-// longest idle connection to make room.
+// longest idle connection to make room, also if the room comes too late for this connection.
 func (c *connections) makeRoom() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.limit <= 0 {
 		return true
 	}
-	if len(c.open) >= c.limit+max(c.limit/closingDivisor, minClosing) {
-		return false
-	}
-	return len(c.open)-c.closing < c.limit || c.closeLongestIdleLocked()
+	hasRoom := len(c.open)-c.closing < c.limit || c.closeLongestIdleLocked()
+	return hasRoom && len(c.open) < c.limit+max(c.limit/closingDivisor, minClosing)
 }
 
 // stateChanged is the ConnState hook of the server.
