Add a failing test of a connection that is closed before it waits for a request

The HTTP server reports StateIdle and then clears the read deadline. A past deadline that Accept sets in between is lost: the connection counts as being closed for as long as its caller keeps it, and takes one of the places for those. TestClosingBeforeTheWaitForARequestTakesEffect fails: the connection stays open after the response (i/o timeout).

--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -57,3 +59,41 @@
 	}
 	c.Assert(conns.makeRoom(), qt.IsTrue, qt.Commentf("%+v", conns.counts()))
 }
+
+// serveWithHook starts a server like gw's with before and after called around the ConnState
+// hook, and returns a connection to it.
+func (gw *testGateway) serveWithHook(before, after func(s *Server, state http.ConnState)) net.Conn {
+	s := New(gw.server.opts)
+	hook := s.http.ConnState
+	s.http.ConnState = func(c net.Conn, state http.ConnState) {
+		before(s, state)
+		hook(c, state)
+		after(s, state)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gw.Assert(err, qt.IsNil)
+	go func() { _ = s.Serve(ln) }()
+	gw.Cleanup(func() { _ = s.Close() })
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	gw.Assert(err, qt.IsNil)
+	gw.Cleanup(func() { _ = nc.Close() })
+	gw.Assert(nc.SetReadDeadline(time.Now().Add(testTimeout)), qt.IsNil)
+	return nc
+}
+
+func closeAllIdle(s *Server) { s.conns.closeIdleSince(time.Now().Add(time.Hour)) }
+
+// Guards against a connection that counts as being closed and stays open, because it was
+// chosen before the HTTP server began to wait for its next request.
+func TestClosingBeforeTheWaitForARequestTakesEffect(t *testing.T) {
+	gw := newTestGateway(t, document(), newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))))
+	nc := gw.serveWithHook(func(*Server, http.ConnState) {}, func(s *Server, state http.ConnState) {
+		if state == http.StateIdle {
+			closeAllIdle(s)
+		}
+	})
+	fmt.Fprint(nc, "GET /read/x HTTP/1.1\r\nHost: h\r\n\r\n")
+	answer, err := io.ReadAll(nc)
+	gw.Assert(err, qt.IsNil, qt.Commentf("the connection stays open after %q", answer))
+	gw.Assert(string(answer), qt.Contains, "HTTP/1.1 200 ")
+}
