Close the connections that are chosen before they wait for a request

The HTTP server reports StateIdle and clears the read deadline after it. Where Accept chose the connection in between, its past deadline was lost: the connection stayed open, counted as being closed, was in no list that would close it again, and took one of the places above the limit for as long as its caller kept it. It is chosen then only if it has been idle the longest, which happens on a host with few idle connections: the flooded one.

The connection now remembers that it is being ended until a request has arrived. A request that arrives meanwhile is served: TestRequestOnAConnectionThatIsBeingClosedIsAnswered passes before and after and guards that.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -125,6 +125,9 @@
 		c.open[conn] = st
 	}
 	c.resetLocked(st)
+	if h, ok := conn.(*headerConn); ok && state == http.StateActive {
+		h.resume()
+	}
 	switch state {
 	case http.StateNew:
 		st.unread = true
@@ -163,7 +166,11 @@
 	longest := c.idle.Remove(e).(idleConn)
 	c.open[longest.Conn] = &connState{closing: true}
 	c.closing++
-	_ = longest.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
+	if h, ok := longest.Conn.(*headerConn); ok {
+		h.endIdle()
+	} else {
+		_ = longest.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
+	}
 	return true
 }
 
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -24,8 +25,8 @@
 // headerConn is a connection of a caller. It applies the routing document's HeaderTimeout,
 // because the limit of the HTTP server is fixed when that starts.
 //
-// Its fields are used by one goroutine at a time: the server changes the state of an open
-// connection only while nothing reads from it.
+// The fields above mu are used by one goroutine at a time: the server changes the state of an
+// open connection only while nothing reads from it.
 type headerConn struct {
 	*net.TCPConn
 	timeout func() time.Duration
@@ -35,6 +36,40 @@
 	headerStart time.Time
 	// limited is true while the read deadline is that of the header.
 	limited bool
+
+	// mu guards ending, which is true while the wait for another request is being ended, and
+	// orders the changes of the read deadline.
+	mu     sync.Mutex
+	ending bool
+}
+
+// endIdle ends the wait for another request, or prevents it: the HTTP server reports an idle
+// connection before it clears the read deadline for that wait.
+func (c *headerConn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	_ = c.TCPConn.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
+}
+
+// resume keeps a connection that endIdle was called for, because a request has arrived.
+func (c *headerConn) resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		c.ending = false
+		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails only if the connection is already closed
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *headerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending && t.IsZero() {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
 }
 
 // Read implements net.Conn.
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -97,3 +98,24 @@
 	gw.Assert(err, qt.IsNil, qt.Commentf("the connection stays open after %q", answer))
 	gw.Assert(string(answer), qt.Contains, "HTTP/1.1 200 ")
 }
+
+// Guards against a request that is cut off after it was read, because its connection was
+// chosen to be closed before it counted as active.
+func TestRequestOnAConnectionThatIsBeingClosedIsAnswered(t *testing.T) {
+	pause := func(*receivedRequest) { time.Sleep(100 * time.Millisecond) }
+	gw := newTestGateway(t, document(), newUpstream(t, sequence(pause, writeRaw("%s", rawResponse(200, "ok")))))
+	nc := gw.serveWithHook(func(s *Server, state http.ConnState) {
+		if state == http.StateActive {
+			closeAllIdle(s)
+		}
+	}, func(*Server, http.ConnState) {})
+	br := bufio.NewReader(nc)
+	for range 3 {
+		fmt.Fprint(nc, "GET /read/x HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(br, nil)
+		gw.Assert(err, qt.IsNil)
+		gw.Assert(resp.StatusCode, qt.Equals, 200)
+		_, err = io.Copy(io.Discard, resp.Body)
+		gw.Assert(err, qt.IsNil)
+	}
+}
