Bound the size of the response headers of upstreams

Forward read a response header with http.ReadResponse, which has no bound. One upstream that sends bytes without end took the memory of a host until the request's deadline, for each request that the host sent to it. A header together with the interim responses before it may have 64 KB now; above that the request fails as one that may have run, as with any other bytes that are no answer.

Ruled out: bodies without end are relayed or dropped in parts (1 MB each); trailers and chunk heads are bounded by net/http.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -20,6 +20,10 @@
 	bw        *bufio.Writer
 	raw       syscall.RawConn
 	ioTimeout time.Duration
+	// headerLimited is true while a response header is read, of which headerLeft bytes may
+	// still be read.
+	headerLimited bool
+	headerLeft    int
 	// bytesSent is the number of bytes of the current request that the kernel accepted.
 	bytesSent atomic.Int64
 	idleSince time.Time
@@ -54,12 +58,20 @@
 	return n, err
 }
 
-// Read bounds each read by ioTimeout.
+// Read bounds each read by ioTimeout, and the size of a response header.
 func (c *conn) Read(p []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.ioTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	if !c.headerLimited {
+		return c.Conn.Read(p)
+	}
+	if c.headerLeft <= 0 {
+		return 0, fault.New(fault.UpstreamFailed, "", "the response header exceeds %d bytes", maxHeaderBytes)
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headerLeft)])
+	c.headerLeft -= n
+	return n, err
 }
 
 // usable reports whether an idle connection is open and has no unread data. Data that
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -25,6 +25,9 @@
 	writeEndWait = 200 * time.Millisecond
 	// maxStaleResponses is the number of responses to earlier requests that are skipped.
 	maxStaleResponses = 2
+	// maxHeaderBytes bounds the header of a response together with the interim responses
+	// before it.
+	maxHeaderBytes = 64 << 10
 	// keepAliveMargin is subtracted from the timeout in the Keep-Alive header of an upstream,
 	// so that no request is sent while the upstream closes the connection.
 	keepAliveMargin = 500 * time.Millisecond
@@ -161,6 +164,8 @@
 }
 
 func (f *ForwardResponse) readHeader(method string) (*http.Response, error) {
+	f.conn.headerLimited, f.conn.headerLeft = true, maxHeaderBytes
+	defer func() { f.conn.headerLimited = false }()
 	for {
 		resp, err := http.ReadResponse(f.conn.br, &http.Request{Method: method})
 		if err != nil {
