Count connections of pool callers until their close has ended

The server for pools forgot a connection whose request it had not read whole, and kept it for up to 500 ms more, with a goroutine and what arrives in its socket. They count until the close has ended; the limit and its typed refusal are unchanged.

TestLingeringConnectionsCountAgainstTheLimit failed (accepted at a limit of 1) and passes; ./internal/frontend passes twice with the race detector.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -151,14 +151,18 @@
 	return c.Conn.Write(p)
 }
 
-// Close closes the connection. If the request is not fully read, the connection lingers.
+// Close closes the connection. If the request is not fully read, the connection lingers and
+// counts until that has ended.
 func (c *callerConn) Close() error {
 	c.closeOnce.Do(func() {
-		c.listener.remove(c)
 		if c.requestUnread {
-			go linger(c.Conn)
+			go func() {
+				defer c.listener.remove(c)
+				linger(c.Conn)
+			}()
 			return
 		}
+		c.listener.remove(c)
 		c.Conn.Close()
 	})
 	return nil
