--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,8 +81,10 @@
 	// 0 means no limit. While connections are being closed to make room, a sixteenth more may
 	// be open.
 	MaxConnections, MaxRunning int
-	Log                        logrus.FieldLogger
-	Registry                   metrics.Registry
+	// MaxBodyMemory bounds the memory of request bodies in sum, in bytes; 0 means no limit.
+	MaxBodyMemory int64
+	Log           logrus.FieldLogger
+	Registry      metrics.Registry
 }
 
 // Server is the HTTP server for the callers of routed services.
