Bound the memory of request bodies in sum

A host took the memory of a body when a caller announced it, and bounded each body and the number of requests, but not both together: one account could take 2.6 GB of a host of 112 MB within all limits, and half as much ended it.

The first 20 KB of a body don't count, which the limit of requests covers, so that small requests are served beside large ones. Beyond that a body's memory is reserved once these have arrived; above 15 percent of the memory limit in sum the request is refused with host_overloaded and not_run, and a Retry-After.

TestAnnouncedBodiesTakeNoMemory failed (128 callers of one byte each held 132929 KB) and passes; TestBodiesAreBoundedInSum failed (504 instead of 503) and passes; ./internal/gateway passes with the race detector, ./internal/daemon passes.

--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -78,7 +78,7 @@
 	e.gateway = gateway.New(gateway.Options{
 		View: e.view, HeaderNames: e.adapter.HeaderNames(), Forwarder: d.engine, Dispatcher: e.dispatcher, Admission: e.admission, CrashStore: d.controlClient,
 		MaxConfigAge: e.settings.ConfigMaxAge, MaxHeaderBytes: d.settings.CallerLimits.HeaderBytes,
-		ReadHeaderTimeout: d.settings.CallerLimits.ReadTimeout, MaxConnections: maxConnections(d.settings), MaxRunning: maxRunning(d.settings), Log: d.logFor("gateway"), Registry: d.registry,
+		ReadHeaderTimeout: d.settings.CallerLimits.ReadTimeout, MaxConnections: maxConnections(d.settings), MaxRunning: maxRunning(d.settings), MaxBodyMemory: maxBodyMemory(d.settings), Log: d.logFor("gateway"), Registry: d.registry,
 	})
 	e.catalog = newCatalogRole(d, e.adapter.InstanceSource(e.settings.UpstreamList), e.dispatcher.SetInstances)
 	e.loads = loads.New(d.settings.Host, d.settings.DataCentre)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -32,6 +32,16 @@
 // maxRunning returns how many requests the memory limit allows at once, 0 for no limit.
 func maxRunning(s *settings.Settings) int { return s.MemoryMB * runningPerMB }
 
+// bodyMemoryPercent is the part of the memory limit that large request bodies may take; a body
+// that is sent exists twice.
+const bodyMemoryPercent = 15
+
+// maxBodyMemory returns the bytes that the bodies of routed requests may take in sum, 0 for no
+// limit.
+func maxBodyMemory(s *settings.Settings) int64 {
+	return int64(s.MemoryMB) << 20 * bodyMemoryPercent / 100
+}
+
 // maxConnections returns how many connections of callers the settings and the memory limit
 // allow.
 func maxConnections(s *settings.Settings) int {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,7 @@
 	log     logrus.FieldLogger
 	conns   *connections
 	limiter lockedLimiter
+	bodies  bodyMemory
 	crashes *crashTracker
 	running atomic.Int64
 	// refusing counts the connections that are being refused without parsing a request.
@@ -110,6 +111,7 @@
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	s.conns = newConnections(opts.MaxConnections, time.Now)
 	s.limiter.Limiter = overload.New()
+	s.bodies.limit = opts.MaxBodyMemory
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: opts.ReadHeaderTimeout, ReadTimeout: 0, MaxHeaderBytes: opts.MaxHeaderBytes,
 		ConnState: s.connStateChanged, ConnContext: withRawConn,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,7 +32,9 @@
 	priorityLevel int
 	target        string
 	body          []byte
-	header        http.Header
+	// bodyMemory is the memory of the body that counts against MaxBodyMemory, in bytes.
+	bodyMemory int64
+	header     http.Header
 	// deadline is the earlier of the route's timeout and the caller's own deadline.
 	deadline time.Time
 	// objectiveDeadline is the target time of the whole response or, for streams, the first
@@ -66,6 +68,7 @@
 		// chunked body, so what follows it is not read as a request.
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { s.bodies.used.Add(-q.bodyMemory) }()
 	err := q.prepare()
 	if err == nil {
 		err = q.serve()
@@ -187,9 +190,12 @@
 	}
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(q.deadline) // if it fails, the server's own limits apply
-	body, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength)
+	body, err := q.server.bodies.read(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength, &q.bodyMemory)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodyMemory):
+		q.w.Header().Set("Connection", "close")
+		return fault.New(fault.HostOverloaded, fault.NotRun, "the bodies of requests take all memory for them").WithRetryAfter(overloadRetryAfter)
 	case errors.As(err, &tooLarge):
 		return q.bodyTooLarge(limit)
 	case err != nil:
@@ -201,16 +207,6 @@
 	return nil
 }
 
-// readAll reads a body; length is -1 if unknown.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 func (q *request) bodyTooLarge(limit int64) error {
 	q.w.Header().Set("Connection", "close")
 	return fault.New(fault.BodyTooLarge, fault.NotRun, "the body exceeds %d bytes", limit)
