Add a failing test of the bytes of queued log lines

The queue of log lines is bounded in lines, not in bytes, and lines hold what callers send: the request identifier, host and path of a failed request may have the size of a header each. TestQueuedLinesAreBoundedInBytes fails: bytes are queued while nobody reads the log output.

--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -92,3 +92,24 @@
 	c.Check(out.String(), qt.Contains, fmt.Sprintf("lines=%d", 1_000-linesPerSecond/2))
 	c.Check(out.String(), qt.Contains, "msg=next")
 }
+
+// Guards against a host that ends by memory because nobody reads its log output while callers
+// send long paths and identifiers, which the lines contain.
+func TestQueuedLinesAreBoundedInBytes(t *testing.T) {
+	const maxQueuedBytes = 8 << 20
+	c := qt.New(t)
+	r, w := io.Pipe()
+	defer r.Close()
+	s := New(w, func() time.Time { return start })
+	long := "level=warning msg=" + strings.Repeat("x", 64<<10) + "\n"
+	for range 2 * bufferLines {
+		fmt.Fprint(s, long)
+	}
+	s.Close(10 * time.Millisecond)
+	bytes, last := 0, []byte(nil)
+	for line := range s.lines {
+		bytes, last = bytes+len(line), line
+	}
+	c.Assert(bytes <= maxQueuedBytes, qt.IsTrue, qt.Commentf("%d bytes", bytes))
+	c.Assert(string(last), qt.Matches, "(?s)level=warning msg=x.*\n")
+}
