Bound the queued log lines in bytes

While nobody reads the log output, the queue holds up to 4096 lines of any size: 64 MB where callers send headers of 16 KB that the lines repeat. It holds at most 4 MB now; further lines are dropped and counted, as before.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,6 +16,8 @@
 const (
 	// bufferLines is the number of lines that can be queued for a slow reader.
 	bufferLines = 4_096
+	// bufferBytes bounds the queued lines in bytes, because they contain what callers send.
+	bufferBytes = 4 << 20
 	// linesPerSecond is the number of lines of all levels in a second after which lines below
 	// warning level are dropped. It leaves room for a few hundred failed requests a second and
 	// for every change of state.
@@ -29,6 +32,8 @@
 	now   func() time.Time
 	lines chan []byte
 	done  chan struct{}
+	// queuedBytes is the size of the queued lines.
+	queuedBytes atomic.Int64
 
 	mu            sync.Mutex
 	currentSecond int64 // Unix time that linesInSecond counts
@@ -124,9 +129,15 @@
 }
 
 func (s *Sink) enqueue(line []byte) {
+	if s.queuedBytes.Load()+int64(len(line)) > bufferBytes {
+		s.dropped++
+		return
+	}
+	s.queuedBytes.Add(int64(len(line)))
 	select {
 	case s.lines <- line:
 	default:
+		s.queuedBytes.Add(-int64(len(line)))
 		s.dropped++
 	}
 }
@@ -136,6 +147,7 @@
 	for line := range s.lines {
 		// There is no other place to report that the log output fails.
 		_, _ = s.out.Write(line)
+		s.queuedBytes.Add(-int64(len(line)))
 	}
 }
 
