Bound the connections of the edge's other ports

The ports of discovery, readiness, operators and metrics had no bound of connections, kept idle ones for ever and read bodies without a time limit.

TestConnectionsOfTheEdgesOtherPortsAreBounded failed (0 of 512 idle connections were closed) and passes; ./internal/daemon passes with the race detector.

--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -37,6 +37,10 @@
 	// httpHeaderTimeout bounds reading a request header on the edge's ports other than the
 	// gateway's.
 	httpHeaderTimeout = 3 * time.Second
+	// httpTimeout bounds reading a request, and its response, on these ports, httpIdleTimeout
+	// the wait for another request.
+	httpTimeout     = 30 * time.Second
+	httpIdleTimeout = time.Minute
 )
 
 // edgeOperator is the operator name for configuration changes that come through the
@@ -214,9 +218,13 @@
 	if err != nil {
 		return fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", address)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: httpHeaderTimeout}
+	limited := newLimitListener(ln)
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: httpHeaderTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: httpIdleTimeout,
+		ConnState: limited.stateChanged,
+	}
 	context.AfterFunc(ctx, func() { s.Close() })
-	return ignoreClosed(ctx, s.Serve(ln))
+	return ignoreClosed(ctx, s.Serve(limited))
 }
 
 // Parts of the shutdown deadline.
