Let new refusals take the place of silent connections

An overloaded host answers a refused connection whose request is still on its way once it arrives. The places for those were all taken by callers that connect and send nothing, each for 300 ms, and any other refused caller was closed without a response: it could not tell that nothing had run, nor when to come again. Now a new connection ends the wait of the one that has waited the longest, by its read deadline, so that one whose request has just arrived is still answered. The number of goroutines stays bounded: as many may be ending as may wait. TestMemoryLimitsFitTogether counts them and is stricter by that.

TestSilentConnectionsKeepNoRefusalFromOthers failed (unexpected EOF after 0 refusals) and passes; the tests of refusals of ./internal/gateway pass five times with the race detector.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 package gateway
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"io"
@@ -99,7 +100,12 @@
 	running atomic.Int64
 	// refusing counts the connections that are being refused without parsing a request.
 	refusing atomic.Int64
-	random   struct {
+	// awaited holds those of them that wait for their request, the longest waiting first.
+	awaited struct {
+		sync.Mutex
+		list.List
+	}
+	random struct {
 		sync.Mutex
 		*rand.Rand
 	}
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"container/list"
 	"io"
 	"net"
 	"strconv"
@@ -20,7 +21,7 @@
 	maxDrainReads   = 4
 	// refusingDivisor is the ratio of the connection limit to the number of connections that
 	// wait at once for the request that they refuse; maxRefusing is that number without a
-	// connection limit.
+	// connection limit. As many may be ending.
 	refusingDivisor = 16
 	maxRefusing     = 256
 )
@@ -68,29 +69,44 @@
 		respondRefusal(c, l.buf)
 		return
 	}
-	if !l.server.beginRefusal() {
+	waiting := l.server.beginRefusal(c)
+	if waiting == nil {
 		l.server.count("shed_unread")
 		_ = c.Close() // no error matters on a connection without an exchange
 		return
 	}
 	go func() {
-		defer l.server.refusing.Add(-1)
+		defer l.server.endRefusal(waiting)
 		refuseConn(c)
 	}()
 }
 
-// beginRefusal counts one more connection that is being refused, and reports false if there
-// are too many.
-func (s *Server) beginRefusal() bool {
+// beginRefusal counts one more connection that waits for the request that it refuses. If there
+// are too many, it ends the wait of the first one, so that callers that send nothing keep no
+// refusal from others. It returns nil if too many have not ended yet.
+func (s *Server) beginRefusal(c net.Conn) *list.Element {
 	most := int64(maxRefusing)
 	if s.opts.MaxConnections > 0 {
 		most = int64(max(s.opts.MaxConnections/refusingDivisor, 1))
 	}
-	if s.refusing.Add(1) <= most {
-		return true
+	if s.refusing.Load() >= 2*most || c.SetReadDeadline(time.Now().Add(refuseTimeout)) != nil {
+		return nil
 	}
+	s.refusing.Add(1)
+	s.awaited.Lock()
+	defer s.awaited.Unlock()
+	if int64(s.awaited.Len()) >= most {
+		first := s.awaited.Remove(s.awaited.Front()).(net.Conn)
+		_ = first.SetReadDeadline(pastDeadline) // fails only if it is already closed
+	}
+	return s.awaited.PushBack(c)
+}
+
+func (s *Server) endRefusal(e *list.Element) {
+	s.awaited.Lock()
+	s.awaited.Remove(e) // does nothing if its wait was ended
+	s.awaited.Unlock()
 	s.refusing.Add(-1)
-	return false
 }
 
 // shed reports whether to refuse a new connection.
@@ -105,10 +121,6 @@
 // it.
 func refuseConn(c net.Conn) {
 	buf := make([]byte, refuseReadBytes)
-	if c.SetReadDeadline(time.Now().Add(refuseTimeout)) != nil {
-		_ = c.Close() // already closed
-		return
-	}
 	// A goroutine that gets CPU time late finds its deadline passed and the request there.
 	if n, _ := c.Read(buf); n == 0 && !hasUnread(c) {
 		_ = c.Close() // the caller sent nothing
