Keep a tenth of a host's places for accounts that hold few of them

A host at its limit of requests refused whoever came next. One account with long requests held all 672 places of a host of 112 MB, and any other account was refused with host_overloaded for as long as these ran: nothing was late, so the limiter of an overloaded host did not act. An account that holds more than a tenth of the places is refused for the last tenth now. This is the same for all accounts, whatever their number, and costs an account that is alone on a host a tenth of its places, which that host has in memory.

TestSlowRequestsOfOneAccountLeavePlacesForOthers failed (one account holds 32 of 32 places) and passes; ./internal/gateway passes with the race detector.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,7 @@
 	log     logrus.FieldLogger
 	conns   *connections
 	limiter lockedLimiter
+	places  places
 	bodies  bodyMemory
 	crashes *crashTracker
 	running atomic.Int64
@@ -117,6 +118,7 @@
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	s.conns = newConnections(opts.MaxConnections, time.Now)
 	s.limiter.Limiter = overload.New()
+	s.places.byAccount = map[string]int{}
 	s.bodies.limit = opts.MaxBodyMemory
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: opts.ReadHeaderTimeout, ReadTimeout: 0, MaxHeaderBytes: opts.MaxHeaderBytes,
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -63,18 +63,54 @@
 	maxReservedLevels   = 5
 )
 
+// The last accountReservePercent of the places are for accounts that hold at most as many, so
+// that slow requests of one account don't take all places.
+const accountReservePercent = 10
+
+// places counts the running requests by account.
+type places struct {
+	sync.Mutex
+	byAccount map[string]int
+}
+
+// take takes a place for an account, unless the account holds more than most.
+func (p *places) take(account string, most int) bool {
+	p.Lock()
+	defer p.Unlock()
+	if p.byAccount[account] > most {
+		return false
+	}
+	p.byAccount[account]++
+	return true
+}
+
+func (p *places) release(account string) {
+	p.Lock()
+	defer p.Unlock()
+	if p.byAccount[account]--; p.byAccount[account] <= 0 {
+		delete(p.byAccount, account)
+	}
+}
+
 // checkLoad refuses a request if the host is too busy, before it spends more time on it. A
-// host that is nearly full refuses requests of lower priority first.
+// host that is nearly full refuses requests of lower priority first. The caller releases the
+// account's place if err is nil.
 func (s *Server) checkLoad(account string, priorityLevel int) error {
 	limit := s.opts.MaxRunning * (100 - min(priorityLevel, maxReservedLevels)*levelReservePercent) / 100
-	if s.opts.MaxRunning > 0 && s.Running() > limit {
-		return fault.New(fault.HostOverloaded, fault.NotRun, "the host serves %d requests already", limit).WithRetryAfter(overloadRetryAfter)
+	most, reserved := math.MaxInt, limit*accountReservePercent/100
+	running := s.Running()
+	if s.opts.MaxRunning > 0 && running > limit-reserved {
+		most = reserved
+	}
+	if s.opts.MaxRunning > 0 && running > limit || !s.places.take(account, most) {
+		return fault.New(fault.HostOverloaded, fault.NotRun, "the host serves %d requests already", running).WithRetryAfter(overloadRetryAfter)
 	}
 	s.limiter.Lock()
 	defer s.limiter.Unlock()
 	if s.limiter.Admit(account, time.Now()) {
 		return nil
 	}
+	s.places.release(account)
 	return fault.New(fault.HostOverloaded, fault.NotRun, "each account may send %.0f requests per second to this host now", s.limiter.RateLimit()).WithRetryAfter(overloadRetryAfter)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,6 +32,8 @@
 	priorityLevel int
 	target        string
 	body          []byte
+	// hasPlace is true while the request counts among its account's running ones.
+	hasPlace bool
 	// bodyMemory is the memory of the body that counts against MaxBodyMemory, in bytes.
 	bodyMemory int64
 	header     http.Header
@@ -68,7 +70,7 @@
 		// chunked body, so what follows it is not read as a request.
 		w.Header().Set("Connection", "close")
 	}
-	defer func() { s.bodies.used.Add(-q.bodyMemory) }()
+	defer q.release()
 	err := q.prepare()
 	if err == nil {
 		err = q.serve()
@@ -81,6 +83,14 @@
 	s.count("answered")
 }
 
+// release gives back what the request held of the host.
+func (q *request) release() {
+	q.server.bodies.used.Add(-q.bodyMemory)
+	if q.hasPlace {
+		q.server.places.release(q.account)
+	}
+}
+
 // prepare validates, routes and authenticates the request and reads its body.
 func (q *request) prepare() error {
 	q.arrived = time.Now()
@@ -107,6 +117,7 @@
 	if err := q.server.checkLoad(q.account, q.priorityLevel); err != nil {
 		return err
 	}
+	q.hasPlace = true
 	q.service = view.Table.Service(q.route.Pick(q.server.randomFraction()))
 	q.setDeadline(q.arrived)
 	if err := q.readBody(view.Table.Document.Limits); err != nil {
