Keep a daemon running whose ports find no free file descriptor

The servers for pool callers and operators end when Accept fails with EMFILE or ENFILE, and with either of them the whole daemon ended, with the requests of all its ports. A host that is flooded holds the most descriptors, and its bound of connections does not count those to upstreams and between hosts. Accept waits and tries again now, as net/http and the peer transport already do.

TestExhaustedDescriptorsEndNoServer failed ('accept4: too many open files') and passes; ./internal/netopt and ./internal/daemon pass with the race detector.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -261,6 +261,7 @@
 			l.close()
 			return l, fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", port.address)
 		}
+		*port.ln = netopt.RetryAccept(*port.ln)
 	}
 	return l, nil
 }
