Bound the cached parts of prompts in number

A caller that names new parts without tokens in each request made the owner of an engine's gate remember them for ever, some 100 bytes each and over a thousand in one header: memory by outside byte without a bound. A gate holds 2048 parts now, and 64 of one prompt.

TestCachedPartsAreBoundedInNumber failed (20001 parts) and passes; ./internal/dispatch and ./internal/admission pass with the race detector.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -349,6 +349,13 @@
 // expected to have; running requests use the rest.
 const partCachePercent = 40
 
+// Callers name the parts and their tokens, so that tokens alone don't bound the memory of a
+// partCache: it holds at most maxCachedParts, of each prompt the first maxPartsOfPrompt.
+const (
+	maxCachedParts   = 2_048
+	maxPartsOfPrompt = 64
+)
+
 func newPartCache(memory int) *partCache {
 	return &partCache{maxTokens: memory * partCachePercent / 100, parts: map[uint64]*cachedPart{}}
 }
@@ -369,7 +376,7 @@
 // markUsed records that a prompt is read. Its last part belongs to one request and is not
 // cached for others.
 func (c *partCache) markUsed(parts []Part, now time.Time) {
-	for i := range max(len(parts)-1, 0) {
+	for i := range min(max(len(parts)-1, 0), maxPartsOfPrompt) {
 		p := c.parts[parts[i].ID]
 		if p == nil {
 			p = &cachedPart{tokens: parts[i].Tokens}
@@ -378,7 +385,7 @@
 		}
 		p.lastUsed = now
 	}
-	for c.usedTokens > c.maxTokens && len(c.parts) > 1 {
+	for (c.usedTokens > c.maxTokens || len(c.parts) > maxCachedParts) && len(c.parts) > 1 {
 		c.evict()
 	}
 }
