Add a failing test of new connections at a moderate lag

The fraction of new connections that an overloaded host accepts falls within a second to 5 percent, before their account is known, and rises only below a mean lag of 15 ms. Where the rest of a flood, on kept connections, keeps the lag between 15 and 40 ms, it stays at 5 percent: an account that opens a connection for each request gets a twentieth of what it asks for as long as the flood lasts, on a host that is not overloaded by its own measure. TestNewConnectionsAreAcceptedAgainAtModerateLag fails at 16, 20 and 39 ms.

--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -229,3 +229,24 @@
 		}
 	}
 }
+
+// Guards against an account that opens a connection for each request and gets next to nothing
+// of a host that is no longer overloaded, beside accounts that keep theirs: after six seconds
+// it must get at least half of what it asks.
+func TestNewConnectionsAreAcceptedAgainAtModerateLag(t *testing.T) {
+	for _, lag := range []time.Duration{0, calmLag - time.Millisecond, calmLag + time.Millisecond, overloadLag / 2, overloadLag - time.Millisecond} {
+		l, now := New(), start
+		observe := func(lag, length time.Duration) {
+			for end := now.Add(length); now.Before(end); now = now.Add(SampleInterval) {
+				l.Admit("hot", now)
+				l.Observe(lag, now)
+			}
+		}
+		for i := range 100 {
+			observe(overloadLag*4+time.Duration(i)*time.Second, SampleInterval)
+		}
+		qt.Assert(t, l.Shed(0.5), qt.IsTrue)
+		observe(lag, 6*time.Second)
+		qt.Check(t, l.Shed(0.5), qt.IsFalse, qt.Commentf("lag %s", lag))
+	}
+}
