Accept more new connections as soon as a host is no longer overloaded

The fraction of accepted new connections rises below the lag at which a host counts as overloaded, not only on a calm one; it falls as before above twice that lag, and the limit of requests is unchanged. An account that opens a connection for each request is no longer kept out for as long as accounts on kept connections keep the host busy.

TestNewConnectionsAreAcceptedAgainAtModerateLag failed at 16, 20 and 39 ms and passes, and so do the other tests of ./internal/overload, with the simulated floods.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -38,8 +38,8 @@
 	limitDecrease = 0.7
 	limitIncrease = 1.1
 	// shedLag is the mean lag above which new connections are refused. Each check then
-	// multiplies the accepted fraction by acceptDecrease, down to minAccepted, and on a calm
-	// host adds acceptIncrease to it. Recovery is slow, because the flood is still there
+	// multiplies the accepted fraction by acceptDecrease, down to minAccepted, and below
+	// overloadLag adds acceptIncrease to it. Recovery is slow, because the flood is still there
 	// when the host has become calm.
 	shedLag        = 2 * overloadLag
 	acceptDecrease = 0.6
@@ -111,8 +111,11 @@
 		if l.lag > shedLag {
 			l.accepted = max(l.accepted*acceptDecrease, minAccepted)
 		}
-	case l.lag < calmLag && !math.IsInf(l.limit, 1):
+	case l.lag < overloadLag && !math.IsInf(l.limit, 1):
 		l.accepted = min(l.accepted+acceptIncrease, 1)
+		if l.lag >= calmLag {
+			return
+		}
 		// Above twice the highest rate the limit affects no account.
 		unlimited := max(2*l.highestRate(now), minLimit)
 		if l.limit = min(l.limit*limitIncrease, unlimited); l.accepted == 1 && l.limit == unlimited {
