Answer requests that were read when the shutdown begins

The shutdown of net/http ends a connection whose request it has read and not yet passed to the handler, without a response, and closes connections that count as idle while their request is being read. Around a SIGTERM callers saw a whole request end without an answer; on a host that is short of CPU time that takes many of them.

Shutdown closes the listener, ends the wait of idle connections by their read deadlines, which keeps those whose request has arrived, and closes the server once no connection is open; those without any request have 5 s, as in net/http.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/overload"
 	"marigoldshunt/internal/routing"
+	"marigoldshunt/internal/wait"
 )
 
 // View is a snapshot of what a host knows of the configuration.
@@ -99,6 +100,9 @@
 	bodies  bodyMemory
 	crashes *crashTracker
 	running atomic.Int64
+	// stopping ends with the call of stop, when Shutdown begins.
+	stopping context.Context
+	stop     context.CancelFunc
 	// refusing counts the connections that are being refused without parsing a request.
 	refusing atomic.Int64
 	// awaited holds those of them that wait for their request, the longest waiting first.
@@ -118,6 +122,7 @@
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	s.conns = newConnections(opts.MaxConnections, time.Now)
 	s.limiter.Limiter = overload.New()
+	s.stopping, s.stop = context.WithCancel(context.Background())
 	s.places.byAccount = map[string]int{}
 	s.bodies.limit = opts.MaxBodyMemory
 	s.http = &http.Server{
@@ -132,8 +137,9 @@
 
 // Serve accepts connections on ln until Shutdown or Close.
 func (s *Server) Serve(ln net.Listener) error {
+	context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
 	err := s.http.Serve(headerListener{newShedListener(ln, s), s.headerTimeout})
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.stopping.Err() != nil {
 		return nil
 	}
 	return fault.Wrap(err, fault.Internal, "", "serve callers on %s", ln.Addr())
@@ -142,14 +148,29 @@
 // Running returns the number of requests being served.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
+const (
+	shutdownPollInterval = 10 * time.Millisecond
+	// shutdownUnreadTime is how long connections without a request may stay open at shutdown.
+	shutdownUnreadTime = 5 * time.Second
+)
+
 // Shutdown stops accepting connections and waits for running requests until ctx ends; then
-// it closes all connections.
+// it closes all connections. The Shutdown of net/http would close connections whose requests
+// it has read and not yet passed to the handler.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
-		s.log.WithField("running", s.Running()).Warn("Running requests were aborted at shutdown.")
-		return s.http.Close()
+	s.stop()
+	begun := time.Now()
+	for {
+		s.conns.closeIdleSince(time.Now())
+		n := s.conns.counts()
+		if n.Open == 0 || n.Open == n.Unread && time.Since(begun) > shutdownUnreadTime {
+			return s.http.Close()
+		}
+		if !wait.For(ctx, shutdownPollInterval) {
+			s.log.WithField("running", s.Running()).Warn("Running requests were aborted at shutdown.")
+			return s.http.Close()
+		}
 	}
-	return nil
 }
 
 // Close stops the server and closes all connections at once.
