--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -41,6 +41,16 @@
 	return int64(s.MemoryMB) << 20 * bufferedPercent / 100
 }
 
+// bodyMemoryPercent is the part of the memory limit that large request bodies may take; a body
+// that is sent exists twice.
+const bodyMemoryPercent = 15
+
+// maxBodyMemory returns the bytes that the bodies of routed requests may take in sum, 0 for no
+// limit.
+func maxBodyMemory(s *settings.Settings) int64 {
+	return int64(s.MemoryMB) << 20 * bodyMemoryPercent / 100
+}
+
 // maxConnections returns how many connections of callers the settings and the memory limit
 // allow.
 func maxConnections(s *settings.Settings) int {
