--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -37,6 +37,10 @@
 	// httpHeaderTimeout bounds reading a request header on the edge's ports other than the
 	// gateway's.
 	httpHeaderTimeout = 3 * time.Second
+	// httpTimeout bounds reading a request, and its response, on these ports, httpIdleTimeout
+	// the wait for another request.
+	httpTimeout     = 30 * time.Second
+	httpIdleTimeout = time.Minute
 )
 
 // edgeOperator is the operator name for configuration changes that come through the
@@ -78,7 +82,7 @@
 	e.gateway = gateway.New(gateway.Options{
 		View: e.view, HeaderNames: e.adapter.HeaderNames(), Forwarder: d.engine, Dispatcher: e.dispatcher, Admission: e.admission, CrashStore: d.controlClient,
 		MaxConfigAge: e.settings.ConfigMaxAge, MaxHeaderBytes: d.settings.CallerLimits.HeaderBytes,
-		ReadHeaderTimeout: d.settings.CallerLimits.ReadTimeout, MaxConnections: maxConnections(d.settings), MaxRunning: maxRunning(d.settings), Log: d.logFor("gateway"), Registry: d.registry,
+		ReadHeaderTimeout: d.settings.CallerLimits.ReadTimeout, MaxConnections: maxConnections(d.settings), MaxRunning: maxRunning(d.settings), MaxBodyMemory: maxBodyMemory(d.settings), MaxBufferedBytes: maxBufferedBytes(d.settings), Log: d.logFor("gateway"), Registry: d.registry,
 	})
 	e.catalog = newCatalogRole(d, e.adapter.InstanceSource(e.settings.UpstreamList), e.dispatcher.SetInstances)
 	e.loads = loads.New(d.settings.Host, d.settings.DataCentre)
@@ -214,9 +218,13 @@
 	if err != nil {
 		return fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", address)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: httpHeaderTimeout}
+	limited := newLimitListener(ln)
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: httpHeaderTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: httpIdleTimeout,
+		ConnState: limited.stateChanged,
+	}
 	context.AfterFunc(ctx, func() { s.Close() })
-	return ignoreClosed(ctx, s.Serve(ln))
+	return ignoreClosed(ctx, s.Serve(limited))
 }
 
 // Parts of the shutdown deadline.
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -39,7 +39,7 @@
 	maxReadingTokens = 4_000
 	// maxWaiting bounds the queue of one gate.
 	maxWaiting = 1_024
-	// admittedTimeout is the time after which an admitted request that has not ended is
+	// admittedTimeout is the time without a confirmation after which an admitted request is
 	// dropped, in case its host has died or its messages were lost.
 	admittedTimeout = 15 * time.Second
 )
@@ -71,6 +71,8 @@
 	tokens  int
 	reading bool
 	at      time.Time
+	// confirmedAt is when the request's host last said that it runs.
+	confirmedAt time.Time
 	// tokensToFirstEvent estimates, at admission, the prompt tokens that the engine reads
 	// until this request's first event, its own included.
 	tokensToFirstEvent int
@@ -184,13 +186,18 @@
 		g.readingSince = now
 	}
 	g.readingTokens += tokens
-	g.running[r.ID] = &admittedRequest{tokens: tokens, reading: true, at: now, tokensToFirstEvent: g.unreadTokens(now)}
+	g.running[r.ID] = &admittedRequest{tokens: tokens, reading: true, at: now, confirmedAt: now, tokensToFirstEvent: g.unreadTokens(now)}
 	g.cache.markUsed(r.Parts, now)
 }
 
-// Adopt adds a request that another owner of the gate has admitted.
+// ConfirmInterval is how often a host has to confirm its admitted requests with Adopt. Two
+// confirmations fit into admittedTimeout.
+const ConfirmInterval = 7 * time.Second
+
+// Adopt adds a request that was admitted without this gate, or confirms one that still runs.
 func (g *Gate) Adopt(r AdmissionRequest, read bool, now time.Time) {
-	if g.running[r.ID] != nil {
+	if known := g.running[r.ID]; known != nil {
+		known.confirmedAt = now
 		return
 	}
 	g.admit(r, g.tokensToRead(r, now), now)
@@ -273,10 +280,10 @@
 	return granted, refused
 }
 
-// DropLost drops admitted requests that have not ended within admittedTimeout.
+// DropLost drops admitted requests that were not confirmed for admittedTimeout.
 func (g *Gate) DropLost(now time.Time) {
 	for id, r := range g.running {
-		if now.Sub(r.at) > admittedTimeout {
+		if now.Sub(r.confirmedAt) > admittedTimeout {
 			g.Done(id, now)
 		}
 	}
@@ -349,6 +356,13 @@
 // expected to have; running requests use the rest.
 const partCachePercent = 40
 
+// Callers name the parts and their tokens, so that tokens alone don't bound the memory of a
+// partCache: it holds at most maxCachedParts, of each prompt the first maxPartsOfPrompt.
+const (
+	maxCachedParts   = 2_048
+	maxPartsOfPrompt = 64
+)
+
 func newPartCache(memory int) *partCache {
 	return &partCache{maxTokens: memory * partCachePercent / 100, parts: map[uint64]*cachedPart{}}
 }
@@ -369,7 +383,7 @@
 // markUsed records that a prompt is read. Its last part belongs to one request and is not
 // cached for others.
 func (c *partCache) markUsed(parts []Part, now time.Time) {
-	for i := range max(len(parts)-1, 0) {
+	for i := range min(max(len(parts)-1, 0), maxPartsOfPrompt) {
 		p := c.parts[parts[i].ID]
 		if p == nil {
 			p = &cachedPart{tokens: parts[i].Tokens}
@@ -378,7 +392,7 @@
 		}
 		p.lastUsed = now
 	}
-	for c.usedTokens > c.maxTokens && len(c.parts) > 1 {
+	for (c.usedTokens > c.maxTokens || len(c.parts) > maxCachedParts) && len(c.parts) > 1 {
 		c.evict()
 	}
 }
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +27,10 @@
 	c := qt.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
+	return serveEmulator(c, opts, ln)
+}
+
+func serveEmulator(c *qt.C, opts Options, ln net.Listener) *harness {
 	e := New(opts)
 	done := make(chan error, 1)
 	go func() { done <- e.Serve(ln) }()
@@ -168,3 +173,111 @@
 	h.Assert(len(ev.Events) > 0 && len(ev.Events) < 7, qt.IsTrue, qt.Commentf("%v", ev))
 	h.Assert(ev.Events[0].Seq > 1, qt.IsTrue)
 }
+
+// recordingListener records when it is first closed and its connections are first written to
+// and closed.
+type recordingListener struct {
+	net.Listener
+	mu     sync.Mutex
+	events []string
+}
+
+func (l *recordingListener) record(event string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !slices.Contains(l.events, event) {
+		l.events = append(l.events, event)
+	}
+}
+
+func (l *recordingListener) Close() error {
+	l.record("listener closed")
+	return l.Listener.Close()
+}
+
+func (l *recordingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return recordedConn{c, l}, err
+}
+
+type recordedConn struct {
+	net.Conn
+	listener *recordingListener
+}
+
+func (c recordedConn) Write(b []byte) (int, error) {
+	c.listener.record("response written")
+	return c.Conn.Write(b)
+}
+
+func (c recordedConn) Close() error {
+	c.listener.record("connection closed")
+	return c.Conn.Close()
+}
+
+// Guards against a crash that is visible to callers while connections are still accepted.
+func TestListenerIsClosedBeforeCrashIsVisible(t *testing.T) {
+	for _, test := range []struct{ path, body, visibleAs string }{
+		{chatPath, `{"user":"` + CrashTrigger + `"}`, "connection closed"},
+		{"/debug/refuse?for_ms=50", "", "response written"},
+	} {
+		c := qt.New(t)
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		ln := &recordingListener{Listener: tcp}
+		h := serveEmulator(c, Options{}, ln)
+		_, _, err = h.post(test.path, "r1", test.body)
+		c.Check(err != nil, qt.Equals, test.visibleAs == "connection closed")
+		ln.mu.Lock()
+		c.Check(ln.events[:2], qt.DeepEquals, []string{"listener closed", test.visibleAs})
+		ln.mu.Unlock()
+	}
+}
+
+// lateListener accepts one connection when it is closed, and none before.
+type lateListener struct {
+	net.Listener
+	accepted chan net.Conn
+	closed   sync.Once
+}
+
+func (l *lateListener) Close() error {
+	l.closed.Do(func() {
+		_, near := net.Pipe()
+		l.accepted <- near
+		close(l.accepted)
+	})
+	return l.Listener.Close()
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	if c, ok := <-l.accepted; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Guards against a Close that never returns because a connection is accepted meanwhile.
+func TestCloseWhileConnectionIsAccepted(t *testing.T) {
+	c := qt.New(t)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ln := &lateListener{Listener: tcp, accepted: make(chan net.Conn, 1)}
+	e := New(Options{})
+	served, closed := make(chan error, 1), make(chan error, 1)
+	go func() { served <- e.Serve(ln) }()
+	for listening := false; !listening; {
+		e.mu.Lock()
+		listening = e.srv != nil
+		e.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	go func() { closed <- e.Close() }()
+	select {
+	case err = <-closed:
+		c.Assert(err, qt.IsNil)
+		c.Assert(<-served, qt.IsNil)
+	case <-time.After(10 * time.Second):
+		t.Fatal("Close waits for the goroutine that accepts connections, which waits for Close")
+	}
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -13,6 +13,21 @@
 // errTooLarge reports a response larger than MaxResponseBytes.
 var errTooLarge = errors.New("answer exceeds the size limit")
 
+// maxErrorBytes bounds the text of an error that may repeat the bytes of an upstream.
+const maxErrorBytes = 256
+
+// shortError shortens the text of an error to maxErrorBytes.
+type shortError struct{ error }
+
+// Error implements error.
+func (e shortError) Error() string {
+	text := e.error.Error()
+	return text[:min(len(text), maxErrorBytes)]
+}
+
+// Unwrap returns the error with its whole text.
+func (e shortError) Unwrap() error { return e.error }
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	connPool         *connPool
@@ -25,46 +40,48 @@
 	sent bool
 	// connected is true once there was a connection.
 	connected bool
-	complete  bool
+	// reused is true if the connection had carried another request before.
+	reused   bool
+	complete bool
 }
 
-// roundTrip sends req and reads the header of the response. Until finish is called,
-// cancelling ctx closes the connection.
+// roundTrip sends req, on an idle connection if reuse is set and there is one, and reads the
+// header of the response. Until finish is called, cancelling ctx closes the connection.
 //
 // A reused connection that accepts no byte of the request is replaced by a new one: the
 // upstream cannot have seen the request. Once a byte was accepted, nothing is sent again.
-func (p *connPool) roundTrip(ctx context.Context, address string, req *fasthttp.Request) (*exchange, error) {
+func (p *connPool) roundTrip(ctx context.Context, address string, req *fasthttp.Request, reuse, repeatable bool) (*exchange, error) {
 	x := &exchange{connPool: p, address: address}
-	for reuse := true; ; reuse = false {
-		var c *conn
-		if reuse {
-			c = p.takeIdle(address, true)
-		}
-		if c == nil {
-			var err error
-			if c, err = p.dial(ctx, address); err != nil {
-				return x, err
-			}
-			reuse = false
+	for ; ; reuse = false {
+		c, reused, err := p.acquire(ctx, address, reuse, repeatable, 0)
+		if err != nil {
+			return x, err
 		}
-		x.connected = true
+		x.connected, x.reused = true, reused
 		x.conn = c
 		x.stopContextWatch = context.AfterFunc(ctx, func() { c.Close() })
-		err := req.Write(c.bw)
-		if err == nil {
-			err = c.bw.Flush()
+		if err = x.send(req); err == nil {
+			return x, nil
 		}
-		x.sent = c.bytesSent.Load() > 0
-		if err == nil {
-			return x, x.readHeader(req)
+		p.closeFailed(ctx, c, reused, err)
+		if !reused || x.sent || ctx.Err() != nil {
+			return x, err
 		}
-		if reuse && !x.sent && ctx.Err() == nil {
-			x.stopContextWatch()
-			c.Close()
-			continue
-		}
-		return x, x.readEarlyResponse(req, err)
+		x.stopContextWatch()
+	}
+}
+
+// send writes the request and reads the header of its response.
+func (x *exchange) send(req *fasthttp.Request) error {
+	err := req.Write(x.conn.bw)
+	if err == nil {
+		err = x.conn.bw.Flush()
+	}
+	x.sent = x.conn.bytesSent.Load() > 0
+	if err != nil {
+		return x.readEarlyResponse(req, err)
 	}
+	return x.readHeader(req)
 }
 
 // readEarlyResponse reads a response that the upstream sent before it had read the whole
@@ -88,7 +105,7 @@
 		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
 		}
-		return err
+		return shortError{err}
 	}
 	x.body = x.resp.BodyStream()
 	return nil
@@ -111,7 +128,7 @@
 	}
 	b, err := io.ReadAll(io.LimitReader(x.body, int64(limit)+1))
 	if err != nil {
-		return b, err
+		return b, shortError{err}
 	}
 	if len(b) > limit {
 		return nil, errTooLarge
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/emulator"
@@ -45,6 +46,18 @@
 	return nil
 }
 
+// testClock is a clock that tests advance. Sweeps of the idle connections read it too.
+type testClock struct{ ns atomic.Int64 }
+
+func newTestClock() *testClock {
+	c := &testClock{}
+	c.ns.Store(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).UnixNano())
+	return c
+}
+
+func (c *testClock) Now() time.Time          { return time.Unix(0, c.ns.Load()) }
+func (c *testClock) Advance(d time.Duration) { c.ns.Add(int64(d)) }
+
 // closeMark at the end of a response text closes the connection after the text.
 const closeMark = "<close>"
 
@@ -266,12 +279,12 @@
 // Guards against connections that stay open to upstreams without requests.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	c := qt.New(t)
-	now := time.Now()
-	cl := New(Options{Now: func() time.Time { return now }})
+	now := newTestClock()
+	cl := New(Options{Now: now.Now})
 	defer cl.Close()
 	old, other := startScripted(t, okJSON), startScripted(t, okJSON)
 	c.Assert(cl.Do(context.Background(), chatRequest(old.address, false), &recordingSink{}).Outcome, qt.Equals, wire.OutcomeDone)
-	now = now.Add(defaultIdleConnTimeout)
+	now.Advance(defaultIdleConnTimeout)
 	c.Assert(cl.Do(context.Background(), chatRequest(other.address, false), &recordingSink{}).Outcome, qt.Equals, wire.OutcomeDone)
 	<-old.connectionEnded
 }
@@ -381,3 +394,40 @@
 		}
 	}
 }
+
+// Guards against more connections to an upstream than it accepts: those of requests to pools
+// and of the host's own requests count, too.
+func TestAllConnectionsCountForTheLimit(t *testing.T) {
+	c := qt.New(t)
+	u := startScripted(t, "")
+	cl := New(Options{})
+	defer cl.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error {
+		cl.Do(ctx, chatRequest(u.address, false), &recordingSink{})
+		return nil
+	})
+	g.Go(func() error {
+		_, _ = cl.FetchLoad(ctx, u.address)
+		return nil
+	})
+	for u.requests.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	forward := func(limit int) error {
+		short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := cl.Forward(short, &ForwardRequest{Address: u.address, Method: "GET", Target: "/", Host: "h", Header: http.Header{}, MaxConnections: limit})
+		return err
+	}
+	err := forward(2)
+	c.Assert(fault.CodeOf(err), qt.Equals, fault.QueueFull, qt.Commentf("%v", err))
+	c.Assert(fault.As(err).RunState, qt.Equals, fault.NotRun)
+	c.Assert(u.requests.Load(), qt.Equals, int64(2))
+	c.Assert(fault.CodeOf(forward(3)), qt.Equals, fault.UpstreamFailed)
+	cancel()
+	_ = g.Wait()
+	// Closed connections count no longer.
+	c.Assert(fault.CodeOf(forward(1)), qt.Equals, fault.UpstreamFailed)
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -45,9 +45,9 @@
 	calmIncrease  = 1.1
 	calmTime      = time.Second
 	// shedLag is the mean lag above which new connections are refused. Each check then
-	// multiplies the accepted fraction by acceptDecrease, down to minAccepted, and on a calm
-	// host adds acceptIncrease to it. Recovery is slow, because the flood is still there when
-	// the host has become calm.
+	// multiplies the accepted fraction by acceptDecrease, down to minAccepted, and below
+	// overloadLag adds acceptIncrease to it. Recovery is slow, because the flood is still there
+	// when the host has become calm.
 	shedLag        = 2 * overloadLag
 	acceptDecrease = 0.6
 	minAccepted    = 0.05
@@ -125,8 +125,11 @@
 		if l.lag > shedLag {
 			l.accepted = max(l.accepted*acceptDecrease, minAccepted)
 		}
-	case l.lag < calmLag && !math.IsInf(l.limit, 1):
+	case l.lag < overloadLag && !math.IsInf(l.limit, 1):
 		l.accepted = min(l.accepted+acceptIncrease, 1)
+		if l.lag >= calmLag {
+			return
+		}
 		// Above twice the highest rate the limit affects no account.
 		unlimited := max(2*rate, minLimit)
 		if l.limit = min(l.limit*l.increase(now), unlimited); l.accepted == 1 && l.limit == unlimited {
