--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -144,13 +144,7 @@
 // them and send nothing.
 func TestRefusalsOfSilentConnectionsAreBounded(t *testing.T) {
 	gw := newTestGatewayWith(t, document(), limitConnections)
-	now := time.Now()
-	gw.server.limiter.Lock()
-	for i := range 100 {
-		gw.server.limiter.Admit("hot", now)
-		gw.server.limiter.Observe(time.Duration(1+i)*time.Second, now.Add(time.Duration(i)*20*time.Millisecond))
-	}
-	gw.server.limiter.Unlock()
+	gw.overload()
 	most := 0
 	for range 8 * testMaxConnections {
 		c, err := net.Dial("tcp", gw.address)
@@ -161,6 +155,19 @@
 	gw.Assert(most <= testMaxConnections/2, qt.IsTrue, qt.Commentf("%d connections were being refused at once", most))
 }
 
+// overload feeds the limiter timers that fire later and later, so that it refuses most new
+// connections. It returns the time before the first of them.
+func (gw *testGateway) overload() time.Time {
+	now := time.Now()
+	gw.server.limiter.Lock()
+	defer gw.server.limiter.Unlock()
+	for i := range 100 {
+		gw.server.limiter.Admit("hot", now)
+		gw.server.limiter.Observe(time.Duration(1+i)*time.Second, now.Add(time.Duration(i)*20*time.Millisecond))
+	}
+	return now
+}
+
 // waitFor waits until the counts of the callers' connections meet a condition.
 func (gw *testGateway) waitFor(condition func(ConnectionCounts) bool) {
 	for end := time.Now().Add(testTimeout); !condition(gw.server.Connections()); time.Sleep(time.Millisecond) {
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -56,13 +56,7 @@
 func TestNewConnectionsAreShed(t *testing.T) {
 	u := newUpstream(t, writeRaw("%s", rawResponse(200, "ok")))
 	gw := newTestGateway(t, document(), u)
-	now := time.Now()
-	gw.server.limiter.Lock()
-	for i := range 100 {
-		gw.server.limiter.Admit("hot", now)
-		gw.server.limiter.Observe(time.Duration(1+i)*time.Second, now.Add(time.Duration(i)*20*time.Millisecond))
-	}
-	gw.server.limiter.Unlock()
+	now := gw.overload()
 	refused := 0
 	for range 100 {
 		before := len(u.requests())
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -17,13 +17,7 @@
 // overloaded host and send nothing.
 func TestSilentConnectionsKeepNoRefusalFromOthers(t *testing.T) {
 	gw := newTestGatewayWith(t, document(), limitConnections)
-	now := time.Now()
-	gw.server.limiter.Lock()
-	for i := range 100 {
-		gw.server.limiter.Admit("hot", now)
-		gw.server.limiter.Observe(time.Duration(1+i)*time.Second, now.Add(time.Duration(i)*20*time.Millisecond))
-	}
-	gw.server.limiter.Unlock()
+	gw.overload()
 	dial := func() net.Conn {
 		nc, err := net.Dial("tcp", gw.address)
 		gw.Assert(err, qt.IsNil)
