Split the admission of requests by role; name the two accepted figures of the limiter apart

In overload, the fraction of accepted connections and the rate of accepted requests of an account had one name.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -85,12 +85,6 @@
 	admitted map[uint64]*Permit
 }
 
-type ownedGate struct {
-	*dispatch.Gate
-	speed    *dispatch.SpeedEstimator
-	lastUsed time.Time
-}
-
 // replyBuffer is the number of replies buffered for a request and its repeats.
 const replyBuffer = 4
 
@@ -117,58 +111,6 @@
 	a.announce(handovers)
 }
 
-// announce sends the messages about requests that have not ended meanwhile. An owner that
-// learns of a request after its end would count it until the gate drops it as lost.
-func (a *Admission) announce(list []handover) {
-	for _, m := range list {
-		a.mu.Lock()
-		_, running := a.admitted[m.request.Seq]
-		a.mu.Unlock()
-		if running {
-			a.sendRequest(m.owner, m.request)
-		}
-	}
-}
-
-// handover is an admitted request of which the owner of its gate has to be told.
-type handover struct {
-	owner   string
-	request *wire.AdmissionRequest
-}
-
-// handoversLocked updates the owner of each admitted request whose gate has a new one, and
-// returns the messages that tell the new owners about these requests. An owner that did not
-// know of them would send more to a busy engine.
-func (a *Admission) handoversLocked() (list []handover) {
-	for _, p := range a.admitted {
-		owner := a.ownerLocked(p.key)
-		if owner == p.owner {
-			continue
-		}
-		p.owner, p.announcedAt = owner, a.opts.Now()
-		m := a.requestMessage(p)
-		m.Admitted, m.Read = true, p.read
-		list = append(list, handover{owner, m})
-	}
-	return list
-}
-
-// confirmationsLocked returns the messages by which the owners keep counting the admitted
-// requests of this host. Without them an owner can't tell a long stream from a request whose
-// host has died. They leave out the prompt, which the owner knows.
-func (a *Admission) confirmationsLocked(now time.Time) (list []handover) {
-	for _, p := range a.admitted {
-		if now.Sub(p.announcedAt) < dispatch.ConfirmInterval {
-			continue
-		}
-		p.announcedAt = now
-		m := a.requestMessage(p)
-		m.Admitted, m.Read, m.Parts = true, p.read, nil
-		list = append(list, handover{p.owner, m})
-	}
-	return list
-}
-
 // ownerLocked returns the host that owns the gate of an engine.
 func (a *Admission) ownerLocked(k catalog.Key) string {
 	return a.hosts.Best(rendezvous.Hash(k.ID))
@@ -421,89 +363,6 @@
 	}
 }
 
-// addressedReply is a reply with the host that it is for.
-type addressedReply struct {
-	host string
-	wire.AdmissionReply
-}
-
-func (a *Admission) sendReplies(list []addressedReply) {
-	for _, reply := range list {
-		if reply.host == a.opts.Host {
-			a.deliver(reply.AdmissionReply)
-			continue
-		}
-		a.send(reply.host, wire.KindAdmissionReply, reply.AdmissionReply)
-	}
-}
-
-func (a *Admission) handleRequest(from string, m *wire.AdmissionRequest) {
-	now := a.opts.Now()
-	request := dispatch.AdmissionRequest{
-		ID: dispatch.AdmissionID{Host: from, Seq: m.Seq}, Tokens: m.Tokens,
-		FirstEventDue: now.Add(m.AimLeft), Deadline: now.Add(m.EndLeft), Rank: min(dispatch.Rank(m.Rank), dispatch.BeyondShare),
-	}
-	for _, p := range m.Parts {
-		request.Parts = append(request.Parts, dispatch.Part(p))
-	}
-	a.mu.Lock()
-	g := a.gateLocked(m, now)
-	if m.Admitted {
-		g.Adopt(request, m.Read, now)
-		a.mu.Unlock()
-		return
-	}
-	reply := g.Request(request, now)
-	out := []addressedReply{{from, wire.AdmissionReply{Seq: m.Seq, Granted: reply.Granted, Queued: reply.Queued, Wait: reply.Wait}}}
-	a.mu.Unlock()
-	a.sendReplies(out)
-}
-
-func (a *Admission) gateLocked(m *wire.AdmissionRequest, now time.Time) *ownedGate {
-	k := catalog.Key{ID: m.ID, Born: m.Born}
-	g := a.gates[k]
-	if g == nil {
-		speed := a.speeds[m.Service]
-		if speed == nil {
-			speed = dispatch.NewSpeedEstimator()
-			a.speeds[m.Service] = speed
-		}
-		g = &ownedGate{Gate: dispatch.NewGate(m.Slots, m.MemoryTokens, speed), speed: speed}
-		a.gates[k] = g
-	}
-	g.lastUsed = now
-	return g
-}
-
-func (a *Admission) handleProgress(from string, m *wire.AdmissionProgress) {
-	now := a.opts.Now()
-	id := dispatch.AdmissionID{Host: from, Seq: m.Seq}
-	a.mu.Lock()
-	g := a.gates[catalog.Key{ID: m.ID, Born: m.Born}]
-	var out []addressedReply
-	if g != nil {
-		if m.Done {
-			g.Done(id, now)
-		} else {
-			g.FirstEvent(id, now)
-		}
-		out = g.next(now)
-	}
-	a.mu.Unlock()
-	a.sendReplies(out)
-}
-
-func (g *ownedGate) next(now time.Time) (out []addressedReply) {
-	granted, refused := g.AdmitWaiting(now)
-	for _, id := range granted {
-		out = append(out, addressedReply{id.Host, wire.AdmissionReply{Seq: id.Seq, Granted: true}})
-	}
-	for _, id := range refused {
-		out = append(out, addressedReply{id.Host, wire.AdmissionReply{Seq: id.Seq}})
-	}
-	return out
-}
-
 // Tick confirms the admitted requests of this host, refuses waiting requests that can't be
 // served in time any more, grants those that have room, and drops lost requests and unused
 // gates.
@@ -527,19 +386,3 @@
 	a.mu.Unlock()
 	a.sendReplies(out)
 }
-
-// Loads returns the loads of the gates that this host owns.
-func (a *Admission) Loads() []wire.GateLoad {
-	now := a.opts.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var out []wire.GateLoad
-	for k, g := range a.gates {
-		if a.ownerLocked(k) != a.opts.Host {
-			continue
-		}
-		backlog, running := g.Backlog(now)
-		out = append(out, wire.GateLoad{ID: k.ID, Born: k.Born, Backlog: backlog, Running: running, PerMs: g.speed.PerMs()})
-	}
-	return out
-}
--- /dev/null
+++ b/internal/admission/handover.go
@@ -0,0 +1,60 @@
+package admission
+
+import (
+	"time"
+
+	"marigoldshunt/internal/dispatch"
+	"marigoldshunt/internal/wire"
+)
+
+// announce sends the messages about requests that have not ended meanwhile. An owner that
+// learns of a request after its end would count it until the gate drops it as lost.
+func (a *Admission) announce(list []handover) {
+	for _, m := range list {
+		a.mu.Lock()
+		_, running := a.admitted[m.request.Seq]
+		a.mu.Unlock()
+		if running {
+			a.sendRequest(m.owner, m.request)
+		}
+	}
+}
+
+// handover is an admitted request of which the owner of its gate has to be told.
+type handover struct {
+	owner   string
+	request *wire.AdmissionRequest
+}
+
+// handoversLocked updates the owner of each admitted request whose gate has a new one, and
+// returns the messages that tell the new owners about these requests. An owner that did not
+// know of them would send more to a busy engine.
+func (a *Admission) handoversLocked() (list []handover) {
+	for _, p := range a.admitted {
+		owner := a.ownerLocked(p.key)
+		if owner == p.owner {
+			continue
+		}
+		p.owner, p.announcedAt = owner, a.opts.Now()
+		m := a.requestMessage(p)
+		m.Admitted, m.Read = true, p.read
+		list = append(list, handover{owner, m})
+	}
+	return list
+}
+
+// confirmationsLocked returns the messages by which the owners keep counting the admitted
+// requests of this host. Without them an owner can't tell a long stream from a request whose
+// host has died. They leave out the prompt, which the owner knows.
+func (a *Admission) confirmationsLocked(now time.Time) (list []handover) {
+	for _, p := range a.admitted {
+		if now.Sub(p.announcedAt) < dispatch.ConfirmInterval {
+			continue
+		}
+		p.announcedAt = now
+		m := a.requestMessage(p)
+		m.Admitted, m.Read, m.Parts = true, p.read, nil
+		list = append(list, handover{p.owner, m})
+	}
+	return list
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -76,8 +76,8 @@
 	// limit is the rate limit of each account in requests per second; it is infinite while
 	// the host is not overloaded.
 	limit float64
-	// accepted is the fraction of the new connections that is not refused.
-	accepted float64
+	// acceptedFraction is the fraction of the new connections that is not refused.
+	acceptedFraction float64
 	// calmSince is the time of the last check at which the lag was not below calmLag.
 	calmSince time.Time
 	// lag is the mean lag, lagAtCheck its value when the limits were last checked, at
@@ -92,15 +92,15 @@
 
 // account is the request rate and the token bucket of one account at this host.
 type account struct {
-	// rate and accepted are the mean rates of its requests and of those that were accepted.
-	rate, accepted float64
-	at             time.Time
-	tokens         float64
+	// rate and acceptedRate are the mean rates of its requests and of those that were accepted.
+	rate, acceptedRate float64
+	at                 time.Time
+	tokens             float64
 }
 
 // New returns a Limiter that accepts everything.
 func New() *Limiter {
-	return &Limiter{limit: math.Inf(1), accepted: 1, accounts: map[string]*account{}}
+	return &Limiter{limit: math.Inf(1), acceptedFraction: 1, accounts: map[string]*account{}}
 }
 
 // Observe records how late a timer of the host fired. It is called every SampleInterval.
@@ -112,7 +112,7 @@
 	if now.Sub(l.checkedAt) < adjustInterval {
 		return
 	}
-	rate, accepted := l.highestRates(now)
+	rate, acceptedRate := l.highestRates(now)
 	notFalling := float64(l.lag) > fallingRatio*float64(l.lagAtCheck)
 	repeated := !l.lateTimes[0].IsZero() && now.Sub(l.lateTimes[0]) < repeatWithin
 	l.checkedAt, l.lagAtCheck = now, l.lag
@@ -121,18 +121,18 @@
 	}
 	switch {
 	case l.lag > overloadLag && notFalling && repeated:
-		l.limit = max(l.decreased(accepted), minLimit)
+		l.limit = max(l.decreased(acceptedRate), minLimit)
 		if l.lag > shedLag {
-			l.accepted = max(l.accepted*acceptDecrease, minAccepted)
+			l.acceptedFraction = max(l.acceptedFraction*acceptDecrease, minAccepted)
 		}
 	case l.lag < overloadLag && !math.IsInf(l.limit, 1):
-		l.accepted = min(l.accepted+acceptIncrease, 1)
+		l.acceptedFraction = min(l.acceptedFraction+acceptIncrease, 1)
 		if l.lag >= calmLag {
 			return
 		}
 		// Above twice the highest rate the limit affects no account.
 		unlimited := max(2*rate, minLimit)
-		if l.limit = min(l.limit*l.increase(now), unlimited); l.accepted == 1 && l.limit == unlimited {
+		if l.limit = min(l.limit*l.increase(now), unlimited); l.acceptedFraction == 1 && l.limit == unlimited {
 			l.limit = math.Inf(1)
 		}
 	}
@@ -146,31 +146,31 @@
 	return calmIncrease
 }
 
-// decreased returns the rate limit after a decrease; accepted is the highest rate at which the
-// requests of an account were accepted.
-func (l *Limiter) decreased(accepted float64) float64 {
+// decreased returns the rate limit after a decrease; acceptedRate is the highest rate at which
+// the requests of an account were accepted.
+func (l *Limiter) decreased(acceptedRate float64) float64 {
 	if l.lag > deepLag {
-		return min(l.limit, accepted) * deepDecrease
+		return min(l.limit, acceptedRate) * deepDecrease
 	}
-	return min(l.limit, accepted*limitDecrease)
+	return min(l.limit, acceptedRate*limitDecrease)
 }
 
 // highestRates returns the highest rate of an account and the highest rate at which the
 // requests of an account were accepted, and drops accounts that have become inactive.
-func (l *Limiter) highestRates(now time.Time) (rate, accepted float64) {
+func (l *Limiter) highestRates(now time.Time) (rate, acceptedRate float64) {
 	for name, a := range l.accounts {
 		if a.decay(now); a.rate < 1/rateTimeConstant.Seconds()/8 {
 			delete(l.accounts, name)
 			continue
 		}
-		rate, accepted = max(rate, a.rate), max(accepted, a.accepted)
+		rate, acceptedRate = max(rate, a.rate), max(acceptedRate, a.acceptedRate)
 	}
-	return rate, accepted
+	return rate, acceptedRate
 }
 
 func (a *account) decay(now time.Time) {
 	left := math.Exp(-now.Sub(a.at).Seconds() / rateTimeConstant.Seconds())
-	a.rate, a.accepted, a.at = a.rate*left, a.accepted*left, now
+	a.rate, a.acceptedRate, a.at = a.rate*left, a.acceptedRate*left, now
 }
 
 // Admit records a request of an account and reports whether the host accepts it.
@@ -188,7 +188,7 @@
 	a.rate += 1 / rateTimeConstant.Seconds()
 	if math.IsInf(l.limit, 1) {
 		a.tokens = minBurst
-		a.accepted += 1 / rateTimeConstant.Seconds()
+		a.acceptedRate += 1 / rateTimeConstant.Seconds()
 		return true
 	}
 	a.tokens = min(a.tokens+since*l.limit, max(l.limit*burstTime.Seconds(), minBurst))
@@ -196,13 +196,13 @@
 		return false
 	}
 	a.tokens--
-	a.accepted += 1 / rateTimeConstant.Seconds()
+	a.acceptedRate += 1 / rateTimeConstant.Seconds()
 	return true
 }
 
 // Shed reports whether a new connection is refused at once. u is a random number, at
 // least 0 and below 1.
-func (l *Limiter) Shed(u float64) bool { return u >= l.accepted }
+func (l *Limiter) Shed(u float64) bool { return u >= l.acceptedFraction }
 
 // Busy reports whether the host is, or recently was, short of CPU time.
 func (l *Limiter) Busy() bool { return !math.IsInf(l.limit, 1) }
