--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,7 +18,11 @@
 	d := document()
 	d.Accounts = []routing.Account{{Name: "hot", Credentials: []string{"k1"}}, {Name: "small", Credentials: []string{"k2"}}}
 	end := make(chan struct{})
-	defer close(end)
+	var slow sync.WaitGroup
+	defer func() {
+		close(end)
+		slow.Wait()
+	}()
 	u := newUpstream(t, func(req *receivedRequest) {
 		if req.Header.Get("X-Slow") != "" {
 			<-end
@@ -27,13 +32,13 @@
 	gw := newTestGatewayWith(t, d, func(opts *Options) { opts.MaxRunning = maxRunning }, u)
 	statuses := make(chan int, 2*maxRunning)
 	for range 2 * maxRunning {
-		go func() {
+		slow.Go(func() {
 			resp, _, _ := gw.do("GET", "/read/x", "", "X-Api-Key: k1", "X-Slow: 1")
 			if resp == nil {
 				resp = &http.Response{}
 			}
 			statuses <- resp.StatusCode
-		}()
+		})
 	}
 	for i := range maxRunning {
 		select {
