--- a/internal/daemon/edgehttp_test.go
+++ b/internal/daemon/edgehttp_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/freeport"
 )
 
 // Guards against a host that ends by memory because callers open any number of connections to
@@ -20,10 +22,10 @@
 func TestConnectionsOfTheEdgesOtherPortsAreBounded(t *testing.T) {
 	const callers, most = 512, 192
 	c := qt.New(t)
-	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	reserved, err := freeport.Reserve("127.0.0.1", 0)
 	c.Assert(err, qt.IsNil)
-	address := reserved.Addr().String()
-	c.Assert(reserved.Close(), qt.IsNil)
+	c.Cleanup(func() { c.Check(reserved.Close(), qt.IsNil) })
+	address := reserved.Address()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
