Refuse requests of limited accounts before the HTTP server parses them

Change: on an overloaded host the connection itself looks at a request's first bytes. If the head is complete and plain, and the limiter refuses the account of its credential, it answers 503, reads the rest of the body and waits for the next request. Everything unusual is left to the HTTP server. No log line is built that the sink would drop. A refusal waits for the body of its request for a limited time; so far a caller that held a body back kept its connection for ever.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/logsink"
 	"marigoldshunt/internal/overload"
 	"marigoldshunt/internal/routing"
 	"marigoldshunt/internal/wait"
@@ -143,7 +144,7 @@
 // Serve accepts connections on ln until Shutdown or Close.
 func (s *Server) Serve(ln net.Listener) error {
 	context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
-	err := s.http.Serve(headerListener{newShedListener(ln, s), s.headerTimeout})
+	err := s.http.Serve(headerListener{newShedListener(ln, s), s.headerTimeout, s.refuseEarly})
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Err() != nil {
 		return nil
 	}
@@ -199,6 +200,17 @@
 	metrics.GetOrRegisterCounter("gateway."+name, s.opts.Registry).Inc(1)
 }
 
+// dropsInfo reports whether a log line at info level would be dropped now, and counts it then.
+func (s *Server) dropsInfo() bool {
+	switch l := s.log.(type) {
+	case *logrus.Entry:
+		return logsink.Dropped(l.Logger, logrus.InfoLevel)
+	case *logrus.Logger:
+		return logsink.Dropped(l, logrus.InfoLevel)
+	}
+	return false
+}
+
 // observeSince adds the time since start to a timer metric.
 func (s *Server) observeSince(name string, start time.Time) {
 	metrics.GetOrRegisterTimer("gateway."+name, s.opts.Registry).UpdateSince(start)
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -7,17 +7,19 @@
 	"time"
 )
 
-// headerListener accepts connections whose headers are bounded by timeout.
+// headerListener accepts connections whose headers are bounded by timeout and whose requests
+// refuseEarly may refuse.
 type headerListener struct {
 	net.Listener
-	timeout func() time.Duration
+	timeout     func() time.Duration
+	refuseEarly func(c *headerConn, p []byte) (refused bool, err error)
 }
 
 // Accept implements net.Listener.
 func (l headerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if t, ok := c.(*net.TCPConn); ok {
-		return &headerConn{TCPConn: t, timeout: l.timeout}, err
+		return &headerConn{TCPConn: t, timeout: l.timeout, refuseEarly: l.refuseEarly}, err
 	}
 	return c, err
 }
@@ -29,8 +31,12 @@
 // open connection only while nothing reads from it.
 type headerConn struct {
 	*net.TCPConn
-	timeout func() time.Duration
-	state   http.ConnState
+	timeout     func() time.Duration
+	refuseEarly func(c *headerConn, p []byte) (refused bool, err error)
+	state       http.ConnState
+	// bufferBytes is the size of the HTTP server's empty read buffer. A smaller buffer tells
+	// that the beginning of a request has been read already.
+	bufferBytes int
 	// headerStart is when the first byte of a header was waited for on a new connection, or
 	// read on an idle one; zero if no header is being read.
 	headerStart time.Time
@@ -72,8 +78,29 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It hands no request to the HTTP server that is refused early.
 func (c *headerConn) Read(p []byte) (int, error) {
+	if c.bufferBytes == 0 {
+		c.bufferBytes = len(p)
+	}
+	for {
+		n, err := c.read(p)
+		atStart := len(p) == c.bufferBytes && (c.state == http.StateNew || c.state == http.StateIdle)
+		if n == 0 || err != nil || !atStart {
+			return n, err
+		}
+		refused, err := c.refuseEarly(c, p[:n])
+		if err != nil {
+			return 0, err
+		}
+		if !refused {
+			return n, nil
+		}
+	}
+}
+
+// read reads within the limit for headers.
+func (c *headerConn) read(p []byte) (int, error) {
 	if c.state == http.StateNew && c.headerStart.IsZero() {
 		c.headerStart = time.Now()
 	}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -111,7 +111,12 @@
 		return nil
 	}
 	s.places.release(account)
-	return fault.New(fault.HostOverloaded, fault.NotRun, "each account may send %.0f requests per second to this host now", s.limiter.RateLimit()).WithRetryAfter(overloadRetryAfter)
+	return rateLimited(s.limiter.RateLimit())
+}
+
+// rateLimited is the failure of a request beyond the rate limit of its account.
+func rateLimited(limit float64) *fault.Error {
+	return fault.New(fault.HostOverloaded, fault.NotRun, "each account may send %.0f requests per second to this host now", limit).WithRetryAfter(overloadRetryAfter)
 }
 
 // Busy reports whether the host is, or recently was, short of CPU time.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -301,11 +301,14 @@
 		c.RunState = fault.MayHaveRun
 		e = &c
 	}
-	q.server.count("failed." + string(e.Code))
-	q.logFailure(e)
+	q.recordFailure(e)
 	if q.headerWritten || e.Code == fault.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
+	if q.body == nil {
+		// The server reads the rest of the body before it responds.
+		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(q.server.opts.ReadHeaderTimeout)) // fails only if the connection is already closed
+	}
 	status := statusOf(e)
 	h := q.w.Header()
 	h.Set("Content-Type", "application/json")
@@ -323,6 +326,14 @@
 	}
 }
 
+// recordFailure counts and logs a failed request.
+func (q *request) recordFailure(e *fault.Error) {
+	q.server.count("failed." + string(e.Code))
+	if !q.server.dropsInfo() {
+		q.logFailure(e)
+	}
+}
+
 // failureBody returns the response body for an error of the host's own.
 func failureBody(code fault.Code, run fault.RunState) string {
 	return `{"error":{"code":"` + string(code) + `","run_state":"` + string(run) + `"}}` + "\n"
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -117,6 +117,16 @@
 	return f.Formatter.Format(e)
 }
 
+// Dropped reports whether the logger would drop a line of a level now, and counts a line that its
+// Sink would drop. Code that logs a line for each failed request asks before it builds the line.
+func Dropped(log *logrus.Logger, level logrus.Level) bool {
+	if !log.IsLevelEnabled(level) {
+		return true
+	}
+	f, ok := log.Formatter.(Formatter)
+	return ok && f.Sink.drops(level)
+}
+
 // reportDropped logs how many lines were dropped since its last report. Write calls it at
 // most once a second.
 func (s *Sink) reportDropped(now time.Time) {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -175,6 +175,34 @@
 
 // Admit records a request of an account and reports whether the host accepts it.
 func (l *Limiter) Admit(name string, now time.Time) bool {
+	a := l.refilled(name, now)
+	a.rate += 1 / rateTimeConstant.Seconds()
+	if !math.IsInf(l.limit, 1) {
+		if a.tokens < 1 {
+			return false
+		}
+		a.tokens--
+	}
+	a.acceptedRate += 1 / rateTimeConstant.Seconds()
+	return true
+}
+
+// RefuseEarly reports whether the host refuses a request of an account. Only then it records
+// the request, as Admit does; otherwise Admit has to decide.
+func (l *Limiter) RefuseEarly(name string, now time.Time) bool {
+	if math.IsInf(l.limit, 1) {
+		return false
+	}
+	a := l.refilled(name, now)
+	if a.tokens >= 1 {
+		return false
+	}
+	a.rate += 1 / rateTimeConstant.Seconds()
+	return true
+}
+
+// refilled returns the rates and the token bucket of an account as they are now.
+func (l *Limiter) refilled(name string, now time.Time) *account {
 	a := l.accounts[name]
 	if a == nil {
 		if len(l.accounts) >= maxAccounts {
@@ -185,19 +213,12 @@
 	}
 	since := now.Sub(a.at).Seconds()
 	a.decay(now)
-	a.rate += 1 / rateTimeConstant.Seconds()
 	if math.IsInf(l.limit, 1) {
 		a.tokens = minBurst
-		a.acceptedRate += 1 / rateTimeConstant.Seconds()
-		return true
-	}
-	a.tokens = min(a.tokens+since*l.limit, max(l.limit*burstTime.Seconds(), minBurst))
-	if a.tokens < 1 {
-		return false
+	} else {
+		a.tokens = min(a.tokens+since*l.limit, max(l.limit*burstTime.Seconds(), minBurst))
 	}
-	a.tokens--
-	a.acceptedRate += 1 / rateTimeConstant.Seconds()
-	return true
+	return a
 }
 
 // Shed reports whether a new connection is refused at once. u is a random number, at
