Ask no other engine for a request that this host must not send

Cause: the look at the configuration right before a send fails with a run state of not_run, which the loop of attempts takes for an instance that refused. Each turn asked the gate of another engine and took a retry from the fleet's budget, and no instance could have helped. The same for a credential that was revoked meanwhile.

TestRequestsOfAnIsolatedHostAreNotRetried failed before: three gates were asked instead of one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,7 +45,7 @@
 			}
 		}
 		retryable := failure.RunState == fault.NotRun || q.route.AllowsRerun() && possibleRuns < q.route.Attempts
-		if !retryable || ctx.Err() != nil || q.sends >= maxSends || failure.Code == fault.CallerGone || failure.Code == fault.PoolUnknown {
+		if !retryable || ctx.Err() != nil || q.sends >= maxSends || !helpedByRetry(failure.Code) {
 			return err
 		}
 		if !q.server.opts.Dispatcher.takeRetry(q.service.Name) {
@@ -56,6 +56,16 @@
 	}
 }
 
+// helpedByRetry reports whether another instance may serve a request that failed with a code.
+// The other codes are about the caller or this host.
+func helpedByRetry(code fault.Code) bool {
+	switch code {
+	case fault.CallerGone, fault.PoolUnknown, fault.HostIsolated, fault.Unauthenticated:
+		return false
+	}
+	return true
+}
+
 // attempt sends the request to one instance and relays its response.
 func (q *request) attempt(ctx context.Context) error {
 	q.job.Remaining = time.Until(q.deadline)
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
+	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/routing"
 )
 
@@ -211,3 +214,43 @@
 		gw.Assert(err, qt.IsNil)
 	}
 }
+
+// countingAdmitter admits every request after calling before.
+type countingAdmitter struct {
+	before func()
+	calls  atomic.Int64
+}
+
+func (a *countingAdmitter) Admit(context.Context, *admission.Request) (*admission.Permit, error) {
+	a.calls.Add(1)
+	a.before()
+	return nil, nil
+}
+
+// Guards against asking further engines, and spending the budget of retries, for a request that
+// this host must not send to any of them.
+func TestRequestsOfAnIsolatedHostAreNotRetried(t *testing.T) {
+	for name, change := range map[string]func(v *View){
+		"isolated":           func(v *View) { v.Age = 2 * time.Second },
+		"credential revoked": func(v *View) { v.Table = routing.NewTable(revokedDocument()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := revokedDocument()
+			d.Accounts[0].Credentials = append(d.Accounts[0].Credentials, "k1")
+			d.Services[0].Engine = &routing.Engine{Slots: 4, MemoryTokens: 1_000}
+			var gw *testGateway
+			a := &countingAdmitter{before: func() { gw.setView(change) }}
+			gw = newTestGatewayWith(t, d, func(opts *Options) { opts.Admission = a }, newUpstream(t), newUpstream(t), newUpstream(t))
+			resp, _, _ := gw.do("GET", "/read/x", "", "X-Api-Key: k1")
+			gw.Check(resp.StatusCode == 503 || resp.StatusCode == 401, qt.IsTrue, qt.Commentf("%d", resp.StatusCode))
+			gw.Check(a.calls.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// revokedDocument returns a document whose account has one credential left, k2.
+func revokedDocument() *routing.Document {
+	d := document()
+	d.Accounts = []routing.Account{{Name: "acc", Credentials: []string{"k2"}}}
+	return d
+}
