Let request bodies and buffered responses share one budget type

gateway.bodyMemory and gateway.room were the same: add to a host-wide sum, take it back above the limit, give it back at the end of the request; 0 is no limit. budget is the sum with its limit, reservation what one request or response holds of it. A response reserves maxBuffered once; a body grows to each size that it needs. The test reads the counter at its new place; its bound, zero, is the same.

daemon.limitListener and gateway.connections stay two. They share a map, a list and "close the first", about ten lines; what each decides differs. The edge's ports count a new connection as one that waits and close it; the gateway never closes a connection without a request to make room and has a time limit on its header instead. The edge closes sockets outright; the gateway sets a deadline and follows connections that a request revives, so it counts closing ones and compares with the limit without them, and closes one per accept only at that limit, while the edge does it at each accept above its limit. One type would need a function that closes, a switch for new connections, and both comparisons, for 50 lines that are simple now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -182,9 +182,9 @@
 
 // relayPlain relays a response that is not a stream.
 func (q *request) relayPlain(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
-	room := q.server.newRoom()
+	room := reservation{budget: &q.server.buffered}
 	defer room.release()
-	body, whole, err := bufferBody(resp.Body, room)
+	body, whole, err := bufferBody(resp.Body, &room)
 	if err != nil {
 		return q.truncated(ctx, p, err)
 	}
--- a/internal/gateway/bodymemory.go
+++ b/internal/gateway/bodymemory.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"sync/atomic"
 )
 
 // uncountedBodyBytes is the part of each body that does not count, so that large bodies don't
@@ -13,16 +12,10 @@
 // errBodyMemory means that there is no memory for a body now.
 var errBodyMemory = errors.New("no memory for the body")
 
-// bodyMemory bounds the memory of request bodies in sum, in bytes.
-type bodyMemory struct {
-	limit int64 // 0 for none
-	used  atomic.Int64
-}
-
-// read reads a body of the given length, -1 if unknown. It adds the memory that counts to
-// held, which the caller subtracts from used once the body is no longer needed. It returns
-// errBodyMemory if there is no memory for the body.
-func (m *bodyMemory) read(r io.Reader, length int64, held *int64) ([]byte, error) {
+// readAll reads a body of the given length, -1 if unknown. It reserves the memory that counts;
+// the caller releases it once the body is no longer needed. It returns errBodyMemory if there
+// is no memory for the body.
+func readAll(r io.Reader, length int64, memory *reservation) ([]byte, error) {
 	body := make([]byte, 0, uncountedBodyBytes)
 	if length >= 0 && length < uncountedBodyBytes {
 		body = make([]byte, 0, length)
@@ -36,11 +29,9 @@
 			if length < 0 {
 				size = 2 * int64(cap(body))
 			}
-			if m.used.Add(size-*held) > m.limit && m.limit > 0 {
-				m.used.Add(*held - size)
+			if !memory.growTo(size) {
 				return nil, errBodyMemory
 			}
-			*held = size
 			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -147,7 +147,7 @@
 			c.Check(grown < 4*maxTotal+requests*4*freeBufferedBytes, qt.IsTrue, qt.Commentf("the heap grew by %d bytes", grown))
 			c.Check(complete.Load(), qt.Equals, tc.complete)
 			gw.endRequests()
-			c.Check(gw.server.buffered.Load(), qt.Equals, int64(0))
+			c.Check(gw.server.buffered.used.Load(), qt.Equals, int64(0))
 		})
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,16 +100,15 @@
 	conns   *connections
 	limiter lockedLimiter
 	places  places
-	bodies  bodyMemory
-	crashes *crashTracker
-	running atomic.Int64
+	// bodies is the use of MaxBodyMemory, buffered that of MaxBufferedBytes.
+	bodies, buffered budget
+	crashes          *crashTracker
+	running          atomic.Int64
 	// stopping ends with the call of stop, when Shutdown begins.
 	stopping context.Context
 	stop     context.CancelFunc
 	// refusing counts the connections that are being refused without parsing a request.
 	refusing atomic.Int64
-	// buffered is the part of MaxBufferedBytes in use.
-	buffered atomic.Int64
 	// awaited holds those of them that wait for their request, the longest waiting first.
 	awaited struct {
 		sync.Mutex
@@ -129,7 +128,7 @@
 	s.limiter.Limiter = overload.New()
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	s.places.byAccount = map[string]int{}
-	s.bodies.limit = opts.MaxBodyMemory
+	s.bodies.limit, s.buffered.limit = opts.MaxBodyMemory, opts.MaxBufferedBytes
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: opts.ReadHeaderTimeout, ReadTimeout: 0, MaxHeaderBytes: opts.MaxHeaderBytes,
 		ConnState: s.connStateChanged, ConnContext: withRawConn,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -33,9 +33,8 @@
 	target        string
 	body          []byte
 	// hasPlace is true while the request counts among its account's running ones.
-	hasPlace bool
-	// bodyMemory is the memory of the body that counts against MaxBodyMemory, in bytes.
-	bodyMemory int64
+	hasPlace   bool
+	bodyMemory reservation
 	header     http.Header
 	// deadline is the earlier of the route's timeout and the caller's own deadline.
 	deadline time.Time
@@ -63,7 +62,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	q := &request{server: s, w: w, r: r, id: r.Header.Get(s.opts.HeaderNames.RequestID)}
+	q := &request{server: s, w: w, r: r, id: r.Header.Get(s.opts.HeaderNames.RequestID), bodyMemory: reservation{budget: &s.bodies}}
 	w.Header()["Date"] = nil
 	if len(r.TransferEncoding) > 0 {
 		// Guards against request smuggling: another reader may see a different end of a
@@ -85,7 +84,7 @@
 
 // release gives back what the request held of the host.
 func (q *request) release() {
-	q.server.bodies.used.Add(-q.bodyMemory)
+	q.bodyMemory.release()
 	if q.hasPlace {
 		q.server.places.release(q.account)
 	}
@@ -201,7 +200,7 @@
 	}
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(q.deadline) // if it fails, the server's own limits apply
-	body, err := q.server.bodies.read(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength, &q.bodyMemory)
+	body, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength, &q.bodyMemory)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errBodyMemory):
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,11 +25,11 @@
 	br := bufio.NewReader(resp.Body)
 	rc := http.NewResponseController(q.w)
 	first := true
-	room := q.server.newRoom()
+	room := reservation{budget: &q.server.buffered}
 	defer room.release()
 	for {
 		room.release()
-		event, err := readEvent(br, room.reserve)
+		event, err := readEvent(br, func() bool { return room.growTo(maxBuffered) })
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			if !q.headerWritten {
 				q.copyHeader(resp)
