Name the log fields of connection counts once

Server.logLag and Daemon.logMemory wrote the same five counts under the same names, so a new count would have had to be added twice.

--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -99,9 +99,7 @@
 	l := d.log.WithField("total_kb", m.totalBytes>>10).WithField("live_kb", m.liveBytes>>10).
 		WithField("goroutines", m.goroutines)
 	if d.edge != nil && d.edge.gateway != nil {
-		c := d.edge.gateway.Connections()
-		l = l.WithField("connections", c.Open).WithField("unread", c.Unread).WithField("idle", c.Idle).
-			WithField("closing", c.Closing).WithField("refusing", c.Refusing).WithField("running", d.edge.gateway.Running())
+		l = l.WithFields(d.edge.gateway.Connections().LogFields()).WithField("running", d.edge.gateway.Running())
 	}
 	if !above {
 		l.Info("Memory use is below the warning threshold again.")
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"marigoldshunt/internal/netopt"
 )
 
@@ -87,6 +89,11 @@
 	Refusing int
 }
 
+// LogFields returns the counts as fields of a log line.
+func (n ConnectionCounts) LogFields() logrus.Fields {
+	return logrus.Fields{"connections": n.Open, "unread": n.Unread, "idle": n.Idle, "closing": n.Closing, "refusing": n.Refusing}
+}
+
 const (
 	// closingDivisor is the ratio of the connection limit to the number of connections above
 	// it that may be open while others are being closed, which is at least minClosing.
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -50,10 +50,7 @@
 }
 
 func (s *Server) logLag(lag time.Duration) *logrus.Entry {
-	counts := s.Connections()
-	return s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithField("connections", counts.Open).
-		WithField("unread", counts.Unread).WithField("idle", counts.Idle).
-		WithField("closing", counts.Closing).WithField("refusing", counts.Refusing)
+	return s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithFields(s.Connections().LogFields())
 }
 
 // Each level of priority below the highest may use levelReservePercent less of a host's
