--- a/internal/endlesstest/endlesstest.go
+++ b/internal/endlesstest/endlesstest.go
@@ -3,14 +3,20 @@
 package endlesstest
 
 import (
+	"context"
 	"net"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/fault"
 )
 
 // Response is a response without end: Start, then Repeat until the client closes the
@@ -143,6 +149,50 @@
 	}
 }
 
+// ListReader is a reader of a list that comes as one response.
+type ListReader struct {
+	// Read reads the list once.
+	Read func(ctx context.Context, address string) error
+	// Empty is the body of a response with an empty list.
+	Empty string
+	// FailureCode is the code of the error of a read that fails.
+	FailureCode fault.Code
+	Timeout     time.Duration
+	// MaxHeapGrowth is in bytes.
+	MaxHeapGrowth uint64
+}
+
+// Test fails the test if responses whose bytes never end fill the memory, keep the reader from
+// its next read, or keep a connection open.
+func (l ListReader) Test(t *testing.T) {
+	for _, r := range slices.Concat(Heads, Bodies) {
+		t.Run(r.Name, func(t *testing.T) {
+			c := qt.New(t)
+			u := Start(t, r)
+			ctx, cancel := context.WithTimeout(t.Context(), l.Timeout)
+			defer cancel()
+			var err error
+			grown := HeapGrowth(func() { err = l.Read(ctx, u.Address) })
+			c.Check(fault.CodeOf(err), qt.Equals, l.FailureCode, qt.Commentf("%v", err))
+			c.Check(ctx.Err(), qt.IsNil)
+			c.Check(grown < l.MaxHeapGrowth, qt.IsTrue, qt.Commentf("the heap grew by %d bytes", grown))
+			u.AssertClosed(t)
+		})
+	}
+	for _, delay := range []time.Duration{0, 50 * time.Millisecond} {
+		u := Start(t, ExtraBytes(l.Empty, delay))
+		qt.Check(t, l.Read(t.Context(), u.Address), qt.IsNil)
+		u.AssertClosed(t)
+	}
+}
+
+// TestInstanceList tests a reader of the list of instances.
+func TestInstanceList(t *testing.T, read func(ctx context.Context, address string) error) {
+	ListReader{
+		Read: read, Empty: `{"instances":[]}`, FailureCode: fault.UpstreamFailed, Timeout: 5 * time.Second, MaxHeapGrowth: 32 << 20,
+	}.Test(t)
+}
+
 // sampleInterval is the time between two samples of the heap.
 const sampleInterval = time.Millisecond
 
