Rename internal/platform to internal/hostlist

Two packages were called platform. The inner one reads the installation's lagging list of live and leaving hosts from a file or URL, so it is called by that; the outer one stays.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,9 +24,9 @@
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/frontend"
 	"marigoldshunt/internal/hlc"
+	"marigoldshunt/internal/hostlist"
 	"marigoldshunt/internal/netopt"
 	"marigoldshunt/internal/peer"
-	"marigoldshunt/internal/platform"
 	"marigoldshunt/internal/router"
 	"marigoldshunt/internal/settings"
 	"marigoldshunt/internal/timeline"
@@ -95,7 +95,7 @@
 	schedulers    *schedulers
 	callerServer  *frontend.Server
 	adminServer   *admin.Server
-	platform      *platform.Reader
+	hostList      *hostlist.Reader
 	recorder      *recorder
 	edge          *edgeRole
 }
@@ -131,7 +131,7 @@
 		Control: d.controlClient, Clock: d.clock, Log: d.logFor("router"), Registry: d.registry,
 	})
 	d.schedulers = newSchedulers(d)
-	d.platform = platform.New(platform.Options{Source: s.PlatformHostsSource, Log: opts.Log, Registry: d.registry})
+	d.hostList = hostlist.New(hostlist.Options{Source: s.PlatformHostsSource, Log: opts.Log, Registry: d.registry})
 	d.edge = d.newEdgeRole()
 	d.callerServer = d.newFrontend()
 	d.adminServer = admin.New(admin.Options{
@@ -293,7 +293,7 @@
 	g.Go(func() error { return d.controlRole.run(ctx) })
 	g.Go(func() error { return d.router.Run(ctx) })
 	g.Go(func() error { return d.schedulers.run(ctx) })
-	g.Go(func() error { return d.platform.Run(ctx) })
+	g.Go(func() error { return d.hostList.Run(ctx) })
 	g.Go(func() error { return d.edge.run(ctx) })
 	g.Go(func() error { return d.formFromSeeds(ctx) })
 	g.Go(func() error { return d.watchSettings(ctx) })
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -74,7 +74,7 @@
 // Hosts implements frontend.ControlView.
 func (v controlView) Hosts() []wire.HostStatus {
 	hosts := v.d.controlClient.Hosts()
-	list := v.d.platform.List()
+	list := v.d.hostList.List()
 	for i := range hosts {
 		if list.Leaving(hosts[i].Host) {
 			hosts[i].Leaving = true
--- a/internal/platform/platform.go
+++ b/internal/hostlist/hostlist.go
@@ -1,8 +1,8 @@
-// Package platform reads the platform's list of live and leaving hosts.
+// Package hostlist reads the platform's list of live and leaving hosts.
 //
 // The list lags behind, may be wrong and may be missing. It is only a hint: liveness is
 // decided by heartbeats between hosts.
-package platform
+package hostlist
 
 import (
 	"bytes"
--- a/internal/platform/platform_test.go
+++ b/internal/hostlist/hostlist_test.go
@@ -1,4 +1,4 @@
-package platform
+package hostlist
 
 import (
 	"context"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,7 +24,7 @@
 [ -z "$skip" ] || skip_args=(-skip "$skip")
 
 race_packages=()
-for p in sched raft wal state control membership scheduler router retry peer discovery hlc timeline frontend engine emulator loadgen admin ctl platform settings daemon admission catalog dispatch gateway routing; do
+for p in sched raft wal state control membership scheduler router retry peer discovery hlc timeline frontend engine emulator loadgen admin ctl hostlist settings daemon admission catalog dispatch gateway routing; do
   [ -d "internal/$p" ] && race_packages+=("./internal/$p/...")
 done
 go test -count=1 -timeout 20m "${skip_args[@]}" ./...
