--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -41,10 +41,7 @@
 
 // fetchConfigNoArgs checks that a command has no arguments and fetches the configuration.
 func (a *app) fetchConfigNoArgs(ctx context.Context, fs *flag.FlagSet, args []string) (*config.Config, error) {
-	if _, err := positionalArgs(fs, args); err != nil {
-		return nil, err
-	}
-	c, err := a.clientFromFlags()
+	_, c, err := a.argsAndClient(fs, args)
 	if err != nil {
 		return nil, err
 	}
@@ -85,8 +82,8 @@
 
 func (a *app) configApply() *ffcli.Command {
 	fs := a.flags("apply")
-	id := fs.String("request-id", "", "request id of an earlier attempt whose answer was lost")
-	dryRun := fs.Bool("dry-run", false, "only show what would change")
+	id := requestIDFlag(fs)
+	dryRun := dryRunFlag(fs)
 	return &ffcli.Command{
 		Name: "apply", ShortUsage: "marigoldshuntctl config apply [flags] FILE",
 		ShortHelp: "Apply a TOML file of objects as one change", FlagSet: fs,
--- a/internal/ctl/contract.go
+++ b/internal/ctl/contract.go
@@ -23,11 +23,7 @@
 		Name: "get", ShortUsage: "marigoldshuntctl contract get ACCOUNT",
 		ShortHelp: "Show the contract of an account", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "ACCOUNT")
-			if err != nil {
-				return err
-			}
-			c, err := a.clientFromFlags()
+			names, c, err := a.argsAndClient(fs, args, "ACCOUNT")
 			if err != nil {
 				return err
 			}
@@ -51,19 +47,15 @@
 
 func (a *app) contractSet() *ffcli.Command {
 	fs := a.flags("set")
-	id := fs.String("request-id", "", "request id of an earlier attempt whose answer was lost")
-	dryRun := fs.Bool("dry-run", false, "only show what would change")
-	ifRevision := fs.Uint64("if-revision", 0, "expected revision; 0 means the current one")
+	id := requestIDFlag(fs)
+	dryRun := dryRunFlag(fs)
+	ifRevision := ifRevisionFlag(fs)
 	set := contractFlags(fs)
 	return &ffcli.Command{
 		Name: "set", ShortUsage: "marigoldshuntctl contract set ACCOUNT [flags]",
 		ShortHelp: "Create a contract or change the given fields of it", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "ACCOUNT")
-			if err != nil {
-				return err
-			}
-			c, err := a.clientFromFlags()
+			names, c, err := a.argsAndClient(fs, args, "ACCOUNT")
 			if err != nil {
 				return err
 			}
@@ -129,17 +121,13 @@
 
 func (a *app) contractDelete() *ffcli.Command {
 	fs := a.flags("delete")
-	id := fs.String("request-id", "", "request id of an earlier attempt whose answer was lost")
-	ifRevision := fs.Uint64("if-revision", 0, "expected revision; 0 means the current one")
+	id := requestIDFlag(fs)
+	ifRevision := ifRevisionFlag(fs)
 	return &ffcli.Command{
 		Name: "delete", ShortUsage: "marigoldshuntctl contract delete ACCOUNT [flags]",
 		ShortHelp: "Delete the contract of an account", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "ACCOUNT")
-			if err != nil {
-				return err
-			}
-			c, err := a.clientFromFlags()
+			names, c, err := a.argsAndClient(fs, args, "ACCOUNT")
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/control.go
+++ b/internal/ctl/control.go
@@ -23,11 +23,7 @@
 	return &ffcli.Command{
 		Name: name, ShortUsage: "marigoldshuntctl control " + usage, ShortHelp: help, FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, want...)
-			if err != nil {
-				return err
-			}
-			c, err := a.clientFromFlags()
+			names, c, err := a.argsAndClient(fs, args, want...)
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/order.go
+++ b/internal/ctl/order.go
@@ -18,7 +18,7 @@
 
 func (a *app) orderLoad() *ffcli.Command {
 	fs := a.flags("load")
-	id := fs.String("request-id", "", "request id of an earlier attempt whose answer was lost")
+	id := requestIDFlag(fs)
 	what := fs.String("what", "model", "model, adapter or version")
 	return &ffcli.Command{
 		Name: "load", ShortUsage: "marigoldshuntctl order load UPSTREAM NAME [flags]",
@@ -40,7 +40,7 @@
 
 func (a *app) orderOfKind(name, kind, help string, want ...string) *ffcli.Command {
 	fs := a.flags(name)
-	id := fs.String("request-id", "", "request id of an earlier attempt whose answer was lost")
+	id := requestIDFlag(fs)
 	return &ffcli.Command{
 		Name: name, ShortUsage: fmt.Sprintf("marigoldshuntctl order %s [flags] %v", name, want), ShortHelp: help, FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -54,10 +54,7 @@
 	return &ffcli.Command{
 		Name: "metrics", ShortHelp: "Show the metrics of the first host that answers", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			if _, err := positionalArgs(fs, args); err != nil {
-				return err
-			}
-			c, err := a.clientFromFlags()
+			_, c, err := a.argsAndClient(fs, args)
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/service.go
+++ b/internal/ctl/service.go
@@ -77,8 +77,8 @@
 		verb, help = "out", "Take the "+t.noun+" out of service and wait until no request runs there"
 	}
 	fs := a.flags(verb)
-	id := fs.String("request-id", "", "request id of an earlier attempt whose answer was lost")
-	ifRevision := fs.Uint64("if-revision", 0, "expected revision; 0 means the current one")
+	id := requestIDFlag(fs)
+	ifRevision := ifRevisionFlag(fs)
 	noWait := false
 	if out {
 		fs.BoolVar(&noWait, "no-wait", false, "don't wait until no request runs there")
@@ -87,11 +87,7 @@
 		Name: verb, ShortUsage: "marigoldshuntctl " + t.command + " " + verb + " NAME [flags]",
 		ShortHelp: help, FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "NAME")
-			if err != nil {
-				return err
-			}
-			c, err := a.clientFromFlags()
+			names, c, err := a.argsAndClient(fs, args, "NAME")
 			if err != nil {
 				return err
 			}
