--- a/internal/config/unique.go
+++ b/internal/config/unique.go
@@ -158,34 +158,25 @@
 	return nil
 }
 
+// appendSorted appends the objects of one kind, sorted by name.
+func appendSorted[V any](changes []Change, objects map[string]V, change func(*V) Change) []Change {
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		o := objects[name]
+		changes = append(changes, change(&o))
+	}
+	return changes
+}
+
 // Objects returns the objects as changes. An object precedes those that refer to it, and
 // objects of one kind are sorted by name.
 func (c *Config) Objects() []Change {
 	var changes []Change
-	for _, n := range slices.Sorted(maps.Keys(c.DataCentres)) {
-		o := c.DataCentres[n]
-		changes = append(changes, Change{DataCentre: &o})
-	}
-	for _, n := range slices.Sorted(maps.Keys(c.Pools)) {
-		o := c.Pools[n]
-		changes = append(changes, Change{Pool: &o})
-	}
-	for _, n := range slices.Sorted(maps.Keys(c.Hosts)) {
-		o := c.Hosts[n]
-		changes = append(changes, Change{Host: &o})
-	}
-	for _, n := range slices.Sorted(maps.Keys(c.Upstreams)) {
-		o := c.Upstreams[n]
-		changes = append(changes, Change{Upstream: &o})
-	}
-	for _, n := range slices.Sorted(maps.Keys(c.Contracts)) {
-		o := c.Contracts[n]
-		changes = append(changes, Change{Contract: &o})
-	}
-	for _, n := range slices.Sorted(maps.Keys(c.Operators)) {
-		o := c.Operators[n]
-		changes = append(changes, Change{Operator: &o})
-	}
+	changes = appendSorted(changes, c.DataCentres, func(o *DataCentre) Change { return Change{DataCentre: o} })
+	changes = appendSorted(changes, c.Pools, func(o *Pool) Change { return Change{Pool: o} })
+	changes = appendSorted(changes, c.Hosts, func(o *Host) Change { return Change{Host: o} })
+	changes = appendSorted(changes, c.Upstreams, func(o *Upstream) Change { return Change{Upstream: o} })
+	changes = appendSorted(changes, c.Contracts, func(o *Contract) Change { return Change{Contract: o} })
+	changes = appendSorted(changes, c.Operators, func(o *Operator) Change { return Change{Operator: o} })
 	if c.Routing != nil {
 		changes = append(changes, Change{Routing: c.Routing})
 	}
