Name the host in each log line

Cause: a file with the lines of several hosts lost on which host each was written; `explain` named the file. Change: logsink adds the field `host` to each line that it keeps, its own report of dropped lines included; dropped lines cost nothing more. `explain` shows the host of each line, and the file only for lines without one. Measured: TestExplainNamesTheHostOfEachLine failed before (the source was "input").

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -98,11 +98,12 @@
 	return out, fault.Wrap(s.Err(), fault.BadRequest, fault.NotRun, "read %s", source)
 }
 
-// formatLogLine formats a line with the fields that explain a request.
+// formatLogLine formats a line with its host and the fields that explain a request. A line
+// without a host is shown with its file.
 func formatLogLine(l logLine) string {
 	f := l.fields
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s: %s", l.time, l.source, f["msg"])
+	fmt.Fprintf(&b, "%s %s: %s", l.time, cmp.Or(f["host"], l.source), f["msg"])
 	for _, key := range []string{"route", "account", "rank", "code", "run", "sends", "instance", "status", "waited_ms", "config_age_ms", "version", "retry_after_ms", "cause"} {
 		if v, ok := f[key]; ok {
 			fmt.Fprintf(&b, " %s=%s", key, v)
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -26,3 +26,19 @@
 	c.Assert(lines[1], qt.Contains, "the engine would answer after 1.2s")
 	c.Assert(Run(context.Background(), []string{"explain", "none"}, strings.NewReader(logs), &out, &errOut), qt.Equals, ExitNotFound)
 }
+
+// Guards against output that does not say which host wrote a line, when one file has the
+// lines of several hosts.
+func TestExplainNamesTheHostOfEachLine(t *testing.T) {
+	c := qt.New(t)
+	logs := strings.Join([]string{
+		`time="2026-01-01T00:00:01.000Z" level=info msg="Request sent again." part=gateway request=abc run=not_run host=10.0.0.1`,
+		`time="2026-01-01T00:00:02.000Z" level=info msg="Request failed." part=gateway request=abc host="host 2"`,
+		`time="2026-01-01T00:00:03.000Z" level=info msg="Request failed." part=gateway request=abc`,
+	}, "\n")
+	var out, errOut bytes.Buffer
+	c.Assert(Run(context.Background(), []string{"explain", "abc"}, strings.NewReader(logs), &out, &errOut), qt.Equals, ExitOK, qt.Commentf(errOut.String()))
+	c.Assert(out.String(), qt.Equals, "2026-01-01T00:00:01.000Z 10.0.0.1: Request sent again. run=not_run\n"+
+		"2026-01-01T00:00:02.000Z host 2: Request failed.\n"+
+		"2026-01-01T00:00:03.000Z input: Request failed.\n")
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -89,7 +89,7 @@
 		// killed for its memory use.
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * goMemoryPercent / 100)
 	}
-	sink := logsink.New(os.Stdout, time.Now)
+	sink := logsink.New(os.Stdout, time.Now, s.Host)
 	defer sink.Close(logFlushTimeout)
 	log := logrus.New()
 	log.SetOutput(sink)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -303,7 +303,7 @@
 		return d.shutdown(leave, ctx)
 	})
 	d.timeline.Add("daemon", "started", "version", d.opts.Version)
-	d.log.WithField("host", d.settings.Host).Info("Host started.")
+	d.log.Info("Host started.")
 	err = g.Wait()
 	d.controlRole.close()
 	d.log.Info("Host stopped.")
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -65,7 +65,7 @@
 
 // BenchmarkRefusal measures a refusal by an overloaded host, with its log line.
 func BenchmarkRefusal(b *testing.B) {
-	sink := logsink.New(io.Discard, time.Now)
+	sink := logsink.New(io.Discard, time.Now, "10.0.0.1")
 	defer sink.Close(time.Second)
 	log := logrus.New()
 	log.SetOutput(sink)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 	now   func() time.Time
 	lines chan []byte
 	done  chan struct{}
+	// hostField is the last field of each line; empty if the host has no name.
+	hostField string
 	// queuedBytes is the size of the queued lines.
 	queuedBytes atomic.Int64
 
@@ -42,13 +45,32 @@
 	closed        bool
 }
 
-// New returns a Sink that writes to out from a goroutine of its own.
-func New(out io.Writer, now func() time.Time) *Sink {
-	s := &Sink{out: out, now: now, lines: make(chan []byte, bufferLines), done: make(chan struct{})}
+// New returns a Sink that writes to out from a goroutine of its own. It adds the name of the
+// host to each line, because the logs of several hosts may be collected in one file.
+func New(out io.Writer, now func() time.Time, host string) *Sink {
+	s := &Sink{out: out, now: now, lines: make(chan []byte, bufferLines), done: make(chan struct{}), hostField: hostField(host)}
 	go s.writeQueued()
 	return s
 }
 
+func hostField(host string) string {
+	switch {
+	case host == "":
+		return ""
+	case strings.ContainsAny(host, " \t\n\"="):
+		return fmt.Sprintf(" host=%q", host)
+	}
+	return " host=" + host
+}
+
+// withHost returns a copy of a line with the field of the host.
+func (s *Sink) withHost(p []byte) []byte {
+	text := bytes.TrimSuffix(p, []byte("\n"))
+	line := append(make([]byte, 0, len(p)+len(s.hostField)), text...)
+	line = append(line, s.hostField...)
+	return append(line, p[len(text):]...)
+}
+
 // isImportant reports whether p is a warning, an error or a fatal error. These lines are kept
 // beyond linesPerSecond.
 func isImportant(p []byte) bool {
@@ -68,7 +90,7 @@
 		s.dropped++
 		return len(p), nil
 	}
-	s.enqueue(bytes.Clone(p))
+	s.enqueue(s.withHost(p))
 	return len(p), nil
 }
 
@@ -125,7 +147,7 @@
 	}
 	line := fmt.Sprintf("time=%q level=warning msg=\"Log lines were dropped.\" part=log lines=%d\n", now.Format(time.RFC3339), s.dropped)
 	s.dropped = 0
-	s.enqueue([]byte(line))
+	s.enqueue(s.withHost([]byte(line)))
 }
 
 func (s *Sink) enqueue(line []byte) {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -21,7 +21,7 @@
 	r, w := io.Pipe()
 	defer r.Close()
 	now := start
-	s := New(w, func() time.Time { return now })
+	s := New(w, func() time.Time { return now }, "")
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -46,7 +46,7 @@
 	c := qt.New(t)
 	var out bytes.Buffer
 	now := start
-	s := New(&out, func() time.Time { return now })
+	s := New(&out, func() time.Time { return now }, "")
 	for range 1_000 {
 		fmt.Fprintln(s, "level=info msg=many")
 	}
@@ -74,7 +74,7 @@
 	c := qt.New(t)
 	var out bytes.Buffer
 	now := start
-	s := New(&out, func() time.Time { return now })
+	s := New(&out, func() time.Time { return now }, "")
 	f := &countingFormatter{}
 	log := logrus.New()
 	log.SetOutput(s)
@@ -100,7 +100,7 @@
 	c := qt.New(t)
 	r, w := io.Pipe()
 	defer r.Close()
-	s := New(w, func() time.Time { return start })
+	s := New(w, func() time.Time { return start }, "")
 	long := "level=warning msg=" + strings.Repeat("x", 64<<10) + "\n"
 	for range 2 * bufferLines {
 		fmt.Fprint(s, long)
@@ -113,3 +113,30 @@
 	c.Assert(bytes <= maxQueuedBytes, qt.IsTrue, qt.Commentf("%d bytes", bytes))
 	c.Assert(string(last), qt.Matches, "(?s)level=warning msg=x.*\n")
 }
+
+// Guards against lines of which nobody can tell the host once the logs of several hosts are in
+// one file, the sink's own report of dropped lines included.
+func TestEachLineNamesItsHost(t *testing.T) {
+	c := qt.New(t)
+	for host, field := range map[string]string{"10.0.0.1": " host=10.0.0.1\n", "host 2": " host=\"host 2\"\n"} {
+		var out bytes.Buffer
+		now := start
+		s := New(&out, func() time.Time { return now }, host)
+		log := logrus.New()
+		log.SetOutput(s)
+		log.SetFormatter(Formatter{Formatter: &logrus.TextFormatter{DisableColors: true}, Sink: s})
+		for range 2 * linesPerSecond {
+			log.WithField("request", "r").Info("many")
+		}
+		now = now.Add(time.Second)
+		log.Error("next")
+		fmt.Fprint(s, "level=error msg=unterminated")
+		s.Close(time.Second)
+		lines := strings.SplitAfter(out.String(), "\n")
+		c.Assert(lines[len(lines)-1], qt.Equals, "level=error msg=unterminated"+strings.TrimSuffix(field, "\n"))
+		c.Assert(out.String(), qt.Contains, "Log lines were dropped.")
+		for _, line := range lines[:len(lines)-1] {
+			c.Assert(line, qt.Contains, field)
+		}
+	}
+}
