Log the inputs that decided a placing, with age or version

Cause: the line of a failed or repeated request named neither the load by which its instance was chosen nor the list of instances, and its configuration was that of the time of the failure, not the one that decided. Change: dispatch.Decision holds the instances counted and left out, the load of the chosen one, whose figure it is and its age since it was received. The lines "Request failed." and "Request sent again." carry it with age and version of the list and of the configuration of the last check. The line "Upstream list changed." has the version too. `explain` shows all fields, also those that it does not know. The gateway asks logsink first whether a line would be dropped, and does not build it then.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -48,6 +49,9 @@
 	ReadAt time.Time
 }
 
+// FormatVersion returns the form in logs of the digest of a list.
+func FormatVersion(digest uint64) string { return fmt.Sprintf("%016x", digest) }
+
 // Source reads the whole list, once for each call.
 type Source interface {
 	Instances(ctx context.Context) ([]Instance, error)
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -23,6 +23,8 @@
 type logLine struct {
 	source, time, text string
 	fields             map[string]string
+	// quoted holds the fields as they stand in the line.
+	quoted map[string]string
 }
 
 // explainCommand returns the command that prints what hosts logged about one request.
@@ -86,9 +88,9 @@
 		if !strings.Contains(s.Text(), id) {
 			continue
 		}
-		l := logLine{source: source, text: s.Text(), fields: map[string]string{}}
+		l := logLine{source: source, text: s.Text(), fields: map[string]string{}, quoted: map[string]string{}}
 		for _, m := range fieldPattern.FindAllStringSubmatch(s.Text(), -1) {
-			l.fields[m[1]] = strings.Trim(m[2], `"`)
+			l.fields[m[1]], l.quoted[m[1]] = strings.Trim(m[2], `"`), m[2]
 		}
 		if l.fields["request"] == id {
 			l.time = l.fields["time"]
@@ -98,14 +100,33 @@
 	return out, fault.Wrap(s.Err(), fault.BadRequest, fault.NotRun, "read %s", source)
 }
 
+// Fields of a line in the order in which they are shown: first what happened, then what decided
+// it. Other fields follow in the order of their names, and the cause comes last.
+var (
+	firstFields = []string{
+		"route", "account", "rank", "code", "run", "sends", "instance", "status", "waited_ms", "retry_after_ms",
+		"config_age_ms", "version", "list_age_ms", "list_version", "instances", "candidates", "left_out",
+		"load_source", "load_age_ms", "load_running", "load_tokens", "cost_ms",
+	}
+	lastFields = []string{"cause"}
+	// hiddenFields are shown in another way or do not concern the request.
+	hiddenFields = []string{"time", "level", "msg", "part", "request", "host"}
+)
+
 // formatLogLine formats a line with its host and the fields that explain a request. A line
 // without a host is shown with its file.
 func formatLogLine(l logLine) string {
-	f := l.fields
+	var other []string
+	for key := range l.quoted {
+		if !slices.Contains(firstFields, key) && !slices.Contains(lastFields, key) && !slices.Contains(hiddenFields, key) {
+			other = append(other, key)
+		}
+	}
+	slices.Sort(other)
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s: %s", l.time, cmp.Or(f["host"], l.source), f["msg"])
-	for _, key := range []string{"route", "account", "rank", "code", "run", "sends", "instance", "status", "waited_ms", "config_age_ms", "version", "retry_after_ms", "cause"} {
-		if v, ok := f[key]; ok {
+	fmt.Fprintf(&b, "%s %s: %s", l.time, cmp.Or(l.fields["host"], l.source), l.fields["msg"])
+	for _, key := range slices.Concat(firstFields, other, lastFields) {
+		if v, ok := l.quoted[key]; ok {
 			fmt.Fprintf(&b, " %s=%s", key, v)
 		}
 	}
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -42,3 +42,13 @@
 		"2026-01-01T00:00:02.000Z host 2: Request failed.\n"+
 		"2026-01-01T00:00:03.000Z input: Request failed.\n")
 }
+
+// Guards against output that leaves out fields, such as the age of the load that decided, because
+// the tool does not know them.
+func TestExplainShowsAllFields(t *testing.T) {
+	c := qt.New(t)
+	logs := `time="2026-01-01T00:00:01.000Z" level=info msg="Request failed." cause="broke \"off\"" code=stream_cut load_age_ms=40 load_source=gate new_field=1 part=gateway request=abc run=may_have_run host=h1`
+	var out, errOut bytes.Buffer
+	c.Assert(Run(context.Background(), []string{"explain", "abc"}, strings.NewReader(logs), &out, &errOut), qt.Equals, ExitOK, qt.Commentf(errOut.String()))
+	c.Assert(out.String(), qt.Equals, `2026-01-01T00:00:01.000Z h1: Request failed. code=stream_cut run=may_have_run load_source=gate load_age_ms=40 new_field=1 cause="broke \"off\""`+"\n")
+}
--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -66,7 +66,7 @@
 	hosts := c.hosts
 	c.mu.Unlock()
 	if changed {
-		c.log.WithField("instances", len(l.Instances)).Info("Upstream list changed.")
+		c.log.WithField("instances", len(l.Instances)).WithField("list_version", catalog.FormatVersion(digest)).Info("Upstream list changed.")
 	}
 	c.onList(l)
 	c.announce(hosts, changed)
@@ -151,12 +151,13 @@
 	c.onList(l)
 }
 
-// age returns the time since the list was last read, or -1 ms before the first list.
-func (c *catalogRole) age() time.Duration {
+// version returns the time since the list was last read, or -1 ms before the first list, and the
+// digest of its entries.
+func (c *catalogRole) version() (age time.Duration, digest uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.list.ReadAt.IsZero() {
-		return -time.Millisecond
+		return -time.Millisecond, 0
 	}
-	return time.Since(c.list.ReadAt)
+	return time.Since(c.list.ReadAt), c.digest
 }
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -97,6 +97,7 @@
 	if v.Age < 0 {
 		v.Table = nil
 	}
+	v.ListAge, v.ListVersion = e.catalog.version()
 	return v
 }
 
--- a/internal/daemon/edge_loads.go
+++ b/internal/daemon/edge_loads.go
@@ -35,18 +35,20 @@
 	e.applyPeerLoads(e.loads.Others(now))
 }
 
-// applyPeerLoads passes the loads of the other hosts to this host's dispatcher.
+// applyPeerLoads passes the loads of the other hosts to this host's dispatcher. The caller holds
+// loadsMu.
 func (e *edgeRole) applyPeerLoads(sums []wire.LoadSum) {
 	e.dispatcher.Update(func(d *dispatch.Dispatcher, now time.Time) {
 		for _, sum := range sums {
+			receivedAt := e.loads.ReceivedAt(sum.DataCentre)
 			list := make([]dispatch.Load, len(sum.Loads.Instances))
 			for i, l := range sum.Loads.Instances {
 				list[i] = dispatch.Load(l)
 			}
-			d.SetPeerLoads(sum.DataCentre, list, now)
+			d.SetPeerLoads(sum.DataCentre, list, receivedAt, now)
 			d.SetPeerRates(sum.DataCentre, dispatchRates(sum.Loads.Rates), now)
 			for _, g := range sum.Loads.Gates {
-				d.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs}, now)
+				d.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs, ReceivedAt: receivedAt}, now)
 			}
 		}
 	})
--- a/internal/daemon/edge_status.go
+++ b/internal/daemon/edge_status.go
@@ -12,7 +12,8 @@
 	if e.settings == nil {
 		return nil
 	}
-	out := &admin.EdgeStatus{Ready: e.Ready(), Running: e.gateway.Running(), ListAgeMS: e.catalog.age().Milliseconds()}
+	listAge, _ := e.catalog.version()
+	out := &admin.EdgeStatus{Ready: e.Ready(), Running: e.gateway.Running(), ListAgeMS: listAge.Milliseconds()}
 	if t := e.routingTable.Load(); t != nil {
 		out.Version = t.Document.Version
 	}
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -23,7 +23,7 @@
 			}
 			d.SetInstances(list, at(0))
 			for dc := range 5 {
-				d.SetPeerLoads(fmt.Sprint("dc", dc), loads, at(0))
+				d.SetPeerLoads(fmt.Sprint("dc", dc), loads, at(0), at(0))
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	// account's share.
 	Account string
 	Rank    Rank
+	// Decision is what decided the last Pick.
+	Decision Decision
 }
 
 // ownTokens returns the prompt tokens that no other request shares.
@@ -71,11 +73,12 @@
 	retryBudgets map[string]*retryBudget
 	// peerLoads are the loads that other hosts reported, by data centre. peerSums are
 	// their sums by instance, nil until they are used. peersUpdatedAt is the time of the
-	// last report.
-	peerLoads      map[string]reportedLoads
-	peerSums       map[catalog.Key]Load
-	peersUpdatedAt time.Time
-	shares         *FairShares
+	// last update, peersReceivedAt when the oldest of the sums was received.
+	peerLoads       map[string]reportedLoads
+	peerSums        map[catalog.Key]Load
+	peersUpdatedAt  time.Time
+	peersReceivedAt time.Time
+	shares          *FairShares
 }
 
 // New returns a Dispatcher without instances.
@@ -198,6 +201,7 @@
 	if best == nil {
 		return nil, fault.New(fault.QueueFull, fault.NotRun, "no instance of service %q can take the request now", j.Service).WithRetryAfter(noInstanceRetryAfter)
 	}
+	j.Decision.describeLoad(d, s, best, cost, now)
 	if limit := j.Remaining; cost > limit.Seconds()*1000+suspectPenaltyMs {
 		return nil, fault.New(fault.QueueFull, fault.NotRun, "all instances of service %q are busy", j.Service).WithRetryAfter(
 			min(time.Duration(cost*float64(time.Millisecond))-limit+noInstanceRetryAfter, maxPickRetryAfter))
@@ -220,8 +224,9 @@
 func (d *Dispatcher) best(s *routing.Service, j *Job, preferred *instance, now time.Time) (*instance, float64) {
 	var best *instance
 	bestCost := 0.0
+	j.Decision = Decision{Instances: len(d.byService[s.Name])}
 	for _, x := range d.byService[s.Name] {
-		if x.Draining || x.replaced || d.outOfService[x.DataCentre] || slices.Contains(j.Tried, x.Key()) || !d.coldLimitAllows(s, x, now) {
+		if !d.mayTake(s, j, x, now) {
 			continue
 		}
 		c := d.cost(s, j, x, x == preferred, now)
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -20,7 +20,8 @@
 
 type reportedLoads struct {
 	loads []Load
-	at    time.Time
+	// at is when the loads were last set, receivedAt when this host received them.
+	at, receivedAt time.Time
 }
 
 // OwnLoads returns the loads of this host.
@@ -34,20 +35,24 @@
 	return out
 }
 
-// SetPeerLoads sets the loads of the other hosts of a data centre.
-func (d *Dispatcher) SetPeerLoads(dataCentre string, loads []Load, now time.Time) {
-	d.peerLoads[dataCentre] = reportedLoads{loads: loads, at: now}
+// SetPeerLoads sets the loads of the other hosts of a data centre, which this host received at
+// receivedAt.
+func (d *Dispatcher) SetPeerLoads(dataCentre string, loads []Load, receivedAt, now time.Time) {
+	d.peerLoads[dataCentre] = reportedLoads{loads: loads, at: now, receivedAt: receivedAt}
 	d.peerSums, d.peersUpdatedAt = nil, now
 }
 
 // sumPeers adds up the reported loads. The reports of all data centres arrive together,
 // so they are added up on the first use after that.
 func (d *Dispatcher) sumPeers() {
-	d.peerSums = map[catalog.Key]Load{}
+	d.peerSums, d.peersReceivedAt = map[catalog.Key]Load{}, d.peersUpdatedAt
 	for _, p := range d.peerLoads {
 		if d.peersUpdatedAt.Sub(p.at) >= peerMaxAge {
 			continue
 		}
+		if p.receivedAt.Before(d.peersReceivedAt) {
+			d.peersReceivedAt = p.receivedAt
+		}
 		for _, l := range p.loads {
 			k := catalog.Key{ID: l.ID, Born: l.Born}
 			sum := d.peerSums[k]
@@ -76,6 +81,8 @@
 	Backlog, Running int
 	// PerMs is the estimated speed in prompt tokens per ms.
 	PerMs float64
+	// ReceivedAt is when this host received the report.
+	ReceivedAt time.Time
 }
 
 // SetGate sets the load of an engine that the owner of its gate reported.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,7 +52,7 @@
 			q.server.count("repeat_budget_spent")
 			return err
 		}
-		q.server.log.WithField("request", q.id).WithField("run", string(failure.RunState)).WithField("cause", failure.Message()).Info("Request sent again.")
+		q.logRepeat(failure)
 	}
 }
 
@@ -119,6 +119,7 @@
 // while the machine was paused.
 func (q *request) recheck() error {
 	view := q.server.opts.View()
+	q.view = view
 	if err := view.Check(q.server.opts.MaxConfigAge); err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,10 @@
 	Age time.Duration
 	// Leaving is true once the host is shutting down.
 	Leaving bool
+	// ListAge is the time since the list of instances was read, ListVersion identifies its
+	// content.
+	ListAge     time.Duration
+	ListVersion uint64
 }
 
 // Check returns HostIsolated if the host must not serve requests: it has no routing
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/fault"
@@ -25,6 +23,8 @@
 	r       *http.Request
 	id      string
 	arrived time.Time
+	// view is the last view of the configuration by which the request was checked.
+	view    View
 	route   *routing.Route
 	service *routing.Service
 	account string
@@ -95,6 +95,7 @@
 func (q *request) prepare() error {
 	q.arrived = time.Now()
 	view := q.server.opts.View()
+	q.view = view
 	if view.Leaving {
 		q.w.Header().Set("Connection", "close")
 	}
@@ -327,28 +328,3 @@
 func failureBody(code fault.Code, run fault.RunState) string {
 	return `{"error":{"code":"` + string(code) + `","run_state":"` + string(run) + `"}}` + "\n"
 }
-
-// logFailure logs why a request failed, in one line.
-func (q *request) logFailure(e *fault.Error) {
-	view := q.server.opts.View()
-	fields := logrus.Fields{
-		"request": q.id, "code": string(e.Code), "run": string(e.RunState), "sends": q.sends, "cause": e.Message(),
-		"config_age_ms": view.Age.Milliseconds(), "waited_ms": time.Since(q.arrived).Milliseconds(),
-	}
-	if q.route != nil {
-		fields["route"] = q.route.Name
-	}
-	if e.RetryAfter > 0 {
-		fields["retry_after_ms"] = e.RetryAfter.Milliseconds()
-	}
-	if view.Table != nil {
-		fields["version"] = view.Table.Document.Version
-	}
-	if q.account != "" {
-		fields["account"], fields["rank"] = q.account, q.job.Rank
-	}
-	if n := len(q.job.Tried); n > 0 {
-		fields["instance"] = q.job.Tried[n-1].ID
-	}
-	q.server.log.WithFields(fields).Info("Request failed.")
-}
--- /dev/null
+++ b/internal/gateway/requestlog.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/dispatch"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/logsink"
+)
+
+// logFailure logs why a request failed, in one line.
+func (q *request) logFailure(e *fault.Error) {
+	if logsink.Drops(q.server.log, logrus.InfoLevel) {
+		return
+	}
+	fields := q.logFields(e)
+	fields["sends"], fields["waited_ms"] = q.sends, time.Since(q.arrived).Milliseconds()
+	if e.RetryAfter > 0 {
+		fields["retry_after_ms"] = e.RetryAfter.Milliseconds()
+	}
+	q.server.log.WithFields(fields).Info("Request failed.")
+}
+
+// logRepeat logs why a request is sent again.
+func (q *request) logRepeat(e *fault.Error) {
+	if !logsink.Drops(q.server.log, logrus.InfoLevel) {
+		q.server.log.WithFields(q.logFields(e)).Info("Request sent again.")
+	}
+}
+
+// logFields returns what decided the last attempt of a request, and its error.
+func (q *request) logFields(e *fault.Error) logrus.Fields {
+	fields := logrus.Fields{"request": q.id, "code": string(e.Code), "run": string(e.RunState), "cause": e.Message()}
+	fields["config_age_ms"] = q.view.Age.Milliseconds()
+	if q.view.Table != nil {
+		fields["version"] = q.view.Table.Document.Version
+	}
+	if q.route != nil {
+		fields["route"] = q.route.Name
+	}
+	if q.account != "" {
+		fields["account"], fields["rank"] = q.account, q.job.Rank
+	}
+	if n := len(q.job.Tried); n > 0 {
+		fields["instance"] = q.job.Tried[n-1].ID
+	}
+	q.addDecision(fields)
+	return fields
+}
+
+// addDecision adds what decided the last choice of an instance, if there was one.
+func (q *request) addDecision(fields logrus.Fields) {
+	c := &q.job.Decision
+	if c.Instances == 0 {
+		return
+	}
+	fields["list_age_ms"], fields["list_version"] = q.view.ListAge.Milliseconds(), catalog.FormatVersion(q.view.ListVersion)
+	fields["instances"], fields["candidates"] = c.Instances, c.Candidates
+	if c.Candidates < c.Instances {
+		fields["left_out"] = leftOutText(c.LeftOut)
+	}
+	if c.LoadSource == dispatch.NoLoad {
+		return
+	}
+	fields["load_source"], fields["load_age_ms"] = c.LoadSource.String(), c.LoadAge.Milliseconds()
+	fields["load_running"], fields["cost_ms"] = c.Running, c.Cost.Milliseconds()
+	if q.service.Engine != nil {
+		fields["load_tokens"] = c.BacklogTokens
+	}
+}
+
+// leftOutText lists the reasons for which instances could not take a request.
+func leftOutText(l dispatch.LeftOut) string {
+	var out []string
+	for _, reason := range []struct {
+		name  string
+		count int
+	}{{"tried", l.Tried}, {"draining", l.Draining}, {"replaced", l.Replaced}, {"data_centre_out", l.OutOfService}, {"cold", l.Cold}} {
+		if reason.count > 0 {
+			out = append(out, fmt.Sprintf("%s:%d", reason.name, reason.count))
+		}
+	}
+	return strings.Join(out, ",")
+}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -195,6 +195,9 @@
 	return out
 }
 
+// ReceivedAt returns when this host received, or added up, the sum of a data centre.
+func (e *Exchange) ReceivedAt(dataCentre string) time.Time { return e.sums[dataCentre].at }
+
 // Others returns the sums without this host's own loads as last reported.
 func (e *Exchange) Others(now time.Time) []wire.LoadSum {
 	out := e.Sums(now)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -124,6 +124,25 @@
 	return true
 }
 
+// Drops reports whether a line of a level would be dropped, by its level or by a Sink, so that
+// the caller need not build it. A line that a Sink drops is then counted.
+func Drops(log logrus.FieldLogger, level logrus.Level) bool {
+	var logger *logrus.Logger
+	switch l := log.(type) {
+	case *logrus.Entry:
+		logger = l.Logger
+	case *logrus.Logger:
+		logger = l
+	default:
+		return false
+	}
+	if !logger.IsLevelEnabled(level) {
+		return true
+	}
+	f, ok := logger.Formatter.(Formatter)
+	return ok && f.Sink.drops(level)
+}
+
 // Formatter formats the lines that Sink will keep. A host that refuses a thousand requests a
 // second would spend more time on formatting lines that are dropped than on its refusals.
 type Formatter struct {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -140,3 +140,28 @@
 		}
 	}
 }
+
+// Guards against a host that builds the lines of refused requests although they are dropped.
+func TestDroppedLinesAreNotBuilt(t *testing.T) {
+	c := qt.New(t)
+	now := start
+	var out bytes.Buffer
+	sink := New(&out, func() time.Time { return now }, "h1")
+	log := logrus.New()
+	log.SetOutput(sink)
+	log.SetFormatter(Formatter{Sink: sink, Formatter: &logrus.TextFormatter{DisableColors: true}})
+	entry := log.WithField("part", "gateway")
+	c.Assert(Drops(entry, logrus.InfoLevel), qt.IsFalse)
+	for range 2 * linesPerSecond {
+		entry.Info("line")
+	}
+	c.Assert(Drops(entry, logrus.InfoLevel), qt.IsTrue)
+	c.Assert(Drops(log, logrus.InfoLevel), qt.IsTrue)
+	c.Assert(Drops(entry, logrus.WarnLevel), qt.IsFalse)
+	c.Assert(Drops(entry, logrus.DebugLevel), qt.IsTrue, qt.Commentf("below the level of the log"))
+	now = now.Add(time.Second)
+	c.Assert(Drops(entry, logrus.InfoLevel), qt.IsFalse)
+	sink.Close(time.Second)
+	// Those that the test asked for and those that the loop wrote are counted once each.
+	c.Assert(out.String(), qt.Contains, fmt.Sprintf("lines=%d", linesPerSecond+2))
+}
