Log the rank of a request by its name

Cause: a line had the rank as a bare number, and 0 also for requests that were refused before they were ranked or that have no prompt tokens. Change: dispatch.Rank has names for logs; a line has a rank only if the request was ranked. Measured: TestRankHasAName failed before ("1" in place of within_current_share).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	// account's share.
 	Account string
 	Rank    Rank
+	// Ranked is true once RecordDemand has set the rank.
+	Ranked bool
 	// Decision is what decided the last Pick.
 	Decision Decision
 }
@@ -155,7 +157,7 @@
 // of the job. It does nothing for requests without prompt tokens.
 func (d *Dispatcher) RecordDemand(j *Job, now time.Time) {
 	if j.InputTokens > 0 {
-		j.Rank = d.shares.RecordDemand(j.Account, j.tokenCost(), now)
+		j.Rank, j.Ranked = d.shares.RecordDemand(j.Account, j.tokenCost(), now), true
 	}
 }
 
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -33,6 +34,19 @@
 	BeyondShare
 )
 
+// String returns the name of the rank in logs.
+func (r Rank) String() string {
+	switch r {
+	case WithinConfiguredShare:
+		return "within_configured_share"
+	case WithinCurrentShare:
+		return "within_current_share"
+	case BeyondShare:
+		return "beyond_share"
+	}
+	return "rank_" + strconv.Itoa(int(r))
+}
+
 // AccountRate is what callers of one account demand and are served, in tokens per second.
 type AccountRate struct{ Demanded, Served float64 }
 
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
@@ -113,3 +114,14 @@
 	}
 	c.Assert(got["unlucky"] >= got["lucky"]*0.8, qt.IsTrue, qt.Commentf("%v", got))
 }
+
+// Guards against a rank in logs that its reader has to look up, and against one that a message of
+// another host puts out of range.
+func TestRankHasAName(t *testing.T) {
+	c := qt.New(t)
+	for r, name := range map[Rank]string{
+		WithinConfiguredShare: "within_configured_share", WithinCurrentShare: "within_current_share", BeyondShare: "beyond_share", 200: "rank_200",
+	} {
+		c.Check(fmt.Sprint(r), qt.Equals, name)
+	}
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -44,7 +44,10 @@
 		fields["route"] = q.route.Name
 	}
 	if q.account != "" {
-		fields["account"], fields["rank"] = q.account, q.job.Rank
+		fields["account"] = q.account
+	}
+	if q.job.Ranked {
+		fields["rank"] = q.job.Rank.String()
 	}
 	if n := len(q.job.Tried); n > 0 {
 		fields["instance"] = q.job.Tried[n-1].ID
--- a/internal/gateway/requestlog_test.go
+++ b/internal/gateway/requestlog_test.go
@@ -121,3 +121,24 @@
 		"candidates": "0", "instances": "2", "left_out": "tried:1,draining:1",
 	}, qt.Commentf("%s", failed[0]))
 }
+
+// Guards against a line with the rank as a bare number, and with a rank for a request that was
+// refused before it was ranked.
+func TestFailureNamesTheRank(t *testing.T) {
+	d := document()
+	d.Accounts = []routing.Account{{Name: "acc", Credentials: []string{"secret"}}}
+	d.Services = []routing.Service{{Name: "svc", Engine: &routing.Engine{Slots: 4}}}
+	var log logBuffer
+	gw := newTestGatewayWith(t, d, func(opts *Options) { logTo(&log)(opts); opts.MaxRunning = 1 }, newUpstream(t, closeConn))
+	for _, header := range [][]string{{"X-Token-Usage: 100,10"}, nil} {
+		gw.do("POST", "/order/x", "", append(header, "X-Api-Key: secret")...)
+	}
+	gw.server.running.Add(1)
+	gw.do("POST", "/order/x", "", "X-Token-Usage: 100,10", "X-Api-Key: secret")
+	gw.server.running.Add(-1)
+	lines := log.lines("Request failed.")
+	gw.Assert(lines, qt.HasLen, 3)
+	gw.Check(fieldsOf(lines[0], "rank", "account", "code"), qt.DeepEquals, map[string]string{"rank": "within_configured_share", "account": "acc", "code": "upstream_failed"})
+	gw.Check(fieldsOf(lines[1], "rank", "account", "code"), qt.DeepEquals, map[string]string{"account": "acc", "code": "upstream_failed"})
+	gw.Check(fieldsOf(lines[2], "rank", "account", "code"), qt.DeepEquals, map[string]string{"account": "acc", "code": "host_overloaded"})
+}
