Explain refusals by the gate of another host on both hosts

Cause: the line of a request that a gate refused named neither the owner of the gate nor what decided there, the owner wrote nothing, and a request that the gate dropped from its queue was said to be answered "after 0s". Change: the reply to a refused request carries what decided (dispatch.Refusal: reason, expected wait and limit, tokens in progress, queued before it and its own, waiting and running requests, speed). The line of the request has it with the owner, the number of the request there and the age of the reply. The owner writes a line with the caller's id if the refusal ends a request of another host; a request that may still ask another engine leaves none, as it may succeed. A field at the end of a message type does not do between releases: the msgpack library refuses an array of another length, so the comment of wire.Marshal was wrong. The new fields follow as a second array, an extension, which older hosts ignore. In one run of the gateway's tests with -race TestManyLargeResponses failed ("use of closed network connection" at Shutdown); it does not use admission and was not traced.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -65,6 +65,12 @@
 	Tokens                  int
 	FirstEventDue, Deadline time.Time
 	Rank                    dispatch.Rank
+	// RequestID is the caller's id, for the log. LastAttempt is true when a refusal ends the
+	// request.
+	RequestID   string
+	LastAttempt bool
+	// Gate is set by Admit.
+	Gate GateAnswer
 }
 
 // Admission holds the gates that this host owns and the requests of this host.
@@ -91,6 +97,8 @@
 // waiter receives the replies to one request.
 type waiter struct {
 	replies chan wire.AdmissionReply
+	// gate is guarded by the mutex of the Admission.
+	gate GateAnswer
 }
 
 // New returns an Admission for a host that knows no other.
@@ -157,15 +165,17 @@
 	if a.unresponsiveLocked(p.owner) && !a.needsReply(r) {
 		a.admitLocked(p)
 		a.mu.Unlock()
+		r.Gate = GateAnswer{Owner: p.owner, Seq: p.seq, Result: GateBypassed}
 		a.countEvent("bypassed")
 		return p, nil
 	}
-	w := &waiter{replies: make(chan wire.AdmissionReply, replyBuffer)}
+	w := &waiter{replies: make(chan wire.AdmissionReply, replyBuffer), gate: GateAnswer{Owner: p.owner, Seq: p.seq, Result: GateNoReply}}
 	a.waiters[p.seq] = w
 	a.mu.Unlock()
 	defer func() {
 		a.mu.Lock()
 		delete(a.waiters, p.seq)
+		r.Gate = w.gate
 		a.mu.Unlock()
 	}()
 	a.sendRequest(p.owner, a.requestMessage(p))
@@ -174,6 +184,9 @@
 	}
 	a.mu.Lock()
 	a.admitLocked(p)
+	if w.gate.Result != GateGranted {
+		w.gate.Result = GateBypassed
+	}
 	a.mu.Unlock()
 	return p, nil
 }
@@ -200,7 +213,7 @@
 				return nil
 			case !reply.Queued:
 				a.countEvent("refused")
-				return fault.New(fault.QueueFull, fault.NotRun, "the engine would answer after %s", reply.Wait.Round(time.Millisecond)).WithRetryAfter(reply.Wait)
+				return refusalError(reply)
 			}
 			replyDue, repeatAt = time.Time{}, a.opts.Now().Add(repeatInterval)
 		case <-ctx.Done():
@@ -281,6 +294,10 @@
 		Seq: p.seq, ID: p.key.ID, Born: p.key.Born, Service: r.Instance.Service, Slots: r.Slots, MemoryTokens: r.MemoryTokens,
 		Tokens: r.Tokens, AimLeft: r.FirstEventDue.Sub(now), EndLeft: r.Deadline.Sub(now), Rank: uint8(r.Rank),
 	}
+	m.LastAttempt = r.LastAttempt
+	if r.LastAttempt && len(r.RequestID) <= maxRequestIDBytes {
+		m.RequestID = r.RequestID
+	}
 	for _, part := range r.Parts {
 		m.Parts = append(m.Parts, wire.PromptPart(part))
 	}
@@ -351,6 +368,9 @@
 func (a *Admission) deliver(reply wire.AdmissionReply) {
 	a.mu.Lock()
 	w := a.waiters[reply.Seq]
+	if w != nil {
+		w.recordLocked(reply, a.opts.Now())
+	}
 	a.mu.Unlock()
 	if w == nil {
 		return
@@ -375,9 +395,7 @@
 	var out []addressedReply
 	for k, g := range a.gates {
 		g.DropLost(now)
-		for _, id := range g.RefuseLate(now) {
-			out = append(out, addressedReply{id.Host, wire.AdmissionReply{Seq: id.Seq}})
-		}
+		g.RefuseLate(now) // next returns the replies to the refused ones
 		out = append(out, g.next(now)...)
 		if now.Sub(g.lastUsed) > gateIdleTimeout {
 			delete(a.gates, k)
--- a/internal/admission/handover.go
+++ b/internal/admission/handover.go
@@ -37,7 +37,7 @@
 		}
 		p.owner, p.announcedAt = owner, a.opts.Now()
 		m := a.requestMessage(p)
-		m.Admitted, m.Read = true, p.read
+		m.Admitted, m.Read, m.RequestID = true, p.read, ""
 		list = append(list, handover{owner, m})
 	}
 	return list
@@ -53,7 +53,7 @@
 		}
 		p.announcedAt = now
 		m := a.requestMessage(p)
-		m.Admitted, m.Read, m.Parts = true, p.read, nil
+		m.Admitted, m.Read, m.Parts, m.RequestID = true, p.read, nil, ""
 		list = append(list, handover{p.owner, m})
 	}
 	return list
--- a/internal/admission/owner.go
+++ b/internal/admission/owner.go
@@ -12,16 +12,23 @@
 	*dispatch.Gate
 	speed    *dispatch.SpeedEstimator
 	lastUsed time.Time
+	// refusals are those that were not replied to yet.
+	refusals []gateRefusal
 }
 
 // addressedReply is a reply with the host that it is for.
 type addressedReply struct {
 	host string
 	wire.AdmissionReply
+	// refusal is nil unless the request was refused.
+	refusal *gateRefusal
 }
 
 func (a *Admission) sendReplies(list []addressedReply) {
 	for _, reply := range list {
+		if reply.refusal != nil {
+			a.logRefusal(reply.refusal)
+		}
 		if reply.host == a.opts.Host {
 			a.deliver(reply.AdmissionReply)
 			continue
@@ -35,6 +42,7 @@
 	request := dispatch.AdmissionRequest{
 		ID: dispatch.AdmissionID{Host: from, Seq: m.Seq}, Tokens: m.Tokens,
 		FirstEventDue: now.Add(m.AimLeft), Deadline: now.Add(m.EndLeft), Rank: min(dispatch.Rank(m.Rank), dispatch.BeyondShare),
+		CallerID: m.RequestID, LastAttempt: m.LastAttempt,
 	}
 	for _, p := range m.Parts {
 		request.Parts = append(request.Parts, dispatch.Part(p))
@@ -47,7 +55,10 @@
 		return
 	}
 	reply := g.Request(request, now)
-	out := []addressedReply{{from, wire.AdmissionReply{Seq: m.Seq, Granted: reply.Granted, Queued: reply.Queued, Wait: reply.Wait}}}
+	out := g.takeRefusals()
+	if reply.Granted || reply.Queued {
+		out = append(out, addressedReply{host: from, AdmissionReply: wire.AdmissionReply{Seq: m.Seq, Granted: reply.Granted, Queued: reply.Queued, Wait: reply.Wait}})
+	}
 	a.mu.Unlock()
 	a.sendReplies(out)
 }
@@ -62,6 +73,9 @@
 			a.speeds[m.Service] = speed
 		}
 		g = &ownedGate{Gate: dispatch.NewGate(m.Slots, m.MemoryTokens, speed), speed: speed}
+		g.OnRefusal = func(r dispatch.AdmissionRequest, why dispatch.Refusal) {
+			g.refusals = append(g.refusals, gateRefusal{engine: k, request: r, Refusal: why})
+		}
 		a.gates[k] = g
 	}
 	g.lastUsed = now
@@ -87,14 +101,11 @@
 }
 
 func (g *ownedGate) next(now time.Time) (out []addressedReply) {
-	granted, refused := g.AdmitWaiting(now)
+	granted, _ := g.AdmitWaiting(now) // takeRefusals returns the refused ones
 	for _, id := range granted {
-		out = append(out, addressedReply{id.Host, wire.AdmissionReply{Seq: id.Seq, Granted: true}})
+		out = append(out, addressedReply{host: id.Host, AdmissionReply: wire.AdmissionReply{Seq: id.Seq, Granted: true}})
 	}
-	for _, id := range refused {
-		out = append(out, addressedReply{id.Host, wire.AdmissionReply{Seq: id.Seq}})
-	}
-	return out
+	return append(out, g.takeRefusals()...)
 }
 
 // Loads returns the loads of the gates that this host owns.
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -20,6 +20,10 @@
 	FirstEventDue, Deadline time.Time
 	// Rank is the request's priority, which follows from its account's share.
 	Rank Rank
+	// CallerID is the caller's id of the request, for the log. LastAttempt is true when a
+	// refusal ends the request.
+	CallerID    string
+	LastAttempt bool
 }
 
 // AdmissionReply is the reply to an AdmissionRequest.
@@ -65,6 +69,8 @@
 	// readingSince is when the engine began to read the prompts in progress.
 	readingSince time.Time
 	waiting      []waitingRequest
+	// OnRefusal is called with each refused request and what decided, unless it is nil.
+	OnRefusal func(AdmissionRequest, Refusal)
 }
 
 type admittedRequest struct {
@@ -101,7 +107,13 @@
 		r.FirstEventDue, limit = r.Deadline, maxLateWait
 	}
 	wait := g.expectedWait(r, tokens, now)
-	if wait > time.Duration(maxWaitFraction[r.Rank]*float64(limit)) && !g.idle() || len(g.waiting) >= maxWaiting {
+	limit = time.Duration(maxWaitFraction[r.Rank] * float64(limit))
+	if late := wait > limit && !g.idle(); late || len(g.waiting) >= maxWaiting {
+		reason := RefusedFull
+		if late {
+			reason = RefusedLate
+		}
+		g.refused(r, reason, g.queuedAhead(r), tokens, limit, now)
 		return AdmissionReply{Wait: wait}
 	}
 	if len(g.waiting) == 0 && g.hasRoom(tokens) {
@@ -142,13 +154,17 @@
 // expectedWait estimates the time until the first event: to read the prompts in progress,
 // the queued ones that are admitted first, and the request's own.
 func (g *Gate) expectedWait(r AdmissionRequest, tokens int, now time.Time) time.Duration {
-	ahead := g.unreadTokens(now) + tokens
+	return g.speed.readTime(g.unreadTokens(now) + g.queuedAhead(r) + tokens)
+}
+
+// queuedAhead returns the queued tokens that are admitted before a request.
+func (g *Gate) queuedAhead(r AdmissionRequest) (tokens int) {
 	for _, w := range g.waiting {
 		if w.Rank < r.Rank || w.Rank == r.Rank && !w.FirstEventDue.After(r.FirstEventDue) {
-			ahead += w.tokens
+			tokens += w.tokens
 		}
 	}
-	return g.speed.readTime(ahead)
+	return tokens
 }
 
 // unreadTokens estimates the tokens in progress that are not read yet.
@@ -243,7 +259,8 @@
 // more, because more urgent ones arrived after them or the engine is slower than estimated,
 // and returns their IDs. Keeping them longer would only delay their refusal.
 func (g *Gate) RefuseLate(now time.Time) (refused []AdmissionID) {
-	ahead := g.unreadTokens(now)
+	unread := g.unreadTokens(now)
+	ahead := unread
 	kept := g.waiting[:0]
 	for _, w := range g.waiting {
 		if !now.Add(g.speed.readTime(ahead + w.tokens)).After(w.FirstEventDue) {
@@ -252,6 +269,7 @@
 			continue
 		}
 		refused = append(refused, w.ID)
+		g.refused(w.AdmissionRequest, RefusedFromQueue, ahead-unread, w.tokens, w.FirstEventDue.Sub(now), now)
 	}
 	g.waiting = kept
 	return refused
@@ -265,6 +283,7 @@
 		if w.Deadline.Before(now) {
 			g.waiting = g.waiting[1:]
 			refused = append(refused, w.ID)
+			g.refused(w.AdmissionRequest, RefusedPastDeadline, 0, w.tokens, w.Deadline.Sub(now), now)
 			continue
 		}
 		// The engine may have read parts of this prompt for others since the request
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -109,10 +109,14 @@
 	if q.server.opts.Admission == nil || q.service.Engine == nil {
 		return nil, nil
 	}
-	return q.server.opts.Admission.Admit(ctx, &admission.Request{
+	r := &admission.Request{
 		Instance: p.Instance, Slots: q.service.Engine.Slots, MemoryTokens: q.service.Engine.MemoryTokens,
 		Parts: q.job.Parts, Tokens: q.job.InputTokens, FirstEventDue: q.objectiveDeadline, Deadline: q.deadline, Rank: q.job.Rank,
-	})
+		RequestID: q.id, LastAttempt: q.refusalEndsRequest(),
+	}
+	permit, err := q.server.opts.Admission.Admit(ctx, r)
+	q.gate = r.Gate
+	return permit, err
 }
 
 // recheck repeats the checks whose result may have changed while the request waited, or
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,6 +57,8 @@
 	sends      int
 	// permit is the admission permit of the current attempt; nil without admission control.
 	permit *admission.Permit
+	// gate is the last answer of an engine's gate.
+	gate admission.GateAnswer
 }
 
 // ServeHTTP serves one request of a caller.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -53,6 +53,7 @@
 		fields["instance"] = q.job.Tried[n-1].ID
 	}
 	q.addDecision(fields)
+	q.gate.AddFields(fields, time.Now())
 	return fields
 }
 
@@ -90,3 +91,9 @@
 	}
 	return strings.Join(out, ",")
 }
+
+// refusalEndsRequest reports whether the request fails if the engine's gate refuses it, because
+// it asks no other engine. See sendWithRetries.
+func (q *request) refusalEndsRequest() bool {
+	return q.sends == 0 && (!q.job.MayTryAnotherEngine(len(q.job.Tried)) || q.job.Decision.Candidates == 1)
+}
--- a/internal/gateway/requestlog_test.go
+++ b/internal/gateway/requestlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"regexp"
 	"strings"
 	"sync"
@@ -11,8 +12,10 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/dispatch"
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/routing"
 )
 
@@ -142,3 +145,40 @@
 	gw.Check(fieldsOf(lines[1], "rank", "account", "code"), qt.DeepEquals, map[string]string{"account": "acc", "code": "upstream_failed"})
 	gw.Check(fieldsOf(lines[2], "rank", "account", "code"), qt.DeepEquals, map[string]string{"account": "acc", "code": "host_overloaded"})
 }
+
+// refusingGates stands in for gates of other hosts that refuse every request.
+type refusingGates struct{ lastAttempts []bool }
+
+func (g *refusingGates) Admit(_ context.Context, r *admission.Request) (*admission.Permit, error) {
+	g.lastAttempts = append(g.lastAttempts, r.LastAttempt)
+	r.Gate = admission.GateAnswer{
+		Owner: "10.0.0.7", Seq: 41, Result: admission.GateRefused, ReceivedAt: time.Now(), Wait: time.Second,
+		Refusal: &dispatch.Refusal{Reason: dispatch.RefusedLate, Expected: time.Second, Limit: 300 * time.Millisecond, UnreadTokens: 3_000, QueuedTokens: 20_000, Tokens: 400, Waiting: 9, Running: 12, PerMs: 23.5},
+	}
+	return nil, fault.New(fault.QueueFull, fault.NotRun, "the engine would answer after 1s").WithRetryAfter(time.Second)
+}
+
+// Guards against a line that does not say which host's gate refused a request and why, and
+// against a line of the owner about a request that another engine may still serve.
+func TestFailureNamesTheGateThatRefused(t *testing.T) {
+	d := document()
+	d.Services = []routing.Service{{Name: "svc", Engine: &routing.Engine{Slots: 4}}}
+	for upstreams, want := range map[int][]bool{1: {true}, 2: {false, true}, 3: {false, true}} {
+		var log logBuffer
+		gates := &refusingGates{}
+		var list []*upstream
+		for range upstreams {
+			list = append(list, newUpstream(t, closeConn))
+		}
+		gw := newTestGatewayWith(t, d, func(opts *Options) { logTo(&log)(opts); opts.Admission = gates }, list...)
+		resp, _, _ := gw.do("POST", "/stream/x", "", "X-Token-Usage: 100,10")
+		gw.Assert(resp.StatusCode, qt.Equals, 503)
+		gw.Check(gates.lastAttempts, qt.DeepEquals, want)
+		lines := log.lines("Request failed.")
+		gw.Assert(lines, qt.HasLen, 1)
+		gw.Check(fieldsOf(lines[0], "request", "gate_owner", "gate_seq", "gate_result", "gate_reason", "gate_expected_ms", "gate_limit_ms", "gate_unread_tokens", "gate_queued_tokens", "gate_prompt_tokens", "gate_waiting", "gate_running", "gate_tokens_per_ms"), qt.DeepEquals, map[string]string{
+			"request": "r1", "gate_owner": "10.0.0.7", "gate_seq": "41", "gate_result": "refused", "gate_reason": "would_be_late", "gate_expected_ms": "1000", "gate_limit_ms": "300",
+			"gate_unread_tokens": "3000", "gate_queued_tokens": "20000", "gate_prompt_tokens": "400", "gate_waiting": "9", "gate_running": "12", "gate_tokens_per_ms": "23.5",
+		}, qt.Commentf("%s", lines[0]))
+	}
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -8,8 +8,20 @@
 	"marigoldshunt/internal/fault"
 )
 
-// Marshal encodes a message. Structs are encoded as arrays, without field names, so new
-// fields may only be added at the end of a struct.
+// extended is a message with an extension: fields that were added after hosts with the message
+// were released. The extension follows the message as a second array, because a host refuses an
+// array of another length than its own but ignores what follows it. Fields that are added to a
+// released extension need one more.
+type extended interface {
+	// extension returns nil if there is nothing to add.
+	extension() any
+}
+
+// extensionTarget is implemented by pointers to extended messages.
+type extensionTarget interface{ extensionTarget() any }
+
+// Marshal encodes a message. Structs are encoded as arrays, without field names. Fields that are
+// added to a released message belong into its extension.
 func Marshal(v any) ([]byte, error) {
 	var buf bytes.Buffer
 	enc := msgpack.GetEncoder()
@@ -20,16 +32,35 @@
 	if err := enc.Encode(v); err != nil {
 		return nil, fault.Wrap(err, fault.FrameInvalid, "", "encode %T", v)
 	}
+	if m, ok := v.(extended); ok {
+		if extension := m.extension(); extension != nil {
+			if err := enc.Encode(extension); err != nil {
+				return nil, fault.Wrap(err, fault.FrameInvalid, "", "encode the extension of %T", v)
+			}
+		}
+	}
 	return buf.Bytes(), nil
 }
 
 // Unmarshal decodes a message that Marshal encoded. It returns a FrameInvalid error
 // for bytes that are not such a message.
 func Unmarshal(b []byte, v any) error {
-	if err := msgpack.Unmarshal(b, v); err != nil {
+	m, ok := v.(extensionTarget)
+	if !ok {
+		return fault.Wrap(msgpack.Unmarshal(b, v), fault.FrameInvalid, "", "decode %T", v)
+	}
+	r := bytes.NewReader(b)
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.UsePreallocateValues(true)
+	dec.Reset(r)
+	if err := dec.Decode(v); err != nil {
 		return fault.Wrap(err, fault.FrameInvalid, "", "decode %T", v)
 	}
-	return nil
+	if r.Len() == 0 {
+		return nil // no extension
+	}
+	return fault.Wrap(dec.Decode(m.extensionTarget()), fault.FrameInvalid, "", "decode the extension of %T", v)
 }
 
 // PoolOf returns the pool named in a message to a scheduler without decoding the whole
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -385,15 +385,57 @@
 	// new owner of the gate or confirms that the request still runs, and there is no
 	// AdmissionReply. Read is true when the engine
 	// has read the prompt.
-	Admitted, Read bool
+	Admitted, Read          bool
+	AdmissionRequestDetails `msgpack:"-"`
 }
 
+// AdmissionRequestDetails are the extension of an AdmissionRequest.
+type AdmissionRequestDetails struct {
+	// RequestID is the caller's id for the owner's log line about a refusal, empty without one.
+	RequestID string
+	// LastAttempt is true when a refusal ends the request, because it asks no other engine.
+	LastAttempt bool
+}
+
+func (m AdmissionRequest) extension() any {
+	if m.AdmissionRequestDetails == (AdmissionRequestDetails{}) {
+		return nil
+	}
+	return m.AdmissionRequestDetails
+}
+
+func (m *AdmissionRequest) extensionTarget() any { return &m.AdmissionRequestDetails }
+
 // AdmissionReply answers an AdmissionRequest. After a reply with Queued set, a second one
 // follows.
 type AdmissionReply struct {
 	Seq             uint64
 	Granted, Queued bool
 	Wait            time.Duration
+	// Refusal is nil unless the request was refused, and for refusals by older hosts. It is
+	// the extension of the message.
+	Refusal *GateRefusal `msgpack:"-"`
+}
+
+func (m AdmissionReply) extension() any {
+	if m.Refusal == nil {
+		return nil
+	}
+	return m.Refusal
+}
+
+func (m *AdmissionReply) extensionTarget() any {
+	m.Refusal = &GateRefusal{}
+	return m.Refusal
+}
+
+// GateRefusal is what decided that a request was refused. See dispatch.Refusal.
+type GateRefusal struct {
+	Reason                             uint8
+	Expected, Limit                    time.Duration
+	UnreadTokens, QueuedTokens, Tokens int
+	Waiting, Running                   int
+	PerMs                              float64
 }
 
 // AdmissionProgress tells the owner of a gate that an admitted or waiting request has had
