--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -41,7 +41,7 @@
 
 // fetchConfigNoArgs checks that a command has no arguments and fetches the configuration.
 func (a *app) fetchConfigNoArgs(ctx context.Context, fs *flag.FlagSet, args []string) (*config.Config, error) {
-	if _, err := positionalArgs(fs, args); err != nil {
+	if _, err := exactArgs(fs, args); err != nil {
 		return nil, err
 	}
 	c, err := a.clientFromFlags()
@@ -91,7 +91,7 @@
 		Name: "apply", ShortUsage: "marigoldshuntctl config apply [flags] FILE",
 		ShortHelp: "Apply a TOML file of objects as one change", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "FILE")
+			names, err := exactArgs(fs, args, "FILE")
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/contract.go
+++ b/internal/ctl/contract.go
@@ -23,7 +23,7 @@
 		Name: "get", ShortUsage: "marigoldshuntctl contract get ACCOUNT",
 		ShortHelp: "Show the contract of an account", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "ACCOUNT")
+			names, err := exactArgs(fs, args, "ACCOUNT")
 			if err != nil {
 				return err
 			}
@@ -59,7 +59,7 @@
 		Name: "set", ShortUsage: "marigoldshuntctl contract set ACCOUNT [flags]",
 		ShortHelp: "Create a contract or change the given fields of it", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "ACCOUNT")
+			names, err := exactArgs(fs, args, "ACCOUNT")
 			if err != nil {
 				return err
 			}
@@ -135,7 +135,7 @@
 		Name: "delete", ShortUsage: "marigoldshuntctl contract delete ACCOUNT [flags]",
 		ShortHelp: "Delete the contract of an account", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "ACCOUNT")
+			names, err := exactArgs(fs, args, "ACCOUNT")
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/control.go
+++ b/internal/ctl/control.go
@@ -23,7 +23,7 @@
 	return &ffcli.Command{
 		Name: name, ShortUsage: "marigoldshuntctl control " + usage, ShortHelp: help, FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, want...)
+			names, err := exactArgs(fs, args, want...)
 			if err != nil {
 				return err
 			}
@@ -57,7 +57,7 @@
 	return &ffcli.Command{
 		Name: "status", ShortHelp: "Show the members of the control group", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			answers, err := a.queryStatus(ctx, func() error { _, err := positionalArgs(fs, args); return err })
+			answers, err := a.queryStatus(ctx, func() error { _, err := exactArgs(fs, args); return err })
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -2,6 +2,7 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -43,6 +44,8 @@
 type app struct {
 	in          io.Reader
 	out, errOut io.Writer
+	// usage collects the texts of usage until it is known whether the user asked for them.
+	usage bytes.Buffer
 
 	hosts, key, keyFile string
 	timeout             time.Duration
@@ -62,7 +65,13 @@
 	if err == nil {
 		return ExitOK
 	}
-	if errors.Is(err, flag.ErrHelp) {
+	if errors.Is(err, errHelpShown) || errors.Is(err, flag.ErrHelp) && !errors.Is(err, errNoCommand) {
+		if _, err := a.usage.WriteTo(a.out); err != nil {
+			return ExitInternal
+		}
+		return ExitOK
+	}
+	if _, writeErr := a.usage.WriteTo(a.errOut); writeErr != nil || errors.Is(err, errNoCommand) {
 		return ExitUsage
 	}
 	var usage usageError
@@ -78,6 +87,13 @@
 	return exitCode(failure)
 }
 
+// errNoCommand makes ffcli show the usage of a command that needs a subcommand. errHelpShown
+// reports that the flag package has shown the usage already.
+var (
+	errNoCommand = fmt.Errorf("a command is required: %w", flag.ErrHelp)
+	errHelpShown = errors.New("help was shown")
+)
+
 // usageError is an error in the command line.
 type usageError string
 
@@ -129,7 +145,7 @@
 // root command reads the environment, so that the environment never overrides a flag.
 func (a *app) flags(name string) *flag.FlagSet {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
-	fs.SetOutput(a.errOut)
+	fs.SetOutput(&a.usage)
 	if a.timeout == 0 {
 		a.timeout = defaultTimeout
 	}
@@ -152,15 +168,19 @@
 	if len(args) > 0 {
 		return usagef("unknown command %q", args[0])
 	}
-	return flag.ErrHelp
+	return errNoCommand
 }
 
 // positionalArgs returns the arguments that are not flags. Flags may follow them.
-func positionalArgs(fs *flag.FlagSet, args []string, placeholders ...string) ([]string, error) {
+func positionalArgs(fs *flag.FlagSet, args []string) ([]string, error) {
 	var out []string
 	for len(args) > 0 {
 		if strings.HasPrefix(args[0], "-") && args[0] != "-" {
-			if err := fs.Parse(args); err != nil {
+			err := fs.Parse(args)
+			if errors.Is(err, flag.ErrHelp) {
+				return nil, errHelpShown
+			}
+			if err != nil {
 				return nil, usageError(err.Error())
 			}
 			args = fs.Args()
@@ -168,6 +188,15 @@
 		}
 		out, args = append(out, args[0]), args[1:]
 	}
+	return out, nil
+}
+
+// exactArgs returns the arguments that are not flags, one for each placeholder.
+func exactArgs(fs *flag.FlagSet, args []string, placeholders ...string) ([]string, error) {
+	out, err := positionalArgs(fs, args)
+	if err != nil {
+		return nil, err
+	}
 	if len(out) != len(placeholders) {
 		return nil, usagef("%d arguments given, expected %d: %s", len(out), len(placeholders), strings.Join(placeholders, " "))
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -368,3 +368,16 @@
 	code = Run(context.Background(), []string{"status", "--json"}, nil, &out, &errOut)
 	c.Assert(code, qt.Equals, ExitOK, qt.Commentf("%s", &errOut))
 }
+
+// Guards against a request for help that is reported as a wrong use of the tool.
+func TestHelp(t *testing.T) {
+	c := qt.New(t)
+	for _, args := range []string{"--help", "-h", "explain --help", "metrics -h", "config --help", "config apply --help", "datacentre out NAME --help", "status --help", "hash --help"} {
+		var out, errOut bytes.Buffer
+		code := Run(context.Background(), strings.Fields(args), strings.NewReader(""), &out, &errOut)
+		comment := qt.Commentf("%s: %s", args, &errOut)
+		c.Check(code, qt.Equals, ExitOK, comment)
+		c.Check(strings.Count(out.String(), "USAGE\n"), qt.Equals, 1, comment)
+		c.Check(errOut.String(), qt.Equals, "", comment)
+	}
+}
--- a/internal/ctl/order.go
+++ b/internal/ctl/order.go
@@ -24,7 +24,7 @@
 		Name: "load", ShortUsage: "marigoldshuntctl order load UPSTREAM NAME [flags]",
 		ShortHelp: "Load a model, adapter or version", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "UPSTREAM", "NAME")
+			names, err := exactArgs(fs, args, "UPSTREAM", "NAME")
 			if err != nil {
 				return err
 			}
@@ -44,7 +44,7 @@
 	return &ffcli.Command{
 		Name: name, ShortUsage: fmt.Sprintf("marigoldshuntctl order %s [flags] %v", name, want), ShortHelp: help, FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, want...)
+			names, err := exactArgs(fs, args, want...)
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -54,7 +54,7 @@
 	return &ffcli.Command{
 		Name: "metrics", ShortHelp: "Show the metrics of the first host that answers", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			if _, err := positionalArgs(fs, args); err != nil {
+			if _, err := exactArgs(fs, args); err != nil {
 				return err
 			}
 			c, err := a.clientFromFlags()
@@ -92,7 +92,7 @@
 	return &ffcli.Command{
 		Name: "hash", ShortHelp: "Read a credential from standard input and print its hash", FlagSet: fs,
 		Exec: func(_ context.Context, args []string) error {
-			if _, err := positionalArgs(fs, args); err != nil {
+			if _, err := exactArgs(fs, args); err != nil {
 				return err
 			}
 			data, err := io.ReadAll(io.LimitReader(a.in, maxCredentialBytes+1))
--- a/internal/ctl/routing.go
+++ b/internal/ctl/routing.go
@@ -54,7 +54,7 @@
 	return &ffcli.Command{
 		Name: "instances", ShortHelp: "Show the upstream instances of routed services as each host sees them", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			answers, err := a.queryStatus(ctx, func() error { _, err := positionalArgs(fs, args); return err })
+			answers, err := a.queryStatus(ctx, func() error { _, err := exactArgs(fs, args); return err })
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/service.go
+++ b/internal/ctl/service.go
@@ -87,7 +87,7 @@
 		Name: verb, ShortUsage: "marigoldshuntctl " + t.command + " " + verb + " NAME [flags]",
 		ShortHelp: help, FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "NAME")
+			names, err := exactArgs(fs, args, "NAME")
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -47,7 +47,7 @@
 	return &ffcli.Command{
 		Name: "status", ShortHelp: "Show the status of all hosts and pools", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			answers, err := a.queryStatus(ctx, func() error { _, err := positionalArgs(fs, args); return err })
+			answers, err := a.queryStatus(ctx, func() error { _, err := exactArgs(fs, args); return err })
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -25,7 +25,7 @@
 	return &ffcli.Command{
 		Name: "timeline", ShortHelp: "Show the events of all hosts in the order of cause and effect", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			if _, err := positionalArgs(fs, args); err != nil {
+			if _, err := exactArgs(fs, args); err != nil {
 				return err
 			}
 			c, err := a.clientFromFlags()
