--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -49,33 +49,6 @@
 	return fault.Wrap(err, fault.Internal, "", "write the output")
 }
 
-func (a *app) metricsCommand() *ffcli.Command {
-	fs := a.flags("metrics")
-	return &ffcli.Command{
-		Name: "metrics", ShortHelp: "Show the metrics of the first host that answers", FlagSet: fs,
-		Exec: func(ctx context.Context, args []string) error {
-			if _, err := exactArgs(fs, args); err != nil {
-				return err
-			}
-			c, err := a.clientFromFlags()
-			if err != nil {
-				return err
-			}
-			var all map[string]map[string]any
-			if err := c.get(ctx, "/metrics", &all); err != nil {
-				return err
-			}
-			var rows [][]string
-			for _, name := range slices.Sorted(maps.Keys(all)) {
-				for _, k := range slices.Sorted(maps.Keys(all[name])) {
-					rows = append(rows, []string{name, k, formatNumber(all[name][k])})
-				}
-			}
-			return a.show(all, "METRIC FIELD VALUE", rows)
-		},
-	}
-}
-
 // formatNumber formats a JSON number, without an exponent if it is whole.
 func formatNumber(v any) string {
 	if f, ok := v.(float64); ok && f == float64(int64(f)) {
