Keep lines about other hosts' requests from displacing a host's own

Change: these lines only use the first half of a second's lines, and those beyond it count as dropped but take no place. The speed in a line is rounded to one decimal, and `explain` shows the fields of a gate in the order in which one reads them.

--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,7 +63,7 @@
 	fields["gate_reason"] = r.Reason.String()
 	fields["gate_expected_ms"], fields["gate_limit_ms"] = r.Expected.Milliseconds(), r.Limit.Milliseconds()
 	fields["gate_unread_tokens"], fields["gate_queued_tokens"], fields["gate_prompt_tokens"] = r.UnreadTokens, r.QueuedTokens, r.Tokens
-	fields["gate_waiting"], fields["gate_running"], fields["gate_tokens_per_ms"] = r.Waiting, r.Running, r.PerMs
+	fields["gate_waiting"], fields["gate_running"], fields["gate_tokens_per_ms"] = r.Waiting, r.Running, math.Round(r.PerMs*10)/10
 }
 
 // recordLocked records a reply to the request of a waiter.
@@ -124,7 +125,7 @@
 // logRefusal logs a refusal that ended a request of another host. The line of a request of this
 // host has the same fields already, and a request that may ask another engine may still succeed.
 func (a *Admission) logRefusal(r *gateRefusal) {
-	if r.request.ID.Host == a.opts.Host || !r.request.LastAttempt || logsink.Drops(a.opts.Log, logrus.InfoLevel) {
+	if r.request.ID.Host == a.opts.Host || !r.request.LastAttempt || logsink.DropsSecondary(a.opts.Log, logrus.InfoLevel) {
 		return
 	}
 	fields := logrus.Fields{
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -106,7 +106,9 @@
 	firstFields = []string{
 		"route", "account", "rank", "code", "run", "sends", "instance", "status", "waited_ms", "retry_after_ms",
 		"config_age_ms", "version", "list_age_ms", "list_version", "instances", "candidates", "left_out",
-		"load_source", "load_age_ms", "load_running", "load_tokens", "cost_ms",
+		"load_source", "load_age_ms", "load_running", "load_tokens", "cost_ms", "from", "gate_owner", "gate_seq",
+		"gate_result", "gate_reason", "gate_age_ms", "gate_expected_ms", "gate_limit_ms", "gate_tokens_per_ms",
+		"gate_unread_tokens", "gate_queued_tokens", "gate_prompt_tokens", "gate_waiting", "gate_running",
 	}
 	lastFields = []string{"cause"}
 	// hiddenFields are shown in another way or do not concern the request.
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -108,25 +108,36 @@
 	return s.linesInSecond > linesPerSecond || len(s.lines) >= bufferLines-reservedLines
 }
 
-// drops reports whether Write would drop the next line of a level, and then counts it.
-func (s *Sink) drops(level logrus.Level) bool {
+// drops reports whether the next line of a level exceeds a limit of lines in this second or Write
+// would drop it, and then counts it.
+func (s *Sink) drops(level logrus.Level, limit int) bool {
 	if level <= logrus.WarnLevel {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startSecond()
-	if s.linesInSecond < linesPerSecond && !s.overBudget() {
+	if s.linesInSecond < limit && !s.overBudget() {
 		return false
 	}
-	s.linesInSecond++
 	s.dropped++
+	if limit == linesPerSecond {
+		s.linesInSecond++ // secondary lines that are dropped leave their place to others
+	}
 	return true
 }
 
 // Drops reports whether a line of a level would be dropped, by its level or by a Sink, so that
 // the caller need not build it. A line that a Sink drops is then counted.
-func Drops(log logrus.FieldLogger, level logrus.Level) bool {
+func Drops(log logrus.FieldLogger, level logrus.Level) bool { return drops(log, level, linesPerSecond) }
+
+// DropsSecondary is Drops for lines that add to a line of another host. They may only use the
+// first half of what a second may have, so that they never take the place of a host's own lines.
+func DropsSecondary(log logrus.FieldLogger, level logrus.Level) bool {
+	return drops(log, level, linesPerSecond/2)
+}
+
+func drops(log logrus.FieldLogger, level logrus.Level, limit int) bool {
 	var logger *logrus.Logger
 	switch l := log.(type) {
 	case *logrus.Entry:
@@ -140,7 +151,7 @@
 		return true
 	}
 	f, ok := logger.Formatter.(Formatter)
-	return ok && f.Sink.drops(level)
+	return ok && f.Sink.drops(level, limit)
 }
 
 // Formatter formats the lines that Sink will keep. A host that refuses a thousand requests a
@@ -152,7 +163,7 @@
 
 // Format implements logrus.Formatter. It returns no bytes for a line that is dropped.
 func (f Formatter) Format(e *logrus.Entry) ([]byte, error) {
-	if f.Sink.drops(e.Level) {
+	if f.Sink.drops(e.Level, linesPerSecond) {
 		return nil, nil
 	}
 	return f.Formatter.Format(e)
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -165,3 +165,29 @@
 	// Those that the test asked for and those that the loop wrote are counted once each.
 	c.Assert(out.String(), qt.Contains, fmt.Sprintf("lines=%d", linesPerSecond+2))
 }
+
+// Guards against lines about requests of other hosts that take the place of lines about a host's
+// own requests.
+func TestSecondaryLinesUseHalfOfASecond(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	now := start
+	sink := New(&out, func() time.Time { return now }, "h1")
+	log := logrus.New()
+	log.SetOutput(sink)
+	log.SetFormatter(Formatter{Sink: sink, Formatter: &logrus.TextFormatter{DisableColors: true}})
+	for range 2 * linesPerSecond {
+		if !DropsSecondary(log, logrus.InfoLevel) {
+			log.Info("secondary")
+		}
+	}
+	for range linesPerSecond / 4 {
+		log.Info("own")
+	}
+	now = now.Add(time.Second)
+	c.Check(DropsSecondary(log, logrus.InfoLevel), qt.IsFalse)
+	sink.Close(time.Second)
+	c.Check(strings.Count(out.String(), "msg=secondary"), qt.Equals, linesPerSecond/2)
+	c.Check(strings.Count(out.String(), "msg=own"), qt.Equals, linesPerSecond/4)
+	c.Check(out.String(), qt.Contains, fmt.Sprintf("lines=%d", linesPerSecond+linesPerSecond/2))
+}
