--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -88,7 +88,7 @@
 		Name: "apply", ShortUsage: "marigoldshuntctl config apply [flags] FILE",
 		ShortHelp: "Apply a TOML file of objects as one change", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := positionalArgs(fs, args, "FILE")
+			names, err := exactArgs(fs, args, "FILE")
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/flags.go
+++ b/internal/ctl/flags.go
@@ -17,7 +17,7 @@
 // argsAndClient returns the positional arguments of a command, called as in names, and a client
 // for its flags.
 func (a *app) argsAndClient(fs *flag.FlagSet, args []string, names ...string) ([]string, *client, error) {
-	values, err := positionalArgs(fs, args, names...)
+	values, err := exactArgs(fs, args, names...)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,7 +52,7 @@
 			q.server.count("repeat_budget_spent")
 			return err
 		}
-		q.server.log.WithField("request", q.id).WithField("run", string(failure.RunState)).WithField("cause", failure.Message()).Info("Request sent again.")
+		q.logRepeat(failure)
 	}
 }
 
@@ -119,16 +119,21 @@
 	if q.server.opts.Admission == nil || q.service.Engine == nil {
 		return nil, nil
 	}
-	return q.server.opts.Admission.Admit(ctx, &admission.Request{
+	r := &admission.Request{
 		Instance: p.Instance, Slots: q.service.Engine.Slots, MemoryTokens: q.service.Engine.MemoryTokens,
 		Parts: q.job.Parts, Tokens: q.job.InputTokens, FirstEventDue: q.objectiveDeadline, Deadline: q.deadline, Rank: q.job.Rank,
-	})
+		RequestID: q.id, LastAttempt: q.refusalEndsRequest(),
+	}
+	permit, err := q.server.opts.Admission.Admit(ctx, r)
+	q.gate = r.Gate
+	return permit, err
 }
 
 // recheck repeats the checks whose result may have changed while the request waited, or
 // while the machine was paused.
 func (q *request) recheck() error {
 	view := q.server.opts.View()
+	q.view = view
 	if err := view.Check(q.server.opts.MaxConfigAge); err != nil {
 		return err
 	}
--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/logsink"
 )
 
 // earlyReadBytes is the size of one read of the rest of a refused request.
@@ -64,8 +67,8 @@
 		return false
 	}
 	s.count("failed." + string(fault.HostOverloaded))
-	if !s.dropsInfo() {
-		q := &request{server: s, id: string(h.id), arrived: now, account: a.Name}
+	if !logsink.Drops(s.log, logrus.InfoLevel) {
+		q := &request{server: s, id: string(h.id), arrived: now, account: a.Name, view: view}
 		q.logFailure(rateLimited(limit))
 	}
 	return true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,6 @@
 	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
-	"marigoldshunt/internal/logsink"
 	"marigoldshunt/internal/overload"
 	"marigoldshunt/internal/routing"
 	"marigoldshunt/internal/wait"
@@ -40,6 +39,10 @@
 	Age time.Duration
 	// Leaving is true once the host is shutting down.
 	Leaving bool
+	// ListAge is the time since the list of instances was read, ListVersion identifies its
+	// content.
+	ListAge     time.Duration
+	ListVersion uint64
 }
 
 // Check returns HostIsolated if the host must not serve requests: it has no routing
@@ -199,17 +202,6 @@
 	metrics.GetOrRegisterCounter("gateway."+name, s.opts.Registry).Inc(1)
 }
 
-// dropsInfo reports whether a log line at info level would be dropped now, and counts it then.
-func (s *Server) dropsInfo() bool {
-	switch l := s.log.(type) {
-	case *logrus.Entry:
-		return logsink.Dropped(l.Logger, logrus.InfoLevel)
-	case *logrus.Logger:
-		return logsink.Dropped(l, logrus.InfoLevel)
-	}
-	return false
-}
-
 // observeSince adds the time since start to a timer metric.
 func (s *Server) observeSince(name string, start time.Time) {
 	metrics.GetOrRegisterTimer("gateway."+name, s.opts.Registry).UpdateSince(start)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/fault"
@@ -25,6 +23,8 @@
 	r       *http.Request
 	id      string
 	arrived time.Time
+	// view is the last view of the configuration by which the request was checked.
+	view    View
 	route   *routing.Route
 	service *routing.Service
 	account string
@@ -56,6 +56,8 @@
 	sends      int
 	// permit is the admission permit of the current attempt; nil without admission control.
 	permit *admission.Permit
+	// gate is the last answer of an engine's gate.
+	gate admission.GateAnswer
 }
 
 // ServeHTTP serves one request of a caller.
@@ -94,6 +96,7 @@
 func (q *request) prepare() error {
 	q.arrived = time.Now()
 	view := q.server.opts.View()
+	q.view = view
 	if view.Leaving {
 		q.w.Header().Set("Connection", "close")
 	}
@@ -300,7 +303,8 @@
 		c.RunState = fault.MayHaveRun
 		e = &c
 	}
-	q.recordFailure(e)
+	q.server.count("failed." + string(e.Code))
+	q.logFailure(e)
 	if q.headerWritten || e.Code == fault.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
@@ -325,40 +329,7 @@
 	}
 }
 
-// recordFailure counts and logs a failed request.
-func (q *request) recordFailure(e *fault.Error) {
-	q.server.count("failed." + string(e.Code))
-	if !q.server.dropsInfo() {
-		q.logFailure(e)
-	}
-}
-
 // failureBody returns the response body for an error of the host's own.
 func failureBody(code fault.Code, run fault.RunState) string {
 	return `{"error":{"code":"` + string(code) + `","run_state":"` + string(run) + `"}}` + "\n"
 }
-
-// logFailure logs why a request failed, in one line.
-func (q *request) logFailure(e *fault.Error) {
-	view := q.server.opts.View()
-	fields := logrus.Fields{
-		"request": q.id, "code": string(e.Code), "run": string(e.RunState), "sends": q.sends, "cause": e.Message(),
-		"config_age_ms": view.Age.Milliseconds(), "waited_ms": time.Since(q.arrived).Milliseconds(),
-	}
-	if q.route != nil {
-		fields["route"] = q.route.Name
-	}
-	if e.RetryAfter > 0 {
-		fields["retry_after_ms"] = e.RetryAfter.Milliseconds()
-	}
-	if view.Table != nil {
-		fields["version"] = view.Table.Document.Version
-	}
-	if q.account != "" {
-		fields["account"], fields["rank"] = q.account, q.job.Rank
-	}
-	if n := len(q.job.Tried); n > 0 {
-		fields["instance"] = q.job.Tried[n-1].ID
-	}
-	q.server.log.WithFields(fields).Info("Request failed.")
-}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 	now   func() time.Time
 	lines chan []byte
 	done  chan struct{}
+	// hostField is the last field of each line; empty if the host has no name.
+	hostField string
 	// queuedBytes is the size of the queued lines.
 	queuedBytes atomic.Int64
 
@@ -42,13 +45,32 @@
 	closed        bool
 }
 
-// New returns a Sink that writes to out from a goroutine of its own.
-func New(out io.Writer, now func() time.Time) *Sink {
-	s := &Sink{out: out, now: now, lines: make(chan []byte, bufferLines), done: make(chan struct{})}
+// New returns a Sink that writes to out from a goroutine of its own. It adds the name of the
+// host to each line, because the logs of several hosts may be collected in one file.
+func New(out io.Writer, now func() time.Time, host string) *Sink {
+	s := &Sink{out: out, now: now, lines: make(chan []byte, bufferLines), done: make(chan struct{}), hostField: hostField(host)}
 	go s.writeQueued()
 	return s
 }
 
+func hostField(host string) string {
+	switch {
+	case host == "":
+		return ""
+	case strings.ContainsAny(host, " \t\n\"="):
+		return fmt.Sprintf(" host=%q", host)
+	}
+	return " host=" + host
+}
+
+// withHost returns a copy of a line with the field of the host.
+func (s *Sink) withHost(p []byte) []byte {
+	text := bytes.TrimSuffix(p, []byte("\n"))
+	line := append(make([]byte, 0, len(p)+len(s.hostField)), text...)
+	line = append(line, s.hostField...)
+	return append(line, p[len(text):]...)
+}
+
 // isImportant reports whether p is a warning, an error or a fatal error. These lines are kept
 // beyond linesPerSecond.
 func isImportant(p []byte) bool {
@@ -68,7 +90,7 @@
 		s.dropped++
 		return len(p), nil
 	}
-	s.enqueue(bytes.Clone(p))
+	s.enqueue(s.withHost(p))
 	return len(p), nil
 }
 
@@ -86,22 +108,52 @@
 	return s.linesInSecond > linesPerSecond || len(s.lines) >= bufferLines-reservedLines
 }
 
-// drops reports whether Write would drop the next line of a level, and then counts it.
-func (s *Sink) drops(level logrus.Level) bool {
+// drops reports whether the next line of a level exceeds a limit of lines in this second or Write
+// would drop it, and then counts it.
+func (s *Sink) drops(level logrus.Level, limit int) bool {
 	if level <= logrus.WarnLevel {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startSecond()
-	if s.linesInSecond < linesPerSecond && !s.overBudget() {
+	if s.linesInSecond < limit && !s.overBudget() {
 		return false
 	}
-	s.linesInSecond++
 	s.dropped++
+	if limit == linesPerSecond {
+		s.linesInSecond++ // secondary lines that are dropped leave their place to others
+	}
 	return true
 }
 
+// Drops reports whether a line of a level would be dropped, by its level or by a Sink, so that
+// the caller need not build it. A line that a Sink drops is then counted.
+func Drops(log logrus.FieldLogger, level logrus.Level) bool { return drops(log, level, linesPerSecond) }
+
+// DropsSecondary is Drops for lines that add to a line of another host. They may only use the
+// first half of what a second may have, so that they never take the place of a host's own lines.
+func DropsSecondary(log logrus.FieldLogger, level logrus.Level) bool {
+	return drops(log, level, linesPerSecond/2)
+}
+
+func drops(log logrus.FieldLogger, level logrus.Level, limit int) bool {
+	var logger *logrus.Logger
+	switch l := log.(type) {
+	case *logrus.Entry:
+		logger = l.Logger
+	case *logrus.Logger:
+		logger = l
+	default:
+		return false
+	}
+	if !logger.IsLevelEnabled(level) {
+		return true
+	}
+	f, ok := logger.Formatter.(Formatter)
+	return ok && f.Sink.drops(level, limit)
+}
+
 // Formatter formats the lines that Sink will keep. A host that refuses a thousand requests a
 // second would spend more time on formatting lines that are dropped than on its refusals.
 type Formatter struct {
@@ -111,22 +163,12 @@
 
 // Format implements logrus.Formatter. It returns no bytes for a line that is dropped.
 func (f Formatter) Format(e *logrus.Entry) ([]byte, error) {
-	if f.Sink.drops(e.Level) {
+	if f.Sink.drops(e.Level, linesPerSecond) {
 		return nil, nil
 	}
 	return f.Formatter.Format(e)
 }
 
-// Dropped reports whether the logger would drop a line of a level now, and counts a line that its
-// Sink would drop. Code that logs a line for each failed request asks before it builds the line.
-func Dropped(log *logrus.Logger, level logrus.Level) bool {
-	if !log.IsLevelEnabled(level) {
-		return true
-	}
-	f, ok := log.Formatter.(Formatter)
-	return ok && f.Sink.drops(level)
-}
-
 // reportDropped logs how many lines were dropped since its last report. Write calls it at
 // most once a second.
 func (s *Sink) reportDropped(now time.Time) {
@@ -135,7 +177,7 @@
 	}
 	line := fmt.Sprintf("time=%q level=warning msg=\"Log lines were dropped.\" part=log lines=%d\n", now.Format(time.RFC3339), s.dropped)
 	s.dropped = 0
-	s.enqueue([]byte(line))
+	s.enqueue(s.withHost([]byte(line)))
 }
 
 func (s *Sink) enqueue(line []byte) {
