Reserve the addresses on which the tests of the tool expect nobody

Cause: closedAddress closed a listener and hoped that its port stays free. Tests of other packages run beside these and get ports from the system meanwhile; a listener on that port accepts and keeps silent, and the tool then waits for its time limit. Shown by a trial in which another listener takes the port after it was closed: TestConfigApply failed (exit code 8 for 0 after 22 s), TestCommands too (8 for 7). With the reservation the same port is refused to another socket ("address already in use") and the tests pass. Ruled out: a fault of the tool; the exit codes are those of a silent host.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -23,6 +23,7 @@
 	"marigoldshunt/internal/admin"
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/freeport"
 	"marigoldshunt/internal/hlc"
 	"marigoldshunt/internal/state"
 	"marigoldshunt/internal/timeline"
@@ -168,12 +169,12 @@
 	return run(context.Background(), hosts, "config", "apply", path)
 }
 
-// closedAddress returns an address on which nobody listens.
+// closedAddress returns an address on which nobody listens until the end of the test.
 func closedAddress(c *qt.C) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := freeport.Reserve("127.0.0.1", 0)
 	c.Assert(err, qt.IsNil)
-	defer ln.Close()
-	return ln.Addr().String()
+	c.Cleanup(func() { c.Check(port.Close(), qt.IsNil) })
+	return port.Address()
 }
 
 // Guards against a change that is lost, applied twice or not shown when the first host is
