Reserve the port on which the engine's test expects nobody

Cause: TestRefusedConnectIsUnreachable closed a listener and connected to its port, which the system may have given to another test process meanwhile. Shown by a trial in which another listener takes the port: outcome 4 (broken, with a time limit of 1 s) in place of 3 (unreachable). With the reservation the port is refused to another socket and the test passes. Ruled out: a fault of the client; the request did reach a listener.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -20,6 +20,7 @@
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/emulator"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/freeport"
 	"marigoldshunt/internal/wire"
 )
 
@@ -217,11 +218,11 @@
 // Guards against reporting a request as possibly run if there was no connection.
 func TestRefusedConnectIsUnreachable(t *testing.T) {
 	c := qt.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := freeport.Reserve("127.0.0.1", 0)
 	c.Assert(err, qt.IsNil)
-	ln.Close()
+	defer port.Close()
 	cl := New(Options{})
-	res := cl.Do(context.Background(), chatRequest(ln.Addr().String(), false), &recordingSink{})
+	res := cl.Do(context.Background(), chatRequest(port.Address(), false), &recordingSink{})
 	c.Assert(res.Outcome, qt.Equals, wire.OutcomeUnreachable)
 	c.Assert(res.Err.RunState, qt.Equals, fault.NotRun)
 	c.Assert(res.Cost, qt.Equals, 0.0)
