Reserve the port on which the test of a restarted peer listens again

Cause: TestRestart closes the listener of a peer and listens at the same port again, which the system may have given to another socket meanwhile. Shown by a trial in which another listener takes the port between the two: "bind: address already in use". With the reservation, the port is refused to another socket and the test passes.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/freeport"
 	"marigoldshunt/internal/hlc"
 	"marigoldshunt/internal/wire"
 )
@@ -174,8 +175,11 @@
 func TestRestart(t *testing.T) {
 	c := qt.New(t)
 	network := newTestNetwork()
+	port, err := freeport.Reserve("127.0.0.1", 0)
+	c.Assert(err, qt.IsNil)
+	defer port.Close()
 	a := network.start(t, Options{Host: "a", Boot: 1}, anyPort)
-	b := network.start(t, Options{Host: "b", Boot: 2}, anyPort)
+	b := network.start(t, Options{Host: "b", Boot: 2}, port.Address())
 	a.send(t, "b", "1")
 	c.Assert(a.nextEvent(t), qt.Equals, "b/2 up=true")
 	b.nextEvent(t)
