End the crash of the emulator's test by an event, at a port that is reserved

Cause: TestCrashRefusesAndReturnsAsNewInstance had 50 ms of refused connections after a crash in which it had to connect; a test that gets no CPU time for so long finds the upstream up again. The upstream listens at its old port again, which the system may have given to another socket. Change: the connections are refused for an hour, which the test ends once it has been refused; the port is reserved. Each failed request must now be refused, and the time of the refusals must be within the option. Ruled out: a fault of the emulator, whose 50 ms had passed.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -2,18 +2,21 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/freeport"
 )
 
 type harness struct {
@@ -68,21 +71,31 @@
 // Guards the crash trigger that tests of the quarantine use: the connection breaks,
 // connections are refused for a while, and the upstream returns as a new instance.
 func TestCrashRefusesAndReturnsAsNewInstance(t *testing.T) {
-	h := startEmulator(t, Options{CrashDowntime: 50 * time.Millisecond})
+	c := qt.New(t)
+	port, err := freeport.Reserve("127.0.0.1", 0)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(port.Close(), qt.IsNil) })
+	ln, err := net.Listen("tcp", port.Address())
+	c.Assert(err, qt.IsNil)
+	const downtime = time.Hour
+	h := serveEmulator(c, Options{CrashDowntime: downtime}, ln)
 	before := h.emulator.Instance()
-	_, _, err := h.post(chatPath, "r1", `{"user":"`+CrashTrigger+`"}`)
+	_, _, err = h.post(chatPath, "r1", `{"user":"`+CrashTrigger+`"}`)
 	h.Assert(err, qt.IsNotNil)
-	refused := 0
-	for {
+	_, _, err = h.post(chatPath, "r2", `{}`)
+	h.Assert(errors.Is(err, syscall.ECONNREFUSED), qt.IsTrue, qt.Commentf("%v", err))
+	h.emulator.mu.Lock()
+	h.Check(time.Until(h.emulator.refuseConnsUntil) <= downtime, qt.IsTrue)
+	h.emulator.refuseConnsUntil = time.Now() // as after the downtime
+	h.emulator.mu.Unlock()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		r, _, err := h.post(chatPath, "r2", `{}`)
 		if err == nil {
 			h.Assert(r.Header.Get("X-Instance-Id"), qt.Equals, h.emulator.Instance())
 			break
 		}
-		refused++
-		time.Sleep(time.Millisecond)
+		h.Assert(errors.Is(err, syscall.ECONNREFUSED) && time.Now().Before(end), qt.IsTrue, qt.Commentf("%v", err))
 	}
-	h.Assert(refused > 0, qt.IsTrue)
 	h.Assert(h.emulator.Instance() != before, qt.IsTrue)
 	d := h.emulator.Debug()
 	h.Assert(d.Crashes, qt.Equals, 1)
