Share the failures of an instance among the hosts of a data centre

Callers saw: an upstream that answers healthy and fails every request kept getting the prompts whose shared parts it had, and each host lost requests there on its own. Cause: results counted for one host only, over four seconds, and weighed less than reading a long prompt's shared parts again. A host that sends an instance a request every few seconds never learnt enough. Change: hosts report their results of instances that failed lately, with the loads; the relay adds them up for its data centre and doesn't pass them on, as an instance may fail for the callers of one data centre only.

--- a/internal/daemon/edge_loads.go
+++ b/internal/daemon/edge_loads.go
@@ -44,6 +44,9 @@
 				list[i] = dispatch.Load(l)
 			}
 			d.SetPeerLoads(sum.DataCentre, list, now)
+			if sum.DataCentre == e.d.settings.DataCentre {
+				d.SetPeerFailures(dispatchFailures(sum.Loads.Failures), now)
+			}
 			d.SetPeerRates(sum.DataCentre, dispatchRates(sum.Loads.Rates), now)
 			for _, g := range sum.Loads.Gates {
 				d.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs}, now)
@@ -52,6 +55,14 @@
 	})
 }
 
+func dispatchFailures(list []wire.InstanceFailures) []dispatch.Failures {
+	out := make([]dispatch.Failures, len(list))
+	for i, f := range list {
+		out[i] = dispatch.Failures{Key: catalog.Key{ID: f.ID, Born: f.Born}, Failed: float64(f.Failed), Results: float64(f.Results)}
+	}
+	return out
+}
+
 func dispatchRates(rates map[string]wire.AccountRate) dispatch.AccountRates {
 	out := make(dispatch.AccountRates, len(rates))
 	for account, r := range rates {
@@ -68,6 +79,9 @@
 			for _, l := range d.OwnLoads() {
 				own.Instances = append(own.Instances, wire.InstanceLoad(l))
 			}
+			for _, f := range d.OwnFailures(now) {
+				own.Failures = append(own.Failures, wire.InstanceFailures{ID: f.Key.ID, Born: f.Key.Born, Failed: float32(f.Failed), Results: float32(f.Results)})
+			}
 			own.Rates = map[string]wire.AccountRate{}
 			for account, r := range d.OwnRates(now) {
 				own.Rates[account] = wire.AccountRate{Asked: float32(r.Demanded), Served: float32(r.Served)}
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -19,8 +19,9 @@
 	crossDataCentreMs      = 5.0
 	crossDataCentreMsPerKB = 20.0
 	// failurePenaltyMs is added for an instance whose responses all fail, and in proportion
-	// for a lower failure rate.
-	failurePenaltyMs = 2_000.0
+	// for a lower failure rate. A quarter of it exceeds the cost of reading a long prompt's
+	// shared parts again.
+	failurePenaltyMs = 6_000.0
 	// rereadMsPerToken is added for each shared token that has to be read again. It
 	// stands for the time, and for the memory that another copy takes from other parts.
 	rereadMsPerToken = 0.2
@@ -36,7 +37,7 @@
 
 // cost estimates the time in ms until the instance would respond, plus penalties.
 func (d *Dispatcher) cost(s *routing.Service, j *Job, x *instance, preferred bool, now time.Time) float64 {
-	c := x.failureRate.value(now) * failurePenaltyMs
+	c := d.failureRate(x, now) * failurePenaltyMs
 	if now.Before(x.suspectUntil) {
 		c += suspectPenaltyMs
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -75,6 +75,10 @@
 	peerLoads      map[string]reportedLoads
 	peerSums       map[catalog.Key]Load
 	peersUpdatedAt time.Time
+	// peerFailures are the results that the other hosts of this data centre reported at
+	// peerFailuresAt, by instance.
+	peerFailures   map[catalog.Key]Failures
+	peerFailuresAt time.Time
 	shares         *FairShares
 }
 
--- a/internal/dispatch/instance.go
+++ b/internal/dispatch/instance.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"marigoldshunt/internal/catalog"
@@ -27,9 +26,10 @@
 	// those that have not had their first event.
 	running, readingTokens int
 	report                 report
-	failureRate            decayingMean
-	suspectUntil           time.Time
-	connectFailures        int
+	// results are the latest results of this host's requests; a failure counts 1.
+	results         decayingMean
+	suspectUntil    time.Time
+	connectFailures int
 	// gate is the load that the owner of the engine's gate reported last; sentSinceReport
 	// counts the prompt tokens that this host has sent to the engine since.
 	gate            gateView
@@ -146,10 +146,10 @@
 	x.running--
 	switch o {
 	case Answered:
-		x.failureRate.add(0, now)
+		x.results.add(0, now)
 		x.connectFailures, x.suspectUntil = 0, time.Time{}
 	case Failed:
-		x.failureRate.add(1, now)
+		x.results.add(1, now)
 	case Unreachable:
 		x.suspectUntil = now.Add(min(minSuspectTime<<min(x.connectFailures, 8), maxSuspectTime))
 		x.connectFailures++
@@ -161,33 +161,3 @@
 func (p *Placement) Report(running, waiting int, now time.Time) {
 	p.target.report = report{running: running, waiting: waiting, at: now}
 }
-
-// decayingMean is an exponentially weighted mean of results.
-type decayingMean struct {
-	sum, weight float64
-	at          time.Time
-}
-
-// meanTimeConstant is the time in which the weight of a result falls to 1/e.
-const meanTimeConstant = 4 * time.Second
-
-func (d *decayingMean) decay(now time.Time) {
-	if f := math.Exp(-now.Sub(d.at).Seconds() / meanTimeConstant.Seconds()); !d.at.IsZero() {
-		d.sum *= f
-		d.weight *= f
-	}
-	d.at = now
-}
-
-func (d *decayingMean) add(v float64, now time.Time) {
-	d.decay(now)
-	d.sum += v
-	d.weight++
-}
-
-// value returns the mean. Two successes are assumed, so that one failure does not
-// dominate it.
-func (d *decayingMean) value(now time.Time) float64 {
-	d.decay(now)
-	return d.sum / (d.weight + 2)
-}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -29,7 +29,7 @@
 	for _, x := range d.instances {
 		out = append(out, InstanceStatus{
 			ID: x.ID, Service: x.Service, Address: x.Address, DataCentre: x.DataCentre, State: d.state(x, now),
-			Running: x.running, Backlog: x.gate.Backlog, Failing: x.failureRate.value(now),
+			Running: x.running, Backlog: x.gate.Backlog, Failing: d.failureRate(x, now),
 		})
 	}
 	slices.SortFunc(out, func(a, b InstanceStatus) int {
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -107,6 +107,8 @@
 
 // relayMessages returns the messages to the relays of the other data centres.
 func (e *Exchange) relayMessages(sum wire.LoadSum) (out []Outgoing) {
+	// An instance may fail for the callers of one data centre only, so the others don't avoid it.
+	sum.Loads.Failures = nil
 	seen := map[string]bool{e.dataCentre: true}
 	for _, h := range e.hosts {
 		if !seen[h.DataCentre] {
@@ -151,6 +153,7 @@
 			out.Instances[i].Reading += l.Reading
 		}
 		out.Gates = append(out.Gates, r.loads.Gates...)
+		out.Failures = addFailures(out.Failures, r.loads.Failures)
 		for account, add := range r.loads.Rates {
 			sum := out.Rates[account]
 			out.Rates[account] = wire.AccountRate{Asked: sum.Asked + add.Asked, Served: sum.Served + add.Served}
@@ -159,6 +162,23 @@
 	return out
 }
 
+// addFailures adds up results by instance.
+func addFailures(sum, add []wire.InstanceFailures) []wire.InstanceFailures {
+	for _, f := range add {
+		if i := indexOfInstance(sum, f); i >= 0 {
+			sum[i].Failed += f.Failed
+			sum[i].Results += f.Results
+		} else {
+			sum = append(sum, f)
+		}
+	}
+	return sum
+}
+
+func indexOfInstance(list []wire.InstanceFailures, f wire.InstanceFailures) int {
+	return slices.IndexFunc(list, func(x wire.InstanceFailures) bool { return x.ID == f.ID && x.Born == f.Born })
+}
+
 func (e *Exchange) stale(at, now time.Time) bool { return now.Sub(at) > staleIntervals*e.Interval() }
 
 // HandleReport stores the report of a host.
@@ -218,6 +238,13 @@
 			}
 		}
 	}
+	sum.Failures = slices.Clone(sum.Failures)
+	for _, o := range own.Failures {
+		if i := indexOfInstance(sum.Failures, o); i >= 0 {
+			f := &sum.Failures[i]
+			f.Failed, f.Results = max(f.Failed-o.Failed, 0), max(f.Results-o.Results, 0)
+		}
+	}
 	rates := make(map[string]wire.AccountRate, len(sum.Rates))
 	for account, r := range sum.Rates {
 		ownRate := own.Rates[account]
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -18,6 +18,8 @@
 	hosts  []Host
 	// sent counts the messages by sender in the last round.
 	sent map[string]int
+	// failing are the hosts whose requests to instance x fail.
+	failing map[string]bool
 }
 
 func newFleet(dataCentres, perDataCentre int) *fleet {
@@ -48,6 +50,9 @@
 			continue
 		}
 		own := wire.Loads{Instances: []wire.InstanceLoad{{ID: "x", Running: 1}}, Rates: map[string]wire.AccountRate{"a": {Asked: 5, Served: 2}}}
+		if f.failing[h.Name] {
+			own.Failures = []wire.InstanceFailures{{ID: "x", Failed: 1, Results: 1}}
+		}
 		for _, s := range e.Tick(own, now) {
 			f.sent[h.Name]++
 			to := f.byName[s.To]
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -317,6 +317,17 @@
 	Gates     []GateLoad
 	// Rates are the token rates of the host's callers, by account.
 	Rates map[string]AccountRate
+	// Failures are recent results of instances of which some host has seen failures. They
+	// stay in the host's data centre.
+	Failures []InstanceFailures
+}
+
+// InstanceFailures says how many of the latest requests to an instance failed. Both counts
+// decay with time.
+type InstanceFailures struct {
+	ID              string
+	Born            int64
+	Failed, Results float32
 }
 
 // AccountRate is the rate that callers of one account request and the rate that they are
