Let an answer disprove the crash marks of a request

Callers saw: while upstreams go up and down by turns, a request that many callers repeat (same account, target and body) was refused on every host for up to an hour, as one that crashes upstreams. Cause: a request that was running at two instances when they went down had two marks, whatever came in between. Change: an answer from an upstream disproves the marks that the request has then; a request that crashes each upstream is never answered. New marks count again. Each host disproves marks by its own answers only. Evidence: TestAnsweredRequestIsNotQuarantinedWhenUpstreamsFlap and TestAnswerDisprovesRecordedCrashes failed before (request_crashes_upstreams; 503 instead of 200 with two and three marks); TestCrashingRequestIsQuarantined still holds.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -93,6 +93,9 @@
 		q.server.opts.Dispatcher.report(p, running, waiting)
 	}
 	outcome, err = q.relay(ctx, p, resp)
+	if outcome == dispatch.Answered {
+		q.server.crashes.answered(q.fingerprint)
+	}
 	q.reportBrokenConnection(ctx, p, err)
 	return err
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -44,6 +44,9 @@
 	// own are the crash marks that this host set, recorded those that the control group has.
 	own      *ownCrashMarks
 	recorded crashMarks
+	// disproved are the marks of requests that an upstream answered afterwards: a request that
+	// crashes upstreams is never answered.
+	disproved crashMarks
 	// broken holds the requests whose connection broke, by the instance being probed.
 	broken map[catalog.Key][]brokenRequest
 }
@@ -55,7 +58,7 @@
 }
 
 func newCrashTracker(store CrashStore) *crashTracker {
-	return &crashTracker{store: store, dial: probeDial, own: newOwnCrashMarks(), recorded: crashMarks{}, broken: map[catalog.Key][]brokenRequest{}}
+	return &crashTracker{store: store, dial: probeDial, own: newOwnCrashMarks(), recorded: crashMarks{}, disproved: crashMarks{}, broken: map[catalog.Key][]brokenRequest{}}
 }
 
 func probeDial(ctx context.Context, address string) error {
@@ -91,19 +94,45 @@
 	if c.own.len()+len(c.recorded) == 0 {
 		return nil
 	}
-	fp := fingerprint()
-	n := len(c.recorded[fp])
-	for instance := range c.own.marks[fp] {
-		if !c.recorded[fp][instance] {
-			n++
-		}
-	}
+	n := len(c.validMarksLocked(fingerprint()))
 	if n < maxCrashes {
 		return nil
 	}
 	return fault.New(fault.CrashesUpstreams, fault.NotRun, "the request has crashed %d upstreams", n).WithRetryAfter(crashRetryAfter)
 }
 
+// validMarksLocked returns the instances that the request crashed, without those whose marks
+// are disproved.
+func (c *crashTracker) validMarksLocked(fp wire.Digest) (instances []string) {
+	for instance := range c.recorded[fp] {
+		if !c.disproved[fp][instance] {
+			instances = append(instances, instance)
+		}
+	}
+	for instance := range c.own.marks[fp] {
+		if !c.recorded[fp][instance] && !c.disproved[fp][instance] {
+			instances = append(instances, instance)
+		}
+	}
+	return instances
+}
+
+// answered disproves the marks that a request has when an upstream answers it.
+func (c *crashTracker) answered(fingerprint func() wire.Digest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.own.len()+len(c.recorded) == 0 {
+		return
+	}
+	fp := fingerprint()
+	for _, instance := range c.validMarksLocked(fp) {
+		if len(c.disproved) >= maxOwnCrashMarks {
+			clear(c.disproved)
+		}
+		c.disproved.add(fp, instance)
+	}
+}
+
 // connectionBroke records a request whose connection to an instance broke, and has the
 // instance probed.
 func (c *crashTracker) connectionBroke(service string, fp wire.Digest, instance catalog.Instance) {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -54,6 +54,45 @@
 	c.Assert(rec.marks, qt.HasLen, 2)
 }
 
+// Guards against refusing a request that callers often repeat, because it was running when
+// upstreams that go up and down by turns went down, although they answered it in between.
+func TestAnsweredRequestIsNotQuarantinedWhenUpstreamsFlap(t *testing.T) {
+	c := qt.New(t)
+	rec := &crashMarkRecorder{recorded: make(chan struct{}, 8)}
+	tracker := newCrashTracker(rec)
+	tracker.dial = func(context.Context, string) error { return fault.New(fault.UpstreamFailed, "", "refused") }
+	popular := fixedFingerprint(wire.Digest{1})
+	crashAt := func(instance string) {
+		tracker.connectionBroke("s", popular(), catalog.Instance{ID: instance})
+		<-rec.recorded
+	}
+	crashAt("a")
+	tracker.answered(popular)
+	crashAt("b")
+	c.Assert(tracker.check(popular), qt.IsNil)
+	// It is refused once it crashes upstreams without an answer in between.
+	crashAt("c")
+	c.Assert(fault.CodeOf(tracker.check(popular)), qt.Equals, fault.CrashesUpstreams)
+}
+
+// Guards against the same by the marks that other hosts recorded.
+func TestAnswerDisprovesRecordedCrashes(t *testing.T) {
+	u := newUpstream(t, writeRaw("%s", rawResponse(200, "answer")))
+	gw := newTestGateway(t, document(), u)
+	resp, _, _ := gw.do("GET", "/read/x", "")
+	gw.Assert(resp.StatusCode, qt.Equals, 200)
+	q := request{r: u.requests()[0].Request, target: "/read/x"}
+	a, b, c := wire.CrashMark{Fingerprint: q.fingerprint(), Upstream: "a"}, wire.CrashMark{Fingerprint: q.fingerprint(), Upstream: "b"}, wire.CrashMark{Fingerprint: q.fingerprint(), Upstream: "c"}
+	for _, step := range []struct {
+		marks  []wire.CrashMark
+		status int
+	}{{[]wire.CrashMark{a}, 200}, {[]wire.CrashMark{a, b}, 200}, {[]wire.CrashMark{a, b, c}, 200}} {
+		gw.server.SetCrashMarks(step.marks)
+		resp, _, _ := gw.do("GET", "/read/x", "")
+		gw.Check(resp.StatusCode, qt.Equals, step.status, qt.Commentf("%d marks", len(step.marks)))
+	}
+}
+
 // Guards against ignoring the crash marks of other hosts, which lets a request crash more
 // upstreams.
 func TestRecordedCrashesCount(t *testing.T) {
