Count few failures of an instance for little

Cause: every instance of that service fails a few requests, and 5 % weighed more than waiting for a slot elsewhere. Change: the penalty grows with the square of the rate. Evidence: TestFewFailuresLeaveNoSlotsFree failed before (0 of 6 slots of an instance that failed 1 of 20 were used, now 5 or more).

--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -18,10 +18,11 @@
 	// crossDataCentreMsPerKB for each KB of request and response sent there and back.
 	crossDataCentreMs      = 5.0
 	crossDataCentreMsPerKB = 20.0
-	// failurePenaltyMs is added for an instance whose responses all fail, and in proportion
-	// for a lower failure rate. A quarter of it exceeds the cost of reading a long prompt's
-	// shared parts again.
-	failurePenaltyMs = 6_000.0
+	// failurePenaltyMs is added for an instance whose responses all fail, and in proportion to
+	// the square of a lower failure rate: the few failures that all instances have must not
+	// leave slots free while requests wait elsewhere. A quarter of it exceeds the cost of
+	// reading a long prompt's shared parts again.
+	failurePenaltyMs = 8_000.0
 	// rereadMsPerToken is added for each shared token that has to be read again. It
 	// stands for the time, and for the memory that another copy takes from other parts.
 	rereadMsPerToken = 0.2
@@ -37,7 +38,8 @@
 
 // cost estimates the time in ms until the instance would respond, plus penalties.
 func (d *Dispatcher) cost(s *routing.Service, j *Job, x *instance, preferred bool, now time.Time) float64 {
-	c := d.failureRate(x, now) * failurePenaltyMs
+	rate := d.failureRate(x, now)
+	c := rate * rate * failurePenaltyMs
 	if now.Before(x.suspectUntil) {
 		c += suspectPenaltyMs
 	}
--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -116,3 +116,19 @@
 	stayed := f.run(shared, 5*time.Second, "")[home]
 	f.Assert(stayed >= 96, qt.IsTrue, qt.Commentf("%d of 100 requests stayed", stayed))
 }
+
+// Guards against free slots at an instance with few failures while requests wait at others.
+func TestFewFailuresLeaveNoSlotsFree(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher("h0")
+	d.SetInstances([]catalog.Instance{{ID: "p0", Service: "plain", DataCentre: "dc0", Slots: 6}, {ID: "p1", Service: "plain", DataCentre: "dc0", Slots: 6}}, at(0))
+	p0 := d.instances[catalog.Key{ID: "p0"}]
+	for i := range 20 {
+		p0.results.add(float64(i/19), at(0))
+	}
+	for range 12 {
+		_, err := d.Pick(&Job{Service: "plain", Remaining: time.Second}, at(0))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(p0.running >= 5, qt.IsTrue, qt.Commentf("%d of 6 slots are used", p0.running))
+}
