Take only fresh connections for unrepeatable requests after a drop

Cause: after a drop, requests that can't be repeated took connections that had been idle for less than half of the dropped one's time. After a drop at five seconds that allowed 2.5 s, then 1.2 s: several orders were lost before the limit was below the upstream's. Change: for 20 s after a drop they take connections that were idle for at most 200 ms, or half of the shortest time. Evidence: TestDropAfterALongIdleTimeLimitsShorterOnes failed before (a connection idle for 201 ms was used after a drop at 5 s). The first drop that a host sees can still cost an order, if no request that may be repeated meets it first.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -116,6 +116,10 @@
 // minDroppedIdleTTL is how long minDroppedIdle applies after the latest dropped connection.
 const minDroppedIdleTTL = 20 * time.Second
 
+// maxIdleAfterDrop bounds the idle time of connections for requests that can't be repeated
+// while minDroppedIdle applies. The connection may have been dropped long before it was used.
+const maxIdleAfterDrop = 200 * time.Millisecond
+
 // acquire returns an idle connection, or a new one if there is none, or if reuse is false.
 // For a request that can't be repeated it takes no connection that the upstream has probably
 // dropped.
@@ -160,7 +164,7 @@
 func (p *connPool) probablyOpen(c *conn, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.After(p.minDroppedIdleUntil) || now.Sub(c.idleSince) < p.minDroppedIdle/2
+	return now.After(p.minDroppedIdleUntil) || now.Sub(c.idleSince) < min(p.minDroppedIdle/2, maxIdleAfterDrop)
 }
 
 // takeIdle removes and returns an idle connection, nil if there is none. For a request that
--- a/internal/engine/dropped_test.go
+++ b/internal/engine/dropped_test.go
@@ -86,6 +86,35 @@
 	c.Assert(connections.Load(), qt.Equals, int64(3))
 }
 
+// Guards against losing several requests that can't be repeated to one upstream that drops
+// idle connections early. That a connection was dropped after five seconds says little about
+// how much earlier it was dropped.
+func TestDropAfterALongIdleTimeLimitsShorterOnes(t *testing.T) {
+	c := qt.New(t)
+	address, connections := startDroppingUpstream(t)
+	now := newTestClock()
+	client := New(Options{Now: now.Now})
+	defer client.Close()
+	forward := func(repeatable bool, after time.Duration) error {
+		now.Advance(after)
+		f, err := client.Forward(t.Context(), &ForwardRequest{Address: address, Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Repeatable: repeatable})
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		_, err = io.ReadAll(f.Body)
+		return err
+	}
+	c.Assert(forward(true, 0), qt.IsNil)
+	c.Assert(fault.As(forward(true, 5*time.Second)).RunState, qt.Equals, fault.MayHaveRun)
+	c.Assert(forward(true, 0), qt.IsNil)
+	c.Assert(connections.Load(), qt.Equals, int64(2))
+	c.Assert(forward(false, maxIdleAfterDrop-time.Millisecond), qt.IsNil)
+	c.Assert(connections.Load(), qt.Equals, int64(2))
+	c.Assert(forward(false, maxIdleAfterDrop+time.Millisecond), qt.IsNil)
+	c.Assert(connections.Load(), qt.Equals, int64(3))
+}
+
 // Guards against requests to pools that can't be repeated and are sent on connections that
 // upstreams drop without notice, whichever kind of request noticed that.
 func TestDoIdleLimitAfterDroppedConnection(t *testing.T) {
