Keep prompts where they were while their new instance is cold

Callers saw: after empty engines were added, prompts that now belong to a new engine were read again at whichever engine had the least to do, as few hosts may send to a cold engine, and each only at its limited rate. Cause: the new engine was the prompt's affinity instance at once, on all hosts. Where the cold-start limit left it out, no other engine was expected to have the shared parts. Change: the affinity instance is the one with the highest weight among those that may get a request now. Until the new engine may, that is the one that had the parts before. Evidence: TestPromptsStayUntilTheirNewInstanceMayServeThem failed before (shared part 8 went from e6 to e0).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -197,7 +197,7 @@
 	if s == nil {
 		return nil, fault.New(fault.PoolUnknown, fault.NotRun, "service %q does not exist", j.Service)
 	}
-	preferred := d.affinityInstance(s, j)
+	preferred := d.affinityInstance(s, j, now)
 	best, cost := d.best(s, j, preferred, now)
 	if best == nil {
 		return nil, fault.New(fault.QueueFull, fault.NotRun, "no instance of service %q can take the request now", j.Service).WithRetryAfter(noInstanceRetryAfter)
@@ -237,18 +237,19 @@
 }
 
 // affinityInstance returns the instance that is expected to have the shared parts of a
-// prompt in its cache, nil for requests without shared parts.
-func (d *Dispatcher) affinityInstance(s *routing.Service, j *Job) *instance {
+// prompt in its cache, nil for requests without shared parts. While the cold-start limit keeps
+// requests from an instance, the next one stands in for it, which had the parts before.
+func (d *Dispatcher) affinityInstance(s *routing.Service, j *Job, now time.Time) *instance {
 	if s.Engine == nil || len(j.Parts) < 2 {
 		return nil
 	}
 	key := j.Parts[len(j.Parts)-2].ID
 	if j.sharedTokens() <= maxLocalAffinityTokens {
-		if x := d.highestWeight(s, key, d.opts.DataCentre); x != nil {
+		if x := d.highestWeight(s, key, d.opts.DataCentre, now); x != nil {
 			return x
 		}
 	}
-	return d.highestWeight(s, key, "")
+	return d.highestWeight(s, key, "", now)
 }
 
 // maxLocalAffinityTokens is the size up to which shared parts have an affinity instance
@@ -264,16 +265,16 @@
 	return n
 }
 
-// highestWeight returns the instance with the highest rendezvous weight for a key, in one
-// data centre or, if dataCentre is empty, in all.
-func (d *Dispatcher) highestWeight(s *routing.Service, key uint64, dataCentre string) *instance {
+// highestWeight returns the instance with the highest rendezvous weight for a key among those
+// that may get a request now, in one data centre or, if dataCentre is empty, in all.
+func (d *Dispatcher) highestWeight(s *routing.Service, key uint64, dataCentre string, now time.Time) *instance {
 	var best *instance
 	var bestWeight uint64
 	for _, x := range d.byService[s.Name] {
 		if x.Draining || x.replaced || d.outOfService[x.DataCentre] || dataCentre != "" && x.DataCentre != dataCentre {
 			continue
 		}
-		if w := rendezvous.Weight(key, x.hash); best == nil || w > bestWeight {
+		if w := rendezvous.Weight(key, x.hash); (best == nil || w > bestWeight) && d.coldLimitAllows(s, x, now) {
 			best, bestWeight = x, w
 		}
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -171,6 +171,55 @@
 	}
 }
 
+// Guards against prompts that are read again at several engines because an empty one was added
+// that will have their shared parts, but may not get their requests while it is cold. Until
+// then they stay where they were, on all hosts.
+func TestPromptsStayUntilTheirNewInstanceMayServeThem(t *testing.T) {
+	c := qt.New(t)
+	var names []string
+	for i := range 12 {
+		names = append(names, fmt.Sprint("h", i))
+	}
+	empty := catalog.Instance{ID: "new", Service: "engines", Address: "10.0.0.99:1", DataCentre: "dc0", Slots: 64}
+	for shared := range uint64(200) {
+		home, atNew := "", 0
+		for _, h := range names {
+			d := newTestDispatcher(h, names...)
+			before, err := d.Pick(prompt(shared), at(0))
+			c.Assert(err, qt.IsNil)
+			home = before.Instance.ID
+			before.Done(Answered, at(0))
+			// The host's own memory of the parts has ended.
+			const later = 60_000
+			d.SetInstances(append(instances(9), empty), at(later))
+			for range 2 {
+				p, err := d.Pick(prompt(shared), at(later))
+				c.Assert(err, qt.IsNil)
+				if p.Instance.ID == empty.ID {
+					atNew++
+				} else {
+					c.Assert(p.Instance.ID, qt.Equals, home, qt.Commentf("shared part %d, host %s", shared, h))
+				}
+				p.Done(Answered, at(later))
+			}
+		}
+		c.Assert(atNew <= maxHostsPerColdInstance, qt.IsTrue)
+	}
+	// Once it is warm, the empty engine gets the prompts that belong to it.
+	d := newTestDispatcher("h0", names...)
+	d.SetInstances(append(instances(9), empty), at(0))
+	found := 0
+	for shared := range uint64(200) {
+		p, err := d.Pick(prompt(shared), at(5_000))
+		c.Assert(err, qt.IsNil)
+		if p.Instance.ID == empty.ID {
+			found++
+		}
+		p.Done(Answered, at(5_000))
+	}
+	c.Assert(found >= 10, qt.IsTrue, qt.Commentf("%d of 200 prompts", found))
+}
+
 // Guards against a refusal that uses up the rate limit of a cold instance, so that the next
 // request, which could run there, is refused.
 func TestRefusalTakesNoTokenOfAColdInstance(t *testing.T) {
--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -80,7 +80,7 @@
 // affinity returns the instance that has the shared parts in its cache.
 func (f *failureFleet) affinity(shared uint64) string {
 	d := f.hosts[0]
-	return d.affinityInstance(d.services["engines"], prompt(shared)).ID
+	return d.affinityInstance(d.services["engines"], prompt(shared), f.now).ID
 }
 
 // Guards against an instance that answers healthy, fails every request at once and still gets
