Read the idle times of connections under the pool's lock when they are swept

Now put writes it, and allIdle reads it, under the lock; maxIdle is written before put and so is covered too.

TestSweepBesideRequests reported the race in its first run before, and in none of 5 after.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -193,7 +193,8 @@
 // sweepInterval is the time between two sweeps of the idle connections.
 const sweepInterval = time.Second
 
-// withinIdleLimit reports whether a connection has been idle for less than its limit.
+// withinIdleLimit reports whether a connection has been idle for less than its limit. The caller
+// holds mu or has taken the connection.
 func (p *connPool) withinIdleLimit(c *conn, now time.Time) bool {
 	limit := p.opts.IdleConnTimeout
 	if c.maxIdle > 0 {
@@ -232,8 +233,9 @@
 // put keeps c for a later request. It closes c if the pool is closed or full, or if bytes
 // came after the response, which belong to no request.
 func (p *connPool) put(address string, c *conn) {
-	c.idleSince = p.opts.Now()
+	now := p.opts.Now()
 	p.mu.Lock()
+	c.idleSince = now // sweep reads it under mu
 	if p.closed || len(p.idleConns[address]) >= p.opts.MaxIdlePerAddress || c.br.Buffered() > 0 {
 		p.mu.Unlock()
 		c.Close()
@@ -255,10 +257,9 @@
 // on which bytes came that belong to no request. These would fill the receive buffer of a
 // connection that is not used again.
 func (p *connPool) sweep() {
-	now := p.opts.Now()
-	unusable := map[*conn]bool{}
-	for _, c := range p.allIdle() {
-		if open, unread := netopt.CheckConn(c.raw); !open || unread || !p.withinIdleLimit(c, now) {
+	idle, unusable := p.allIdle(p.opts.Now())
+	for _, c := range idle {
+		if open, unread := netopt.CheckConn(c.raw); !open || unread {
 			unusable[c] = true
 		}
 	}
@@ -267,13 +268,20 @@
 	}
 }
 
-func (p *connPool) allIdle() (all []*conn) {
+// allIdle returns the idle connections, and which of them have been idle for too long.
+func (p *connPool) allIdle(now time.Time) (all []*conn, expired map[*conn]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	expired = map[*conn]bool{}
 	for _, list := range p.idleConns {
 		all = append(all, list...)
 	}
-	return all
+	for _, c := range all {
+		if !p.withinIdleLimit(c, now) {
+			expired[c] = true
+		}
+	}
+	return all, expired
 }
 
 // removeIdle removes and returns those of the connections that are still idle, and schedules
