End a request when no instance is left to try

What callers saw: nothing but delay; what operators saw: up to 30 lines 'Request sent again.' for one request that was sent once, and a spent budget of retries for the service, which others then lacked.

Cause: when an attempt had failed and the next choice found no instance, its failure (not run) was taken for one that another instance may help, and the loop turned without a pause until the budget was spent. A choice that finds none now ends the request.

TestNoInstanceLeftEndsTheRequest failed before (more than one line); other retries are as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,15 +24,15 @@
 func (q *request) sendWithRetries(ctx context.Context) error {
 	possibleRuns, declined := 0, 0
 	for {
+		tried := len(q.job.Tried)
 		err := q.attempt(ctx)
 		if err == nil {
 			return nil
 		}
 		failure := fault.As(err)
 		if failure.Code == fault.QueueFull && failure.RunState == fault.NotRun && q.sends == 0 {
-			// The request was not sent to any engine, so asking another one is not a retry. If
-			// pick found no instance, Tried has not grown and there is no other one to ask.
-			if declined++; q.job.MayTryAnotherEngine(declined) && ctx.Err() == nil && len(q.job.Tried) == declined {
+			// The request was not sent to any engine, so asking another one is not a retry.
+			if declined++; q.job.MayTryAnotherEngine(declined) && ctx.Err() == nil && len(q.job.Tried) > tried {
 				continue
 			}
 			return failure.WithRetryAfter(dispatch.RetryAfter(failure.RetryAfter, q.route.Objective))
@@ -45,7 +45,8 @@
 			}
 		}
 		retryable := failure.RunState == fault.NotRun || q.route.AllowsRerun() && possibleRuns < q.route.Attempts
-		if !retryable || ctx.Err() != nil || q.sends >= maxSends || !helpedByRetry(failure.Code) {
+		noneLeft := len(q.job.Tried) == tried // pick found no instance, and none comes back within microseconds
+		if !retryable || noneLeft || ctx.Err() != nil || q.sends >= maxSends || !helpedByRetry(failure.Code) {
 			return err
 		}
 		if !q.server.opts.Dispatcher.takeRetry(q.service.Name) {
--- a/internal/gateway/requestlog_test.go
+++ b/internal/gateway/requestlog_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/admission"
@@ -125,6 +126,15 @@
 	}, qt.Commentf("%s", failed[0]))
 }
 
+// Guards against spending the budget of retries on a request for which no instance is left.
+func TestNoInstanceLeftEndsTheRequest(t *testing.T) {
+	var log logBuffer
+	gw := newTestGatewayWith(t, document(), logTo(&log), newUpstream(t, closeConn))
+	gw.do("GET", "/read/x", "")
+	gw.Assert(log.lines("Request sent again."), qt.HasLen, 1)
+	gw.Assert(metrics.GetOrRegisterCounter("gateway.repeat_budget_spent", gw.server.opts.Registry).Count(), qt.Equals, int64(0))
+}
+
 // Guards against a line with the rank as a bare number, and with a rank for a request that was
 // refused before it was ranked.
 func TestFailureNamesTheRank(t *testing.T) {
