Send the failures of instances so that older hosts still read loads

They now follow as an extension, like those of admission messages; sums carry those of the relay's own data centre, which are the only ones in use.

TestLoadsOfOldAndNewHosts decodes both ways. It does not compile against the old types, so it was not seen failing there; that the library refuses such arrays was seen with admission messages.

--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -107,8 +107,8 @@
 
 // relayMessages returns the messages to the relays of the other data centres.
 func (e *Exchange) relayMessages(sum wire.LoadSum) (out []Outgoing) {
-	// An instance may fail for the callers of one data centre only, so the others don't avoid it.
-	sum.Loads.Failures = nil
+	// The sums carry no failures. An instance may fail for the callers of one data centre only, so
+	// the others don't avoid it.
 	seen := map[string]bool{e.dataCentre: true}
 	for _, h := range e.hosts {
 		if !seen[h.DataCentre] {
@@ -120,7 +120,7 @@
 }
 
 func (e *Exchange) memberMessages(now time.Time) (out []Outgoing) {
-	m := &wire.LoadSums{List: e.Sums(now)}
+	m := &wire.LoadSums{List: e.Sums(now), Failures: e.sums[e.dataCentre].Loads.Failures}
 	for _, h := range e.hosts {
 		if h.DataCentre == e.dataCentre && h.Name != e.host {
 			out = append(out, Outgoing{h.Name, wire.KindLoadSums, m})
@@ -193,6 +193,9 @@
 			// A former relay of this data centre may still consider itself the relay.
 			continue
 		}
+		if d.Loads.Failures = nil; d.DataCentre == e.dataCentre {
+			d.Loads.Failures = m.Failures
+		}
 		e.sums[d.DataCentre] = receivedSum{d, now}
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -318,8 +318,19 @@
 	// Rates are the token rates of the host's callers, by account.
 	Rates map[string]AccountRate
 	// Failures are recent results of instances of which some host has seen failures. They
-	// stay in the host's data centre.
-	Failures []InstanceFailures
+	// stay in the host's data centre. They are the extension of the message.
+	Failures []InstanceFailures `msgpack:"-"`
+}
+
+func (m Loads) extension() any { return failuresExtension(m.Failures) }
+
+func (m *Loads) extensionTarget() any { return &m.Failures }
+
+func failuresExtension(list []InstanceFailures) any {
+	if len(list) == 0 {
+		return nil
+	}
+	return list
 }
 
 // InstanceFailures says how many of the latest requests to an instance failed. Both counts
@@ -342,7 +353,16 @@
 
 // LoadSums are load sums sent by a relay, the host that adds up the loads of its data
 // centre.
-type LoadSums struct{ List []LoadSum }
+type LoadSums struct {
+	List []LoadSum
+	// Failures are those of the relay's data centre, for its members. They are the extension of
+	// the message, because the extension of a nested Loads isn't encoded.
+	Failures []InstanceFailures `msgpack:"-"`
+}
+
+func (m LoadSums) extension() any { return failuresExtension(m.Failures) }
+
+func (m *LoadSums) extensionTarget() any { return &m.Failures }
 
 // Instance is one entry of the list of upstream instances.
 type Instance struct {
