Decide all slow requests before the test of a small account beside them looks at the places

The test failed once in 16 race runs and once in another (503 for 200). Suspected: of 64 slow requests it waited for 32 refusals only, and those not yet decided count as running for a moment.

--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -23,8 +23,10 @@
 		close(end)
 		slow.Wait()
 	}()
+	begun := make(chan struct{}, 2*maxRunning)
 	u := newUpstream(t, func(req *receivedRequest) {
 		if req.Header.Get("X-Slow") != "" {
+			begun <- struct{}{}
 			<-end
 		}
 		writeRaw("%s", rawResponse(200, "ok"))(req)
@@ -40,14 +42,19 @@
 			statuses <- resp.StatusCode
 		})
 	}
-	for i := range maxRunning {
+	// A request that is about to be refused counts as running, so all must have been decided.
+	refused := 0
+	for i := range 2 * maxRunning {
 		select {
+		case <-begun:
 		case status := <-statuses:
 			gw.Check(status, qt.Equals, 503)
+			refused++
 		case <-time.After(testTimeout):
-			t.Fatalf("%d requests were refused", i)
+			t.Fatalf("%d requests were neither refused nor begun", 2*maxRunning-i)
 		}
 	}
+	gw.Check(refused >= maxRunning, qt.IsTrue, qt.Commentf("%d requests were refused", refused))
 	for end := time.Now().Add(testTimeout); gw.server.Running() >= maxRunning; time.Sleep(time.Millisecond) {
 		gw.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("one account holds %d of %d places", gw.server.Running(), maxRunning))
 	}
