Measure how load and times grow with the number of hosts

docs/CAPACITY.md took its slopes from benchmarks of single parts. The one of the relay sends the sums of one data centre only and no loads of instances, so its 857 KB/s understate what a relay sends. Messages, bytes and simulated times repeat with a seed.

The simulated world of the control group's tests moves to simulation.go without change of what the tests see; the load player's plot moves to package plot.

--- a/cmd/marigoldshunt-bench/main.go
+++ b/cmd/marigoldshunt-bench/main.go
@@ -5,8 +5,11 @@
 	"context"
 	"errors"
 	"flag"
+	"io"
 	"os"
 	"os/signal"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -14,7 +17,9 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/bench"
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/loadplay"
+	"marigoldshunt/internal/sweep"
 )
 
 func main() {
@@ -29,7 +34,8 @@
 	fs.Int64Var(&opts.Seed, "seed", 1, "seed of load and emulators")
 	fs.IntVar(&opts.Part, "part", 0, "part to measure, 1 to 9; 0 for all")
 	play := fs.String("play", "", "only run the load of this file on a simulated clock, under several policies")
-	plot := fs.String("plot", "", "write a plot of the results of -play to this SVG file")
+	sizes := fs.String("sweep", "", "only measure how load and times grow over these numbers of hosts, separated by commas")
+	plot := fs.String("plot", "", "write a plot of the results of -play or -sweep to this SVG file")
 	asJSON := fs.Bool("json", false, "print JSON instead of a table")
 	switch err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("MARIGOLDSHUNT_BENCH")); {
 	case errors.Is(err, flag.ErrHelp):
@@ -43,6 +49,12 @@
 		}
 		return
 	}
+	if *sizes != "" {
+		if err := runSweep(ctx, *sizes, *plot, *asJSON, &opts); err != nil {
+			log.WithError(err).Fatal("Failed to complete the sweep.")
+		}
+		return
+	}
 	opts.Phase = time.Duration(*seconds) * time.Second
 	opts.Profiles = []string{*profile}
 	if *profile == "all" {
@@ -74,13 +86,45 @@
 	if err := loadplay.WriteTable(os.Stdout, results); err != nil || plot == "" {
 		return err
 	}
-	f, err := os.Create(plot)
+	return writePlot(plot, func(w io.Writer) error { return loadplay.WriteSVG(w, results) })
+}
+
+func writePlot(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
 	if err != nil {
 		return err
 	}
-	if err := loadplay.WriteSVG(f, results); err != nil {
+	if err := write(f); err != nil {
 		f.Close()
 		return err
 	}
 	return f.Close()
 }
+
+// sweepLength is the simulated time over which a sweep counts traffic.
+const sweepLength = 20 * time.Second
+
+// runSweep measures fleets of several sizes and writes a report, and a plot if a path is
+// given.
+func runSweep(ctx context.Context, list, plot string, asJSON bool, opts *bench.Options) error {
+	o := sweep.Options{Seed: opts.Seed, Length: sweepLength, Progress: opts.Progress}
+	for _, text := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(text))
+		if err != nil {
+			return fault.Wrap(err, fault.InvalidSettings, "", "sizes %q", list)
+		}
+		o.Sizes = append(o.Sizes, n)
+	}
+	rep, err := sweep.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	write := rep.WriteTable
+	if asJSON {
+		write = rep.WriteJSON
+	}
+	if err := write(os.Stdout); err != nil || plot == "" {
+		return err
+	}
+	return writePlot(plot, rep.WriteSVG)
+}
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -3,103 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"math/rand"
-	"slices"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/fault"
-	"marigoldshunt/internal/raft"
-	"marigoldshunt/internal/wire"
 )
 
-// memoryStorage is a storage in memory that survives the restart of a node.
-type memoryStorage struct {
-	id       raft.ReplicaID
-	hard     raft.HardState
-	snapshot raft.Snapshot
-	entries  []raft.Entry
-	syncs    uint64
-	failure  error
-}
-
-func (m *memoryStorage) ReplicaID() raft.ReplicaID { return m.id }
-func (m *memoryStorage) Syncs() uint64             { return m.syncs }
-
-func (m *memoryStorage) Save(h *raft.HardState, es []raft.Entry) error {
-	if m.failure != nil {
-		return m.failure
-	}
-	m.syncs++
-	if h != nil {
-		m.hard = *h
-	}
-	if len(es) > 0 {
-		m.entries = slices.DeleteFunc(m.entries, func(e raft.Entry) bool { return e.Index >= es[0].Index })
-		m.entries = append(m.entries, es...)
-	}
-	return nil
-}
-
-func (m *memoryStorage) SaveSnapshot(s raft.Snapshot) error {
-	if m.failure != nil {
-		return m.failure
-	}
-	m.syncs++
-	m.snapshot = s
-	return nil
-}
-
-func (m *memoryStorage) TruncateFront(index uint64) error {
-	m.entries = slices.DeleteFunc(m.entries, func(e raft.Entry) bool { return e.Index <= index })
-	return m.failure
-}
-
-func (m *memoryStorage) restored() raft.Restored {
-	es := slices.DeleteFunc(slices.Clone(m.entries), func(e raft.Entry) bool { return e.Index <= m.snapshot.Index })
-	return raft.Restored{Hard: m.hard, Snapshot: m.snapshot, Entries: es}
-}
-
-type packet struct {
-	from, to string
-	due      time.Duration
-	kind     wire.Kind
-	payload  []byte
-}
-
-// simulation is a fleet of hosts with one virtual clock and a network that delivers in
-// order.
-type simulation struct {
-	t               testing.TB
-	now             time.Duration
-	wall            time.Time
-	rng             *rand.Rand
-	disks           map[string]*memoryStorage
-	nodes           map[string]*Node
-	clients         map[string]*Client
-	boots           uint64
-	controlHosts    []string
-	snapshotEntries uint64
-	orders          OrderSender
-	// spawn runs functions that may block; nil runs them at once.
-	spawn    func(func())
-	queue    []packet
-	isolated map[string]bool
-	// drop loses matching packets.
-	drop func(packet) bool
-	// delay is the time that a message to another host takes; nil means none.
-	delay func() time.Duration
-	// seeds, if set, are the hosts listed in the settings; the group then repairs itself.
-	seeds []string
-	// check runs after each delivery and each tick.
-	check     func()
-	heldSpans map[string][]leaseSpan
-}
-
 // leaseSpan is the time in which a host believed that it held a lease.
 type leaseSpan struct {
 	host     string
@@ -107,167 +17,23 @@
 	from, to time.Duration
 }
 
-func (sim *simulation) Now() time.Duration { return sim.now }
-
-type simTransport struct {
-	sim  *simulation
-	host string
-}
-
-func (p simTransport) Send(to string, kind wire.Kind, msg any) error {
-	payload, err := wire.Marshal(msg)
-	if err != nil {
-		return err
-	}
-	if len(payload) > 1<<20-1024 {
-		return fault.New(fault.FrameTooLarge, "", "%d bytes", len(payload))
-	}
-	due := p.sim.now
-	if p.sim.delay != nil && to != p.host {
-		due += p.sim.delay()
-	}
-	p.sim.queue = append(p.sim.queue, packet{p.host, to, due, kind, payload})
-	return nil
-}
-
-func discardLogger() logrus.FieldLogger {
-	l := logrus.New()
-	l.SetOutput(io.Discard)
-	return l
+// simulation is a Simulation that fails a test.
+type simulation struct {
+	*Simulation
+	t testing.TB
+	// check runs after each delivery and each tick.
+	check     func()
+	heldSpans map[string][]leaseSpan
 }
 
 func newSimulation(t testing.TB, seed int64, control ...string) *simulation {
-	sim := &simulation{t: t, rng: rand.New(rand.NewSource(seed)), wall: time.UnixMilli(1_800_000_000_000), controlHosts: control,
-		disks: map[string]*memoryStorage{}, nodes: map[string]*Node{}, clients: map[string]*Client{}, isolated: map[string]bool{}, heldSpans: map[string][]leaseSpan{}}
-	for _, h := range control {
-		sim.disks[h] = &memoryStorage{id: raft.ReplicaID(sim.rng.Uint64() | 1)}
-		sim.startNode(h)
-		sim.startClient(h)
-	}
+	sim := &simulation{t: t, heldSpans: map[string][]leaseSpan{}}
+	sim.Simulation = newSimulatedFleet(seed, control, func(format string, args ...any) { sim.t.Fatalf(format, args...) })
+	sim.delivered = sim.checkLeases
+	sim.startControlHosts()
 	return sim
 }
 
-func (sim *simulation) startNode(h string) {
-	sim.boots++
-	spawn := sim.spawn
-	if spawn == nil {
-		spawn = func(f func()) { f() }
-	}
-	opts := NodeOptions{Host: h, Boot: sim.boots, Storage: sim.disks[h], Restored: sim.disks[h].restored(), Transport: simTransport{sim, h},
-		Clock: sim, WallClock: func() time.Time { return sim.wall.Add(sim.now) }, Rand: rand.New(rand.NewSource(sim.rng.Int63())),
-		Orders: sim.orders, MinSnapshotEntries: sim.snapshotEntries, Log: discardLogger(), spawn: spawn}
-	if sim.seeds != nil {
-		opts.Seeds = func() []string { return sim.seeds }
-		opts.GroupView = func() (string, bool, bool) {
-			if c := sim.clients[h]; c != nil {
-				return c.GroupView()
-			}
-			return "", false, false
-		}
-	}
-	n, err := NewNode(opts)
-	if err != nil {
-		sim.t.Fatal(err)
-	}
-	sim.nodes[h] = n
-}
-
-func (sim *simulation) startClient(h string) *Client {
-	sim.boots++
-	hosts := sim.controlHosts
-	if sim.seeds != nil {
-		hosts = slices.Clone(sim.seeds)
-		if n := sim.nodes[h]; n != nil {
-			for _, m := range n.Status().Members {
-				hosts = append(hosts, m.Host)
-			}
-		}
-	}
-	sim.clients[h] = NewClient(ClientOptions{Host: h, Boot: sim.boots, ControlHosts: hosts, Transport: simTransport{sim, h}, Clock: sim, Log: discardLogger()})
-	return sim.clients[h]
-}
-
-func (sim *simulation) stopHost(h string) {
-	delete(sim.nodes, h)
-	delete(sim.clients, h)
-}
-
-// step advances the clock by one tick and delivers everything that was sent.
-func (sim *simulation) step() {
-	sim.now += TickInterval
-	for _, h := range sim.runningHosts() {
-		if n := sim.nodes[h]; n != nil {
-			n.tick()
-			sim.runNode(h, n)
-		}
-		if c := sim.clients[h]; c != nil {
-			for len(c.inbox) > 0 {
-				c.handleEvent(<-c.inbox)
-			}
-			c.tick()
-		}
-	}
-	sim.deliver()
-	sim.checkLeases()
-}
-
-func (sim *simulation) runningHosts() []string {
-	var out []string
-	for h := range sim.nodes {
-		out = append(out, h)
-	}
-	for h := range sim.clients {
-		if sim.nodes[h] == nil {
-			out = append(out, h)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-func (sim *simulation) runNode(h string, n *Node) {
-	for len(n.inbox) > 0 {
-		n.handleEvent(<-n.inbox)
-	}
-	if n.process() != nil {
-		delete(sim.nodes, h)
-	}
-}
-
-func (sim *simulation) deliver() {
-	var later []packet
-	defer func() { sim.queue = append(later, sim.queue...) }()
-	for rounds := 0; len(sim.queue) > 0; rounds++ {
-		if rounds > 200_000 {
-			sim.t.Fatal("nodes exchange messages without end")
-		}
-		p := sim.queue[0]
-		sim.queue = sim.queue[1:]
-		if p.due > sim.now {
-			later = append(later, p)
-			continue
-		}
-		if p.from != p.to && (sim.isolated[p.from] || sim.isolated[p.to]) || sim.drop != nil && sim.drop(p) {
-			continue
-		}
-		if n := sim.nodes[p.to]; n != nil {
-			n.handleEvent(event{from: p.from, boot: sim.bootOf(p.from), kind: p.kind, payload: p.payload})
-			sim.runNode(p.to, n)
-		}
-		if c := sim.clients[p.to]; c != nil {
-			c.handleEvent(event{from: p.from, kind: p.kind, payload: p.payload})
-		}
-		sim.checkLeases()
-	}
-}
-
-func (sim *simulation) bootOf(h string) uint64 {
-	if c := sim.clients[h]; c != nil {
-		return c.opts.Boot
-	}
-	return 0
-}
-
 // checkLeases records the leases that hosts believe they hold and fails the test when two
 // hosts hold one pool at the same time or the fence of a pool does not grow.
 func (sim *simulation) checkLeases() {
@@ -310,21 +76,6 @@
 	return sim.now - start
 }
 
-func (sim *simulation) run(d time.Duration) {
-	for end := sim.now + d; sim.now < end; {
-		sim.step()
-	}
-}
-
-func (sim *simulation) leader() string {
-	for _, h := range sim.runningHosts() {
-		if n := sim.nodes[h]; n != nil && !sim.isolated[h] && n.isActiveLeader() {
-			return h
-		}
-	}
-	return ""
-}
-
 // onNode and the helpers below run blocking calls in goroutines. The virtual clock advances
 // only after the call has reached the queue, so the result does not depend on scheduling.
 func (sim *simulation) onNode(h string, f func(n *Node) error) error {
