--- a/internal/sweep/dispatch.go
+++ b/internal/sweep/dispatch.go
@@ -262,14 +262,15 @@
 		for i, l := range sum.Loads.Instances {
 			list[i] = dispatch.Load(l)
 		}
-		h.dispatcher.SetPeerLoads(sum.DataCentre, list, w.now)
+		receivedAt := h.exchange.ReceivedAt(sum.DataCentre)
+		h.dispatcher.SetPeerLoads(sum.DataCentre, list, receivedAt, w.now)
 		rates := make(dispatch.AccountRates, len(sum.Loads.Rates))
 		for account, r := range sum.Loads.Rates {
 			rates[account] = dispatch.AccountRate{Demanded: float64(r.Asked), Served: float64(r.Served)}
 		}
 		h.dispatcher.SetPeerRates(sum.DataCentre, rates, w.now)
 		for _, g := range sum.Loads.Gates {
-			h.dispatcher.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs}, w.now)
+			h.dispatcher.SetGate(catalog.Key{ID: g.ID, Born: g.Born}, dispatch.GateLoad{Backlog: g.Backlog, Running: g.Running, PerMs: g.PerMs, ReceivedAt: receivedAt}, w.now)
 		}
 	}
 }
