--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -8,8 +8,9 @@
 	"marigoldshunt/internal/fault"
 )
 
-// Marshal encodes a message. Structs are encoded as arrays, without field names, so new
-// fields may only be added at the end of a struct.
+// Marshal encodes a message. Structs are encoded as arrays, without field names. Unmarshal
+// refuses an array whose length differs from the number of fields, so hosts of another
+// version can't decode a struct with a new field: new content needs a new kind of message.
 func Marshal(v any) ([]byte, error) {
 	var buf bytes.Buffer
 	enc := msgpack.GetEncoder()
