Log crashes of upstreams with the requests and prompt parts that broke

The logs of the incident could not tell requests with one prompt part in common from unrelated requests that crash upstreams, nor a crash from a broken connection: nothing was logged when an upstream crashed. One line a crash and host now names the instance, the broken requests and the parts that other requests may share; a counter counts broken connections.

Test: TestCrashIsLoggedWithItsRequestsAndSharedParts.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -58,6 +58,14 @@
 	return j.Parts[len(j.Parts)-1].Tokens
 }
 
+// SharedParts returns the ids of the prompt parts that other requests may share.
+func (j *Job) SharedParts() (ids []uint64) {
+	for _, p := range j.Parts[:max(len(j.Parts)-1, 0)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // Options configure a Dispatcher.
 type Options struct {
 	Host       string
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,10 +114,15 @@
 // reportBrokenConnection has the instance probed if its connection broke during the request.
 func (q *request) reportBrokenConnection(ctx context.Context, p *dispatch.Placement, err error) {
 	if err != nil && ctx.Err() == nil && fault.As(err).RunState == fault.MayHaveRun && fault.CodeOf(err) != fault.CallerGone {
-		q.server.crashes.connectionBroke(q.service.Name, q.fingerprint(), p.Instance)
+		q.server.count("connections_broken")
+		q.server.crashes.connectionBroke(q.broken(), p.Instance)
 	}
 }
 
+func (q *request) broken() brokenRequest {
+	return brokenRequest{id: q.id, service: q.service.Name, fingerprint: q.fingerprint(), sharedParts: q.job.SharedParts()}
+}
+
 // admit waits until the engine admits the request.
 func (q *request) admit(ctx context.Context, p *dispatch.Placement) (*admission.Permit, error) {
 	if q.server.opts.Admission == nil || q.service.Engine == nil {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/wire"
@@ -38,6 +40,7 @@
 // requests that ran there at the time are marked too, so a single mark proves nothing.
 type crashTracker struct {
 	store CrashStore
+	log   logrus.FieldLogger
 	dial  func(ctx context.Context, address string) error
 
 	mu sync.Mutex
@@ -53,12 +56,17 @@
 
 // brokenRequest is a request whose connection to an instance broke.
 type brokenRequest struct {
-	service     string
+	id, service string
 	fingerprint wire.Digest
+	// sharedParts are the ids of the prompt parts that other requests may share.
+	sharedParts []uint64
 }
 
-func newCrashTracker(store CrashStore) *crashTracker {
-	return &crashTracker{store: store, dial: probeDial, own: newOwnCrashMarks(), recorded: crashMarks{}, disproved: crashMarks{}, broken: map[catalog.Key][]brokenRequest{}}
+func newCrashTracker(store CrashStore, log logrus.FieldLogger) *crashTracker {
+	return &crashTracker{
+		store: store, log: log, dial: probeDial, own: newOwnCrashMarks(), recorded: crashMarks{}, disproved: crashMarks{},
+		broken: map[catalog.Key][]brokenRequest{},
+	}
 }
 
 func probeDial(ctx context.Context, address string) error {
@@ -135,11 +143,11 @@
 
 // connectionBroke records a request whose connection to an instance broke, and has the
 // instance probed.
-func (c *crashTracker) connectionBroke(service string, fp wire.Digest, instance catalog.Instance) {
+func (c *crashTracker) connectionBroke(r brokenRequest, instance catalog.Instance) {
 	c.mu.Lock()
 	list, probing := c.broken[instance.Key()]
 	if len(list) < maxBrokenRequests {
-		c.broken[instance.Key()] = append(list, brokenRequest{service, fp})
+		c.broken[instance.Key()] = append(list, r)
 	}
 	c.mu.Unlock()
 	if !probing {
@@ -165,6 +173,7 @@
 	if err == nil {
 		return
 	}
+	c.logCrash(instance, list, err)
 	for _, s := range list {
 		markCtx, cancel := context.WithTimeout(context.Background(), crashMarkTimeout)
 		c.store.MarkCrash(markCtx, s.service, s.fingerprint, instance.ID)
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/fault"
@@ -33,7 +34,7 @@
 	c := qt.New(t)
 	rec := &crashMarkRecorder{recorded: make(chan struct{}, 8)}
 	down := map[string]bool{"a:1": true, "b:1": true}
-	tracker := newCrashTracker(rec)
+	tracker := newCrashTracker(rec, discardLog())
 	tracker.dial = func(_ context.Context, address string) error {
 		if down[address] {
 			return fault.New(fault.UpstreamFailed, "", "refused")
@@ -41,11 +42,11 @@
 		return nil
 	}
 	bad, innocent := wire.Digest{1}, wire.Digest{2}
-	tracker.connectionBroke("s", innocent, catalog.Instance{ID: "c", Address: "c:1"})
-	tracker.connectionBroke("s", bad, catalog.Instance{ID: "a", Address: "a:1"})
+	tracker.connectionBroke(brokenRequest{service: "s", fingerprint: innocent}, catalog.Instance{ID: "c", Address: "c:1"})
+	tracker.connectionBroke(brokenRequest{service: "s", fingerprint: bad}, catalog.Instance{ID: "a", Address: "a:1"})
 	<-rec.recorded
 	c.Assert(tracker.check(fixedFingerprint(bad)), qt.IsNil)
-	tracker.connectionBroke("s", bad, catalog.Instance{ID: "b", Address: "b:1"})
+	tracker.connectionBroke(brokenRequest{service: "s", fingerprint: bad}, catalog.Instance{ID: "b", Address: "b:1"})
 	<-rec.recorded
 	err := tracker.check(fixedFingerprint(bad))
 	c.Assert(fault.CodeOf(err), qt.Equals, fault.CrashesUpstreams)
@@ -59,11 +60,11 @@
 func TestAnsweredRequestIsNotQuarantinedWhenUpstreamsFlap(t *testing.T) {
 	c := qt.New(t)
 	rec := &crashMarkRecorder{recorded: make(chan struct{}, 8)}
-	tracker := newCrashTracker(rec)
+	tracker := newCrashTracker(rec, discardLog())
 	tracker.dial = func(context.Context, string) error { return fault.New(fault.UpstreamFailed, "", "refused") }
 	popular := fixedFingerprint(wire.Digest{1})
 	crashAt := func(instance string) {
-		tracker.connectionBroke("s", popular(), catalog.Instance{ID: instance})
+		tracker.connectionBroke(brokenRequest{service: "s", fingerprint: popular()}, catalog.Instance{ID: instance})
 		<-rec.recorded
 	}
 	crashAt("a")
@@ -116,7 +117,7 @@
 func TestOneProbePerInstance(t *testing.T) {
 	c := qt.New(t)
 	rec := &crashMarkRecorder{recorded: make(chan struct{}, 64)}
-	tracker := newCrashTracker(rec)
+	tracker := newCrashTracker(rec, discardLog())
 	var mu sync.Mutex
 	probes := 0
 	tracker.dial = func(context.Context, string) error {
@@ -126,7 +127,7 @@
 		return context.DeadlineExceeded
 	}
 	for i := range 20 {
-		tracker.connectionBroke("s", wire.Digest{byte(i)}, catalog.Instance{ID: "a"})
+		tracker.connectionBroke(brokenRequest{service: "s", fingerprint: wire.Digest{byte(i)}}, catalog.Instance{ID: "a"})
 	}
 	for range 20 {
 		select {
@@ -142,7 +143,7 @@
 // that crashes upstreams, and against marks that are kept without bound.
 func TestManyMarksKeepTheQuarantine(t *testing.T) {
 	c := qt.New(t)
-	tracker := newCrashTracker(discardCrashMarks{})
+	tracker := newCrashTracker(discardCrashMarks{}, discardLog())
 	bad := wire.Digest{1}
 	tracker.own.add(bad, "a")
 	tracker.own.add(bad, "b")
@@ -167,4 +168,25 @@
 	c.Assert(fault.CodeOf(tracker.check(fixedFingerprint(distinct(2*maxOwnCrashMarks-1)))), qt.Equals, fault.CrashesUpstreams)
 }
 
+// Guards against a crash whose cause can't be found in the logs, because no line says which
+// requests broke with the upstream and which parts their prompts shared.
+func TestCrashIsLoggedWithItsRequestsAndSharedParts(t *testing.T) {
+	c := qt.New(t)
+	log, hook := logtest.NewNullLogger()
+	rec := &crashMarkRecorder{recorded: make(chan struct{}, 8)}
+	tracker := newCrashTracker(rec, log)
+	tracker.dial = func(context.Context, string) error { return fault.New(fault.UpstreamFailed, "", "refused") }
+	a := catalog.Instance{ID: "a", Service: "s"}
+	tracker.connectionBroke(brokenRequest{id: "r1", service: "s", fingerprint: wire.Digest{1}, sharedParts: []uint64{0x5c, 0xff}}, a)
+	tracker.connectionBroke(brokenRequest{id: "r2", service: "s", fingerprint: wire.Digest{2}, sharedParts: []uint64{0xff}}, a)
+	<-rec.recorded
+	c.Assert(hook.AllEntries(), qt.HasLen, 1)
+	fields := hook.LastEntry().Data
+	c.Check(fields["instance"], qt.Equals, "a")
+	c.Check(fields["service"], qt.Equals, "s")
+	c.Check(fields["broken"], qt.Equals, 2)
+	c.Check(fields["requests"], qt.Equals, "r1,r2")
+	c.Check(fields["shared_parts"], qt.Equals, "ff:2,5c:1")
+}
+
 func fixedFingerprint(d wire.Digest) func() wire.Digest { return func() wire.Digest { return d } }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,7 @@
 
 // New returns a Server.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, log: opts.Log, crashes: newCrashTracker(opts.CrashStore)}
+	s := &Server{opts: opts, log: opts.Log, crashes: newCrashTracker(opts.CrashStore, opts.Log)}
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	s.conns = newConnections(opts.MaxConnections, time.Now)
 	s.limiter.Limiter = overload.New()
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -146,6 +146,12 @@
 
 func (discardCrashMarks) MarkCrash(context.Context, string, wire.Digest, string) {}
 
+func discardLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 // testGateway is a gateway in front of scripted upstreams.
 type testGateway struct {
 	*qt.C
@@ -185,8 +191,6 @@
 	}
 	dispatcher.SetInstances(catalog.List{Instances: list})
 	gw := &testGateway{C: c, view: View{Table: routing.NewTable(d)}}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	opts := Options{
 		View: func() View {
 			gw.mu.Lock()
@@ -194,7 +198,7 @@
 			return gw.view
 		},
 		HeaderNames: testHeaderNames(), Forwarder: engine.New(engine.Options{}), Dispatcher: dispatcher, MaxConfigAge: time.Second, CrashStore: discardCrashMarks{},
-		MaxHeaderBytes: 8 << 10, ReadHeaderTimeout: time.Second, Log: log, Registry: metrics.NewRegistry(),
+		MaxHeaderBytes: 8 << 10, ReadHeaderTimeout: time.Second, Log: discardLog(), Registry: metrics.NewRegistry(),
 	}
 	change(&opts)
 	gw.server = New(opts)
