Quarantine prompt parts that crash upstreams

Callers saw 24 to 29 engines end one after the other on requests of one kind (BUDGET): no two of them were alike, and a crash mark belonged to the hash of account, method, host, target and body, so that no mark was ever joined by a second one. Class of fault: a circuit breaker keyed by the whole request where the cause is a component of it.

Each shared prompt part of a broken request is now marked too, unless its stream had gone on after the first event. An answer that goes on disproves the marks of its parts, on all hosts, through the control group. Three marks of crashes 200 ms apart refuse a part. A crash is one command of the control group instead of one for each broken request, and the gateway learns of marks when they change, not once a second.

Why it works: the sound requests share the other parts and are answered, so those parts lose their marks; the part that crashes upstreams is never answered.

Before: TestPromptPartThatCrashesUpstreamsIsQuarantined failed in three of three runs (20 crashes in 3 s, none refused). The extension interface of package wire is exported, so that a command of package state can carry a field that older hosts ignore. Stand-ins of CrashStore in older tests take the new method; no assertion changed.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -85,6 +85,7 @@
 	onConfig func(*config.Config)
 	onLeases func(held, all []wire.Lease)
 	onHosts  func([]wire.HostStatus)
+	onMarks  func([]state.CrashMark)
 }
 
 type sentRenew struct {
@@ -358,6 +359,13 @@
 	c.onHosts = f
 }
 
+// OnCrashMarks sets the callback for changes of the crash marks.
+func (c *Client) OnCrashMarks(f func([]state.CrashMark)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onMarks = f
+}
+
 // Change applies configuration changes atomically and returns the new revision. When no
 // answer arrives before ctx ends, it returns a Timeout with run state MayHaveRun; a repeat
 // with the same request id then returns the first answer.
@@ -404,6 +412,14 @@
 	}
 }
 
+// ChangeCrashMarks records the marks of one crash, and removes marks that are disproved. A
+// failure is only logged, since this host keeps its own copy.
+func (c *Client) ChangeCrashMarks(ctx context.Context, added, disproved []state.CrashMark) {
+	if _, err := c.proposeAndWait(ctx, state.Command{CrashMarks: &state.CrashMarkChange{Added: added, Disproved: disproved}}); err != nil {
+		c.opts.Log.WithError(err).WithField("added", len(added)).WithField("disproved", len(disproved)).Warn("Failed to change the crash marks.")
+	}
+}
+
 // IssueOrder puts an order into the log and returns its fencing number and status. A repeat
 // with the same request id returns the status at the time of the repeat.
 func (c *Client) IssueOrder(ctx context.Context, requestID string, o state.Order) (state.OrderResult, error) {
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -288,3 +288,25 @@
 	c.Assert(sim.clients["r2"].CrashMarks(), qt.HasLen, 1)
 	c.Assert(sim.clients["r2"].CrashMarks()[0].Fingerprint, qt.Equals, wire.Digest{7})
 }
+
+// Changes of crash marks reach the callback of every host, since each one refuses requests by
+// them.
+func TestChangedCrashMarksAreReportedToAllHosts(t *testing.T) {
+	c := qt.New(t)
+	sim := newFormedSimulation(t, 13, 1, "r1", "r2")
+	var reported []state.CrashMark
+	sim.clients["r2"].OnCrashMarks(func(list []state.CrashMark) { reported = list })
+	change := func(added, disproved []state.CrashMark) {
+		waitForCall(sim, startCall(sim.clients["r1"], func(ctx context.Context) error {
+			sim.clients["r1"].ChangeCrashMarks(ctx, added, disproved)
+			return nil
+		}))
+		sim.run(time.Second)
+	}
+	marks := []state.CrashMark{{Pool: "p0", Fingerprint: wire.Digest{7}, Upstream: "u1"}, {Pool: "p0", Fingerprint: wire.Digest{8}, Upstream: "u1"}}
+	change(marks, nil)
+	c.Assert(reported, qt.HasLen, 2)
+	change(nil, marks[:1])
+	c.Assert(reported, qt.HasLen, 1)
+	c.Assert(reported[0].Fingerprint, qt.Equals, wire.Digest{8})
+}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -253,6 +253,9 @@
 	}
 	if m.HasMarks && m.MarksVersion > c.crashMarksVersion {
 		c.crashMarks, c.crashMarksVersion = m.Marks, m.MarksVersion
+		if f := c.onMarks; f != nil {
+			c.afterUnlock = append(c.afterUnlock, func() { f(m.Marks) })
+		}
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -247,6 +247,7 @@
 		d.schedulers.hostsChanged(hosts)
 		d.edge.hostsChanged(hosts)
 	})
+	d.controlClient.OnCrashMarks(d.edge.crashMarksChanged)
 }
 
 // listeners holds the listening sockets of a host.
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -137,6 +137,12 @@
 	e.dispatcher.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.SetHosts(aliveNames) })
 }
 
+func (e *edgeRole) crashMarksChanged(marks []wire.CrashMark) {
+	if e.settings != nil {
+		e.gateway.SetCrashMarks(marks)
+	}
+}
+
 // logControlReachability logs when this host loses and regains contact with the control group.
 func (e *edgeRole) logControlReachability(ctx context.Context) error {
 	lost := true
@@ -181,10 +187,7 @@
 	g.Go(func() error { e.gateway.WatchLag(ctx); return nil })
 	g.Go(func() error { return e.logControlReachability(ctx) })
 	g.Go(func() error {
-		return runEvery(ctx, idleCheckInterval, func(now time.Time) {
-			e.gateway.CloseIdle(now)
-			e.gateway.SetCrashMarks(d.controlClient.CrashMarks())
-		})
+		return runEvery(ctx, idleCheckInterval, e.gateway.CloseIdle)
 	})
 	for address, h := range map[string]http.Handler{
 		e.settings.OperatorAddress:  e.adapter.OperatorHandler(e),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,7 +40,7 @@
 		if failure.RunState != fault.NotRun {
 			q.mayHaveRun = true
 			possibleRuns++
-			if err := q.server.crashes.check(q.fingerprint); err != nil {
+			if err := q.checkCrashes(); err != nil {
 				return err
 			}
 		}
@@ -58,10 +58,10 @@
 }
 
 // helpedByRetry reports whether another instance may serve a request that failed with a code.
-// The other codes are about the caller or this host.
+// The other codes are about the caller, the request or this host.
 func helpedByRetry(code fault.Code) bool {
 	switch code {
-	case fault.CallerGone, fault.PoolUnknown, fault.HostIsolated, fault.Unauthenticated:
+	case fault.CallerGone, fault.PoolUnknown, fault.HostIsolated, fault.Unauthenticated, fault.CrashesUpstreams:
 		return false
 	}
 	return true
@@ -69,7 +69,7 @@
 
 // attempt sends the request to one instance and relays its response.
 func (q *request) attempt(ctx context.Context) error {
-	q.job.Remaining = time.Until(q.deadline)
+	q.job.Remaining, q.runEvents = time.Until(q.deadline), 0
 	p, err := q.server.opts.Dispatcher.pick(&q.job)
 	if err != nil {
 		return err
@@ -106,6 +106,7 @@
 	outcome, err = q.relay(ctx, p, resp)
 	if outcome == dispatch.Answered {
 		q.server.crashes.answered(q.fingerprint)
+		q.server.crashes.partsAnswered(q.service.Name, q.job.SharedParts)
 	}
 	q.reportBrokenConnection(ctx, p, err)
 	return err
@@ -120,7 +121,11 @@
 }
 
 func (q *request) broken() brokenRequest {
-	return brokenRequest{id: q.id, service: q.service.Name, fingerprint: q.fingerprint(), sharedParts: q.job.SharedParts()}
+	r := brokenRequest{id: q.id, service: q.service.Name, fingerprint: q.fingerprint()}
+	if q.runEvents <= 1 {
+		r.sharedParts = q.job.SharedParts()
+	}
+	return r
 }
 
 // admit waits until the engine admits the request.
@@ -149,7 +154,7 @@
 	if view.Table.NeedsCredential(q.route) && view.Table.Account(q.r.Header.Get(q.server.opts.HeaderNames.Credential)) == nil {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "the credential is not known any more")
 	}
-	return nil
+	return q.checkCrashes()
 }
 
 // outcomeOf maps the error of a send to an outcome. It tells an unreachable instance from a
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,38 +20,49 @@
 const (
 	// maxCrashes is the number of crashed upstreams at which a request is refused.
 	maxCrashes = 2
+	// maxPartCrashes is the number of separate crashes at which a prompt part is refused. It is
+	// higher than maxCrashes, because other requests with the part ran beside the cause.
+	maxPartCrashes = 3
 	// probeDelay gives the port of a crashed upstream time to close before it is probed.
 	probeDelay   = 50 * time.Millisecond
 	probeTimeout = 300 * time.Millisecond
-	// crashMarkTimeout bounds the wait until a crash mark is replicated.
+	// crashMarkTimeout bounds the wait until crash marks are replicated.
 	crashMarkTimeout = 3 * time.Second
+	// maxReportedMarks bounds the marks in the report of one crash.
+	maxReportedMarks = 256
+	// disproofDelay collects the marks that are disproved together.
+	disproofDelay = 20 * time.Millisecond
 	// maxBrokenRequests bounds the requests kept for one instance while it is probed.
 	maxBrokenRequests = 256
 	// crashRetryAfter is the Retry-After for quarantined requests.
 	crashRetryAfter = 30 * time.Second
 )
 
-// CrashStore is the fleet-wide record of requests that crashed upstreams.
+// CrashStore is the fleet-wide record of requests and prompt parts that crashed upstreams.
 type CrashStore interface {
-	// MarkCrash records that a request crashed an instance of a service.
-	MarkCrash(ctx context.Context, service string, fingerprint wire.Digest, instance string)
+	// ChangeCrashMarks records the marks of one crash, and removes disproved marks.
+	ChangeCrashMarks(ctx context.Context, added, disproved []wire.CrashMark)
 }
 
 // crashTracker finds the requests that crash the upstreams which run them. A request is
-// marked when its connection broke and connecting to the instance fails right after. Other
-// requests that ran there at the time are marked too, so a single mark proves nothing.
+// marked when its connection broke and connecting to the instance fails right after, and so are
+// the prompt parts that it may share with others. Other requests that ran there at the time are
+// marked too, so a single mark proves nothing.
 type crashTracker struct {
 	store CrashStore
 	log   logrus.FieldLogger
 	dial  func(ctx context.Context, address string) error
+	now   func() time.Time
 
 	mu sync.Mutex
 	// own are the crash marks that this host set, recorded those that the control group has.
 	own      *ownCrashMarks
 	recorded crashMarks
-	// disproved are the marks of requests that an upstream answered afterwards: a request that
-	// crashes upstreams is never answered.
-	disproved crashMarks
+	// disproved are the marks of requests and parts that an upstream answered afterwards: a
+	// request that crashes upstreams is never answered. unreported are those that the control
+	// group has not been told of.
+	disproved  *ownCrashMarks
+	unreported []wire.CrashMark
 	// broken holds the requests whose connection broke, by the instance being probed.
 	broken map[catalog.Key][]brokenRequest
 }
@@ -58,13 +71,22 @@
 type brokenRequest struct {
 	id, service string
 	fingerprint wire.Digest
-	// sharedParts are the ids of the prompt parts that other requests may share.
+	// sharedParts are the ids of the prompt parts that other requests may share. It is empty if
+	// the answer had gone on after its begin, so that no part can have caused the crash.
 	sharedParts []uint64
 }
 
+// crashMarks returns the marks of a request that broke when an instance crashed.
+func (r *brokenRequest) crashMarks(instance string, at time.Time) (marks []wire.CrashMark) {
+	for _, id := range r.sharedParts {
+		marks = append(marks, wire.CrashMark{Pool: r.service, Fingerprint: partFingerprint(r.service, id), Upstream: instance, At: at.UnixMilli()})
+	}
+	return append(marks, wire.CrashMark{Pool: r.service, Fingerprint: r.fingerprint, Upstream: instance, At: at.UnixMilli()})
+}
+
 func newCrashTracker(store CrashStore, log logrus.FieldLogger) *crashTracker {
 	return &crashTracker{
-		store: store, log: log, dial: probeDial, own: newOwnCrashMarks(), recorded: crashMarks{}, disproved: crashMarks{},
+		store: store, log: log, dial: probeDial, now: time.Now, own: newOwnCrashMarks(), recorded: crashMarks{}, disproved: newOwnCrashMarks(),
 		broken: map[catalog.Key][]brokenRequest{},
 	}
 }
@@ -94,53 +116,122 @@
 	return d
 }
 
+// partFingerprint identifies a prompt part of the requests to a service.
+func partFingerprint(service string, id uint64) (d wire.Digest) {
+	sum := sha256.Sum256(binary.BigEndian.AppendUint64([]byte("part\x00"+service+"\x00"), id))
+	copy(d[:], sum[:])
+	return d
+}
+
+// checkCrashes refuses a request that, or a prompt part of which, has crashed too many
+// upstreams.
+func (q *request) checkCrashes() error {
+	if err := q.server.crashes.check(q.fingerprint); err != nil {
+		return err
+	}
+	return q.server.crashes.checkParts(q.service.Name, q.job.SharedParts)
+}
+
 // check refuses a request that has crashed too many upstreams. It calls fingerprint, which
 // hashes the body, only while there are marks.
 func (c *crashTracker) check(fingerprint func() wire.Digest) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.own.len()+len(c.recorded) == 0 {
+	if c.emptyLocked() {
 		return nil
 	}
 	n := len(c.validMarksLocked(fingerprint()))
 	if n < maxCrashes {
 		return nil
 	}
-	return fault.New(fault.CrashesUpstreams, fault.NotRun, "the request has crashed %d upstreams", n).WithRetryAfter(crashRetryAfter)
+	return crashesUpstreams("the request has crashed %d upstreams", n)
 }
 
-// validMarksLocked returns the instances that the request crashed, without those whose marks
-// are disproved.
-func (c *crashTracker) validMarksLocked(fp wire.Digest) (instances []string) {
-	for instance := range c.recorded[fp] {
-		if !c.disproved[fp][instance] {
-			instances = append(instances, instance)
+// checkParts refuses a request with a prompt part that has crashed too many upstreams.
+func (c *crashTracker) checkParts(service string, sharedParts func() []uint64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.emptyLocked() {
+		return nil
+	}
+	for _, id := range sharedParts() {
+		marks := c.validMarksLocked(partFingerprint(service, id))
+		if len(marks) >= maxPartCrashes && separateCrashes(marks) >= maxPartCrashes {
+			return crashesUpstreams("part %x of the prompt has crashed %d upstreams", id, len(marks))
 		}
 	}
-	for instance := range c.own.marks[fp] {
-		if !c.recorded[fp][instance] && !c.disproved[fp][instance] {
-			instances = append(instances, instance)
+	return nil
+}
+
+func crashesUpstreams(format string, args ...any) error {
+	return fault.New(fault.CrashesUpstreams, fault.NotRun, format, args...).WithRetryAfter(crashRetryAfter)
+}
+
+func (c *crashTracker) emptyLocked() bool { return c.own.len()+len(c.recorded) == 0 }
+
+// validMarksLocked returns the marks of a request or prompt part that are not disproved.
+func (c *crashTracker) validMarksLocked(fp wire.Digest) (marks []wire.CrashMark) {
+	for instance, at := range c.recorded[fp] {
+		if !c.disproved.marks.has(fp, instance) {
+			marks = append(marks, wire.CrashMark{Fingerprint: fp, Upstream: instance, At: at})
 		}
 	}
-	return instances
+	for instance, at := range c.own.marks[fp] {
+		if !c.recorded.has(fp, instance) && !c.disproved.marks.has(fp, instance) {
+			marks = append(marks, wire.CrashMark{Fingerprint: fp, Upstream: instance, At: at})
+		}
+	}
+	return marks
 }
 
 // answered disproves the marks that a request has when an upstream answers it.
 func (c *crashTracker) answered(fingerprint func() wire.Digest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.own.len()+len(c.recorded) == 0 {
+	if !c.emptyLocked() {
+		c.disproveLocked(fingerprint())
+	}
+}
+
+// partsAnswered disproves the marks of prompt parts when an upstream goes on with the answer
+// to a request with them.
+func (c *crashTracker) partsAnswered(service string, sharedParts func() []uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.emptyLocked() {
 		return
 	}
-	fp := fingerprint()
-	for _, instance := range c.validMarksLocked(fp) {
-		if len(c.disproved) >= maxOwnCrashMarks {
-			clear(c.disproved)
+	for _, id := range sharedParts() {
+		c.disproveLocked(partFingerprint(service, id))
+	}
+}
+
+func (c *crashTracker) disproveLocked(fp wire.Digest) {
+	for _, m := range c.validMarksLocked(fp) {
+		c.disproved.add(fp, m.Upstream, m.At)
+		if c.unreported = append(c.unreported, m); len(c.unreported) == 1 {
+			time.AfterFunc(disproofDelay, c.reportDisproved)
 		}
-		c.disproved.add(fp, instance)
 	}
 }
 
+// reportDisproved tells the control group which marks are disproved.
+func (c *crashTracker) reportDisproved() {
+	c.mu.Lock()
+	list := c.unreported
+	c.unreported = nil
+	c.mu.Unlock()
+	for chunk := range slices.Chunk(list, maxReportedMarks) {
+		c.changeStored(nil, chunk)
+	}
+}
+
+func (c *crashTracker) changeStored(added, disproved []wire.CrashMark) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashMarkTimeout)
+	defer cancel()
+	c.store.ChangeCrashMarks(ctx, added, disproved)
+}
+
 // connectionBroke records a request whose connection to an instance broke, and has the
 // instance probed.
 func (c *crashTracker) connectionBroke(r brokenRequest, instance catalog.Instance) {
@@ -164,29 +255,60 @@
 	c.mu.Lock()
 	list := c.broken[instance.Key()]
 	delete(c.broken, instance.Key())
+	var marks []wire.CrashMark
 	if err != nil {
-		for _, s := range list {
-			c.own.add(s.fingerprint, instance.ID)
-		}
+		marks = c.markLocked(instance.ID, list)
 	}
 	c.mu.Unlock()
 	if err == nil {
 		return
 	}
 	c.logCrash(instance, list, err)
-	for _, s := range list {
-		markCtx, cancel := context.WithTimeout(context.Background(), crashMarkTimeout)
-		c.store.MarkCrash(markCtx, s.service, s.fingerprint, instance.ID)
-		cancel()
+	c.changeStored(marks[:min(len(marks), maxReportedMarks)], nil)
+}
+
+// markLocked adds the marks of the requests that broke when an instance crashed to this host's
+// own, and returns them, those of prompt parts first.
+func (c *crashTracker) markLocked(instance string, broken []brokenRequest) (marks []wire.CrashMark) {
+	seen := map[wire.Digest]bool{}
+	var requests []wire.CrashMark
+	for _, r := range broken {
+		for _, m := range r.crashMarks(instance, c.now()) {
+			switch {
+			case seen[m.Fingerprint]:
+				continue
+			case m.Fingerprint == r.fingerprint:
+				requests = append(requests, m)
+			default:
+				marks = append(marks, m)
+			}
+			seen[m.Fingerprint] = true
+			c.own.add(m.Fingerprint, instance, m.At)
+		}
 	}
+	return append(marks, requests...)
 }
 
-// SetCrashMarks replaces the marks recorded by the control group.
+// SetCrashMarks replaces the marks recorded by the control group. Marks of this host's own that
+// the control group had and has no more are dropped: another host has disproved them, or they
+// have expired.
 func (s *Server) SetCrashMarks(list []wire.CrashMark) {
-	s.crashes.mu.Lock()
-	defer s.crashes.mu.Unlock()
-	s.crashes.recorded = crashMarks{}
+	s.crashes.setRecorded(list)
+}
+
+func (c *crashTracker) setRecorded(list []wire.CrashMark) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.recorded
+	c.recorded = crashMarks{}
 	for _, m := range list {
-		s.crashes.recorded.add(m.Fingerprint, m.Upstream)
+		c.recorded.add(m.Fingerprint, m.Upstream, m.At)
+	}
+	for fp, instances := range old {
+		for instance := range instances {
+			if !c.recorded.has(fp, instance) {
+				c.own.drop(fp, instance)
+			}
+		}
 	}
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -19,13 +19,20 @@
 	mu       sync.Mutex
 	marks    []wire.CrashMark
 	recorded chan struct{}
+	// disproved gets the disproved marks; nil if the test doesn't use them.
+	disproved chan []wire.CrashMark
 }
 
-func (r *crashMarkRecorder) MarkCrash(_ context.Context, service string, fp wire.Digest, instance string) {
-	r.mu.Lock()
-	r.marks = append(r.marks, wire.CrashMark{Pool: service, Fingerprint: fp, Upstream: instance})
-	r.mu.Unlock()
-	r.recorded <- struct{}{}
+func (r *crashMarkRecorder) ChangeCrashMarks(_ context.Context, added, disproved []wire.CrashMark) {
+	if len(disproved) > 0 && r.disproved != nil {
+		r.disproved <- disproved
+	}
+	for _, m := range added {
+		r.mu.Lock()
+		r.marks = append(r.marks, m)
+		r.mu.Unlock()
+		r.recorded <- struct{}{}
+	}
 }
 
 // Guards against running a request that crashes one upstream after another, and against
@@ -145,23 +152,23 @@
 	c := qt.New(t)
 	tracker := newCrashTracker(discardCrashMarks{}, discardLog())
 	bad := wire.Digest{1}
-	tracker.own.add(bad, "a")
-	tracker.own.add(bad, "b")
+	tracker.own.add(bad, "a", 0)
+	tracker.own.add(bad, "b", 0)
 	distinct := func(i int) wire.Digest { return wire.Digest{2, byte(i), byte(i >> 8), byte(i >> 16)} }
 	for i := range 3 * maxOwnCrashMarks {
-		tracker.own.add(distinct(i), "a")
+		tracker.own.add(distinct(i), "a", 0)
 	}
 	c.Assert(fault.CodeOf(tracker.check(fixedFingerprint(bad))), qt.Equals, fault.CrashesUpstreams)
 	c.Assert(tracker.own.len(), qt.Equals, maxOwnCrashMarks)
 	// The oldest single marks are dropped, the newest kept.
-	tracker.own.add(distinct(3*maxOwnCrashMarks-1), "b")
+	tracker.own.add(distinct(3*maxOwnCrashMarks-1), "b", 0)
 	c.Assert(fault.CodeOf(tracker.check(fixedFingerprint(distinct(3*maxOwnCrashMarks-1)))), qt.Equals, fault.CrashesUpstreams)
-	tracker.own.add(distinct(0), "b")
+	tracker.own.add(distinct(0), "b", 0)
 	c.Assert(tracker.check(fixedFingerprint(distinct(0))), qt.IsNil)
 	// Of quarantined requests alone, the oldest is dropped.
 	for i := range 2 * maxOwnCrashMarks {
-		tracker.own.add(distinct(i), "a")
-		tracker.own.add(distinct(i), "b")
+		tracker.own.add(distinct(i), "a", 0)
+		tracker.own.add(distinct(i), "b", 0)
 	}
 	c.Assert(tracker.own.len(), qt.Equals, maxOwnCrashMarks)
 	c.Assert(tracker.check(fixedFingerprint(bad)), qt.IsNil)
--- a/internal/gateway/crashmarks.go
+++ b/internal/gateway/crashmarks.go
@@ -1,19 +1,46 @@
 package gateway
 
 import (
+	"cmp"
 	"container/list"
+	"slices"
+	"time"
 
 	"marigoldshunt/internal/wire"
 )
 
-// crashMarks holds the instances that each request crashed, by fingerprint.
-type crashMarks map[wire.Digest]map[string]bool
+// crashMarks holds the instances that each request, or prompt part, crashed, by its
+// fingerprint, with the time of each crash in Unix milliseconds.
+type crashMarks map[wire.Digest]map[string]int64
 
-func (m crashMarks) add(fp wire.Digest, instance string) {
+func (m crashMarks) add(fp wire.Digest, instance string, at int64) {
 	if m[fp] == nil {
-		m[fp] = map[string]bool{}
+		m[fp] = map[string]int64{}
 	}
-	m[fp][instance] = true
+	m[fp][instance] = at
+}
+
+func (m crashMarks) has(fp wire.Digest, instance string) bool {
+	_, ok := m[fp][instance]
+	return ok
+}
+
+// minCrashGap separates crashes that count as separate for a prompt part. Upstreams that crash
+// together have a common cause, such as a lost data centre, and a popular part is then read at
+// several of them.
+const minCrashGap = 200 * time.Millisecond
+
+// separateCrashes returns the number of crashes that lie at least minCrashGap apart.
+func separateCrashes(marks []wire.CrashMark) (n int) {
+	slices.SortFunc(marks, func(a, b wire.CrashMark) int { return cmp.Compare(a.At, b.At) })
+	var last int64
+	for _, m := range marks {
+		if n == 0 || m.At-last >= minCrashGap.Milliseconds() {
+			n++
+			last = m.At
+		}
+	}
+	return n
 }
 
 // maxOwnCrashMarks bounds the requests with marks of the host's own, which the control group
@@ -38,13 +65,33 @@
 
 func (m *ownCrashMarks) len() int { return len(m.marks) }
 
-func (m *ownCrashMarks) add(fp wire.Digest, instance string) {
+func (m *ownCrashMarks) add(fp wire.Digest, instance string, at int64) {
 	if e := m.elements[fp]; e != nil {
 		m.remove(e)
 	} else if len(m.marks) >= maxOwnCrashMarks {
 		m.dropOldest()
 	}
-	m.marks.add(fp, instance)
+	m.marks.add(fp, instance, at)
+	m.list(fp)
+}
+
+// drop removes one mark.
+func (m *ownCrashMarks) drop(fp wire.Digest, instance string) {
+	if !m.marks.has(fp, instance) {
+		return
+	}
+	m.remove(m.elements[fp])
+	delete(m.marks[fp], instance)
+	if len(m.marks[fp]) == 0 {
+		delete(m.marks, fp)
+		delete(m.elements, fp)
+		return
+	}
+	m.list(fp)
+}
+
+// list puts a fingerprint at the end of the list that it belongs to.
+func (m *ownCrashMarks) list(fp wire.Digest) {
 	l := m.suspects
 	if len(m.marks[fp]) >= maxCrashes {
 		l = m.quarantined
--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -83,15 +84,23 @@
 	}
 }
 
-// MarkCrash implements CrashStore for all hosts, in place of the control group.
-func (f *crashingFleet) MarkCrash(_ context.Context, service string, fp wire.Digest, instance string) {
+// ChangeCrashMarks implements CrashStore for all hosts, in place of the control group.
+func (f *crashingFleet) ChangeCrashMarks(_ context.Context, added, disproved []wire.CrashMark) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.marks = append(f.marks, wire.CrashMark{Pool: service, Fingerprint: fp, Upstream: instance})
+	for _, m := range added {
+		m.At = time.Now().UnixMilli()
+		f.marks = append(f.marks, m)
+	}
+	f.marks = slices.DeleteFunc(f.marks, func(m wire.CrashMark) bool {
+		return slices.ContainsFunc(disproved, func(d wire.CrashMark) bool { return d.Fingerprint == m.Fingerprint && d.Upstream == m.Upstream })
+	})
 	for _, gw := range f.hosts {
 		gw.server.SetCrashMarks(f.marks)
 	}
-	f.reported <- struct{}{}
+	if len(added) > 0 {
+		f.reported <- struct{}{}
+	}
 }
 
 // send sends a request that no other one equals through a host, with the given parts and one
@@ -153,3 +162,124 @@
 	}
 	f.Assert(f.crashCount(), qt.Equals, crashes)
 }
+
+// crashingTracker is a tracker for which every instance refuses connections, with a clock that
+// the test advances.
+func crashingTracker() (*crashTracker, *crashMarkRecorder, *time.Time) {
+	rec := &crashMarkRecorder{recorded: make(chan struct{}, 64)}
+	tracker := newCrashTracker(rec, discardLog())
+	tracker.dial = func(context.Context, string) error { return fault.New(fault.UpstreamFailed, "", "refused") }
+	clock := time.Unix(1_000_000, 0)
+	tracker.now = func() time.Time { return clock }
+	return tracker, rec, &clock
+}
+
+// crashAt has a request with the parts break at an instance that crashes.
+func crashAt(tracker *crashTracker, rec *crashMarkRecorder, instance string, request byte, parts ...uint64) {
+	tracker.connectionBroke(brokenRequest{service: "s", fingerprint: wire.Digest{request, instance[0]}, sharedParts: parts}, catalog.Instance{ID: instance})
+	for range len(parts) + 1 {
+		<-rec.recorded
+	}
+}
+
+func partList(ids ...uint64) func() []uint64 { return func() []uint64 { return ids } }
+
+// Guards against refusing the other parts of the requests that crash upstreams, and those of
+// requests that ran beside them, although upstreams answer requests with them.
+func TestAnsweredPartsAreNotQuarantined(t *testing.T) {
+	c := qt.New(t)
+	const shared, bad, beside = 1, 2, 3
+	tracker, rec, clock := crashingTracker()
+	for i, instance := range []string{"a", "b", "c"} {
+		crashAt(tracker, rec, instance, byte(i), shared, bad, beside)
+		*clock = clock.Add(minCrashGap)
+		tracker.partsAnswered("s", partList(shared, beside))
+	}
+	c.Check(fault.CodeOf(tracker.checkParts("s", partList(shared, bad))), qt.Equals, fault.CrashesUpstreams)
+	c.Check(tracker.checkParts("s", partList(shared, beside)), qt.IsNil)
+	c.Check(tracker.checkParts("other service", partList(bad)), qt.IsNil)
+}
+
+// Guards against refusing a popular part because several upstreams crashed at once, before any
+// other could answer a request with it.
+func TestUpstreamsThatCrashTogetherQuarantineNoPart(t *testing.T) {
+	c := qt.New(t)
+	tracker, rec, clock := crashingTracker()
+	for _, instance := range []string{"a", "b", "c", "d"} {
+		crashAt(tracker, rec, instance, 1, 7)
+		*clock = clock.Add(minCrashGap / 8)
+	}
+	c.Check(tracker.checkParts("s", partList(7)), qt.IsNil)
+	for _, instance := range []string{"e", "f"} {
+		*clock = clock.Add(minCrashGap)
+		crashAt(tracker, rec, instance, 1, 7)
+	}
+	c.Check(fault.CodeOf(tracker.checkParts("s", partList(7))), qt.Equals, fault.CrashesUpstreams)
+}
+
+// Guards against suspecting the parts of a stream that went on after its first event.
+func TestStreamThatHadGoneOnIsNoSuspect(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		events, marks int
+	}{{0, 2}, {1, 2}, {2, 1}} {
+		rec := &crashMarkRecorder{recorded: make(chan struct{}, 8)}
+		broken := func(req *receivedRequest) {
+			writeRaw("%s", streamHead)(req)
+			for i := range test.events {
+				writeRaw("%s", eventChunk(i))(req)
+			}
+			closeConn(req)
+		}
+		d := document()
+		for i := range d.Routes {
+			d.Routes[i].PromptAffinity = true
+		}
+		d.Services[0].Engine = &routing.Engine{Slots: 4, MemoryTokens: 100_000}
+		gw := newTestGatewayWith(t, d, func(opts *Options) { opts.CrashStore = rec }, newUpstream(t, broken))
+		gw.server.crashes.dial = func(context.Context, string) error { return fault.New(fault.UpstreamFailed, "", "refused") }
+		gw.do("POST", "/stream/x", "body", "X-Prompt-Parts: a1:10,b2:10")
+		for range test.marks {
+			<-rec.recorded
+		}
+		gw.endRequests()
+		rec.mu.Lock()
+		c.Check(rec.marks, qt.HasLen, test.marks, qt.Commentf("%d events", test.events))
+		rec.mu.Unlock()
+	}
+}
+
+// Guards against other hosts that go on refusing a part after this host saw it answered.
+func TestDisprovedMarksAreReported(t *testing.T) {
+	c := qt.New(t)
+	tracker, rec, _ := crashingTracker()
+	rec.disproved = make(chan []wire.CrashMark, 1)
+	crashAt(tracker, rec, "a", 1, 7)
+	tracker.partsAnswered("s", partList(7))
+	tracker.partsAnswered("s", partList(7))
+	list := <-rec.disproved
+	c.Assert(list, qt.HasLen, 1)
+	c.Check(list[0].Fingerprint, qt.Equals, partFingerprint("s", 7))
+	c.Check(list[0].Upstream, qt.Equals, "a")
+}
+
+// Guards against counting this host's own marks after another host has disproved them.
+func TestMarksDisprovedByAnotherHostDoNotCount(t *testing.T) {
+	c := qt.New(t)
+	tracker, rec, clock := crashingTracker()
+	for _, instance := range []string{"a", "b", "c"} {
+		*clock = clock.Add(minCrashGap)
+		crashAt(tracker, rec, instance, 1, 7)
+		tracker.setRecorded(rec.marks)
+		if instance == "b" {
+			rec.marks = nil
+			tracker.setRecorded(rec.marks)
+		}
+	}
+	c.Check(tracker.checkParts("s", partList(7)), qt.IsNil)
+	for _, instance := range []string{"d", "e"} {
+		*clock = clock.Add(minCrashGap)
+		crashAt(tracker, rec, instance, 1, 7)
+	}
+	c.Check(fault.CodeOf(tracker.checkParts("s", partList(7))), qt.Equals, fault.CrashesUpstreams)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,6 +51,8 @@
 	lastEventID string
 	lastEventAt time.Time
 	late        bool
+	// runEvents counts the events that the present run has sent.
+	runEvents int
 	// mayHaveRun is true once an instance may have run the request.
 	mayHaveRun bool
 	sends      int
@@ -128,7 +130,7 @@
 	q.header = q.server.opts.HeaderNames.upstreamHeader(q.r.Header, q.account)
 	q.lastEventID = q.r.Header.Get(q.server.opts.HeaderNames.LastEventID)
 	q.setJob()
-	if err := q.server.crashes.check(q.fingerprint); err != nil {
+	if err := q.checkCrashes(); err != nil {
 		return err
 	}
 	q.server.opts.Dispatcher.countRequest(&q.job)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,7 +24,6 @@
 func (q *request) relayStream(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
 	br := bufio.NewReader(resp.Body)
 	rc := http.NewResponseController(q.w)
-	first := true
 	room := reservation{budget: &q.server.buffered}
 	defer room.release()
 	for {
@@ -40,11 +39,13 @@
 		if err != nil {
 			return q.truncated(ctx, p, err)
 		}
-		if first {
-			first = false
+		switch q.runEvents++; q.runEvents {
+		case 1:
 			q.server.observeSince("first_event", q.arrived)
 			q.server.opts.Dispatcher.firstEvent(p)
 			q.permit.FirstEvent()
+		case 2:
+			q.server.crashes.partsAnswered(q.service.Name, q.job.SharedParts)
 		}
 		id := eventID(event)
 		if q.headerWritten && !isAfter(id, q.lastEventID) {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -144,7 +144,7 @@
 // discardCrashMarks stands in for a control group that records nothing.
 type discardCrashMarks struct{}
 
-func (discardCrashMarks) MarkCrash(context.Context, string, wire.Digest, string) {}
+func (discardCrashMarks) ChangeCrashMarks(context.Context, []wire.CrashMark, []wire.CrashMark) {}
 
 func discardLog() *logrus.Logger {
 	log := logrus.New()
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -57,6 +57,22 @@
 	Mark      *CrashMark
 	Order     *OrderIssue
 	OrderDone *OrderDone
+	// CrashMarks is the extension of the command.
+	CrashMarks *CrashMarkChange `msgpack:"-"`
+}
+
+// Extension implements the extension of messages of package wire.
+func (c Command) Extension() any {
+	if c.CrashMarks == nil {
+		return nil
+	}
+	return c.CrashMarks
+}
+
+// ExtensionTarget implements the extension of messages of package wire.
+func (c *Command) ExtensionTarget() any {
+	c.CrashMarks = &CrashMarkChange{}
+	return c.CrashMarks
 }
 
 // Encode returns the bytes of the command.
@@ -124,9 +140,6 @@
 	Answer []byte
 }
 
-// CrashMark is a crash mark: a request with this fingerprint crashed an upstream.
-type CrashMark = wire.CrashMark
-
 // OrderKind is what an upstream is asked to do.
 type OrderKind string
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -93,11 +93,7 @@
 	s.now = now
 	s.claims.expire(now - s.config.Policy.ClaimRetention.Milliseconds())
 	oldestKept := now - CrashMarkRetention.Milliseconds()
-	before := len(s.crashMarks)
-	s.crashMarks = slices.DeleteFunc(s.crashMarks, func(m CrashMark) bool { return m.At < oldestKept })
-	if len(s.crashMarks) != before {
-		s.crashMarksVersion++
-	}
+	s.deleteCrashMarks(func(m CrashMark) bool { return m.At < oldestKept })
 }
 
 // Apply applies one command at a log index. A command that cannot be decoded has no
@@ -123,6 +119,8 @@
 		return s.claims.release(command.Unclaim)
 	case command.Mark != nil:
 		return s.addCrashMark(*command.Mark)
+	case command.CrashMarks != nil:
+		return s.changeCrashMarks(command.CrashMarks)
 	case command.Order != nil:
 		return s.applyOnce("order\x00"+command.Order.Order.Operator, command.Order.RequestID, cmd, func(key string) Result { return s.issueOrder(index, key, command.Order) })
 	case command.OrderDone != nil:
@@ -280,29 +278,8 @@
 	return out, s.leasesVersion
 }
 
-func (s *State) addCrashMark(m CrashMark) Result {
-	if len(m.Pool) > maxIDBytes || len(m.Upstream) > maxIDBytes || m.Upstream == "" {
-		return refuse(fault.BadRequest, fault.NotRun, "the names in a crash mark have 1 to 64 bytes")
-	}
-	m.At = s.now
-	s.crashMarks = slices.DeleteFunc(s.crashMarks, func(o CrashMark) bool {
-		return o.Pool == m.Pool && o.Fingerprint == m.Fingerprint && o.Upstream == m.Upstream
-	})
-	if len(s.crashMarks) >= MaxCrashMarks {
-		s.crashMarks = s.crashMarks[1:]
-	}
-	s.crashMarks = append(s.crashMarks, m)
-	s.crashMarksVersion++
-	return Result{}
-}
-
 // Versions returns the versions of the leases and of the crash marks.
 func (s *State) Versions() (leases, crashMarks uint64) { return s.leasesVersion, s.crashMarksVersion }
 
-// CrashMarks returns a copy of the crash marks, oldest first, and their version.
-func (s *State) CrashMarks() ([]CrashMark, uint64) {
-	return slices.Clone(s.crashMarks), s.crashMarksVersion
-}
-
 // ClaimUsage returns the number of claims and the total size of their kept answers in bytes.
 func (s *State) ClaimUsage() (claims, keptBytes int) { return len(s.claims.byID), s.claims.keptBytes }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -251,6 +251,8 @@
 				{Finish: &ClaimFinish{Account: account, Key: key, Attempt: attempt, Answer: []byte(attempt)}},
 				{Unclaim: &ClaimRelease{Account: account, Key: key, Attempt: attempt}},
 				{Mark: &CrashMark{Pool: "p", Upstream: upstream}},
+				{CrashMarks: &CrashMarkChange{Added: []CrashMark{{Pool: "p", Upstream: upstream}, {Pool: "p", Fingerprint: wire.Digest{byte(n)}, Upstream: "u1"}}}},
+				{CrashMarks: &CrashMarkChange{Disproved: []CrashMark{{Upstream: upstream}}}},
 				{Order: &OrderIssue{RequestID: attempt, Order: Order{Upstream: upstream, Kind: OrderDrain}}},
 				{OrderDone: &OrderDone{Fence: index - rev, Status: OrderFailed}},
 			}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -13,12 +13,12 @@
 // array of another length than its own but ignores what follows it. Fields that are added to a
 // released extension need one more.
 type extended interface {
-	// extension returns nil if there is nothing to add.
-	extension() any
+	// Extension returns nil if there is nothing to add.
+	Extension() any
 }
 
 // extensionTarget is implemented by pointers to extended messages.
-type extensionTarget interface{ extensionTarget() any }
+type extensionTarget interface{ ExtensionTarget() any }
 
 // Marshal encodes a message. Structs are encoded as arrays, without field names. Fields that are
 // added to a released message belong into its extension.
@@ -33,7 +33,7 @@
 		return nil, fault.Wrap(err, fault.FrameInvalid, "", "encode %T", v)
 	}
 	if m, ok := v.(extended); ok {
-		if extension := m.extension(); extension != nil {
+		if extension := m.Extension(); extension != nil {
 			if err := enc.Encode(extension); err != nil {
 				return nil, fault.Wrap(err, fault.FrameInvalid, "", "encode the extension of %T", v)
 			}
@@ -60,7 +60,7 @@
 	if r.Len() == 0 {
 		return nil // no extension
 	}
-	return fault.Wrap(dec.Decode(m.extensionTarget()), fault.FrameInvalid, "", "decode the extension of %T", v)
+	return fault.Wrap(dec.Decode(m.ExtensionTarget()), fault.FrameInvalid, "", "decode the extension of %T", v)
 }
 
 // PoolOf returns the pool named in a message to a scheduler without decoding the whole
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -322,9 +322,9 @@
 	Failures []InstanceFailures `msgpack:"-"`
 }
 
-func (m Loads) extension() any { return failuresExtension(m.Failures) }
+func (m Loads) Extension() any { return failuresExtension(m.Failures) }
 
-func (m *Loads) extensionTarget() any { return &m.Failures }
+func (m *Loads) ExtensionTarget() any { return &m.Failures }
 
 func failuresExtension(list []InstanceFailures) any {
 	if len(list) == 0 {
@@ -360,9 +360,9 @@
 	Failures []InstanceFailures `msgpack:"-"`
 }
 
-func (m LoadSums) extension() any { return failuresExtension(m.Failures) }
+func (m LoadSums) Extension() any { return failuresExtension(m.Failures) }
 
-func (m *LoadSums) extensionTarget() any { return &m.Failures }
+func (m *LoadSums) ExtensionTarget() any { return &m.Failures }
 
 // Instance is one entry of the list of upstream instances.
 type Instance struct {
@@ -428,14 +428,14 @@
 	LastAttempt bool
 }
 
-func (m AdmissionRequest) extension() any {
+func (m AdmissionRequest) Extension() any {
 	if m.AdmissionRequestDetails == (AdmissionRequestDetails{}) {
 		return nil
 	}
 	return m.AdmissionRequestDetails
 }
 
-func (m *AdmissionRequest) extensionTarget() any { return &m.AdmissionRequestDetails }
+func (m *AdmissionRequest) ExtensionTarget() any { return &m.AdmissionRequestDetails }
 
 // AdmissionReply answers an AdmissionRequest. After a reply with Queued set, a second one
 // follows.
@@ -448,14 +448,14 @@
 	Refusal *GateRefusal `msgpack:"-"`
 }
 
-func (m AdmissionReply) extension() any {
+func (m AdmissionReply) Extension() any {
 	if m.Refusal == nil {
 		return nil
 	}
 	return m.Refusal
 }
 
-func (m *AdmissionReply) extensionTarget() any {
+func (m *AdmissionReply) ExtensionTarget() any {
 	m.Refusal = &GateRefusal{}
 	return m.Refusal
 }
