Treat an unframed stream without events as broken off

An upstream that crashed before the first event of such a stream was passed on as a whole, empty answer with status 200, and it disproved the crash marks of the request. It is now a broken answer, as a begun event already was. A framed stream without events stays whole.

Test: TestUnframedStreamWithoutEventsIsNotComplete, whose case without an event failed before (200 for 502); the four other cases passed before and pass now.

--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -283,3 +283,27 @@
 	}
 	c.Check(fault.CodeOf(tracker.checkParts("s", partList(7))), qt.Equals, fault.CrashesUpstreams)
 }
+
+// Guards against passing on an upstream's crash before the first event as a whole answer, where
+// only the end of the connection marks the end of a stream.
+func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Proof: p1\r\n\r\n"
+	for _, test := range []struct {
+		name, response string
+		status         int
+		complete       bool
+	}{
+		{"no event", head, 502, true},
+		{"begun event", head + "id: 0\nda", 502, true},
+		{"whole event", head + "id: 0\ndata: piece\n\n", 200, true},
+		{"whole event and a begun one", head + "id: 0\ndata: piece\n\nid: 1\n", 200, false},
+		{"framed", streamHead + streamEnd, 200, true},
+	} {
+		u := newUpstream(t, sequence(writeRaw("%s", test.response), closeConn))
+		gw := newTestGateway(t, document(), u)
+		resp, _, complete := gw.do("POST", "/stream/x", "body")
+		gw.Assert(resp, qt.IsNotNil, qt.Commentf(test.name))
+		gw.Check(resp.StatusCode, qt.Equals, test.status, qt.Commentf(test.name))
+		gw.Check(complete, qt.Equals, test.complete, qt.Commentf(test.name))
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,6 +30,11 @@
 		room.release()
 		event, err := readEvent(br, func() bool { return room.growTo(maxBuffered) })
 		if errors.Is(err, io.EOF) && len(event) == 0 {
+			if q.runEvents == 0 && !resp.Framed {
+				// Where the end of the connection ends the stream, a crash before the first event looks
+				// like an empty one.
+				return q.truncated(ctx, p, io.ErrUnexpectedEOF)
+			}
 			if !q.headerWritten {
 				q.copyHeader(resp)
 				q.writeHeader(resp.Status)
