Read and log the rate limits that upstreams name

No host read the header by which an upstream in need names the requests per second that it takes, so the logs could not tell whether a host knew of a limit. Hosts now read it, log each change once, and show it in marigoldshuntctl instances.

Only a successful answer without the header ends a limit: refusals may lack it.

--- a/internal/ctl/routing.go
+++ b/internal/ctl/routing.go
@@ -67,10 +67,10 @@
 				all[s.value.Host] = s.value.Edge
 				for _, i := range s.value.Edge.Instances {
 					rows = append(rows, []string{s.value.Host, i.Service, i.ID, i.Address, i.DataCentre, i.State,
-						fmt.Sprint(i.Running), fmt.Sprint(i.Backlog), fmt.Sprintf("%.2f", i.Failing)})
+						fmt.Sprint(i.Running), fmt.Sprint(i.Backlog), fmt.Sprintf("%.2f", i.Failing), fmt.Sprintf("%g", i.RateLimit)})
 				}
 			}
-			return a.show(all, "HOST SERVICE INSTANCE ADDRESS DATA_CENTRE STATE RUNNING BACKLOG FAILING", rows)
+			return a.show(all, "HOST SERVICE INSTANCE ADDRESS DATA_CENTRE STATE RUNNING BACKLOG FAILING RATE_LIMIT", rows)
 		},
 	}
 }
--- a/internal/dispatch/instance.go
+++ b/internal/dispatch/instance.go
@@ -26,6 +26,9 @@
 	// those that have not had their first event.
 	running, readingTokens int
 	report                 report
+	// rateLimit is the number of requests per second that the instance last said it takes from
+	// all hosts; 0 means no limit.
+	rateLimit float64
 	// results are the latest results of this host's requests; a failure counts 1.
 	results         decayingMean
 	suspectUntil    time.Time
@@ -157,6 +160,13 @@
 	}
 }
 
+// SetRateLimit records the number of requests per second that the instance says it takes from
+// all hosts, 0 for no limit, and returns the number that was known before.
+func (p *Placement) SetRateLimit(perSecond float64) (before float64) {
+	before, p.target.rateLimit = p.target.rateLimit, perSecond
+	return before
+}
+
 // Report records the load that the instance reported with a response.
 func (p *Placement) Report(running, waiting int, now time.Time) {
 	p.target.report = report{running: running, waiting: waiting, at: now}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -21,6 +21,9 @@
 	Backlog int `json:"backlog_tokens"`
 	// Failing is the fraction of recent responses that failed.
 	Failing float64 `json:"failing"`
+	// RateLimit is the number of requests per second that the instance takes from all hosts, 0
+	// for no limit.
+	RateLimit float64 `json:"rate_limit,omitempty"`
 }
 
 // Status lists the instances in order of service and ID.
@@ -29,7 +32,7 @@
 	for _, x := range d.instances {
 		out = append(out, InstanceStatus{
 			ID: x.ID, Service: x.Service, Address: x.Address, DataCentre: x.DataCentre, State: d.state(x, now),
-			Running: x.running, Backlog: x.gate.Backlog, Failing: d.failureRate(x, now),
+			Running: x.running, Backlog: x.gate.Backlog, Failing: d.failureRate(x, now), RateLimit: x.rateLimit,
 		})
 	}
 	slices.SortFunc(out, func(a, b InstanceStatus) int {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -27,6 +27,9 @@
 	// Load carries the numbers of running requests, waiting requests and slots, separated by
 	// commas.
 	Load string
+	// RateLimit in a response is the number of requests per second, a decimal number, that the
+	// upstream takes from all hosts together until it names none.
+	RateLimit string
 	// NotRun in a response proves that the upstream did not run the request.
 	NotRun string
 	// UpstreamProof is in every response that an upstream itself produced.
@@ -46,7 +49,7 @@
 func NativeHeaderNames() HeaderNames {
 	return HeaderNames{
 		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Credential: "X-Api-Key", Account: "X-Account",
-		ExpectInstance: "X-Instance-Id", Load: "X-Load", NotRun: "X-Not-Run", Usage: "X-Token-Usage",
+		ExpectInstance: "X-Instance-Id", Load: "X-Load", RateLimit: "X-Rate-Limit", NotRun: "X-Not-Run", Usage: "X-Token-Usage",
 		PromptParts: "X-Prompt-Parts", LastEventID: "Last-Event-Id",
 	}
 }
@@ -131,6 +134,23 @@
 	return max(input, 0), max(output, 0)
 }
 
+// rateLimit returns the limit that a response names, in requests per second. named is false if
+// the header is missing or invalid.
+func (names *HeaderNames) rateLimit(h http.Header) (perSecond float64, named bool) {
+	v, err := strconv.ParseFloat(strings.TrimSpace(h.Get(names.RateLimit)), 64)
+	if err != nil || !(v >= 0 && v <= maxRateLimit) {
+		return 0, false
+	}
+	return max(v, minRateLimit), true
+}
+
+// Bounds of a rate limit in requests per second. A limit of 0 counts as minRateLimit, since only
+// an answer can end it.
+const (
+	minRateLimit = 0.1
+	maxRateLimit = 1e6
+)
+
 // load returns the numbers of running and waiting requests in the load header; ok is false
 // if the header is missing or invalid.
 func (names *HeaderNames) load(h http.Header) (running, waiting int, ok bool) {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -56,6 +56,11 @@
 	x.Update(func(_ *dispatch.Dispatcher, now time.Time) { p.Report(running, waiting, now) })
 }
 
+func (x *LockedDispatcher) setRateLimit(p *dispatch.Placement, perSecond float64) (before float64) {
+	x.Update(func(*dispatch.Dispatcher, time.Time) { before = p.SetRateLimit(perSecond) })
+	return before
+}
+
 func (x *LockedDispatcher) markReplaced(p *dispatch.Placement) {
 	x.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.MarkReplaced(p.Instance.Key()) })
 }
