Keep to the rate limits that upstreams name

Class of fault: a limit of an upstream over all hosts that no decision keeps.

The gate of an instance, which is one queue for all hosts, keeps the limit with a token bucket; plain instances get a gate while they name one. The owner learns the limit with the progress of the request whose answer named it (an extension of the message, which older hosts ignore). What would be late by the limit is refused at once, the wait counts as backlog for the choice of an instance, and requests sent without the owner's reply keep to the host's share.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -65,6 +65,9 @@
 	Tokens                  int
 	FirstEventDue, Deadline time.Time
 	Rank                    dispatch.Rank
+	// RateLimit is the number of requests per second that the upstream takes from all hosts, as
+	// far as this host knows; 0 means no limit.
+	RateLimit float64
 	// RequestID is the caller's id, for the log. LastAttempt is true when a refusal ends the
 	// request.
 	RequestID   string
@@ -84,7 +87,10 @@
 	unresponsiveUntil map[string]time.Time
 	speeds            map[string]*dispatch.SpeedEstimator
 	gates             map[catalog.Key]*ownedGate
-	seq               uint64
+	// bypassLimits pace the requests to upstreams with a rate limit that this host sends without
+	// a reply.
+	bypassLimits map[catalog.Key]*bypassLimit
+	seq          uint64
 	// waiters are the requests of this host that wait to be admitted, admitted those that
 	// are at their engine.
 	waiters  map[uint64]*waiter
@@ -105,7 +111,7 @@
 func New(opts Options) *Admission {
 	return &Admission{
 		opts: opts, hosts: rendezvous.NewMembers(opts.Host, nil), unresponsiveUntil: map[string]time.Time{}, speeds: map[string]*dispatch.SpeedEstimator{},
-		gates: map[catalog.Key]*ownedGate{}, waiters: map[uint64]*waiter{}, admitted: map[uint64]*Permit{},
+		gates: map[catalog.Key]*ownedGate{}, bypassLimits: map[catalog.Key]*bypassLimit{}, waiters: map[uint64]*waiter{}, admitted: map[uint64]*Permit{},
 	}
 }
 
@@ -140,6 +146,18 @@
 	read  bool
 	// announcedAt is when the owner was last told of the request.
 	announcedAt time.Time
+	// rateLimit is what the response said about the rate limit, nil if it said nothing new.
+	rateLimit *wire.RateLimit
+}
+
+// RateLimitChanged has the owner told of the rate limit that the response named, 0 for none,
+// with the next progress of the request.
+func (p *Permit) RateLimitChanged(perSecond float64) {
+	if p != nil {
+		p.a.mu.Lock()
+		p.rateLimit = &wire.RateLimit{PerSecond: perSecond}
+		p.a.mu.Unlock()
+	}
 }
 
 // FirstEvent tells the owner that the engine has read the prompt.
@@ -163,6 +181,10 @@
 	a.seq++
 	p := &Permit{a: a, key: r.Instance.Key(), owner: a.ownerLocked(r.Instance.Key()), seq: a.seq, request: r}
 	if a.unresponsiveLocked(p.owner) && !a.needsReply(r) {
+		if err := a.bypassLocked(p); err != nil {
+			a.mu.Unlock()
+			return nil, err
+		}
 		a.admitLocked(p)
 		a.mu.Unlock()
 		r.Gate = GateAnswer{Owner: p.owner, Seq: p.seq, Result: GateBypassed}
@@ -235,6 +257,10 @@
 				if a.replyOverdue(p, replyDue, now) {
 					a.markUnresponsive(p.owner, now)
 				}
+				if err := a.bypass(p); err != nil {
+					p.Done()
+					return err
+				}
 				a.countEvent("bypassed")
 				return nil
 			}
@@ -320,8 +346,9 @@
 		delete(a.admitted, p.seq)
 	}
 	owner := p.owner
+	m := &wire.AdmissionProgress{Seq: p.seq, ID: p.key.ID, Born: p.key.Born, Done: done, RateLimit: p.rateLimit}
+	p.rateLimit = nil
 	a.mu.Unlock()
-	m := &wire.AdmissionProgress{Seq: p.seq, ID: p.key.ID, Born: p.key.Born, Done: done}
 	if owner == a.opts.Host {
 		a.handleProgress(a.opts.Host, m)
 		return
@@ -401,6 +428,7 @@
 			delete(a.gates, k)
 		}
 	}
+	a.dropBypassLimitsLocked(now)
 	a.mu.Unlock()
 	a.sendReplies(out)
 }
--- a/internal/admission/owner.go
+++ b/internal/admission/owner.go
@@ -89,6 +89,9 @@
 	g := a.gates[catalog.Key{ID: m.ID, Born: m.Born}]
 	var out []addressedReply
 	if g != nil {
+		if m.RateLimit != nil {
+			g.SetRateLimit(m.RateLimit.PerSecond, now)
+		}
 		if m.Done {
 			g.Done(id, now)
 		} else {
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -61,10 +61,20 @@
 		busy = max(busy, float64(x.report.running+x.report.waiting))
 	}
 	slots := float64(max(x.Slots, 1))
+	limited := d.rateLimitWaitMs(x, now)
 	if busy < slots {
-		return busy / slots * slotHoldMs / 2
+		return limited + busy/slots*slotHoldMs/2
 	}
-	return (busy - slots + 1) / slots * slotHoldMs * 2
+	return limited + (busy-slots+1)/slots*slotHoldMs*2
+}
+
+// rateLimitWaitMs returns the wait for the rate limit of an instance without a model engine, in
+// ms, that the owner of its gate reported.
+func (d *Dispatcher) rateLimitWaitMs(x *instance, now time.Time) float64 {
+	if x.rateLimit == 0 || now.Sub(x.gate.at) >= peerMaxAge {
+		return 0
+	}
+	return float64(x.gate.Backlog) / x.speed()
 }
 
 // engineCost estimates the time in ms until the first event: to read the prompts ahead
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -54,7 +54,8 @@
 // others for long.
 var maxWaitFraction = [...]float64{WithinConfiguredShare: 0.85, WithinCurrentShare: 0.3, BeyondShare: 0}
 
-// Gate is the admission queue of one engine. It paces the prompts, so that requests wait
+// Gate is the admission queue of one engine, or of an upstream without a model engine that names
+// a rate limit. It paces the prompts, so that requests wait
 // here, in the order of their ranks and due times, and not at the engine. It refuses at
 // once those that would be late. This handles loads in which prompts arrive faster than the
 // engine reads (prefills) them.
@@ -69,6 +70,8 @@
 	// readingSince is when the engine began to read the prompts in progress.
 	readingSince time.Time
 	waiting      []waitingRequest
+	// rateLimit is the rate of requests that the upstream takes from all hosts.
+	rateLimit RateLimit
 	// OnRefusal is called with each refused request and what decided, unless it is nil.
 	OnRefusal func(AdmissionRequest, Refusal)
 }
@@ -108,15 +111,16 @@
 	}
 	wait := g.expectedWait(r, tokens, now)
 	limit = time.Duration(maxWaitFraction[r.Rank] * float64(limit))
-	if late := wait > limit && !g.idle(); late || len(g.waiting) >= maxWaiting {
+	if late := wait > limit && !g.idle(now); late || len(g.waiting) >= maxWaiting {
 		reason := RefusedFull
 		if late {
 			reason = RefusedLate
 		}
-		g.refused(r, reason, g.queuedAhead(r), tokens, limit, now)
+		_, queued := g.queuedAhead(r)
+		g.refused(r, reason, wait, queued, tokens, limit, now)
 		return AdmissionReply{Wait: wait}
 	}
-	if len(g.waiting) == 0 && g.hasRoom(tokens) {
+	if len(g.waiting) == 0 && g.hasRoom(tokens, now) {
 		g.admit(r, tokens, now)
 		return AdmissionReply{Granted: true, Wait: wait}
 	}
@@ -141,7 +145,12 @@
 // wait of a late request.
 const maxLateWait = 300 * time.Millisecond
 
-func (g *Gate) idle() bool { return g.readingTokens == 0 && len(g.waiting) == 0 }
+func (g *Gate) idle(now time.Time) bool {
+	return g.readingTokens == 0 && len(g.waiting) == 0 && g.rateLimit.Wait(0, now) == 0
+}
+
+// SetRateLimit sets the requests per second that the upstream takes from all hosts; 0 is no limit.
+func (g *Gate) SetRateLimit(perSecond float64, now time.Time) { g.rateLimit.Set(perSecond, now) }
 
 // tokensToRead estimates the prompt tokens that the engine has to read.
 func (g *Gate) tokensToRead(r AdmissionRequest, now time.Time) int {
@@ -154,17 +163,26 @@
 // expectedWait estimates the time until the first event: to read the prompts in progress,
 // the queued ones that are admitted first, and the request's own.
 func (g *Gate) expectedWait(r AdmissionRequest, tokens int, now time.Time) time.Duration {
-	return g.speed.readTime(g.unreadTokens(now) + g.queuedAhead(r) + tokens)
+	requests, queued := g.queuedAhead(r)
+	return g.firstEventIn(requests, g.unreadTokens(now)+queued, tokens, now)
 }
 
-// queuedAhead returns the queued tokens that are admitted before a request.
-func (g *Gate) queuedAhead(r AdmissionRequest) (tokens int) {
+// firstEventIn estimates the time until the first event of a request with a number of queued
+// requests, and of unread tokens, before it. The rate limit passes while the engine reads.
+func (g *Gate) firstEventIn(requestsAhead, tokensAhead, tokens int, now time.Time) time.Duration {
+	return max(g.speed.readTime(tokensAhead), g.rateLimit.Wait(requestsAhead, now)) + g.speed.readTime(tokens)
+}
+
+// queuedAhead returns the number of queued requests that are admitted before a request, and
+// their tokens.
+func (g *Gate) queuedAhead(r AdmissionRequest) (requests, tokens int) {
 	for _, w := range g.waiting {
 		if w.Rank < r.Rank || w.Rank == r.Rank && !w.FirstEventDue.After(r.FirstEventDue) {
+			requests++
 			tokens += w.tokens
 		}
 	}
-	return tokens
+	return requests, tokens
 }
 
 // unreadTokens estimates the tokens in progress that are not read yet.
@@ -175,8 +193,8 @@
 	return max(g.readingTokens-g.speed.tokensIn(now.Sub(g.readingSince)), 0)
 }
 
-func (g *Gate) hasRoom(tokens int) bool {
-	return (g.readingTokens == 0 || g.readingTokens+tokens <= maxReadingTokens) && (g.slots <= 0 || len(g.running) < g.slots)
+func (g *Gate) hasRoom(tokens int, now time.Time) bool {
+	return g.rateLimit.Wait(0, now) == 0 && (g.readingTokens == 0 || g.readingTokens+tokens <= maxReadingTokens) && (g.slots <= 0 || len(g.running) < g.slots)
 }
 
 // enqueue inserts a request in the order of ranks, then of due times.
@@ -201,6 +219,7 @@
 	if g.readingTokens == 0 {
 		g.readingSince = now
 	}
+	g.rateLimit.Take(now)
 	g.readingTokens += tokens
 	g.running[r.ID] = &admittedRequest{tokens: tokens, reading: true, at: now, confirmedAt: now, tokensToFirstEvent: g.unreadTokens(now)}
 	g.cache.markUsed(r.Parts, now)
@@ -263,13 +282,14 @@
 	ahead := unread
 	kept := g.waiting[:0]
 	for _, w := range g.waiting {
-		if !now.Add(g.speed.readTime(ahead + w.tokens)).After(w.FirstEventDue) {
+		wait := g.firstEventIn(len(kept), ahead, w.tokens, now)
+		if !now.Add(wait).After(w.FirstEventDue) {
 			ahead += w.tokens
 			kept = append(kept, w)
 			continue
 		}
 		refused = append(refused, w.ID)
-		g.refused(w.AdmissionRequest, RefusedFromQueue, ahead-unread, w.tokens, w.FirstEventDue.Sub(now), now)
+		g.refused(w.AdmissionRequest, RefusedFromQueue, wait, ahead-unread, w.tokens, w.FirstEventDue.Sub(now), now)
 	}
 	g.waiting = kept
 	return refused
@@ -283,13 +303,13 @@
 		if w.Deadline.Before(now) {
 			g.waiting = g.waiting[1:]
 			refused = append(refused, w.ID)
-			g.refused(w.AdmissionRequest, RefusedPastDeadline, 0, w.tokens, w.Deadline.Sub(now), now)
+			g.refused(w.AdmissionRequest, RefusedPastDeadline, g.expectedWait(w.AdmissionRequest, w.tokens, now), 0, w.tokens, w.Deadline.Sub(now), now)
 			continue
 		}
 		// The engine may have read parts of this prompt for others since the request
 		// arrived.
 		w.tokens = g.tokensToRead(w.AdmissionRequest, now)
-		if !g.hasRoom(w.tokens) {
+		if !g.hasRoom(w.tokens, now) {
 			return granted, refused
 		}
 		g.waiting = g.waiting[1:]
@@ -309,13 +329,14 @@
 }
 
 // Backlog returns the prompt tokens in progress and queued, and the number of admitted
-// requests.
+// requests. The wait for the rate limit counts as the tokens that the engine reads in it, so
+// that other upstreams are preferred.
 func (g *Gate) Backlog(now time.Time) (tokens, running int) {
 	tokens = g.unreadTokens(now)
 	for _, w := range g.waiting {
 		tokens += w.tokens
 	}
-	return tokens, len(g.running)
+	return max(tokens, g.speed.tokensIn(g.rateLimit.Wait(len(g.waiting), now))), len(g.running)
 }
 
 // SpeedEstimator estimates the speed at which the engines of a service read prompts.
--- a/internal/dispatch/instance.go
+++ b/internal/dispatch/instance.go
@@ -87,7 +87,7 @@
 
 // place counts a job at the instance.
 func (x *instance) place(j *Job, preferred bool, now time.Time) *Placement {
-	p := &Placement{target: x, Instance: x.Instance, readingTokens: x.uncachedTokens(j, preferred, now)}
+	p := &Placement{target: x, Instance: x.Instance, RateLimit: x.rateLimit, readingTokens: x.uncachedTokens(j, preferred, now)}
 	x.running++
 	x.readingTokens += p.readingTokens
 	x.sentSinceReport += p.readingTokens
@@ -102,7 +102,10 @@
 
 // Placement is a job that was assigned to an instance.
 type Placement struct {
-	Instance      catalog.Instance
+	Instance catalog.Instance
+	// RateLimit is the number of requests per second that the instance takes from all hosts, as
+	// this host knew it at the choice; 0 means no limit.
+	RateLimit     float64
 	target        *instance
 	readingTokens int
 	done          bool
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -6,14 +6,15 @@
 	"marigoldshunt/internal/routing"
 )
 
-// bucket is a token bucket that holds at most one token.
+// bucket is a token bucket.
 type bucket struct {
 	tokens float64
 	at     time.Time
 }
 
-func (b *bucket) fill(rate float64, now time.Time) {
-	b.tokens = min(1, b.tokens+rate*now.Sub(b.at).Seconds())
+// fill adds the tokens of the time since the last call, up to burst.
+func (b *bucket) fill(rate, burst float64, now time.Time) {
+	b.tokens = min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
 	b.at = now
 }
 
@@ -36,7 +37,7 @@
 	if d.hosts.Rank(x.hash+uint64(x.Born), d.opts.Host) >= maxHostsPerColdInstance {
 		return false
 	}
-	x.coldBucket.fill(s.ColdPerSecond/float64(min(d.hosts.Len(), maxHostsPerColdInstance)), now)
+	x.coldBucket.fill(s.ColdPerSecond/float64(min(d.hosts.Len(), maxHostsPerColdInstance)), 1, now)
 	return x.coldBucket.tokens >= 1
 }
 
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -52,17 +52,19 @@
 	Waiting, Running int
 	// PerMs is the estimated speed of the engine in prompt tokens per ms.
 	PerMs float64
+	// RateLimit is the number of requests per second that the upstream last said it takes. Only
+	// the owner of the gate knows it.
+	RateLimit float64
 }
 
 // refused tells OnRefusal why a request was refused.
-func (g *Gate) refused(r AdmissionRequest, reason RefusalReason, queuedTokens, tokens int, limit time.Duration, now time.Time) {
+func (g *Gate) refused(r AdmissionRequest, reason RefusalReason, expected time.Duration, queuedTokens, tokens int, limit time.Duration, now time.Time) {
 	if g.OnRefusal == nil {
 		return
 	}
-	unread := g.unreadTokens(now)
 	g.OnRefusal(r, Refusal{
-		Reason: reason, Expected: g.speed.readTime(unread + queuedTokens + tokens), Limit: limit,
-		UnreadTokens: unread, QueuedTokens: queuedTokens, Tokens: tokens, Waiting: len(g.waiting), Running: len(g.running), PerMs: g.speed.PerMs(),
+		Reason: reason, Expected: expected, Limit: limit, RateLimit: g.rateLimit.perSecond,
+		UnreadTokens: g.unreadTokens(now), QueuedTokens: queuedTokens, Tokens: tokens, Waiting: len(g.waiting), Running: len(g.running), PerMs: g.speed.PerMs(),
 	})
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,16 +129,19 @@
 	return r
 }
 
-// admit waits until the engine admits the request.
+// admit waits until the gate of the instance admits the request. Instances without a model
+// engine have a gate only while they name a rate limit.
 func (q *request) admit(ctx context.Context, p *dispatch.Placement) (*admission.Permit, error) {
-	if q.server.opts.Admission == nil || q.service.Engine == nil {
+	if q.server.opts.Admission == nil || q.service.Engine == nil && p.RateLimit == 0 {
 		return nil, nil
 	}
 	r := &admission.Request{
-		Instance: p.Instance, Slots: q.service.Engine.Slots, MemoryTokens: q.service.Engine.MemoryTokens,
-		Parts: q.job.Parts, Tokens: q.job.InputTokens, FirstEventDue: q.objectiveDeadline, Deadline: q.deadline, Rank: q.job.Rank,
+		Instance: p.Instance, RateLimit: p.RateLimit, Parts: q.job.Parts, Tokens: q.job.InputTokens, FirstEventDue: q.objectiveDeadline, Deadline: q.deadline, Rank: q.job.Rank,
 		RequestID: q.id, LastAttempt: q.refusalEndsRequest(),
 	}
+	if e := q.service.Engine; e != nil {
+		r.Slots, r.MemoryTokens = e.Slots, e.MemoryTokens
+	}
 	permit, err := q.server.opts.Admission.Admit(ctx, r)
 	q.gate = r.Gate
 	return permit, err
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -8,7 +8,8 @@
 	"marigoldshunt/internal/logsink"
 )
 
-// readRateLimit records the limit that a response names. Only a successful response without
+// readRateLimit records the limit that a response names, and has the owner of the instance's gate
+// told. Only a successful response without
 // one ends it: refusals and forged responses may lack the header.
 func (q *request) readRateLimit(p *dispatch.Placement, resp *engine.ForwardResponse) {
 	perSecond, named := q.server.opts.HeaderNames.rateLimit(resp.Header)
@@ -16,6 +17,9 @@
 		return
 	}
 	before := q.server.opts.Dispatcher.setRateLimit(p, perSecond)
+	if named || before != 0 {
+		q.permit.RateLimitChanged(perSecond)
+	}
 	if before == perSecond || logsink.Drops(q.server.log, logrus.InfoLevel) {
 		return
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -477,6 +477,25 @@
 	Born int64
 	// Done is false for the first event and true for the end of the request.
 	Done bool
+	// RateLimit is nil unless the response to the request said something new about the rate
+	// limit. It is the extension of the message.
+	RateLimit *RateLimit `msgpack:"-"`
+}
+
+// RateLimit is the number of requests per second that an upstream takes from all hosts, 0 for no
+// limit.
+type RateLimit struct{ PerSecond float64 }
+
+func (m AdmissionProgress) Extension() any {
+	if m.RateLimit == nil {
+		return nil
+	}
+	return m.RateLimit
+}
+
+func (m *AdmissionProgress) ExtensionTarget() any {
+	m.RateLimit = &RateLimit{}
+	return m.RateLimit
 }
 
 // Propose carries a command for the replicated state to the leader.
