Do not reset refused connections whose request still arrives

An overloaded host answered 503 after the first bytes and closed at once; what arrived after that reset the connection, and the caller may have lost the answer.

Test: TestRefusalIsNotLostWhileTheBodyArrives failed before (broken pipe while the rest of the body was sent) and passes now.

--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"io"
 	"net"
 	"strconv"
@@ -65,20 +66,33 @@
 // it. The number of connections that wait for their request is bounded; above it they are
 // closed unread, which tells callers that nothing has run.
 func (l *shedListener) refuse(c net.Conn) {
-	if raw, ok := rawConn(c); ok && netopt.ReadAvailable(raw, l.buf) > 0 {
+	n := 0
+	if raw, ok := rawConn(c); ok {
+		n = netopt.ReadAvailable(raw, l.buf)
+	}
+	if n > 0 && l.server.readWhole(l.buf[:n]) {
 		respondRefusal(c, l.buf)
 		return
 	}
 	waiting := l.server.beginRefusal(c)
-	if waiting == nil {
+	switch {
+	case waiting != nil:
+		go func() {
+			defer l.server.endRefusal(waiting)
+			l.server.refuseConn(c, n > 0)
+		}()
+	case n > 0:
+		respondRefusal(c, l.buf)
+	default:
 		l.server.count("shed_unread")
 		_ = c.Close() // no error matters on a connection without an exchange
-		return
 	}
-	go func() {
-		defer l.server.endRefusal(waiting)
-		refuseConn(c)
-	}()
+}
+
+// readWhole reports whether p is a whole request.
+func (s *Server) readWhole(p []byte) bool {
+	h, ok := s.opts.HeaderNames.parseHead(p)
+	return ok && h.headBytes+h.bodyBytes <= len(p)
 }
 
 // beginRefusal counts one more connection that waits for the request that it refuses. If there
@@ -117,32 +131,60 @@
 	return s.limiter.Shed(fraction)
 }
 
-// refuseConn waits for the first request of a connection and responds to it without parsing
-// it.
-func refuseConn(c net.Conn) {
+// refuseConn waits for the first request of a connection, unless its beginning was read, and
+// responds to it. If the rest of the request may still arrive, it closes the connection once the
+// caller has closed its side, or at the read deadline.
+func (s *Server) refuseConn(c net.Conn, begun bool) {
+	defer c.Close()
 	buf := make([]byte, refuseReadBytes)
-	// A goroutine that gets CPU time late finds its deadline passed and the request there.
-	if n, _ := c.Read(buf); n == 0 && !hasUnread(c) {
-		_ = c.Close() // the caller sent nothing
+	whole := false
+	if !begun {
+		n, _ := c.Read(buf)
+		// A goroutine that gets CPU time late finds its deadline passed and the request there.
+		if n == 0 && !hasUnread(c) {
+			return // the caller sent nothing
+		}
+		whole = s.readWhole(buf[:n])
+	}
+	if !writeRefusal(c, buf) || whole || closeWrite(c) != nil {
 		return
 	}
-	respondRefusal(c, buf)
+	for {
+		if _, err := c.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
+// closeWrite ends the sending side of a connection, so that the caller closes its own.
+func closeWrite(c net.Conn) error {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return t.CloseWrite()
 }
 
-// respondRefusal responds to a request of which the beginning was read, and closes the
-// connection. The response fits into the socket buffer, so writing it does not wait.
+// respondRefusal responds to a request that was read, and closes the connection.
 func respondRefusal(c net.Conn, buf []byte) {
 	defer c.Close()
+	writeRefusal(c, buf)
+}
+
+// writeRefusal responds to a request of which the beginning was read, and reads what else has
+// arrived, because unread bytes would make Close reset the connection. The response fits into
+// the socket buffer, so writing it does not wait.
+func writeRefusal(c net.Conn, buf []byte) bool {
 	if _, err := io.WriteString(c, shedResponse); err != nil {
-		return
+		return false
 	}
-	// Unread bytes would make Close reset the connection.
 	raw, ok := rawConn(c)
 	for range maxDrainReads {
 		if !ok || netopt.ReadAvailable(raw, buf) == 0 {
-			return
+			break
 		}
 	}
+	return true
 }
 
 func hasUnread(c net.Conn) bool {
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,3 +49,55 @@
 	}
 	gw.Assert(refused > 8, qt.IsTrue, qt.Commentf("%d", refused))
 }
+
+// Guards against resetting a connection whose request is still arriving when it is refused, which
+// may lose the refusal.
+func TestRefusalIsNotLostWhileTheBodyArrives(t *testing.T) {
+	gw := newTestGatewayWith(t, document(), limitConnections)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gw.Assert(err, qt.IsNil)
+	defer ln.Close()
+	shed := newShedListener(ln, gw.server)
+	const bodyBytes = 20_000
+	for _, test := range []struct {
+		name string
+		// early is what arrives before the refusal, late after it.
+		early, late string
+	}{
+		{"body", fmt.Sprintf("POST /read/x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", bodyBytes/2)), strings.Repeat("x", bodyBytes/2)},
+		{"head", "GET /read/x HTTP/1.1\r\nHo", "st: h\r\n\r\n"},
+		{"chunked", "POST /read/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxx\r\n", "0\r\n\r\n"},
+		{"nothing", "POST /read/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxx", ""},
+	} {
+		caller, err := net.Dial("tcp", ln.Addr().String())
+		gw.Assert(err, qt.IsNil)
+		_, err = io.WriteString(caller, test.early)
+		gw.Assert(err, qt.IsNil)
+		accepted, err := ln.Accept()
+		gw.Assert(err, qt.IsNil)
+		gw.Assert(hasUnreadWithin(accepted, testTimeout), qt.IsTrue)
+		shed.refuse(accepted)
+		// The response shows that the host has decided; the rest of the request comes after that.
+		br := bufio.NewReader(caller)
+		resp, err := http.ReadResponse(br, nil)
+		gw.Assert(err, qt.IsNil, qt.Commentf(test.name))
+		gw.Check(resp.StatusCode, qt.Equals, 503)
+		for part := range slices.Chunk([]byte(test.late), 2_000) {
+			_, err = caller.Write(part)
+			gw.Check(err, qt.IsNil, qt.Commentf(test.name))
+		}
+		gw.Check(caller.(*net.TCPConn).CloseWrite(), qt.IsNil, qt.Commentf(test.name))
+		_, err = io.Copy(io.Discard, br)
+		gw.Check(err, qt.IsNil, qt.Commentf(test.name))
+		caller.Close()
+	}
+}
+
+func hasUnreadWithin(c net.Conn, timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if hasUnread(c) {
+			return true
+		}
+	}
+	return false
+}
