Clear the time to write an early refusal

Callers saw their connection closed without an answer at an overloaded host after its SIGTERM. An early refusal set a write deadline of 1 s on the connection and left it; the HTTP server sets none. A request on the same connection more than a second later that the HTTP server refused got no answer: its write found the deadline passed. A leaving host refuses all of them there.

--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -37,13 +37,20 @@
 // crashingPart is the hexadecimal id of the part.
 const crashingPart = "bad"
 
-func newCrashingFleet(t *testing.T, hosts, upstreams int) *crashingFleet {
-	f := &crashingFleet{C: qt.New(t), reported: make(chan struct{}, 64), restart: make([]int, upstreams)}
+// promptDocument is a document whose service has model engines, and whose routes choose them by
+// the parts of prompts.
+func promptDocument() *routing.Document {
 	d := document()
 	for i := range d.Routes {
 		d.Routes[i].PromptAffinity = true
 	}
 	d.Services[0].Engine = &routing.Engine{Slots: 4, MemoryTokens: 100_000}
+	return d
+}
+
+func newCrashingFleet(t *testing.T, hosts, upstreams int) *crashingFleet {
+	f := &crashingFleet{C: qt.New(t), reported: make(chan struct{}, 64), restart: make([]int, upstreams)}
+	d := promptDocument()
 	for i := range upstreams {
 		f.upstreams = append(f.upstreams, newUpstream(t, func(req *receivedRequest) {
 			if strings.Contains(req.Header.Get("X-Prompt-Parts"), crashingPart+":") {
@@ -231,12 +238,7 @@
 			}
 			closeConn(req)
 		}
-		d := document()
-		for i := range d.Routes {
-			d.Routes[i].PromptAffinity = true
-		}
-		d.Services[0].Engine = &routing.Engine{Slots: 4, MemoryTokens: 100_000}
-		gw := newTestGatewayWith(t, d, func(opts *Options) { opts.CrashStore = rec }, newUpstream(t, broken))
+		gw := newTestGatewayWith(t, promptDocument(), func(opts *Options) { opts.CrashStore = rec }, newUpstream(t, broken))
 		gw.server.crashes.dial = func(context.Context, string) error { return fault.New(fault.UpstreamFailed, "", "refused") }
 		gw.do("POST", "/stream/x", "body", "X-Prompt-Parts: a1:10,b2:10")
 		for range test.marks {
--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -84,8 +84,10 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeGrace)); err != nil {
 		return err
 	}
-	_, err := c.Write(response)
-	return err
+	if _, err := c.Write(response); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(time.Time{})
 }
 
 var earlyResponse = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: " +
--- a/internal/gateway/earlyrefusal_test.go
+++ b/internal/gateway/earlyrefusal_test.go
@@ -161,3 +161,23 @@
 	// sendRaw itself gives up after ten seconds.
 	c.Assert(time.Since(begun) < 9*time.Second, qt.IsTrue)
 }
+
+// Guards against losing a later refusal on a connection, because the time to write an early one
+// still bounds it.
+func TestRefusalLongAfterAnEarlyOneIsDelivered(t *testing.T) {
+	c := qt.New(t)
+	gw := newLimitedGateway(t, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))), quiet)
+	nc, err := net.Dial("tcp", gw.address)
+	c.Assert(err, qt.IsNil)
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	resp, _ := exchange(c, nc, br, rawRequest("POST", "k1", "r1", "", "body"))
+	c.Assert(resp.StatusCode, qt.Equals, 503)
+	time.Sleep(writeGrace + writeGrace/10)
+	// A host that leaves refuses in the HTTP server, and closes the connection.
+	gw.setView(func(v *View) { v.Leaving = true })
+	resp, body := exchange(c, nc, br, rawRequest("POST", "k1", "r2", "", "body"))
+	c.Assert(resp.StatusCode, qt.Equals, 503)
+	c.Assert(body, qt.Equals, shedBody)
+	c.Assert(resp.Close, qt.IsTrue)
+}
