Refuse a connection at once if all of its request has arrived

The drain of refused connections treated each request above 16 KB, the size of one read, as still arriving, so that its refusal took a goroutine and several system calls on a host that is short of processor time. The host now reads what has arrived, as before, and waits only for what is missing by the request's length.

--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"marigoldshunt/internal/fault"
@@ -69,10 +70,10 @@
 	n := 0
 	if raw, ok := rawConn(c); ok {
 		n = netopt.ReadAvailable(raw, l.buf)
-	}
-	if n > 0 && l.server.readWhole(l.buf[:n]) {
-		respondRefusal(c, l.buf)
-		return
+		if n > 0 && l.server.readAvailableRest(raw, l.buf, n) {
+			respondRefusal(c, l.buf)
+			return
+		}
 	}
 	waiting := l.server.beginRefusal(c)
 	switch {
@@ -89,10 +90,19 @@
 	}
 }
 
-// readWhole reports whether p is a whole request.
-func (s *Server) readWhole(p []byte) bool {
-	h, ok := s.opts.HeaderNames.parseHead(p)
-	return ok && h.headBytes+h.bodyBytes <= len(p)
+// readAvailableRest reads what has arrived of a request that begins with the first n bytes of
+// buf, and reports whether that is all of it. It uses buf.
+func (s *Server) readAvailableRest(raw syscall.RawConn, buf []byte, n int) bool {
+	h, ok := s.opts.HeaderNames.parseHead(buf[:n])
+	if !ok {
+		return false
+	}
+	for missing := h.headBytes + h.bodyBytes - n; missing > 0; missing -= n {
+		if n = netopt.ReadAvailable(raw, buf); n == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // beginRefusal counts one more connection that waits for the request that it refuses. If there
@@ -144,7 +154,8 @@
 		if n == 0 && !hasUnread(c) {
 			return // the caller sent nothing
 		}
-		whole = s.readWhole(buf[:n])
+		raw, ok := rawConn(c)
+		whole = ok && s.readAvailableRest(raw, buf, n)
 	}
 	if !writeRefusal(c, buf) || whole || closeWrite(c) != nil {
 		return
