Keep a rate limit that a forged response does not name

Read again as a newcomer: the comment said that forged responses do not end a limit, the code only looked at the status. A 200 without the proof of its upstream ended it. Test: TestRateLimitIsLoggedWhenItChanges, extended by such a response, failed before (limit 0 after it). The exported methods of extensions have doc comments.

--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -9,11 +9,12 @@
 )
 
 // readRateLimit records the limit that a response names, and has the owner of the instance's gate
-// told. Only a successful response without
-// one ends it: refusals and forged responses may lack the header.
+// told. Only a successful response of the instance itself ends a limit by naming none: refusals
+// and forged responses may lack the header.
 func (q *request) readRateLimit(p *dispatch.Placement, resp *engine.ForwardResponse) {
 	perSecond, named := q.server.opts.HeaderNames.rateLimit(resp.Header)
-	if !named && resp.Status >= 300 {
+	names := &q.server.opts.HeaderNames
+	if !named && (resp.Status >= 300 || names.UpstreamProof != "" && resp.Header.Get(names.UpstreamProof) == "") {
 		return
 	}
 	before := q.server.opts.Dispatcher.setRateLimit(p, perSecond)
--- a/internal/gateway/ratelimit_test.go
+++ b/internal/gateway/ratelimit_test.go
@@ -10,16 +10,16 @@
 )
 
 // Guards against an upstream's limit of which the logs say nothing, and against one that a
-// refusal without the header seems to end.
+// refusal or a forged response without the header seems to end.
 func TestRateLimitIsLoggedWhenItChanges(t *testing.T) {
 	c := qt.New(t)
 	answer := func(status int, header string) func(*receivedRequest) {
 		return writeRaw("HTTP/1.1 %d X\r\nContent-Length: 0\r\nX-Proof: p1\r\n%s\r\n", status, header)
 	}
-	u := newUpstream(t, answer(200, ""), answer(200, "X-Rate-Limit: 7.5\r\n"), answer(200, "X-Rate-Limit: 7.5\r\n"), answer(404, ""), answer(200, "X-Rate-Limit: 3\r\n"), answer(200, ""))
+	u := newUpstream(t, answer(200, ""), answer(200, "X-Rate-Limit: 7.5\r\n"), answer(200, "X-Rate-Limit: 7.5\r\n"), answer(404, ""), writeRaw("%s", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), answer(200, "X-Rate-Limit: 3\r\n"), answer(200, ""))
 	log, hook := logtest.NewNullLogger()
 	gw := newTestGatewayWith(t, document(), func(opts *Options) { opts.Log = log }, u)
-	for range 6 {
+	for range 7 {
 		gw.do("POST", "/order/x", "")
 	}
 	gw.endRequests()
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -61,7 +61,7 @@
 	CrashMarks *CrashMarkChange `msgpack:"-"`
 }
 
-// Extension implements the extension of messages of package wire.
+// Extension returns the extension of the command, nil if there is nothing to add.
 func (c Command) Extension() any {
 	if c.CrashMarks == nil {
 		return nil
@@ -69,7 +69,7 @@
 	return c.CrashMarks
 }
 
-// ExtensionTarget implements the extension of messages of package wire.
+// ExtensionTarget returns what the extension of the command is decoded into.
 func (c *Command) ExtensionTarget() any {
 	c.CrashMarks = &CrashMarkChange{}
 	return c.CrashMarks
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -322,8 +322,10 @@
 	Failures []InstanceFailures `msgpack:"-"`
 }
 
+// Extension returns the extension of the message, nil if there is nothing to add.
 func (m Loads) Extension() any { return failuresExtension(m.Failures) }
 
+// ExtensionTarget returns what the extension of the message is decoded into.
 func (m *Loads) ExtensionTarget() any { return &m.Failures }
 
 func failuresExtension(list []InstanceFailures) any {
@@ -360,8 +362,10 @@
 	Failures []InstanceFailures `msgpack:"-"`
 }
 
+// Extension returns the extension of the message, nil if there is nothing to add.
 func (m LoadSums) Extension() any { return failuresExtension(m.Failures) }
 
+// ExtensionTarget returns what the extension of the message is decoded into.
 func (m *LoadSums) ExtensionTarget() any { return &m.Failures }
 
 // Instance is one entry of the list of upstream instances.
@@ -428,6 +432,7 @@
 	LastAttempt bool
 }
 
+// Extension returns the extension of the message, nil if there is nothing to add.
 func (m AdmissionRequest) Extension() any {
 	if m.AdmissionRequestDetails == (AdmissionRequestDetails{}) {
 		return nil
@@ -435,6 +440,7 @@
 	return m.AdmissionRequestDetails
 }
 
+// ExtensionTarget returns what the extension of the message is decoded into.
 func (m *AdmissionRequest) ExtensionTarget() any { return &m.AdmissionRequestDetails }
 
 // AdmissionReply answers an AdmissionRequest. After a reply with Queued set, a second one
@@ -448,6 +454,7 @@
 	Refusal *GateRefusal `msgpack:"-"`
 }
 
+// Extension returns the extension of the message, nil if there is nothing to add.
 func (m AdmissionReply) Extension() any {
 	if m.Refusal == nil {
 		return nil
@@ -455,6 +462,7 @@
 	return m.Refusal
 }
 
+// ExtensionTarget returns what the extension of the message is decoded into.
 func (m *AdmissionReply) ExtensionTarget() any {
 	m.Refusal = &GateRefusal{}
 	return m.Refusal
@@ -486,6 +494,7 @@
 // limit.
 type RateLimit struct{ PerSecond float64 }
 
+// Extension returns the extension of the message, nil if there is nothing to add.
 func (m AdmissionProgress) Extension() any {
 	if m.RateLimit == nil {
 		return nil
@@ -493,6 +502,7 @@
 	return m.RateLimit
 }
 
+// ExtensionTarget returns what the extension of the message is decoded into.
 func (m *AdmissionProgress) ExtensionTarget() any {
 	m.RateLimit = &RateLimit{}
 	return m.RateLimit
