Log requests sent to leaving upstreams, and a lost upstream list

"Request is sent to an instance that has left the service." names the reason, the age of the list and the answer of the gate; "Upstream list lost." and "Upstream list reached." frame the time in which a host hears of no read.

--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/wire"
@@ -26,6 +27,32 @@
 	hosts        []string
 	list         catalog.List
 	digest       uint64
+	// heardAt is when this host last read the list or heard of a read of another host.
+	heardAt time.Time
+	// silent is true after silenceLogged without that.
+	silent bool
+}
+
+// silenceLogged is the time without a read of the upstream list, by any host, after which the list
+// counts as lost in the log. The list is read every second.
+const silenceLogged = 2 * time.Second
+
+// logSilence logs when this host stops and starts to hear of reads of the upstream list.
+func (c *catalogRole) logSilence(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	silence := now.Sub(c.heardAt)
+	silent := silence > silenceLogged
+	if c.heardAt.IsZero() || c.silent == silent {
+		return
+	}
+	c.silent = silent
+	l := c.log.WithField("silence_ms", silence.Milliseconds()).WithField("list_version", catalog.FormatVersion(c.digest))
+	if silent {
+		l.Warn("Upstream list lost. No read of it is heard of.")
+		return
+	}
+	l.Info("Upstream list reached.")
 }
 
 func newCatalogRole(d *Daemon, source catalog.Source, onList func(catalog.List)) *catalogRole {
@@ -41,7 +68,12 @@
 	return c
 }
 
-func (c *catalogRole) run(ctx context.Context) error { return c.reader.Run(ctx) }
+func (c *catalogRole) run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.reader.Run(ctx) })
+	g.Go(func() error { return runEvery(ctx, tickInterval, c.logSilence) })
+	return g.Wait()
+}
 
 func (c *catalogRole) setHosts(hosts []string) {
 	c.mu.Lock()
@@ -61,7 +93,7 @@
 	digest := digestOf(l.Instances)
 	c.mu.Lock()
 	changed := digest != c.digest
-	c.list, c.digest = l, digest
+	c.list, c.digest, c.heardAt = l, digest, time.Now()
 	c.readSchedule.RecordRead(l.ReadAt)
 	hosts := c.hosts
 	c.mu.Unlock()
@@ -122,6 +154,7 @@
 	}
 	read := time.Now().Add(-m.Age)
 	c.mu.Lock()
+	c.heardAt = time.Now()
 	if !read.After(c.list.ReadAt) {
 		c.mu.Unlock()
 		return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,6 +160,22 @@
 	}
 }
 
+// Left returns why the instance of a placement may get no new requests any more, empty if it may.
+func (d *Dispatcher) Left(p *Placement) string {
+	x := d.instances[p.Instance.Key()]
+	switch {
+	case x == nil:
+		return "not_listed"
+	case x.Draining:
+		return "draining"
+	case x.replaced:
+		return "replaced"
+	case d.outOfService[x.DataCentre]:
+		return "data_centre_out"
+	}
+	return ""
+}
+
 // outputWeight is the weight of a generated token relative to a prompt token.
 const outputWeight = 2
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,6 +92,7 @@
 	if callerDisconnected(q.r.Context()) {
 		return fault.New(fault.CallerGone, fault.NotRun, "the caller left before the request was sent")
 	}
+	q.logLeaving(p)
 	q.sends++
 	resp, err := q.server.opts.Forwarder.Forward(ctx, q.forwardRequest(p.Instance))
 	if err != nil {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -48,6 +48,12 @@
 	x.Update(func(_ *dispatch.Dispatcher, now time.Time) { p.Done(outcome, now) })
 }
 
+// left returns why an instance may get no new requests any more, empty if it may.
+func (x *LockedDispatcher) left(p *dispatch.Placement) (reason string) {
+	x.Update(func(d *dispatch.Dispatcher, _ time.Time) { reason = d.Left(p) })
+	return reason
+}
+
 func (x *LockedDispatcher) firstEvent(p *dispatch.Placement) {
 	x.Update(func(*dispatch.Dispatcher, time.Time) { p.FirstEvent() })
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -97,3 +97,20 @@
 func (q *request) refusalEndsRequest() bool {
 	return q.sends == 0 && (!q.job.MayTryAnotherEngine(len(q.job.Tried)) || q.job.Decision.Candidates == 1)
 }
+
+// logLeaving logs a request that is sent to an instance which has left the service since it was
+// chosen.
+func (q *request) logLeaving(p *dispatch.Placement) {
+	left := q.server.opts.Dispatcher.left(p)
+	if left == "" {
+		return
+	}
+	q.server.count("sent_to_leaving")
+	if logsink.Drops(q.server.log, logrus.InfoLevel) {
+		return
+	}
+	fields := logrus.Fields{"request": q.id, "instance": p.Instance.ID, "left_out": left, "waited_ms": time.Since(q.arrived).Milliseconds()}
+	fields["list_age_ms"], fields["list_version"] = q.view.ListAge.Milliseconds(), catalog.FormatVersion(q.view.ListVersion)
+	q.gate.AddFields(fields, time.Now())
+	q.server.log.WithFields(fields).Info("Request is sent to an instance that has left the service.")
+}
