Add the failing test of requests that wait for a leaving upstream

A request waits at the gate of an engine while its instance starts to drain, leaves the list, loses its data centre or its address. All four cases fail on the present code: the request is sent.

--- /dev/null
+++ b/internal/gateway/leaving_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+
+	"marigoldshunt/internal/admission"
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/dispatch"
+	"marigoldshunt/internal/routing"
+)
+
+// newGatedGateway returns a gateway whose engines run one request at a time, and their gates.
+func newGatedGateway(t *testing.T, upstreams ...*upstream) (*testGateway, *admission.Admission) {
+	d := document()
+	d.Services[0].Engine = &routing.Engine{Slots: 1, MemoryTokens: 100_000}
+	a := admission.New(admission.Options{Host: "h1", Now: time.Now, Log: discardLog(), Registry: metrics.NewRegistry()})
+	return newTestGatewayWith(t, d, func(opts *Options) { opts.Admission = a }, upstreams...), a
+}
+
+// waitForQueued waits until a request is queued at the only gate.
+func waitForQueued(t *testing.T, a *admission.Admission, tokens int) {
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if loads := a.Loads(); len(loads) == 1 && loads[0].Running == 1 && loads[0].Backlog >= tokens {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no request is queued")
+		}
+	}
+}
+
+// Guards against requests that reach an instance which left the service while they waited at its gate.
+func TestRequestsThatWaitedAreNotSentToALeavingInstance(t *testing.T) {
+	listed := func(u *upstream, draining bool) catalog.Instance {
+		return catalog.Instance{ID: "i0", Service: "svc", Address: u.ln.Addr().String(), DataCentre: "dc", Slots: 1, Draining: draining}
+	}
+	for _, test := range []struct {
+		name  string
+		leave func(d *dispatch.Dispatcher, u *upstream)
+	}{
+		{"draining", func(d *dispatch.Dispatcher, u *upstream) {
+			d.SetInstances([]catalog.Instance{listed(u, true)}, time.Now())
+		}},
+		{"not listed any more", func(d *dispatch.Dispatcher, u *upstream) {
+			d.SetInstances([]catalog.Instance{{ID: "i1", Service: "svc", Address: "127.0.0.1:1", DataCentre: "dc", Draining: true}}, time.Now())
+		}},
+		{"data centre out of service", func(d *dispatch.Dispatcher, u *upstream) {
+			d.SetDataCentresOut(map[string]bool{"dc": true})
+		}},
+		{"address taken by another", func(d *dispatch.Dispatcher, u *upstream) {
+			d.MarkReplaced(listed(u, false).Key())
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			begun, end := make(chan struct{}, 2), make(chan struct{})
+			u := newUpstream(t, func(req *receivedRequest) {
+				begun <- struct{}{}
+				<-end
+				writeRaw("%s", rawResponse(200, "ok"))(req)
+			})
+			gw, gates := newGatedGateway(t, u)
+			statuses := make(chan int, 2)
+			send := func(usage string) {
+				resp, _, _ := gw.do("POST", "/order/x", "", "X-Token-Usage: "+usage)
+				statuses <- resp.StatusCode
+			}
+			go send("1,1")
+			<-begun
+			go send("1000,1")
+			waitForQueued(t, gates, 1000)
+			gw.server.opts.Dispatcher.Update(func(d *dispatch.Dispatcher, _ time.Time) { test.leave(d, u) })
+			close(end)
+			c.Assert(<-statuses+<-statuses, qt.Equals, http.StatusOK+http.StatusServiceUnavailable)
+			c.Assert(u.requests(), qt.HasLen, 1)
+		})
+	}
+}
