Look at the state of an upstream again before a request is sent

Callers' requests reached upstreams up to seconds after these had begun to leave: the instance is chosen when the request arrives, the request waits for the gate of its engine for up to its objective, and the checks that follow the wait covered the configuration, the credential and crashes, but not the instance. Class of fault: a decision whose inputs are not checked again after a wait.

Right before the send the host now looks whether the instance drains, is not listed any more, has lost its address or its data centre; if so the request is placed again, since nothing was sent. The same check serves the rule for data centres taken out of service.

--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -56,13 +56,9 @@
 // mayTake reports whether an instance can take a job, and counts the reason if not.
 func (d *Dispatcher) mayTake(s *routing.Service, j *Job, x *instance, now time.Time) bool {
 	left := &j.Decision.LeftOut
-	switch {
-	case x.Draining:
-		left.Draining++
-	case x.replaced:
-		left.Replaced++
-	case d.outOfService[x.DataCentre]:
-		left.OutOfService++
+	switch reason := d.leaveReason(x); {
+	case reason != NotLeft:
+		left.count(reason)
 	case slices.Contains(j.Tried, x.Key()):
 		left.Tried++
 	case !d.coldLimitAllows(s, x, now):
@@ -74,6 +70,18 @@
 	return false
 }
 
+// count counts an instance that may get no new requests.
+func (l *LeftOut) count(reason LeaveReason) {
+	switch reason {
+	case Draining:
+		l.Draining++
+	case Replaced:
+		l.Replaced++
+	case OutOfService:
+		l.OutOfService++
+	}
+}
+
 // describeLoad records the load by which an instance was chosen.
 func (c *Decision) describeLoad(d *Dispatcher, s *routing.Service, x *instance, cost float64, now time.Time) {
 	c.Cost = time.Duration(cost * float64(time.Millisecond))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,22 +160,6 @@
 	}
 }
 
-// Left returns why the instance of a placement may get no new requests any more, empty if it may.
-func (d *Dispatcher) Left(p *Placement) string {
-	x := d.instances[p.Instance.Key()]
-	switch {
-	case x == nil:
-		return "not_listed"
-	case x.Draining:
-		return "draining"
-	case x.replaced:
-		return "replaced"
-	case d.outOfService[x.DataCentre]:
-		return "data_centre_out"
-	}
-	return ""
-}
-
 // outputWeight is the weight of a generated token relative to a prompt token.
 const outputWeight = 2
 
@@ -302,7 +286,7 @@
 	var best *instance
 	var bestWeight uint64
 	for _, x := range d.byService[s.Name] {
-		if x.Draining || x.replaced || d.outOfService[x.DataCentre] || dataCentre != "" && x.DataCentre != dataCentre {
+		if d.leaveReason(x) != NotLeft || dataCentre != "" && x.DataCentre != dataCentre {
 			continue
 		}
 		if w := rendezvous.Weight(key, x.hash); (best == nil || w > bestWeight) && d.coldLimitAllows(s, x, now) {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -50,6 +50,7 @@
 	SchedulerLost          Code = "scheduler_lost"
 	UpstreamFailed         Code = "upstream_failed"
 	UpstreamRefused        Code = "upstream_refused"
+	UpstreamLeft           Code = "upstream_left"
 	StreamCut              Code = "stream_cut"
 	CallerGone             Code = "caller_gone"
 	IdempotencyKeyRequired Code = "key_required"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,6 +30,9 @@
 			return nil
 		}
 		failure := fault.As(err)
+		if failure.Code == fault.UpstreamLeft && q.sends == 0 && ctx.Err() == nil {
+			continue // nothing was sent, and the next choice leaves this instance out
+		}
 		if failure.Code == fault.QueueFull && failure.RunState == fault.NotRun && q.sends == 0 {
 			// The request was not sent to any engine, so asking another one is not a retry.
 			if declined++; q.job.MayTryAnotherEngine(declined) && ctx.Err() == nil && len(q.job.Tried) > tried {
@@ -86,13 +89,12 @@
 	q.server.observeSince("admission", admissionStart)
 	defer permit.Done()
 	q.permit = permit
-	if err := q.recheck(); err != nil {
+	if err := q.recheck(p); err != nil {
 		return err
 	}
 	if callerDisconnected(q.r.Context()) {
 		return fault.New(fault.CallerGone, fault.NotRun, "the caller left before the request was sent")
 	}
-	q.logLeaving(p)
 	q.sends++
 	resp, err := q.server.opts.Forwarder.Forward(ctx, q.forwardRequest(p.Instance))
 	if err != nil {
@@ -150,7 +152,7 @@
 
 // recheck repeats the checks whose result may have changed while the request waited, or
 // while the machine was paused.
-func (q *request) recheck() error {
+func (q *request) recheck(p *dispatch.Placement) error {
 	view := q.server.opts.View()
 	q.view = view
 	if err := view.Check(q.server.opts.MaxConfigAge); err != nil {
@@ -159,6 +161,10 @@
 	if view.Table.NeedsCredential(q.route) && view.Table.Account(q.r.Header.Get(q.server.opts.HeaderNames.Credential)) == nil {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "the credential is not known any more")
 	}
+	if reason := q.server.opts.Dispatcher.left(p); reason != dispatch.NotLeft {
+		q.logLeft(p, reason)
+		return fault.New(fault.UpstreamLeft, fault.NotRun, "instance %s has left the service (%s)", p.Instance.ID, reason).WithRetryAfter(shortRetryAfter)
+	}
 	return q.checkCrashes()
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -48,8 +48,8 @@
 	x.Update(func(_ *dispatch.Dispatcher, now time.Time) { p.Done(outcome, now) })
 }
 
-// left returns why an instance may get no new requests any more, empty if it may.
-func (x *LockedDispatcher) left(p *dispatch.Placement) (reason string) {
+// left returns why the instance of a placement may get no new requests any more.
+func (x *LockedDispatcher) left(p *dispatch.Placement) (reason dispatch.LeaveReason) {
 	x.Update(func(d *dispatch.Dispatcher, _ time.Time) { reason = d.Left(p) })
 	return reason
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -98,19 +98,14 @@
 	return q.sends == 0 && (!q.job.MayTryAnotherEngine(len(q.job.Tried)) || q.job.Decision.Candidates == 1)
 }
 
-// logLeaving logs a request that is sent to an instance which has left the service since it was
-// chosen.
-func (q *request) logLeaving(p *dispatch.Placement) {
-	left := q.server.opts.Dispatcher.left(p)
-	if left == "" {
+// logLeft logs that the chosen instance left the service while the request waited.
+func (q *request) logLeft(p *dispatch.Placement, reason dispatch.LeaveReason) {
+	q.server.count("left_while_waiting")
+	if logsink.DropsSecondary(q.server.log, logrus.InfoLevel) {
 		return
 	}
-	q.server.count("sent_to_leaving")
-	if logsink.Drops(q.server.log, logrus.InfoLevel) {
-		return
-	}
-	fields := logrus.Fields{"request": q.id, "instance": p.Instance.ID, "left_out": left, "waited_ms": time.Since(q.arrived).Milliseconds()}
+	fields := logrus.Fields{"request": q.id, "instance": p.Instance.ID, "left_out": reason.String(), "waited_ms": time.Since(q.arrived).Milliseconds()}
 	fields["list_age_ms"], fields["list_version"] = q.view.ListAge.Milliseconds(), catalog.FormatVersion(q.view.ListVersion)
 	q.gate.AddFields(fields, time.Now())
-	q.server.log.WithFields(fields).Info("Request is sent to an instance that has left the service.")
+	q.server.log.WithFields(fields).Info("Upstream left the service while the request waited.")
 }
