Send nothing more to an upstream that says it leaves

The list says it up to two seconds later, and an overloaded host hears of it later still, so the answer is the freshest news that a host can have. The header is read from each response that is the upstream's own (with its proof, or a proof of not run); the instance then counts as draining at this host until it is not listed any more.

TestUpstreamThatSaysItLeavesGetsNoMoreRequests: three of its five cases failed before. The emulator says it with -leaving.

--- a/internal/dispatch/instance.go
+++ b/internal/dispatch/instance.go
@@ -18,8 +18,10 @@
 type instance struct {
 	catalog.Instance
 	// hash identifies the instance in rendezvous hashing.
-	hash       uint64
-	replaced   bool
+	hash     uint64
+	replaced bool
+	// leaving is true once the instance has said in a response that it is about to stop.
+	leaving    bool
 	coldUntil  time.Time
 	coldBucket bucket
 	// running counts the requests of this host; readingTokens counts the prompt tokens of
@@ -170,6 +172,14 @@
 	return before
 }
 
+// MarkLeaving records that the instance says that it is about to stop, and reports whether that is
+// new. It stays so until the instance is not listed any more: a restarted one has another key.
+func (p *Placement) MarkLeaving() (isNew bool) {
+	isNew = !p.target.leaving
+	p.target.leaving = true
+	return isNew
+}
+
 // Report records the load that the instance reported with a response.
 func (p *Placement) Report(running, waiting int, now time.Time) {
 	p.target.report = report{running: running, waiting: waiting, at: now}
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -49,7 +49,7 @@
 // leaveReason returns why a listed instance may get no new requests.
 func (d *Dispatcher) leaveReason(x *instance) LeaveReason {
 	switch {
-	case x.Draining:
+	case x.Draining || x.leaving:
 		return Draining
 	case x.replaced:
 		return Replaced
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -45,7 +45,7 @@
 	switch {
 	case x.replaced:
 		return "gone"
-	case x.Draining:
+	case x.Draining || x.leaving:
 		return "draining"
 	case d.outOfService[x.DataCentre]:
 		return "out"
--- a/internal/emulator/routed.go
+++ b/internal/emulator/routed.go
@@ -27,6 +27,9 @@
 		if id := r.Header.Get("X-Request-Id"); id != "" {
 			w.Header().Set("X-Request-Id", id)
 		}
+		if e.opts.Leaving {
+			w.Header().Set("X-Leaving", "1")
+		}
 		if e.opts.RateLimit > 0 {
 			w.Header().Set("X-Rate-Limit", strconv.FormatFloat(e.opts.RateLimit, 'f', -1, 64))
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -106,6 +106,7 @@
 	if running, waiting, ok := q.server.opts.HeaderNames.load(resp.Header); ok {
 		q.server.opts.Dispatcher.report(p, running, waiting)
 	}
+	q.readLeaving(p, resp)
 	q.readRateLimit(p, resp)
 	outcome, err = q.relay(ctx, p, resp)
 	if outcome == dispatch.Answered {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -30,6 +30,8 @@
 	// RateLimit in a response is the number of requests per second, a decimal number, that the
 	// upstream takes from all hosts together until it names none.
 	RateLimit string
+	// Leaving is 1 in the responses of an upstream that is about to stop and takes no new requests.
+	Leaving string
 	// NotRun in a response proves that the upstream did not run the request.
 	NotRun string
 	// UpstreamProof is in every response that an upstream itself produced.
@@ -49,7 +51,7 @@
 func NativeHeaderNames() HeaderNames {
 	return HeaderNames{
 		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Credential: "X-Api-Key", Account: "X-Account",
-		ExpectInstance: "X-Instance-Id", Load: "X-Load", RateLimit: "X-Rate-Limit", NotRun: "X-Not-Run", Usage: "X-Token-Usage",
+		ExpectInstance: "X-Instance-Id", Load: "X-Load", RateLimit: "X-Rate-Limit", Leaving: "X-Leaving", NotRun: "X-Not-Run", Usage: "X-Token-Usage",
 		PromptParts: "X-Prompt-Parts", LastEventID: "Last-Event-Id",
 	}
 }
@@ -134,6 +136,17 @@
 	return max(input, 0), max(output, 0)
 }
 
+// ownResponse reports whether the upstream itself produced a response, which then has its proof or
+// says that the request did not run.
+func (names *HeaderNames) ownResponse(h http.Header) bool {
+	return names.UpstreamProof == "" || h.Get(names.UpstreamProof) != "" || names.NotRun != "" && h.Get(names.NotRun) != ""
+}
+
+// leaving reports whether the upstream says that it is about to stop.
+func (names *HeaderNames) leaving(h http.Header) bool {
+	return names.Leaving != "" && strings.TrimSpace(h.Get(names.Leaving)) == "1" && names.ownResponse(h)
+}
+
 // rateLimit returns the limit that a response names, in requests per second. named is false if
 // the header is missing or invalid.
 func (names *HeaderNames) rateLimit(h http.Header) (perSecond float64, named bool) {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -71,6 +71,13 @@
 	x.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.MarkReplaced(p.Instance.Key()) })
 }
 
+// markLeaving records that the instance of a placement says that it is about to stop, and reports
+// whether that is new.
+func (x *LockedDispatcher) markLeaving(p *dispatch.Placement) (isNew bool) {
+	x.Update(func(*dispatch.Dispatcher, time.Time) { isNew = p.MarkLeaving() })
+	return isNew
+}
+
 // countRequest counts a caller's request for the retry budget and for the shares of accounts.
 func (x *LockedDispatcher) countRequest(job *dispatch.Job) {
 	x.Update(func(d *dispatch.Dispatcher, now time.Time) {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,3 +82,34 @@
 		})
 	}
 }
+
+// answer returns a script that answers with a status and header lines.
+func answer(status int, header ...string) func(*receivedRequest) {
+	lines := strings.Join(append(header, ""), "\r\n")
+	return writeRaw("HTTP/1.1 %d X\r\nContent-Length: 0\r\nX-Proof: p1\r\n%s\r\n", status, lines)
+}
+
+// Guards against requests to an upstream that has said in an answer that it is leaving, while the list still says that it is ready.
+func TestUpstreamThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		first func(*receivedRequest)
+		want  int
+	}{
+		{"answer", answer(200, "X-Leaving: 1"), 1},
+		{"error", answer(500, "X-Leaving: 1"), 1},
+		{"refusal", writeRaw("%s", "HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Not-Run: true\r\nX-Leaving: 1\r\n\r\n"), 1},
+		{"no such header", answer(200), 3},
+		{"forged answer", writeRaw("%s", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Leaving: 1\r\n\r\n"), 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			u := newUpstream(t, test.first, answer(200))
+			gw := newTestGateway(t, document(), u)
+			for range 3 {
+				gw.do("POST", "/order/x", "")
+			}
+			c.Assert(u.requests(), qt.HasLen, test.want)
+		})
+	}
+}
