Send nothing to an upstream for the time that it names in a refusal

The instance now counts as paused at this host, for new requests and for those that wait at its gate; a caller whom only paused instances could serve is told when the first pause ends. A time that is not a positive number, another status or a forged response changes nothing.

TestUpstreamThatNamesARetryTimeGetsNoRequestsUntilThen (two of eight cases) and TestRequestsThatWaitedRespectTheRetryTimeOfAnUpstream failed before.

--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -48,6 +48,8 @@
 
 // LeftOut counts the instances that could not take a job, by the first reason that applies.
 type LeftOut struct {
+	// Paused counts those that want no requests of this host for some time.
+	Paused int
 	// Tried counts those that were selected for the job before, Cold those whose cold-start
 	// limit is used up, Replaced those whose address another instance has.
 	Tried, Draining, OutOfService, Replaced, Cold int
@@ -56,7 +58,7 @@
 // mayTake reports whether an instance can take a job, and counts the reason if not.
 func (d *Dispatcher) mayTake(s *routing.Service, j *Job, x *instance, now time.Time) bool {
 	left := &j.Decision.LeftOut
-	switch reason := d.leaveReason(x); {
+	switch reason := d.leaveReason(x, now); {
 	case reason != NotLeft:
 		left.count(reason)
 	case slices.Contains(j.Tried, x.Key()):
@@ -79,6 +81,8 @@
 		l.Replaced++
 	case OutOfService:
 		l.OutOfService++
+	case Paused:
+		l.Paused++
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -213,7 +213,7 @@
 	preferred := d.affinityInstance(s, j, now)
 	best, cost := d.best(s, j, preferred, now)
 	if best == nil {
-		return nil, fault.New(fault.QueueFull, fault.NotRun, "no instance of service %q can take the request now", j.Service).WithRetryAfter(noInstanceRetryAfter)
+		return nil, fault.New(fault.QueueFull, fault.NotRun, "no instance of service %q can take the request now", j.Service).WithRetryAfter(d.nextInstanceIn(s, now))
 	}
 	j.Decision.describeLoad(d, s, best, cost, now)
 	if limit := j.Remaining; cost > limit.Seconds()*1000+suspectPenaltyMs {
@@ -234,6 +234,19 @@
 	maxPickRetryAfter    = time.Second
 )
 
+// nextInstanceIn returns the retry delay of a request that no instance can take: until the first
+// pause ends, if it is the pauses that keep requests away.
+func (d *Dispatcher) nextInstanceIn(s *routing.Service, now time.Time) time.Duration {
+	wait := maxPickRetryAfter
+	for _, x := range d.byService[s.Name] {
+		if d.leaveReason(x, now) != Paused {
+			return noInstanceRetryAfter
+		}
+		wait = min(wait, x.pausedUntil.Sub(now))
+	}
+	return max(wait, noInstanceRetryAfter)
+}
+
 // best returns the eligible instance with the lowest cost, and the cost in ms.
 func (d *Dispatcher) best(s *routing.Service, j *Job, preferred *instance, now time.Time) (*instance, float64) {
 	var best *instance
@@ -286,7 +299,7 @@
 	var best *instance
 	var bestWeight uint64
 	for _, x := range d.byService[s.Name] {
-		if d.leaveReason(x) != NotLeft || dataCentre != "" && x.DataCentre != dataCentre {
+		if d.leaveReason(x, now) != NotLeft || dataCentre != "" && x.DataCentre != dataCentre {
 			continue
 		}
 		if w := rendezvous.Weight(key, x.hash); (best == nil || w > bestWeight) && d.coldLimitAllows(s, x, now) {
--- a/internal/dispatch/instance.go
+++ b/internal/dispatch/instance.go
@@ -20,6 +20,8 @@
 	// hash identifies the instance in rendezvous hashing.
 	hash     uint64
 	replaced bool
+	// pausedUntil is until when the instance wants no requests of this host.
+	pausedUntil time.Time
 	// leaving is true once the instance has said in a response that it is about to stop.
 	leaving    bool
 	coldUntil  time.Time
@@ -180,6 +182,16 @@
 	return isNew
 }
 
+// maxPause bounds the time for which an instance can keep requests from itself.
+const maxPause = 10 * time.Minute
+
+// Pause records that the instance wants no requests of this host for some time.
+func (p *Placement) Pause(d time.Duration, now time.Time) {
+	if until := now.Add(min(d, maxPause)); until.After(p.target.pausedUntil) {
+		p.target.pausedUntil = until
+	}
+}
+
 // Report records the load that the instance reported with a response.
 func (p *Placement) Report(running, waiting int, now time.Time) {
 	p.target.report = report{running: running, waiting: waiting, at: now}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -49,6 +49,8 @@
 		return "draining"
 	case d.outOfService[x.DataCentre]:
 		return "out"
+	case now.Before(x.pausedUntil):
+		return "paused"
 	case now.Before(x.suspectUntil):
 		return "suspect"
 	case now.Before(x.coldUntil):
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,7 @@
 		q.server.opts.Dispatcher.report(p, running, waiting)
 	}
 	q.readLeaving(p, resp)
+	q.readPause(p, resp)
 	q.readRateLimit(p, resp)
 	outcome, err = q.relay(ctx, p, resp)
 	if outcome == dispatch.Answered {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -50,7 +50,7 @@
 
 // left returns why the instance of a placement may get no new requests any more.
 func (x *LockedDispatcher) left(p *dispatch.Placement) (reason dispatch.LeaveReason) {
-	x.Update(func(d *dispatch.Dispatcher, _ time.Time) { reason = d.Left(p) })
+	x.Update(func(d *dispatch.Dispatcher, now time.Time) { reason = d.Left(p, now) })
 	return reason
 }
 
@@ -78,6 +78,11 @@
 	return isNew
 }
 
+// pause records that the instance of a placement wants no requests of this host for some time.
+func (x *LockedDispatcher) pause(p *dispatch.Placement, d time.Duration) {
+	x.Update(func(_ *dispatch.Dispatcher, now time.Time) { p.Pause(d, now) })
+}
+
 // countRequest counts a caller's request for the retry budget and for the shares of accounts.
 func (x *LockedDispatcher) countRequest(job *dispatch.Job) {
 	x.Update(func(d *dispatch.Dispatcher, now time.Time) {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -113,3 +113,61 @@
 		})
 	}
 }
+
+// Guards against requests to an upstream that has turned one away and said for how long it wants none.
+func TestUpstreamThatNamesARetryTimeGetsNoRequestsUntilThen(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Not-Run: true\r\n"
+	for _, test := range []struct {
+		name   string
+		answer string
+		want   int
+	}{
+		{"seconds", refusal + "Retry-After: 30\r\n\r\n", 1},
+		{"fraction", refusal + "Retry-After: 30.5\r\n\r\n", 1},
+		{"over soon", refusal + "Retry-After: 0\r\n\r\n", 3},
+		{"without a time", refusal + "\r\n", 3},
+		{"negative", refusal + "Retry-After: -5\r\n\r\n", 3},
+		{"no number", refusal + "Retry-After: NaN\r\n\r\n", 3},
+		{"other status", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Proof: p1\r\nRetry-After: 30\r\n\r\n", 3},
+		{"forged", "HTTP/1.1 503 X\r\nContent-Length: 0\r\nRetry-After: 30\r\n\r\n", 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			u := newUpstream(t, writeRaw("%s", test.answer), answer(200))
+			gw := newTestGateway(t, document(), u)
+			var last *http.Response
+			for range 3 {
+				last, _, _ = gw.do("POST", "/order/x", "")
+			}
+			c.Assert(u.requests(), qt.HasLen, test.want)
+			if test.want == 1 {
+				c.Assert(last.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+				c.Assert(last.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			}
+		})
+	}
+}
+
+// Guards against requests that waited at a gate and reach an upstream that wants none for some time.
+func TestRequestsThatWaitedRespectTheRetryTimeOfAnUpstream(t *testing.T) {
+	c := qt.New(t)
+	begun, end := make(chan struct{}, 2), make(chan struct{})
+	u := newUpstream(t, func(req *receivedRequest) {
+		begun <- struct{}{}
+		<-end
+		writeRaw("%s", "HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Not-Run: true\r\nRetry-After: 30\r\n\r\n")(req)
+	})
+	gw, gates := newGatedGateway(t, u)
+	statuses := make(chan int, 2)
+	send := func(usage string) {
+		resp, _, _ := gw.do("POST", "/order/x", "", "X-Token-Usage: "+usage)
+		statuses <- resp.StatusCode
+	}
+	go send("1,1")
+	<-begun
+	go send("1000,1")
+	waitForQueued(t, gates, 1000)
+	close(end)
+	c.Assert(<-statuses+<-statuses, qt.Equals, 2*http.StatusServiceUnavailable)
+	c.Assert(u.requests(), qt.HasLen, 1)
+}
