Refuse requests at a host whose list of upstreams no other host confirms

An overloaded host sent requests to upstreams 4.4 s after these had left the list. Announcements can't show the host that it is late: it reads them late, and their age leaves out the time on the way. Class of fault: freshness that is claimed by the sender and not measured by the receiver; the configuration and the leases are measured by a round trip already.

Each host now asks a random other host every 0.6 s whether their lists are the same and counts from its question; without an answer for 1.8 s it refuses, with not run, also what waited at a gate. Reads without a change are announced to the four hosts that may read only.

TestHostWhoseListNobodyConfirmsSendsNothing fails with the check left out (the requests are sent); the tests of Contact and of the fleet of catalog roles cover late answers, lost hosts, hosts of earlier versions and single hosts.

--- a/internal/catalog/spread.go
+++ b/internal/catalog/spread.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// Readers returns the hosts that read the list or take over when its reader is lost.
+func (s *ReadSchedule) Readers() []string { return s.hosts[:min(len(s.hosts), maxReadingHosts)] }
+
 // RecordRead records that the list was read at readAt, by this host or another one.
 func (s *ReadSchedule) RecordRead(readAt time.Time) {
 	if readAt.After(s.lastRead) {
--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"math/rand"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 // the list and announces it to the other hosts; otherwise it uses what they announce.
 type catalogRole struct {
 	host   string
+	clock  interface{ Now() time.Duration }
 	send   func(to string, kind wire.Kind, msg any) error
 	onList func(catalog.List)
 	log    logrus.FieldLogger
@@ -27,43 +29,23 @@
 	hosts        []string
 	list         catalog.List
 	digest       uint64
-	// heardAt is when this host last read the list or heard of a read of another host.
-	heardAt time.Time
-	// silent is true after silenceLogged without that.
-	silent bool
-}
-
-// silenceLogged is the time without a read of the upstream list, by any host, after which the list
-// counts as lost in the log. The list is read every second.
-const silenceLogged = 2 * time.Second
-
-// logSilence logs when this host stops and starts to hear of reads of the upstream list.
-func (c *catalogRole) logSilence(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	silence := now.Sub(c.heardAt)
-	silent := silence > silenceLogged
-	if c.heardAt.IsZero() || c.silent == silent {
-		return
-	}
-	c.silent = silent
-	l := c.log.WithField("silence_ms", silence.Milliseconds()).WithField("list_version", catalog.FormatVersion(c.digest))
-	if silent {
-		l.Warn("Upstream list lost. No read of it is heard of.")
-		return
-	}
-	l.Info("Upstream list reached.")
+	contact      *catalog.Contact
+	// lost is true while no other host confirms the list.
+	lost bool
 }
 
 func newCatalogRole(d *Daemon, source catalog.Source, onList func(catalog.List)) *catalogRole {
 	c := &catalogRole{
-		host: d.settings.Host, send: d.peers.Send, onList: onList, log: d.logFor("catalog"),
+		host: d.settings.Host, clock: d.clock, send: d.peers.Send, onList: onList, log: d.logFor("catalog"),
 		readSchedule: catalog.NewReadSchedule(d.settings.Host, time.Now()),
+		contact:      catalog.NewContact(d.settings.Host, rand.New(rand.NewSource(randomSeed(d.settings.Host, d.boot)))),
 	}
 	c.reader = catalog.NewReader(catalog.Options{
 		Source: source, ShouldRead: c.shouldRead, OnList: c.handleRead, Log: c.log, Registry: d.registry,
 	})
 	d.peers.Handle(wire.KindCatalog, c.handle)
+	d.peers.Handle(wire.KindCatalogCheck, c.handleCheck)
+	d.peers.Handle(wire.KindCatalogState, c.handleState)
 	d.peers.Handle(wire.KindCatalogRequest, func(from string, _ uint64, _ wire.Kind, _ []byte) { c.announce([]string{from}, true) })
 	return c
 }
@@ -71,7 +53,7 @@
 func (c *catalogRole) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.reader.Run(ctx) })
-	g.Go(func() error { return runEvery(ctx, tickInterval, c.logSilence) })
+	g.Go(func() error { return runEvery(ctx, tickInterval, func(time.Time) { c.checkContact(c.clock.Now()) }) })
 	return g.Wait()
 }
 
@@ -80,6 +62,7 @@
 	defer c.mu.Unlock()
 	c.hosts = hosts
 	c.readSchedule.SetHosts(hosts)
+	c.contact.SetHosts(hosts)
 }
 
 func (c *catalogRole) shouldRead(now time.Time) bool {
@@ -93,9 +76,12 @@
 	digest := digestOf(l.Instances)
 	c.mu.Lock()
 	changed := digest != c.digest
-	c.list, c.digest, c.heardAt = l, digest, time.Now()
+	c.list, c.digest = l, digest
 	c.readSchedule.RecordRead(l.ReadAt)
 	hosts := c.hosts
+	if !changed {
+		hosts = c.readSchedule.Readers() // the others ask whether their list is still the same
+	}
 	c.mu.Unlock()
 	if changed {
 		c.log.WithField("instances", len(l.Instances)).WithField("list_version", catalog.FormatVersion(digest)).Info("Upstream list changed.")
@@ -127,12 +113,7 @@
 // itself, for hosts that can't have it yet.
 func (c *catalogRole) announce(hosts []string, withList bool) {
 	c.mu.Lock()
-	m := &wire.Catalog{Digest: c.digest, Age: time.Since(c.list.ReadAt), HasList: withList}
-	if withList {
-		for _, i := range c.list.Instances {
-			m.Instances = append(m.Instances, wire.Instance(i))
-		}
-	}
+	m := c.messageLocked(withList)
 	haveList := !c.list.ReadAt.IsZero()
 	c.mu.Unlock()
 	for _, h := range hosts {
@@ -145,6 +126,17 @@
 	}
 }
 
+// messageLocked returns the message about the list of this host.
+func (c *catalogRole) messageLocked(withList bool) *wire.Catalog {
+	m := &wire.Catalog{Digest: c.digest, Age: time.Since(c.list.ReadAt), HasList: withList}
+	if withList {
+		for _, i := range c.list.Instances {
+			m.Instances = append(m.Instances, wire.Instance(i))
+		}
+	}
+	return m
+}
+
 // handle processes another host's announcement of a list read.
 func (c *catalogRole) handle(from string, _ uint64, _ wire.Kind, payload []byte) {
 	var m wire.Catalog
@@ -152,9 +144,13 @@
 		c.log.WithError(err).WithField("from", from).Warn("Failed to decode the upstream list.")
 		return
 	}
+	c.update(from, &m)
+}
+
+// update takes over another host's list if it was read later than this host's.
+func (c *catalogRole) update(from string, m *wire.Catalog) {
 	read := time.Now().Add(-m.Age)
 	c.mu.Lock()
-	c.heardAt = time.Now()
 	if !read.After(c.list.ReadAt) {
 		c.mu.Unlock()
 		return
--- a/internal/daemon/catalog_test.go
+++ b/internal/daemon/catalog_test.go
@@ -1,27 +1,105 @@
 package daemon
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/wire"
 )
 
-// Guards against a host that loses the list of upstreams without a line in its log.
-func TestLostUpstreamListIsLogged(t *testing.T) {
+// manualClock is a clock that a test sets.
+type manualClock struct{ now time.Duration }
+
+func (c *manualClock) Now() time.Duration { return c.now }
+
+// catalogFleet connects the catalog roles of several hosts; silenced hosts get no messages.
+type catalogFleet struct {
+	clock    manualClock
+	roles    map[string]*catalogRole
+	silenced map[string]bool
+}
+
+func newCatalogFleet(t *testing.T, names ...string) *catalogFleet {
+	f := &catalogFleet{roles: map[string]*catalogRole{}, silenced: map[string]bool{}}
+	for i, name := range names {
+		log, _ := logtest.NewNullLogger()
+		role := &catalogRole{
+			host: name, clock: &f.clock, log: log, onList: func(catalog.List) {}, hosts: names,
+			readSchedule: catalog.NewReadSchedule(name, time.Now()), contact: catalog.NewContact(name, rand.New(rand.NewSource(int64(i)))),
+		}
+		role.send = func(to string, kind wire.Kind, msg any) error { return f.send(name, to, kind, msg) }
+		role.setHosts(names)
+		f.roles[name] = role
+	}
+	return f
+}
+
+func (f *catalogFleet) send(from, to string, kind wire.Kind, msg any) error {
+	payload, err := wire.Marshal(msg)
+	if err != nil || f.silenced[to] || f.silenced[from] {
+		return err
+	}
+	role := f.roles[to]
+	switch kind {
+	case wire.KindCatalog:
+		role.handle(from, 1, kind, payload)
+	case wire.KindCatalogRequest:
+		role.announce([]string{from}, true)
+	case wire.KindCatalogCheck:
+		role.handleCheck(from, 1, kind, payload)
+	case wire.KindCatalogState:
+		role.handleState(from, 1, kind, payload)
+	}
+	return nil
+}
+
+// run lets time pass and the hosts ask.
+func (f *catalogFleet) run(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for ; d > 0; d -= step {
+		f.clock.now += step
+		for _, role := range f.roles {
+			role.checkContact(f.clock.now)
+		}
+	}
+}
+
+func (f *catalogFleet) age(host string) time.Duration { return f.roles[host].contactAge() }
+
+func readList(draining bool) catalog.List {
+	return catalog.List{ReadAt: time.Now(), Instances: []catalog.Instance{{ID: "i0", Service: "svc", Address: "10.0.0.1:1", Draining: draining}}}
+}
+
+// Guards against an overloaded host that goes on by an old list while the others know that instances leave.
+func TestHostThatHearsNothingKnowsThatItsListIsOld(t *testing.T) {
 	c := qt.New(t)
 	log, hook := logtest.NewNullLogger()
-	heard := time.Unix(1_000, 0)
-	role := &catalogRole{log: log, heardAt: heard}
-	for _, after := range []time.Duration{time.Second, 3 * time.Second, 4 * time.Second} {
-		role.logSilence(heard.Add(after))
-	}
-	role.heardAt = heard.Add(5 * time.Second)
-	role.logSilence(heard.Add(5100 * time.Millisecond))
+	f := newCatalogFleet(t, "h0", "h1", "h2", "h3", "h4", "h5")
+	lone := f.roles["h5"]
+	lone.log = log
+	f.roles["h0"].handleRead(readList(false))
+	f.run(time.Second)
+	c.Assert(f.age("h5") < time.Second, qt.IsTrue, qt.Commentf("%s", f.age("h5")))
+
+	f.silenced["h5"] = true
+	f.roles["h0"].handleRead(readList(true))
+	f.run(3 * time.Second)
+	c.Assert(f.age("h5") > catalog.MaxContactAge, qt.IsTrue, qt.Commentf("%s", f.age("h5")))
+	c.Assert(f.age("h4") < catalog.MaxContactAge, qt.IsTrue, qt.Commentf("%s", f.age("h4")))
+	c.Assert(lone.list.Instances[0].Draining, qt.IsFalse)
+
+	f.silenced["h5"] = false
+	f.run(time.Second)
+	c.Assert(lone.list.Instances[0].Draining, qt.IsTrue)
+	c.Assert(f.age("h5") < catalog.MaxContactAge, qt.IsTrue, qt.Commentf("%s", f.age("h5")))
 	var got []string
 	for _, e := range hook.AllEntries() {
 		got = append(got, e.Message)
 	}
-	c.Assert(got, qt.DeepEquals, []string{"Upstream list lost. No read of it is heard of.", "Upstream list reached."})
+	c.Assert(got, qt.DeepEquals, []string{"Upstream list lost: no host confirms it. Requests are refused.", "Upstream list confirmed again."})
 }
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -98,6 +98,7 @@
 		v.Table = nil
 	}
 	v.ListAge, v.ListVersion = e.catalog.version()
+	v.ListContactAge = e.catalog.contactAge()
 	return v
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/admission"
+	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/overload"
@@ -43,16 +44,21 @@
 	// content.
 	ListAge     time.Duration
 	ListVersion uint64
+	// ListContactAge is the time since another host last confirmed that the list is the one of the
+	// fleet, 0 if it was never asked.
+	ListContactAge time.Duration
 }
 
 // Check returns HostIsolated if the host must not serve requests: it has no routing
-// document, or its configuration is older than maxAge.
+// document, its configuration is older than maxAge, or it may not know which instances leave.
 func (v View) Check(maxAge time.Duration) error {
 	switch {
 	case v.Table == nil:
 		return fault.New(fault.HostIsolated, fault.NotRun, "the host has no routing document yet").WithRetryAfter(shortRetryAfter)
 	case v.Age > maxAge:
 		return fault.New(fault.HostIsolated, fault.NotRun, "the configuration is %s old", v.Age.Round(time.Millisecond)).WithRetryAfter(shortRetryAfter)
+	case v.ListContactAge > catalog.MaxContactAge:
+		return fault.New(fault.HostIsolated, fault.NotRun, "no host has confirmed the list of upstreams for %s", v.ListContactAge.Round(time.Millisecond)).WithRetryAfter(shortRetryAfter)
 	}
 	return nil
 }
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -171,3 +171,30 @@
 	c.Assert(<-statuses+<-statuses, qt.Equals, 2*http.StatusServiceUnavailable)
 	c.Assert(u.requests(), qt.HasLen, 1)
 }
+
+// Guards against requests of a host that may not know which instances leave: new ones, and one that waits at a gate.
+func TestHostWhoseListNobodyConfirmsSendsNothing(t *testing.T) {
+	c := qt.New(t)
+	begun, end := make(chan struct{}, 2), make(chan struct{})
+	u := newUpstream(t, func(req *receivedRequest) {
+		begun <- struct{}{}
+		<-end
+		writeRaw("%s", rawResponse(200, "ok"))(req)
+	})
+	gw, gates := newGatedGateway(t, u)
+	statuses := make(chan int, 3)
+	send := func(usage string) {
+		resp, _, _ := gw.do("POST", "/order/x", "", "X-Token-Usage: "+usage)
+		statuses <- resp.StatusCode
+	}
+	go send("1,1")
+	<-begun
+	go send("1000,1")
+	waitForQueued(t, gates, 1000)
+	gw.setView(func(v *View) { v.ListContactAge = catalog.MaxContactAge + time.Millisecond })
+	send("1,1")
+	c.Assert(<-statuses, qt.Equals, http.StatusServiceUnavailable)
+	close(end)
+	c.Assert(<-statuses+<-statuses, qt.Equals, http.StatusOK+http.StatusServiceUnavailable)
+	c.Assert(u.requests(), qt.HasLen, 1)
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -36,7 +36,7 @@
 // logFields returns what decided the last attempt of a request, and its error.
 func (q *request) logFields(e *fault.Error) logrus.Fields {
 	fields := logrus.Fields{"request": q.id, "code": string(e.Code), "run": string(e.RunState), "cause": e.Message()}
-	fields["config_age_ms"] = q.view.Age.Milliseconds()
+	fields["config_age_ms"], fields["list_contact_ms"] = q.view.Age.Milliseconds(), q.view.ListContactAge.Milliseconds()
 	if q.view.Table != nil {
 		fields["version"] = q.view.Table.Document.Version
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -38,6 +38,8 @@
 	KindLoadSums
 	KindCatalog
 	KindCatalogRequest
+	KindCatalogCheck
+	KindCatalogState
 )
 
 // Envelope carries one message between two hosts.
@@ -393,6 +395,20 @@
 // CatalogRequest asks for a Catalog with the list of instances.
 type CatalogRequest struct{}
 
+// CatalogCheck asks another host whether it has the same list of instances.
+type CatalogCheck struct {
+	// Seq is returned with the answer.
+	Seq uint64
+	// Digest identifies the sender's list, and is 0 if it has none.
+	Digest uint64
+}
+
+// CatalogState answers a CatalogCheck. It has the list if the sender's differs.
+type CatalogState struct {
+	Seq     uint64
+	Catalog Catalog
+}
+
 // PromptPart is one part of a prompt.
 type PromptPart struct {
 	ID     uint64
