Read the version of upstreams, and log it with interrupted and resumed streams

The list's version is read and spread with the list, and lines about requests have instance_version, last_event and resumes.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,8 +21,11 @@
 	// then differs in Born.
 	ID string
 	// Born is the start time in Unix milliseconds, 0 when unknown.
-	Born       int64
-	Service    string
+	Born    int64
+	Service string
+	// Version is that of the software of the process, empty when unknown. What two versions
+	// generate for one request does not fit together.
+	Version    string
 	Address    string
 	DataCentre string
 	// Slots is how many requests the instance runs concurrently, 0 when unknown.
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -10,6 +10,7 @@
 	ID         string `json:"id"`
 	Born       int64  `json:"born"`
 	Service    string `json:"service"`
+	Version    string `json:"version,omitempty"`
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
 	Slots      int    `json:"slots"`
@@ -29,7 +30,7 @@
 		return Instance{}, false
 	}
 	return Instance{
-		ID: e.ID, Born: e.Born, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: e.Slots,
+		ID: e.ID, Born: e.Born, Service: e.Service, Version: e.Version, Address: e.Address, DataCentre: e.DataCentre, Slots: e.Slots,
 		Draining: e.Draining, ColdFor: time.Duration(e.ColdForMS) * time.Millisecond,
 	}, true
 }
--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -131,7 +131,10 @@
 	m := &wire.Catalog{Digest: c.digest, Age: time.Since(c.list.ReadAt), HasList: withList}
 	if withList {
 		for _, i := range c.list.Instances {
-			m.Instances = append(m.Instances, wire.Instance(i))
+			m.Instances = append(m.Instances, wire.Instance{
+				ID: i.ID, Born: i.Born, Service: i.Service, Address: i.Address, DataCentre: i.DataCentre, Slots: i.Slots, Draining: i.Draining, ColdFor: i.ColdFor,
+			})
+			m.Versions = append(m.Versions, i.Version)
 		}
 	}
 	return m
@@ -171,9 +174,15 @@
 		return
 	}
 	l := catalog.List{ReadAt: read}
-	for _, i := range m.Instances {
-		i.ColdFor = max(i.ColdFor-m.Age, 0)
-		l.Instances = append(l.Instances, catalog.Instance(i))
+	for n, i := range m.Instances {
+		instance := catalog.Instance{
+			ID: i.ID, Born: i.Born, Service: i.Service, Address: i.Address, DataCentre: i.DataCentre, Slots: i.Slots, Draining: i.Draining,
+			ColdFor: max(i.ColdFor-m.Age, 0),
+		}
+		if n < len(m.Versions) {
+			instance.Version = m.Versions[n]
+		}
+		l.Instances = append(l.Instances, instance)
 	}
 	c.list, c.digest = l, m.Digest
 	c.mu.Unlock()
--- a/internal/daemon/catalog_contact.go
+++ b/internal/daemon/catalog_contact.go
@@ -58,7 +58,8 @@
 	}
 	c.mu.Lock()
 	haveList := !c.list.ReadAt.IsZero()
-	reply := &wire.CatalogState{Seq: m.Seq, Catalog: *c.messageLocked(haveList && m.Digest != c.digest)}
+	list := c.messageLocked(haveList && m.Digest != c.digest)
+	reply := &wire.CatalogState{Seq: m.Seq, Catalog: *list, Versions: list.Versions}
 	c.mu.Unlock()
 	if !haveList {
 		return
@@ -76,6 +77,7 @@
 		c.log.WithError(err).WithField("from", from).Warn("Failed to decode the upstream list.")
 		return
 	}
+	m.Catalog.Versions = m.Versions
 	c.update(from, &m.Catalog)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	q.instanceVersion = p.Instance.Version
 	outcome := dispatch.Cancelled
 	defer func() { q.server.opts.Dispatcher.done(p, outcome) }()
 	q.job.Tried = append(q.job.Tried, p.Instance.Key())
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -43,6 +43,9 @@
 	PromptParts string
 	// LastEventID carries the id of the last event delivered before a stream is resumed.
 	LastEventID string
+	// Resumes names the request whose response brought the first event of the stream that the
+	// caller resumes.
+	Resumes string
 	// Dropped lists further headers that callers may not set; they are removed.
 	Dropped []string
 }
@@ -52,7 +55,7 @@
 	return HeaderNames{
 		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Credential: "X-Api-Key", Account: "X-Account",
 		ExpectInstance: "X-Instance-Id", Load: "X-Load", RateLimit: "X-Rate-Limit", Leaving: "X-Leaving", NotRun: "X-Not-Run", Usage: "X-Token-Usage",
-		PromptParts: "X-Prompt-Parts", LastEventID: "Last-Event-Id",
+		PromptParts: "X-Prompt-Parts", LastEventID: "Last-Event-Id", Resumes: "X-Resumes",
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,6 +51,11 @@
 	lastEventID string
 	lastEventAt time.Time
 	late        bool
+	// resumes is the id of the request that brought the first event of the stream that the caller
+	// resumes.
+	resumes string
+	// instanceVersion is the software version of the instance that was chosen last.
+	instanceVersion string
 	// runEvents counts the events that the present run has sent.
 	runEvents int
 	// mayHaveRun is true once an instance may have run the request.
@@ -129,6 +134,7 @@
 	}
 	q.header = q.server.opts.HeaderNames.upstreamHeader(q.r.Header, q.account)
 	q.lastEventID = q.r.Header.Get(q.server.opts.HeaderNames.LastEventID)
+	q.resumes = q.r.Header.Get(q.server.opts.HeaderNames.Resumes)
 	q.setJob()
 	if err := q.checkCrashes(); err != nil {
 		return err
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -50,7 +50,10 @@
 		fields["rank"] = q.job.Rank.String()
 	}
 	if n := len(q.job.Tried); n > 0 {
-		fields["instance"] = q.job.Tried[n-1].ID
+		fields["instance"], fields["instance_version"] = q.job.Tried[n-1].ID, q.instanceVersion
+	}
+	if q.lastEventID != "" {
+		fields["last_event"], fields["resumes"] = q.lastEventID, q.resumes
 	}
 	q.addDecision(fields)
 	q.gate.AddFields(fields, time.Now())
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -390,8 +390,21 @@
 	Age       time.Duration
 	HasList   bool
 	Instances []Instance
+	// Versions are the software versions of the instances. They are the extension of the message.
+	Versions []string `msgpack:"-"`
 }
 
+// Extension returns the extension of the message, nil if there is nothing to add.
+func (m Catalog) Extension() any {
+	if len(m.Versions) == 0 {
+		return nil
+	}
+	return m.Versions
+}
+
+// ExtensionTarget returns what the extension of the message is decoded into.
+func (m *Catalog) ExtensionTarget() any { return &m.Versions }
+
 // CatalogRequest asks for a Catalog with the list of instances.
 type CatalogRequest struct{}
 
@@ -407,6 +420,8 @@
 type CatalogState struct {
 	Seq     uint64
 	Catalog Catalog
+	// Versions are those of the Catalog, because the extension of a nested message isn't encoded.
+	Versions []string
 }
 
 // PromptPart is one part of a prompt.
