Continue a broken stream only at the version of its upstream that began it

Class of fault: a choice that ignores a property by which the candidates aren't interchangeable. The first event sets the origin of the stream, service and version, and Pick leaves out instances of other versions; without one the response ends incomplete, as before when no instance was left.

--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -48,6 +48,8 @@
 
 // LeftOut counts the instances that could not take a job, by the first reason that applies.
 type LeftOut struct {
+	// OtherVersion counts those whose software differs from that which began the stream.
+	OtherVersion int
 	// Paused counts those that want no requests of this host for some time.
 	Paused int
 	// Tried counts those that were selected for the job before, Cold those whose cold-start
@@ -61,6 +63,8 @@
 	switch reason := d.leaveReason(x, now); {
 	case reason != NotLeft:
 		left.count(reason)
+	case !j.mayContinueAt(x):
+		left.OtherVersion++
 	case slices.Contains(j.Tried, x.Key()):
 		left.Tried++
 	case !d.coldLimitAllows(s, x, now):
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -46,10 +46,21 @@
 	Rank    Rank
 	// Ranked is true once RecordDemand has set the rank.
 	Ranked bool
+	// Origin is where the stream began that the job continues, nil unless it continues one.
+	Origin *Origin
 	// Decision is what decided the last Pick.
 	Decision Decision
 }
 
+// Origin is where a stream began. It can go on only there, because what two versions of the software
+// generate does not fit together.
+type Origin struct{ Service, Version string }
+
+// mayContinueAt reports whether an instance of the job's service may run the job.
+func (j *Job) mayContinueAt(x *instance) bool {
+	return j.Origin == nil || j.Origin.Version == x.Version
+}
+
 // ownTokens returns the prompt tokens that no other request shares.
 func (j *Job) ownTokens() int {
 	if len(j.Parts) == 0 {
@@ -273,11 +284,11 @@
 	}
 	key := j.Parts[len(j.Parts)-2].ID
 	if j.sharedTokens() <= maxLocalAffinityTokens {
-		if x := d.highestWeight(s, key, d.opts.DataCentre, now); x != nil {
+		if x := d.highestWeight(s, j, key, d.opts.DataCentre, now); x != nil {
 			return x
 		}
 	}
-	return d.highestWeight(s, key, "", now)
+	return d.highestWeight(s, j, key, "", now)
 }
 
 // maxLocalAffinityTokens is the size up to which shared parts have an affinity instance
@@ -294,12 +305,12 @@
 }
 
 // highestWeight returns the instance with the highest rendezvous weight for a key among those
-// that may get a request now, in one data centre or, if dataCentre is empty, in all.
-func (d *Dispatcher) highestWeight(s *routing.Service, key uint64, dataCentre string, now time.Time) *instance {
+// that may get the job now, in one data centre or, if dataCentre is empty, in all.
+func (d *Dispatcher) highestWeight(s *routing.Service, j *Job, key uint64, dataCentre string, now time.Time) *instance {
 	var best *instance
 	var bestWeight uint64
 	for _, x := range d.byService[s.Name] {
-		if d.leaveReason(x, now) != NotLeft || dataCentre != "" && x.DataCentre != dataCentre {
+		if d.leaveReason(x, now) != NotLeft || !j.mayContinueAt(x) || dataCentre != "" && x.DataCentre != dataCentre {
 			continue
 		}
 		if w := rendezvous.Weight(key, x.hash); (best == nil || w > bestWeight) && d.coldLimitAllows(s, x, now) {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -87,7 +87,7 @@
 	for _, reason := range []struct {
 		name  string
 		count int
-	}{{"tried", l.Tried}, {"draining", l.Draining}, {"replaced", l.Replaced}, {"data_centre_out", l.OutOfService}, {"paused", l.Paused}, {"cold", l.Cold}} {
+	}{{"tried", l.Tried}, {"draining", l.Draining}, {"replaced", l.Replaced}, {"data_centre_out", l.OutOfService}, {"paused", l.Paused}, {"other_version", l.OtherVersion}, {"cold", l.Cold}} {
 		if reason.count > 0 {
 			out = append(out, fmt.Sprintf("%s:%d", reason.name, reason.count))
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,6 +58,7 @@
 			continue
 		}
 		if !q.headerWritten {
+			q.setOrigin(p)
 			q.copyHeader(resp)
 			q.writeHeader(resp.Status)
 		}
