Resume a caller's stream only at the version of its upstream that began it

Callers that took a broken stream up with the id of its last event got the rest from any software version: no host knew where the stream had begun, and the host that knew may have been killed. Class of fault: state that a later request needs and only one host holds.

While a service has, or within two minutes had, several versions, the hosts record in the control group's log at which one each resumable stream began: one batch in 20 to 150 ms a host, after the first event, and all running streams when a second version comes. The reader of the list reports the versions. A host that is asked to resume a stream looks it up and places it there only; unknown streams are refused as not run, unless the one version of the service has been alone for two minutes or always.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -420,6 +420,15 @@
 	}
 }
 
+// ChangeStreams records where streams began, and asks where others did.
+func (c *Client) ChangeStreams(ctx context.Context, change *wire.StreamChange) (*wire.StreamAnswer, error) {
+	r, err := c.proposeAndWait(ctx, state.StreamCommand(change))
+	if err == nil && r.Streams == nil {
+		err = fault.New(fault.Internal, fault.NotRun, "the answer holds no streams")
+	}
+	return r.Streams, err
+}
+
 // IssueOrder puts an order into the log and returns its fencing number and status. A repeat
 // with the same request id returns the status at the time of the repeat.
 func (c *Client) IssueOrder(ctx context.Context, requestID string, o state.Order) (state.OrderResult, error) {
--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -21,6 +21,8 @@
 	clock  interface{ Now() time.Duration }
 	send   func(to string, kind wire.Kind, msg any) error
 	onList func(catalog.List)
+	// onRead is called with each list that this host has read itself, after onList.
+	onRead func(catalog.List)
 	log    logrus.FieldLogger
 	reader *catalog.Reader
 
@@ -34,9 +36,9 @@
 	lost bool
 }
 
-func newCatalogRole(d *Daemon, source catalog.Source, onList func(catalog.List)) *catalogRole {
+func newCatalogRole(d *Daemon, source catalog.Source, onList, onRead func(catalog.List)) *catalogRole {
 	c := &catalogRole{
-		host: d.settings.Host, clock: d.clock, send: d.peers.Send, onList: onList, log: d.logFor("catalog"),
+		host: d.settings.Host, clock: d.clock, send: d.peers.Send, onList: onList, onRead: onRead, log: d.logFor("catalog"),
 		readSchedule: catalog.NewReadSchedule(d.settings.Host, time.Now()),
 		contact:      catalog.NewContact(d.settings.Host, rand.New(rand.NewSource(randomSeed(d.settings.Host, d.boot)))),
 	}
@@ -87,6 +89,7 @@
 		c.log.WithField("instances", len(l.Instances)).WithField("list_version", catalog.FormatVersion(digest)).Info("Upstream list changed.")
 	}
 	c.onList(l)
+	c.onRead(l)
 	c.announce(hosts, changed)
 }
 
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -80,11 +80,11 @@
 		d.peers.Handle(k, e.admission.Handle)
 	}
 	e.gateway = gateway.New(gateway.Options{
-		View: e.view, HeaderNames: e.adapter.HeaderNames(), Forwarder: d.engine, Dispatcher: e.dispatcher, Admission: e.admission, CrashStore: d.controlClient,
+		View: e.view, HeaderNames: e.adapter.HeaderNames(), Forwarder: d.engine, Dispatcher: e.dispatcher, Admission: e.admission, CrashStore: d.controlClient, StreamStore: d.controlClient,
 		MaxConfigAge: e.settings.ConfigMaxAge, MaxHeaderBytes: d.settings.CallerLimits.HeaderBytes,
 		ReadHeaderTimeout: d.settings.CallerLimits.ReadTimeout, MaxConnections: maxConnections(d.settings), MaxRunning: maxRunning(d.settings), MaxBodyMemory: maxBodyMemory(d.settings), MaxBufferedBytes: maxBufferedBytes(d.settings), Log: d.logFor("gateway"), Registry: d.registry,
 	})
-	e.catalog = newCatalogRole(d, e.adapter.InstanceSource(e.settings.UpstreamList), e.dispatcher.SetInstances)
+	e.catalog = newCatalogRole(d, e.adapter.InstanceSource(e.settings.UpstreamList), e.gateway.SetInstances, e.gateway.ReportVersions)
 	e.loads = loads.New(d.settings.Host, d.settings.DataCentre)
 	d.peers.Handle(wire.KindLoads, e.handleLoads)
 	d.peers.Handle(wire.KindLoadSums, e.handleLoads)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -52,6 +52,7 @@
 	UpstreamRefused        Code = "upstream_refused"
 	UpstreamLeft           Code = "upstream_left"
 	StreamCut              Code = "stream_cut"
+	StreamOriginUnknown    Code = "stream_origin_unknown"
 	CallerGone             Code = "caller_gone"
 	IdempotencyKeyRequired Code = "key_required"
 	IdempotencyKeyInvalid  Code = "key_invalid"
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -101,6 +101,12 @@
 	return ok
 }
 
+// hosts returns the number of live hosts.
+func (x *LockedDispatcher) hosts() (n int) {
+	x.Update(func(d *dispatch.Dispatcher, _ time.Time) { n = d.Hosts() })
+	return n
+}
+
 // connectionShare returns how many of the connections that an instance accepts this host
 // may open; 0 means no limit.
 func (x *LockedDispatcher) connectionShare(limit int) (share int) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,8 @@
 	Admission Admitter
 	// CrashStore is the fleet-wide record of requests that crash upstreams.
 	CrashStore CrashStore
+	// StreamStore is the fleet-wide record of where streams began.
+	StreamStore StreamStore
 	// MaxConfigAge is the age of the configuration above which requests are refused.
 	MaxConfigAge time.Duration
 	// MaxHeaderBytes bounds the size of a request header, ReadHeaderTimeout the time to
@@ -113,6 +115,7 @@
 	// bodies is the use of MaxBodyMemory, buffered that of MaxBufferedBytes.
 	bodies, buffered budget
 	crashes          *crashTracker
+	streams          *streamTracker
 	running          atomic.Int64
 	// stopping ends with the call of stop, when Shutdown begins.
 	stopping context.Context
@@ -133,6 +136,7 @@
 // New returns a Server.
 func New(opts Options) *Server {
 	s := &Server{opts: opts, log: opts.Log, crashes: newCrashTracker(opts.CrashStore, opts.Log)}
+	s.streams = newStreamTracker(opts.StreamStore, opts.Log, func() time.Duration { return streamWindow(opts.Dispatcher.hosts()) })
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	s.conns = newConnections(opts.MaxConnections, time.Now)
 	s.limiter.Limiter = overload.New()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,6 +54,8 @@
 	// resumes is the id of the request that brought the first event of the stream that the caller
 	// resumes.
 	resumes string
+	// tracked is true once the stream is among the running ones of the streamTracker.
+	tracked bool
 	// instanceVersion is the software version of the instance that was chosen last.
 	instanceVersion string
 	// runEvents counts the events that the present run has sent.
@@ -93,6 +95,9 @@
 
 // release gives back what the request held of the host.
 func (q *request) release() {
+	if q.tracked {
+		q.server.streams.end(q.streamID())
+	}
 	q.bodyMemory.release()
 	if q.hasPlace {
 		q.server.places.release(q.account)
@@ -135,6 +140,9 @@
 	q.header = q.server.opts.HeaderNames.upstreamHeader(q.r.Header, q.account)
 	q.lastEventID = q.r.Header.Get(q.server.opts.HeaderNames.LastEventID)
 	q.resumes = q.r.Header.Get(q.server.opts.HeaderNames.Resumes)
+	if err := q.findOrigin(); err != nil {
+		return err
+	}
 	q.setJob()
 	if err := q.checkCrashes(); err != nil {
 		return err
@@ -241,7 +249,7 @@
 
 func (q *request) setJob() {
 	names := &q.server.opts.HeaderNames
-	q.job = dispatch.Job{Service: q.service.Name, Objective: q.route.Objective, Account: q.account, Bytes: typicalHeaderBytes + len(q.body)}
+	q.job = dispatch.Job{Origin: q.job.Origin, Service: q.service.Name, Objective: q.route.Objective, Account: q.account, Bytes: typicalHeaderBytes + len(q.body)}
 	if q.service.Engine != nil {
 		if q.route.PromptAffinity {
 			q.job.Parts = names.promptParts(q.r.Header)
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +11,8 @@
 
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/dispatch"
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
 )
 
 // eventsFrom returns a script that streams the events from first to the third, which name the
@@ -28,13 +32,18 @@
 	return sequence(writeRaw("%s", streamHead+strings.Replace(eventChunk(1), "piece", version, 1)), closeConn)
 }
 
-// listVersions sets the instances of a gateway: one for each upstream, with its version.
-func listVersions(gw *testGateway, versions []string, upstreams ...*upstream) {
+// listVersions sets the instances of a gateway: one for each upstream, with its version. A gateway
+// that reads the list itself also reports them.
+func listVersions(gw *testGateway, reads bool, versions []string, upstreams ...*upstream) {
 	var list []catalog.Instance
 	for i, u := range upstreams {
 		list = append(list, catalog.Instance{ID: "i" + versions[i] + string(rune('a'+i)), Version: versions[i], Service: "svc", Address: u.ln.Addr().String(), DataCentre: "dc", Slots: 4})
 	}
-	gw.server.opts.Dispatcher.Update(func(d *dispatch.Dispatcher, now time.Time) { d.SetInstances(list, now) })
+	l := catalog.List{Instances: list, ReadAt: time.Now()}
+	gw.server.SetInstances(l)
+	if reads {
+		gw.server.ReportVersions(l)
+	}
 }
 
 // Guards against a stream that a host continues at another version of its upstream.
@@ -64,7 +73,7 @@
 					}))
 				}
 				gw := newTestGateway(t, document(), ups...)
-				listVersions(gw, test.versions, ups...)
+				listVersions(gw, true, test.versions, ups...)
 				_, body, complete := gw.do("POST", "/resume/x", "")
 				first := <-begun
 				other := map[string]string{"older": "newer", "newer": "older"}[first]
@@ -82,15 +91,154 @@
 	c := qt.New(t)
 	older, newer := newUpstream(t, breakAfterFirstEvent("older")), newUpstream(t, eventsFrom("newer", 2))
 	first := newTestGateway(t, document(), older)
-	listVersions(first, []string{"older"}, older)
+	listVersions(first, true, []string{"older"}, older)
 	_, body, complete := first.do("POST", "/resume/x", "")
 	c.Assert(body, qt.Equals, "id: 1\ndata: older 1\n\n")
 	c.Assert(complete, qt.IsFalse)
 
 	second := newTestGateway(t, document(), older, newer)
-	listVersions(second, []string{"older", "newer"}, older, newer)
+	listVersions(second, true, []string{"older", "newer"}, older, newer)
 	older.ln.Close()
 	resp, body, _ := second.do("POST", "/resume/x", "", "Last-Event-Id: 1", "X-Resumes: r1")
 	c.Assert(strings.Contains(body, "newer"), qt.IsFalse, qt.Commentf("%q", body))
 	c.Assert(resp.StatusCode, qt.Equals, 503)
 }
+
+// versionFleet is two gateways with one record of streams, in front of one upstream of each version.
+type versionFleet struct {
+	first, second *testGateway
+	older, newer  *upstream
+}
+
+func newVersionFleet(t *testing.T, listed ...string) *versionFleet {
+	script := func(version string) func(*receivedRequest) {
+		return func(req *receivedRequest) {
+			if req.Header.Get("Last-Event-Id") == "" {
+				breakAfterFirstEvent(version)(req)
+				return
+			}
+			eventsFrom(version, 2)(req)
+		}
+	}
+	f := &versionFleet{older: newUpstream(t, script("older")), newer: newUpstream(t, script("newer"))}
+	store := newMemoryStreamStore()
+	shared := func(opts *Options) { opts.StreamStore = store }
+	f.first, f.second = newTestGatewayWith(t, document(), shared), newTestGatewayWith(t, document(), shared)
+	f.list(f.first, listed...)
+	f.list(f.second, listed...)
+	return f
+}
+
+func (f *versionFleet) list(gw *testGateway, versions ...string) {
+	var ups []*upstream
+	for _, v := range versions {
+		ups = append(ups, map[string]*upstream{"older": f.older, "newer": f.newer}[v])
+	}
+	listVersions(gw, gw == f.first, versions, ups...)
+}
+
+// waitForStream waits until the fleet's record has the stream of the request r1.
+func (f *versionFleet) waitForStream(t *testing.T, want string) {
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		origin, _ := f.second.server.streams.find(t.Context(), streamID("", "r1"), "svc")
+		if origin != nil && origin.Version == want {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the stream is not recorded")
+		}
+	}
+}
+
+// Guards against streams that can't be resumed, or go on at another version, while two versions serve.
+func TestCallersResumeStreamsAtTheirVersionAtAnyHost(t *testing.T) {
+	for _, version := range []string{"older", "newer"} {
+		t.Run(version, func(t *testing.T) {
+			c := qt.New(t)
+			f := newVersionFleet(t, "older", "newer")
+			f.list(f.first, version)
+			_, body, complete := f.first.do("POST", "/resume/x", "")
+			c.Assert(body, qt.Equals, "id: 1\ndata: "+version+" 1\n\n")
+			c.Assert(complete, qt.IsFalse)
+			f.waitForStream(t, version)
+			for range 4 {
+				_, body, complete = f.second.do("POST", "/resume/x", "", "Last-Event-Id: 1", "X-Resumes: r1")
+				c.Assert(complete, qt.IsTrue)
+				c.Assert(body, qt.Equals, "id: 2\ndata: "+version+" 2\n\nid: 3\ndata: "+version+" 3\n\n")
+			}
+		})
+	}
+}
+
+// Guards against joined streams after the old version has left and all hosts have started anew.
+func TestStreamOfAVersionThatLeftIsNotJoinedAfterARestart(t *testing.T) {
+	c := qt.New(t)
+	f := newVersionFleet(t, "older")
+	_, _, complete := f.first.do("POST", "/resume/x", "")
+	c.Assert(complete, qt.IsFalse)
+	f.waitForReport(t, "older")
+	f.list(f.first, "older", "newer")
+	f.list(f.first, "newer")
+	f.waitForReport(t, "newer")
+	f.list(f.second, "newer")
+	resp, body, _ := f.second.do("POST", "/resume/x", "", "Last-Event-Id: 1", "X-Resumes: r1")
+	c.Assert(strings.Contains(body, "newer"), qt.IsFalse, qt.Commentf("%q", body))
+	c.Assert(resp.StatusCode, qt.Equals, 503)
+}
+
+// waitForReport waits until the fleet's record has one version of the service.
+func (f *versionFleet) waitForReport(t *testing.T, version string) {
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		a, err := f.first.server.opts.StreamStore.ChangeStreams(t.Context(), &wire.StreamChange{})
+		if err == nil && len(a.Services) == 1 && slices.Equal(a.Services[0].Versions, []string{version}) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the versions are not reported")
+		}
+	}
+}
+
+// Guards against streams that can't be resumed where one version has always served.
+func TestStreamsGoOnAnywhereWhileThereIsOneVersion(t *testing.T) {
+	c := qt.New(t)
+	f := newVersionFleet(t, "older")
+	f.waitForReport(t, "older")
+	for range 3 {
+		_, body, complete := f.second.do("POST", "/resume/x", "", "Last-Event-Id: 1", "X-Resumes: unknown")
+		c.Assert(complete, qt.IsTrue)
+		c.Assert(body, qt.Equals, "id: 2\ndata: older 2\n\nid: 3\ndata: older 3\n\n")
+	}
+}
+
+// Guards against streams that began before a second version came and are forgotten when it comes.
+func TestRunningStreamsAreRecordedWhenASecondVersionComes(t *testing.T) {
+	c := qt.New(t)
+	f := newVersionFleet(t, "older")
+	f.waitForReport(t, "older")
+	_, err := f.first.server.streams.find(t.Context(), 1, "svc") // learns that the service is settled
+	c.Assert(err, qt.IsNil)
+	origin := dispatch.Origin{Service: "svc", Version: "older"}
+	f.first.server.streams.begin(streamID("", "r1"), origin)
+	f.list(f.first, "older", "newer")
+	f.list(f.second, "older", "newer")
+	f.waitForStream(t, "older")
+}
+
+// Guards against a host that sends a resumed stream anywhere while the record can't be reached.
+func TestResumedStreamIsRefusedWhileTheRecordIsLost(t *testing.T) {
+	c := qt.New(t)
+	u := newUpstream(t, eventsFrom("older", 2))
+	gw := newTestGatewayWith(t, document(), func(opts *Options) { opts.StreamStore = lostStreamStore{} }, u)
+	listVersions(gw, true, []string{"older"}, u)
+	resp, _, _ := gw.do("POST", "/resume/x", "", "Last-Event-Id: 1", "X-Resumes: r1")
+	c.Assert(resp.StatusCode, qt.Equals, 503)
+	c.Assert(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	c.Assert(u.requests(), qt.HasLen, 0)
+}
+
+type lostStreamStore struct{}
+
+func (lostStreamStore) ChangeStreams(context.Context, *wire.StreamChange) (*wire.StreamAnswer, error) {
+	return nil, fault.New(fault.Timeout, fault.MayHaveRun, "no answer")
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -20,6 +20,7 @@
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/routing"
+	"marigoldshunt/internal/state"
 	"marigoldshunt/internal/wire"
 )
 
@@ -146,6 +147,31 @@
 
 func (discardCrashMarks) ChangeCrashMarks(context.Context, []wire.CrashMark, []wire.CrashMark) {}
 
+// memoryStreamStore stands in for a control group; hosts that share one are a fleet.
+type memoryStreamStore struct {
+	mu    sync.Mutex
+	state *state.State
+	index uint64
+}
+
+func newMemoryStreamStore() *memoryStreamStore { return &memoryStreamStore{state: state.New("f")} }
+
+func (m *memoryStreamStore) ChangeStreams(_ context.Context, change *wire.StreamChange) (*wire.StreamAnswer, error) {
+	command, err := state.StreamCommand(change).Encode()
+	if err != nil {
+		return nil, err
+	}
+	batch, err := state.Batch{Time: time.Now().UnixMilli(), Commands: [][]byte{command}}.Encode()
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.index++
+	r := m.state.ApplyBatch(m.index, batch)[0]
+	return r.Streams, r.Err()
+}
+
 func discardLog() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -197,7 +223,7 @@
 			defer gw.mu.Unlock()
 			return gw.view
 		},
-		HeaderNames: testHeaderNames(), Forwarder: engine.New(engine.Options{}), Dispatcher: dispatcher, MaxConfigAge: time.Second, CrashStore: discardCrashMarks{},
+		HeaderNames: testHeaderNames(), Forwarder: engine.New(engine.Options{}), Dispatcher: dispatcher, MaxConfigAge: time.Second, CrashStore: discardCrashMarks{}, StreamStore: newMemoryStreamStore(),
 		MaxHeaderBytes: 8 << 10, ReadHeaderTimeout: time.Second, Log: discardLog(), Registry: metrics.NewRegistry(),
 	}
 	change(&opts)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -91,6 +91,11 @@
 	return len(t.Document.Accounts) > 0 && !r.Public
 }
 
+// LeadsTo reports whether the route may lead to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Pick selects a service by weight; fraction is uniform in [0, 1).
 func (r *Route) Pick(fraction float64) string {
 	total := 0
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -35,6 +35,13 @@
 	// kept, which is the length of a quarantine.
 	MaxCrashMarks      = 512
 	CrashMarkRetention = time.Hour
+	// MaxStreams bounds the streams whose beginning is remembered, MaxStreamsOfChange those of one
+	// change, and MaxListedServices the services. StreamRetention is how long the beginning of a
+	// stream is remembered, so that its caller can resume it.
+	MaxStreams         = 200_000
+	MaxStreamsOfChange = 8_192
+	MaxListedServices  = 1_024
+	StreamRetention    = 2 * time.Minute
 	// MaxOrders and MaxOrdersPerUpstream bound the orders that wait to be sent.
 	MaxOrders            = 1_024
 	MaxOrdersPerUpstream = 16
@@ -61,6 +68,11 @@
 	CrashMarks *CrashMarkChange `msgpack:"-"`
 }
 
+// StreamCommand returns the command that applies a change of streams.
+func StreamCommand(c *wire.StreamChange) Command {
+	return Command{CrashMarks: &CrashMarkChange{streams: c}}
+}
+
 // Extension returns the extension of the command, nil if there is nothing to add.
 func (c Command) Extension() any {
 	if c.CrashMarks == nil {
@@ -219,6 +231,22 @@
 	Revision uint64
 	Claim    *ClaimAnswer
 	Order    *OrderResult
+	// Streams is the extension of the result.
+	Streams *wire.StreamAnswer `msgpack:"-"`
+}
+
+// Extension returns the extension of the result, nil if there is nothing to add.
+func (r Result) Extension() any {
+	if r.Streams == nil {
+		return nil
+	}
+	return r.Streams
+}
+
+// ExtensionTarget returns what the extension of the result is decoded into.
+func (r *Result) ExtensionTarget() any {
+	r.Streams = &wire.StreamAnswer{}
+	return r.Streams
 }
 
 // Err returns the failure that the result describes, or nil.
--- a/internal/state/crashmarks.go
+++ b/internal/state/crashmarks.go
@@ -16,6 +16,23 @@
 	// Added are the marks of one crash. Disproved are marks of requests or prompt parts that an
 	// upstream has answered since; their At is not used.
 	Added, Disproved []CrashMark
+	// streams is set in place of marks in a command that changes streams. It is an extension of
+	// the command's extension, because that has been released.
+	streams *wire.StreamChange
+}
+
+// Extension returns the extension of the change, nil if there is nothing to add.
+func (c CrashMarkChange) Extension() any {
+	if c.streams == nil {
+		return nil
+	}
+	return c.streams
+}
+
+// ExtensionTarget returns what the extension of the change is decoded into.
+func (c *CrashMarkChange) ExtensionTarget() any {
+	c.streams = &wire.StreamChange{}
+	return c.streams
 }
 
 func sameCrash(a, b CrashMark) bool {
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -34,6 +34,23 @@
 	MarksVersion uint64
 
 	Orders []savedOrder
+
+	// Streams is the extension of the snapshot.
+	Streams *savedStreams `msgpack:"-"`
+}
+
+// Extension returns the extension of the snapshot, nil if there is nothing to add.
+func (s snapshot) Extension() any {
+	if s.Streams == nil {
+		return nil
+	}
+	return s.Streams
+}
+
+// ExtensionTarget returns what the extension of the snapshot is decoded into.
+func (s *snapshot) ExtensionTarget() any {
+	s.Streams = &savedStreams{}
+	return s.Streams
 }
 
 type savedAnswer struct {
@@ -77,6 +94,7 @@
 	for _, p := range s.Orders() {
 		out.Orders = append(out.Orders, savedOrder{p, p.answerKey})
 	}
+	out.Streams = s.streams.save()
 	return wire.Marshal(out)
 }
 
@@ -121,6 +139,9 @@
 		o.Order.answerKey = o.Answer
 		restored.orders[o.Order.Fence] = o.Order
 	}
+	if in.Streams != nil {
+		restored.streams.restore(in.Streams)
+	}
 	*s = *restored
 	return nil
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -34,6 +34,8 @@
 	crashMarksVersion uint64
 
 	orders map[uint64]PendingOrder
+
+	streams streamTable
 }
 
 // answer is the kept answer to an operator's request. Digest distinguishes a resend from
@@ -52,6 +54,7 @@
 		leases:   map[string]wire.Lease{},
 		claims:   newClaimTable(),
 		orders:   map[uint64]PendingOrder{},
+		streams:  newStreamTable(),
 	}
 }
 
@@ -92,6 +95,7 @@
 	}
 	s.now = now
 	s.claims.expire(now - s.config.Policy.ClaimRetention.Milliseconds())
+	s.streams.expire(now - StreamRetention.Milliseconds())
 	oldestKept := now - CrashMarkRetention.Milliseconds()
 	s.deleteCrashMarks(func(m CrashMark) bool { return m.At < oldestKept })
 }
@@ -119,6 +123,8 @@
 		return s.claims.release(command.Unclaim)
 	case command.Mark != nil:
 		return s.addCrashMark(*command.Mark)
+	case command.CrashMarks != nil && command.CrashMarks.streams != nil:
+		return s.streams.change(s.now, command.CrashMarks.streams)
 	case command.CrashMarks != nil:
 		return s.changeCrashMarks(command.CrashMarks)
 	case command.Order != nil:
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -11,7 +11,7 @@
 // extended is a message with an extension: fields that were added after hosts with the message
 // were released. The extension follows the message as a second array, because a host refuses an
 // array of another length than its own but ignores what follows it. Fields that are added to a
-// released extension need one more.
+// released extension need one more: an extension may have one itself.
 type extended interface {
 	// Extension returns nil if there is nothing to add.
 	Extension() any
@@ -32,12 +32,15 @@
 	if err := enc.Encode(v); err != nil {
 		return nil, fault.Wrap(err, fault.FrameInvalid, "", "encode %T", v)
 	}
-	if m, ok := v.(extended); ok {
-		if extension := m.Extension(); extension != nil {
-			if err := enc.Encode(extension); err != nil {
-				return nil, fault.Wrap(err, fault.FrameInvalid, "", "encode the extension of %T", v)
-			}
+	for m, ok := v.(extended); ok; {
+		extension := m.Extension()
+		if extension == nil {
+			break
 		}
+		if err := enc.Encode(extension); err != nil {
+			return nil, fault.Wrap(err, fault.FrameInvalid, "", "encode the extension of %T", m)
+		}
+		m, ok = extension.(extended)
 	}
 	return buf.Bytes(), nil
 }
@@ -57,10 +60,13 @@
 	if err := dec.Decode(v); err != nil {
 		return fault.Wrap(err, fault.FrameInvalid, "", "decode %T", v)
 	}
-	if r.Len() == 0 {
-		return nil // no extension
+	for ; ok && r.Len() > 0; m, ok = v.(extensionTarget) {
+		v = m.ExtensionTarget()
+		if err := dec.Decode(v); err != nil {
+			return fault.Wrap(err, fault.FrameInvalid, "", "decode the extension of %T", m)
+		}
 	}
-	return fault.Wrap(dec.Decode(m.ExtensionTarget()), fault.FrameInvalid, "", "decode the extension of %T", v)
+	return nil
 }
 
 // PoolOf returns the pool named in a message to a scheduler without decoding the whole
