Leave out odd entries of the upstream list without losing the others

Reported from another system: one odd entry of another writer, and the machines stop following the list. It happens here: an entry nested 20,000 deep, or with bytes that are no JSON, makes the JSON package refuse the whole page, so that the reader keeps its old list for good. A cold time of 1e300 ms, a port 0 and numbers of slots like -1 or 4e18 were taken; many slots draw all requests to an instance. Processes did not end: the package refuses deep nesting with an error.

--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -1,8 +1,10 @@
 package catalog
 
 import (
-	"net/netip"
+	"encoding/json"
 	"time"
+
+	"marigoldshunt/internal/fault"
 )
 
 // Entry is the JSON form of an Instance in the project's own list.
@@ -23,14 +25,36 @@
 	Instances []Entry `json:"instances"`
 }
 
-// Instance converts the entry. ok is false without an ID, a service or a valid address, or
-// with a negative ColdForMS: such an entry describes no usable instance.
+// Instance converts the entry. ok is false if it describes no usable instance.
 func (e Entry) Instance() (i Instance, ok bool) {
-	if _, err := netip.ParseAddrPort(e.Address); err != nil || e.ID == "" || e.Service == "" || e.ColdForMS < 0 {
+	if e.ColdForMS < 0 || e.ColdForMS > maxColdFor.Milliseconds() {
 		return Instance{}, false
 	}
-	return Instance{
+	i = Instance{
 		ID: e.ID, Born: e.Born, Service: e.Service, Version: e.Version, Address: e.Address, DataCentre: e.DataCentre, Slots: e.Slots,
 		Draining: e.Draining, ColdFor: time.Duration(e.ColdForMS) * time.Millisecond,
-	}, true
+	}
+	return i, i.Usable()
+}
+
+// DecodeEntries decodes a list in the project's own form. Entries that can't be decoded describe no
+// usable instance and are skipped.
+func DecodeEntries(body []byte) ([]Instance, error) {
+	var in struct {
+		Instances []json.RawMessage `json:"instances"`
+	}
+	if err := json.Unmarshal(DropUnreadable(body), &in); err != nil {
+		return nil, fault.Wrap(err, fault.UpstreamFailed, "", "the list of instances can't be read")
+	}
+	var out []Instance
+	for _, raw := range in.Instances {
+		var e Entry
+		if json.Unmarshal(raw, &e) != nil {
+			continue
+		}
+		if i, ok := e.Instance(); ok {
+			out = append(out, i)
+		}
+	}
+	return out, nil
 }
--- a/internal/native/native.go
+++ b/internal/native/native.go
@@ -84,15 +84,5 @@
 	if status != http.StatusOK {
 		return nil, fault.New(fault.UpstreamFailed, "", "the list of instances answers with %d", status)
 	}
-	var in catalog.Entries
-	if err := json.Unmarshal(body, &in); err != nil {
-		return nil, fault.Wrap(err, fault.UpstreamFailed, "", "list of instances")
-	}
-	var out []catalog.Instance
-	for _, e := range in.Instances {
-		if i, ok := e.Instance(); ok {
-			out = append(out, i)
-		}
-	}
-	return out, nil
+	return catalog.DecodeEntries(body)
 }
