Check in pools, too, that a response names no other request

Requests of pools took any response on their connection: an earlier refusal that a faulty upstream writes once more was reported as 'not run' for the request that ran, whether it named the earlier request or none.

TestRepeatedRefusalIsNoAnswerInPools failed in both cases before.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -98,6 +98,16 @@
 	return open && !unread
 }
 
+// answers reports whether a response that names the request id named is the one to the request want.
+// An upstream may name none, but not one that has named others on this connection.
+func (c *conn) answers(named, want string) bool {
+	if named == "" && want != "" {
+		return !c.namesIDs
+	}
+	c.namesIDs = c.namesIDs || named != ""
+	return named == want
+}
+
 // connPool keeps idle connections by address.
 type connPool struct {
 	opts      *Options
--- a/internal/engine/do.go
+++ b/internal/engine/do.go
@@ -83,6 +83,10 @@
 		a.failBeforeResponse(err)
 		return
 	}
+	if !a.exchange.conn.answers(a.exchange.header(headerRequestID), a.request.ID) {
+		a.setOutcome(wire.OutcomeBroken, wrap(errNoRequestNamed, fault.UpstreamFailed, fault.MayHaveRun, "upstream %s answered another request", a.request.Upstream))
+		return
+	}
 	a.res.TimeToFirstByte = a.client.opts.Now().Sub(a.start)
 	a.res.Status = a.exchange.resp.StatusCode()
 	a.res.Instance = a.exchange.header(headerInstanceID)
--- a/internal/engine/dropped_test.go
+++ b/internal/engine/dropped_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
 )
 
 // startDroppingUpstream starts an upstream that resets its first connection at the second
@@ -220,3 +221,23 @@
 	}()
 	return ln.Addr().String()
 }
+
+// Guards against the same in pools: the earlier refusal says that the request which runs now did not.
+func TestRepeatedRefusalIsNoAnswerInPools(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nX-Not-Run: true\r\nContent-Length: 0\r\n"
+	for name, second := range map[string]string{"with the id of the first request": refusal + "X-Request-Id: r1\r\n\r\n", "without an id": refusal + "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			address := startAnsweringUpstream(t, refusal+"X-Request-Id: r1\r\n\r\n", second)
+			client := New(Options{})
+			defer client.Close()
+			send := func(id string) Result {
+				return client.Do(t.Context(), &Request{Upstream: "u", Address: address, Method: "POST", Path: "/", ID: id}, &recordingSink{})
+			}
+			c.Assert(send("r1").Outcome, qt.Equals, wire.OutcomeRefused)
+			r := send("r2")
+			c.Assert(r.Outcome, qt.Equals, wire.OutcomeBroken)
+			c.Assert(r.Err.RunState, qt.Equals, fault.MayHaveRun)
+		})
+	}
+}
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -137,8 +137,7 @@
 		}
 		id := resp.Header.Get(r.IDHeader)
 		switch {
-		case r.IDHeader == "" || id == r.ID || id == "" && !f.conn.namesIDs:
-			f.conn.namesIDs = f.conn.namesIDs || id != ""
+		case r.IDHeader == "" || f.conn.answers(id, r.ID):
 			f.setResponse(resp)
 			return nil
 		case id == "":
