Show the versions of upstreams, and let the emulator name one

marigoldshuntctl instances has a column VERSION and the state 'paused'; the emulator's list names its -version. The tests of requests that wait at a gate share their setup: 3 copies became one.

--- a/internal/ctl/routing.go
+++ b/internal/ctl/routing.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -66,11 +67,11 @@
 				}
 				all[s.value.Host] = s.value.Edge
 				for _, i := range s.value.Edge.Instances {
-					rows = append(rows, []string{s.value.Host, i.Service, i.ID, i.Address, i.DataCentre, i.State,
+					rows = append(rows, []string{s.value.Host, i.Service, i.ID, cmp.Or(i.Version, "-"), i.Address, i.DataCentre, i.State,
 						fmt.Sprint(i.Running), fmt.Sprint(i.Backlog), fmt.Sprintf("%.2f", i.Failing), fmt.Sprintf("%g", i.RateLimit)})
 				}
 			}
-			return a.show(all, "HOST SERVICE INSTANCE ADDRESS DATA_CENTRE STATE RUNNING BACKLOG FAILING RATE_LIMIT", rows)
+			return a.show(all, "HOST SERVICE INSTANCE VERSION ADDRESS DATA_CENTRE STATE RUNNING BACKLOG FAILING RATE_LIMIT", rows)
 		},
 	}
 }
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -12,7 +12,9 @@
 	Service    string `json:"service"`
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
-	// State is ready, cold, suspect, draining, out or gone.
+	// Version is that of the instance's software, empty when unknown.
+	Version string `json:"version,omitempty"`
+	// State is ready, cold, suspect, paused, draining, out or gone.
 	State string `json:"state"`
 	// Running counts the requests of this host.
 	Running int `json:"running"`
@@ -31,7 +33,7 @@
 	out := make([]InstanceStatus, 0, len(d.instances))
 	for _, x := range d.instances {
 		out = append(out, InstanceStatus{
-			ID: x.ID, Service: x.Service, Address: x.Address, DataCentre: x.DataCentre, State: d.state(x, now),
+			ID: x.ID, Service: x.Service, Address: x.Address, DataCentre: x.DataCentre, Version: x.Version, State: d.state(x, now),
 			Running: x.running, Backlog: x.gate.Backlog, Failing: d.failureRate(x, now), RateLimit: x.rateLimit,
 		})
 	}
--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -46,6 +46,7 @@
 	fs.Float64Var(&model.PromptTokensPerMs, "engine-read-per-ms", model.PromptTokensPerMs, "prompt tokens that the engine reads in one ms")
 	fs.IntVar(&model.ColdPerSecond, "engine-cold-per-second", 0, "requests per second that a cold engine can handle, 0 for no limit")
 	fs.Float64Var(&opts.RateLimit, "rate-limit", 0, "requests per second that answers to routed requests name, 0 to name none")
+	fs.StringVar(&opts.Version, "version", "", "software version in the list of instances")
 	fs.BoolVar(&opts.Leaving, "leaving", false, "say in answers to routed requests that the upstream is about to stop")
 	fs.StringVar(&opts.CrashPart, "crash-part", "", "hexadecimal id of a prompt part, not the last one, that makes the upstream crash")
 	fs.DurationVar(&opts.CrashDowntime, "crash-down", 500*time.Millisecond, "how long connections are refused after a crash")
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -61,6 +61,8 @@
 	// RateLimit is the number of requests per second that answers to routed requests name; 0
 	// names none. It is not enforced.
 	RateLimit float64
+	// Version is the software version in the list of instances.
+	Version string
 	// Leaving makes answers to routed requests say that the upstream is about to stop.
 	Leaving bool
 	// CrashPart is the hexadecimal id of a prompt part that makes the upstream crash, unless it
--- a/internal/emulator/routed.go
+++ b/internal/emulator/routed.go
@@ -70,7 +70,7 @@
 		e.mu.Unlock()
 	}
 	writeJSON(w, catalog.Entries{Instances: []catalog.Entry{{
-		ID: e.Instance(), Service: e.opts.Service, DataCentre: e.opts.DataCentre, Address: r.Host, Slots: e.opts.Slots, ColdForMS: cold,
+		ID: e.Instance(), Service: e.opts.Service, Version: e.opts.Version, DataCentre: e.opts.DataCentre, Address: r.Host, Slots: e.opts.Slots, ColdForMS: cold,
 	}}})
 }
 
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -35,6 +35,37 @@
 	}
 }
 
+// queuedRequest is a gateway with an upstream that runs one request while another one waits at its gate.
+type queuedRequest struct {
+	gw       *testGateway
+	upstream *upstream
+	// end lets the upstream answer; statuses receives those of both requests.
+	end      chan struct{}
+	statuses chan int
+}
+
+// newQueuedRequest returns once the second request waits. The upstream answers with a raw response.
+func newQueuedRequest(t *testing.T, response string) *queuedRequest {
+	q := &queuedRequest{end: make(chan struct{}), statuses: make(chan int, 2)}
+	begun := make(chan struct{}, 2)
+	q.upstream = newUpstream(t, func(req *receivedRequest) {
+		begun <- struct{}{}
+		<-q.end
+		writeRaw("%s", response)(req)
+	})
+	gw, gates := newGatedGateway(t, q.upstream)
+	q.gw = gw
+	send := func(usage string) {
+		resp, _, _ := gw.do("POST", "/order/x", "", "X-Token-Usage: "+usage)
+		q.statuses <- resp.StatusCode
+	}
+	go send("1,1")
+	<-begun
+	go send("1000,1")
+	waitForQueued(t, gates, 1000)
+	return q
+}
+
 // Guards against requests that reach an instance which left the service while they waited at its gate.
 func TestRequestsThatWaitedAreNotSentToALeavingInstance(t *testing.T) {
 	listed := func(u *upstream, draining bool) catalog.Instance {
@@ -59,26 +90,11 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			begun, end := make(chan struct{}, 2), make(chan struct{})
-			u := newUpstream(t, func(req *receivedRequest) {
-				begun <- struct{}{}
-				<-end
-				writeRaw("%s", rawResponse(200, "ok"))(req)
-			})
-			gw, gates := newGatedGateway(t, u)
-			statuses := make(chan int, 2)
-			send := func(usage string) {
-				resp, _, _ := gw.do("POST", "/order/x", "", "X-Token-Usage: "+usage)
-				statuses <- resp.StatusCode
-			}
-			go send("1,1")
-			<-begun
-			go send("1000,1")
-			waitForQueued(t, gates, 1000)
-			gw.server.opts.Dispatcher.Update(func(d *dispatch.Dispatcher, _ time.Time) { test.leave(d, u) })
-			close(end)
-			c.Assert(<-statuses+<-statuses, qt.Equals, http.StatusOK+http.StatusServiceUnavailable)
-			c.Assert(u.requests(), qt.HasLen, 1)
+			q := newQueuedRequest(t, rawResponse(200, "ok"))
+			q.gw.server.opts.Dispatcher.Update(func(d *dispatch.Dispatcher, _ time.Time) { test.leave(d, q.upstream) })
+			close(q.end)
+			c.Assert(<-q.statuses+<-q.statuses, qt.Equals, http.StatusOK+http.StatusServiceUnavailable)
+			c.Assert(q.upstream.requests(), qt.HasLen, 1)
 		})
 	}
 }
@@ -151,50 +167,20 @@
 // Guards against requests that waited at a gate and reach an upstream that wants none for some time.
 func TestRequestsThatWaitedRespectTheRetryTimeOfAnUpstream(t *testing.T) {
 	c := qt.New(t)
-	begun, end := make(chan struct{}, 2), make(chan struct{})
-	u := newUpstream(t, func(req *receivedRequest) {
-		begun <- struct{}{}
-		<-end
-		writeRaw("%s", "HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Not-Run: true\r\nRetry-After: 30\r\n\r\n")(req)
-	})
-	gw, gates := newGatedGateway(t, u)
-	statuses := make(chan int, 2)
-	send := func(usage string) {
-		resp, _, _ := gw.do("POST", "/order/x", "", "X-Token-Usage: "+usage)
-		statuses <- resp.StatusCode
-	}
-	go send("1,1")
-	<-begun
-	go send("1000,1")
-	waitForQueued(t, gates, 1000)
-	close(end)
-	c.Assert(<-statuses+<-statuses, qt.Equals, 2*http.StatusServiceUnavailable)
-	c.Assert(u.requests(), qt.HasLen, 1)
+	q := newQueuedRequest(t, "HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Not-Run: true\r\nRetry-After: 30\r\n\r\n")
+	close(q.end)
+	c.Assert(<-q.statuses+<-q.statuses, qt.Equals, 2*http.StatusServiceUnavailable)
+	c.Assert(q.upstream.requests(), qt.HasLen, 1)
 }
 
 // Guards against requests of a host that may not know which instances leave: new ones, and one that waits at a gate.
 func TestHostWhoseListNobodyConfirmsSendsNothing(t *testing.T) {
 	c := qt.New(t)
-	begun, end := make(chan struct{}, 2), make(chan struct{})
-	u := newUpstream(t, func(req *receivedRequest) {
-		begun <- struct{}{}
-		<-end
-		writeRaw("%s", rawResponse(200, "ok"))(req)
-	})
-	gw, gates := newGatedGateway(t, u)
-	statuses := make(chan int, 3)
-	send := func(usage string) {
-		resp, _, _ := gw.do("POST", "/order/x", "", "X-Token-Usage: "+usage)
-		statuses <- resp.StatusCode
-	}
-	go send("1,1")
-	<-begun
-	go send("1000,1")
-	waitForQueued(t, gates, 1000)
-	gw.setView(func(v *View) { v.ListContactAge = catalog.MaxContactAge + time.Millisecond })
-	send("1,1")
-	c.Assert(<-statuses, qt.Equals, http.StatusServiceUnavailable)
-	close(end)
-	c.Assert(<-statuses+<-statuses, qt.Equals, http.StatusOK+http.StatusServiceUnavailable)
-	c.Assert(u.requests(), qt.HasLen, 1)
+	q := newQueuedRequest(t, rawResponse(200, "ok"))
+	q.gw.setView(func(v *View) { v.ListContactAge = catalog.MaxContactAge + time.Millisecond })
+	resp, _, _ := q.gw.do("POST", "/order/x", "")
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	close(q.end)
+	c.Assert(<-q.statuses+<-q.statuses, qt.Equals, http.StatusOK+http.StatusServiceUnavailable)
+	c.Assert(q.upstream.requests(), qt.HasLen, 1)
 }
