Ask only a few hosts whether the list of upstreams is the same

A host asked any other one, which would keep a session with each of 370 hosts open on its account alone. It now asks the eight hosts that rendezvous hashing gives it, in random order; they change only as hosts come and go.

--- a/internal/catalog/contact.go
+++ b/internal/catalog/contact.go
@@ -1,9 +1,12 @@
 package catalog
 
 import (
+	"cmp"
 	"math/rand"
 	"slices"
 	"time"
+
+	"marigoldshunt/internal/rendezvous"
 )
 
 // Timing of the questions by which a host checks that its list is the one of the fleet.
@@ -16,6 +19,8 @@
 	// list. With the second between two reads of the list it stays below the time in which an
 	// instance that leaves must get no more requests.
 	MaxContactAge = 1800 * time.Millisecond
+	// maxAskedHosts bounds the hosts that one host asks, and with them its sessions.
+	maxAskedHosts = 8
 	// maxOpenQuestions bounds the questions whose answers still count.
 	maxOpenQuestions = 16
 )
@@ -25,14 +30,15 @@
 //
 // Announcements of the list can't tell that: a host that is short of CPU time reads them late, and
 // the age that they name leaves out the time on the way. The age of an answer counts from its
-// question, on the host's own clock. A random host is asked, so that no host answers for all and the
-// loss of a few costs no contact.
+// question, on the host's own clock. Each host asks a few others, in random order, so that no host
+// answers for all and the loss of some costs no contact.
 //
 // A Contact does no I/O and reads no clock, and is not safe for concurrent use. Times are those of a
 // monotonic clock.
 type Contact struct {
-	host   string
-	rng    *rand.Rand
+	host string
+	rng  *rand.Rand
+	// others are the hosts that are asked.
 	others []string
 	// answering holds the other hosts that have answered before. Hosts of an earlier version of
 	// the program never do.
@@ -53,9 +59,15 @@
 	return &Contact{host: host, rng: rng, askedAt: map[uint64]time.Duration{}}
 }
 
-// SetHosts replaces the live hosts, with or without this one.
+// SetHosts replaces the live hosts, with or without this one. Those that are asked stay the same
+// while they live.
 func (c *Contact) SetHosts(hosts []string) {
 	c.others = slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == c.host })
+	key := rendezvous.Hash(c.host)
+	slices.SortFunc(c.others, func(a, b string) int {
+		return cmp.Compare(rendezvous.Weight(key, rendezvous.Hash(b)), rendezvous.Weight(key, rendezvous.Hash(a)))
+	})
+	c.others = c.others[:min(len(c.others), maxAskedHosts)]
 	c.answering = slices.DeleteFunc(c.answering, func(h string) bool { return !slices.Contains(c.others, h) })
 }
 
