Name the reasons that exclude an instance for what they are

LeaveReason also holds pauses and addresses that others have. The type is ExclusionReason, the failure upstream_excluded, and the log line says what happens to the request.

--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -60,8 +60,8 @@
 // mayTake reports whether an instance can take a job, and counts the reason if not.
 func (d *Dispatcher) mayTake(s *routing.Service, j *Job, x *instance, now time.Time) bool {
 	left := &j.Decision.LeftOut
-	switch reason := d.leaveReason(x, now); {
-	case reason != NotLeft:
+	switch reason := d.exclusion(x, now); {
+	case reason != NotExcluded:
 		left.count(reason)
 	case !j.mayContinueAt(x):
 		left.OtherVersion++
@@ -77,7 +77,7 @@
 }
 
 // count counts an instance that may get no new requests.
-func (l *LeftOut) count(reason LeaveReason) {
+func (l *LeftOut) count(reason ExclusionReason) {
 	switch reason {
 	case Draining:
 		l.Draining++
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -250,7 +250,7 @@
 func (d *Dispatcher) nextInstanceIn(s *routing.Service, now time.Time) time.Duration {
 	wait := maxPickRetryAfter
 	for _, x := range d.byService[s.Name] {
-		if d.leaveReason(x, now) != Paused {
+		if d.exclusion(x, now) != Paused {
 			return noInstanceRetryAfter
 		}
 		wait = min(wait, x.pausedUntil.Sub(now))
@@ -310,7 +310,7 @@
 	var best *instance
 	var bestWeight uint64
 	for _, x := range d.byService[s.Name] {
-		if d.leaveReason(x, now) != NotLeft || !j.mayContinueAt(x) || dataCentre != "" && x.DataCentre != dataCentre {
+		if d.exclusion(x, now) != NotExcluded || !j.mayContinueAt(x) || dataCentre != "" && x.DataCentre != dataCentre {
 			continue
 		}
 		if w := rendezvous.Weight(key, x.hash); (best == nil || w > bestWeight) && d.coldLimitAllows(s, x, now) {
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/exclusion.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// LeaveReason says why an instance may get no new requests.
-type LeaveReason uint8
+// ExclusionReason says why an instance may get no new requests.
+type ExclusionReason uint8
 
 // Reasons why an instance may get no new requests.
 const (
-	// NotLeft means that it may get requests.
-	NotLeft LeaveReason = iota
+	// NotExcluded means that it may get requests.
+	NotExcluded ExclusionReason = iota
 	// NotListed means that it is not in the list of instances any more.
 	NotListed
 	// Draining means that it is about to stop.
@@ -25,10 +25,10 @@
 )
 
 // String returns the name of the reason in logs.
-func (r LeaveReason) String() string {
+func (r ExclusionReason) String() string {
 	switch r {
-	case NotLeft:
-		return "not_left"
+	case NotExcluded:
+		return "not_excluded"
 	case NotListed:
 		return "not_listed"
 	case Draining:
@@ -43,18 +43,18 @@
 	return "reason_" + strconv.Itoa(int(r))
 }
 
-// Left returns why the instance of a placement may get no new requests now. A request may wait
+// Excluded returns why the instance of a placement may get no new requests now. A request may wait
 // for seconds between the choice of its instance and its sending.
-func (d *Dispatcher) Left(p *Placement, now time.Time) LeaveReason {
+func (d *Dispatcher) Excluded(p *Placement, now time.Time) ExclusionReason {
 	x := d.instances[p.Instance.Key()]
 	if x == nil {
 		return NotListed
 	}
-	return d.leaveReason(x, now)
+	return d.exclusion(x, now)
 }
 
-// leaveReason returns why a listed instance may get no new requests.
-func (d *Dispatcher) leaveReason(x *instance, now time.Time) LeaveReason {
+// exclusion returns why a listed instance may get no new requests.
+func (d *Dispatcher) exclusion(x *instance, now time.Time) ExclusionReason {
 	switch {
 	case x.Draining || x.leaving:
 		return Draining
@@ -65,5 +65,5 @@
 	case now.Before(x.pausedUntil):
 		return Paused
 	}
-	return NotLeft
+	return NotExcluded
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -50,7 +50,7 @@
 	SchedulerLost          Code = "scheduler_lost"
 	UpstreamFailed         Code = "upstream_failed"
 	UpstreamRefused        Code = "upstream_refused"
-	UpstreamLeft           Code = "upstream_left"
+	UpstreamExcluded       Code = "upstream_excluded"
 	StreamCut              Code = "stream_cut"
 	StreamOriginUnknown    Code = "stream_origin_unknown"
 	CallerGone             Code = "caller_gone"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,7 +30,7 @@
 			return nil
 		}
 		failure := fault.As(err)
-		if failure.Code == fault.UpstreamLeft && q.sends == 0 && ctx.Err() == nil {
+		if failure.Code == fault.UpstreamExcluded && q.sends == 0 && ctx.Err() == nil {
 			continue // nothing was sent, and the next choice leaves this instance out
 		}
 		if failure.Code == fault.QueueFull && failure.RunState == fault.NotRun && q.sends == 0 {
@@ -164,9 +164,9 @@
 	if view.Table.NeedsCredential(q.route) && view.Table.Account(q.r.Header.Get(q.server.opts.HeaderNames.Credential)) == nil {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "the credential is not known any more")
 	}
-	if reason := q.server.opts.Dispatcher.left(p); reason != dispatch.NotLeft {
-		q.logLeft(p, reason)
-		return fault.New(fault.UpstreamLeft, fault.NotRun, "instance %s has left the service (%s)", p.Instance.ID, reason).WithRetryAfter(shortRetryAfter)
+	if reason := q.server.opts.Dispatcher.excluded(p); reason != dispatch.NotExcluded {
+		q.logExcluded(p, reason)
+		return fault.New(fault.UpstreamExcluded, fault.NotRun, "instance %s may get no requests any more (%s)", p.Instance.ID, reason).WithRetryAfter(shortRetryAfter)
 	}
 	return q.checkCrashes()
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -48,9 +48,9 @@
 	x.Update(func(_ *dispatch.Dispatcher, now time.Time) { p.Done(outcome, now) })
 }
 
-// left returns why the instance of a placement may get no new requests any more.
-func (x *LockedDispatcher) left(p *dispatch.Placement) (reason dispatch.LeaveReason) {
-	x.Update(func(d *dispatch.Dispatcher, now time.Time) { reason = d.Left(p, now) })
+// excluded returns why the instance of a placement may get no new requests any more.
+func (x *LockedDispatcher) excluded(p *dispatch.Placement) (reason dispatch.ExclusionReason) {
+	x.Update(func(d *dispatch.Dispatcher, now time.Time) { reason = d.Excluded(p, now) })
 	return reason
 }
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -101,14 +101,14 @@
 	return q.sends == 0 && (!q.job.MayTryAnotherEngine(len(q.job.Tried)) || q.job.Decision.Candidates == 1)
 }
 
-// logLeft logs that the chosen instance left the service while the request waited.
-func (q *request) logLeft(p *dispatch.Placement, reason dispatch.LeaveReason) {
-	q.server.count("left_while_waiting")
+// logExcluded logs that the chosen instance may get no requests any more since the request waited.
+func (q *request) logExcluded(p *dispatch.Placement, reason dispatch.ExclusionReason) {
+	q.server.count("excluded_while_waiting")
 	if logsink.DropsSecondary(q.server.log, logrus.InfoLevel) {
 		return
 	}
 	fields := logrus.Fields{"request": q.id, "instance": p.Instance.ID, "left_out": reason.String(), "waited_ms": time.Since(q.arrived).Milliseconds()}
 	fields["list_age_ms"], fields["list_version"] = q.view.ListAge.Milliseconds(), catalog.FormatVersion(q.view.ListVersion)
 	q.gate.AddFields(fields, time.Now())
-	q.server.log.WithFields(fields).Info("Upstream left the service while the request waited.")
+	q.server.log.WithFields(fields).Info("Upstream may get no requests any more; the request is placed again.")
 }
