--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -36,11 +36,12 @@
 	MaxCrashMarks      = 512
 	CrashMarkRetention = time.Hour
 	// MaxStreams bounds the streams whose beginning is remembered, MaxStreamsOfChange those of one
-	// change, and MaxListedServices the services. StreamRetention is how long the beginning of a
+	// change, MaxListedServices the services and MaxStreamOrigins their versions. StreamRetention is how long the beginning of a
 	// stream is remembered, so that its caller can resume it.
 	MaxStreams         = 200_000
 	MaxStreamsOfChange = 8_192
 	MaxListedServices  = 1_024
+	MaxStreamOrigins   = 4_096
 	StreamRetention    = 2 * time.Minute
 	// MaxOrders and MaxOrdersPerUpstream bound the orders that wait to be sent.
 	MaxOrders            = 1_024
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -139,8 +139,8 @@
 		o.Order.answerKey = o.Answer
 		restored.orders[o.Order.Fence] = o.Order
 	}
-	if in.Streams != nil {
-		restored.streams.restore(in.Streams)
+	if in.Streams != nil && !restored.streams.restore(in.Streams) {
+		return fault.New(fault.StorageCorrupt, "", "the snapshot holds a stream without an origin")
 	}
 	*s = *restored
 	return nil
--- a/internal/state/streams.go
+++ b/internal/state/streams.go
@@ -13,17 +13,22 @@
 // after all hosts were lost. While one version of a service has been alone for longer than
 // StreamRetention, nothing has to be remembered: a stream can only have begun there.
 type streamTable struct {
-	origins map[wire.StreamID]streamOrigin
+	begun map[wire.StreamID]begunStream
 	// order holds the ids in the order of their times.
-	order  []wire.StreamID
-	listed map[string]listedVersions
+	order []wire.StreamID
+	// origins are the places where streams began, named by their index: a large fleet remembers
+	// some hundred thousand streams and a few places.
+	origins []streamOrigin
+	listed  map[string]listedVersions
 }
 
-type streamOrigin struct {
-	service, version string
-	at               int64
+type begunStream struct {
+	at     int64
+	origin uint16
 }
 
+type streamOrigin struct{ Service, Version string }
+
 // listedVersions are the versions of a service, and since when; 0 means since the first list.
 type listedVersions struct {
 	versions  []string
@@ -31,7 +36,7 @@
 }
 
 func newStreamTable() streamTable {
-	return streamTable{origins: map[wire.StreamID]streamOrigin{}, listed: map[string]listedVersions{}}
+	return streamTable{begun: map[wire.StreamID]begunStream{}, listed: map[string]listedVersions{}}
 }
 
 func checkStreamChange(c *wire.StreamChange) error {
@@ -63,16 +68,21 @@
 		t.list(now, l)
 	}
 	for _, b := range c.Begun {
+		origin, ok := t.originIndex(streamOrigin{b.Service, b.Version})
+		if !ok {
+			return refuse(fault.BadRequest, fault.NotRun, "streams began at more than 4096 services and versions")
+		}
 		for _, id := range b.IDs {
-			if _, known := t.origins[id]; !known {
-				t.insert(id, streamOrigin{b.Service, b.Version, now})
+			if _, known := t.begun[id]; !known {
+				t.insert(id, begunStream{now, origin})
 			}
 		}
 	}
 	answer := &wire.StreamAnswer{Services: t.services(now)}
 	for _, id := range c.Asked {
-		if o, known := t.origins[id]; known {
-			answer.Known = append(answer.Known, wire.StreamOrigin{ID: id, Service: o.service, Version: o.version})
+		if b, known := t.begun[id]; known {
+			o := t.origins[b.origin]
+			answer.Known = append(answer.Known, wire.StreamOrigin{ID: id, Service: o.Service, Version: o.Version})
 		}
 	}
 	return Result{Streams: answer}
@@ -89,22 +99,39 @@
 	t.listed[l.Service] = listedVersions{l.Versions, now}
 }
 
-func (t *streamTable) insert(id wire.StreamID, o streamOrigin) {
+// originIndex returns the index of an origin, which is added if it is new. Origins without streams
+// are removed when no stream is remembered.
+func (t *streamTable) originIndex(o streamOrigin) (index uint16, ok bool) {
+	if len(t.begun) == 0 {
+		t.origins = nil
+	}
+	i := slices.Index(t.origins, o)
+	if i < 0 && len(t.origins) >= MaxStreamOrigins {
+		return 0, false
+	}
+	if i < 0 {
+		i = len(t.origins)
+		t.origins = append(t.origins, o)
+	}
+	return uint16(i), true
+}
+
+func (t *streamTable) insert(id wire.StreamID, b begunStream) {
 	if len(t.order) >= MaxStreams {
 		t.dropFirst()
 	}
-	t.origins[id] = o
+	t.begun[id] = b
 	t.order = append(t.order, id)
 }
 
 func (t *streamTable) dropFirst() {
-	delete(t.origins, t.order[0])
+	delete(t.begun, t.order[0])
 	t.order = t.order[1:]
 }
 
 // expire drops the streams that began before a time.
 func (t *streamTable) expire(before int64) {
-	for len(t.order) > 0 && t.origins[t.order[0]].at < before {
+	for len(t.order) > 0 && t.begun[t.order[0]].at < before {
 		t.dropFirst()
 	}
 }
@@ -120,13 +147,15 @@
 
 // savedStreams is the encoded form of a streamTable.
 type savedStreams struct {
+	Origins []streamOrigin
 	Streams []savedStream
 	Listed  []savedVersions
 }
 
 type savedStream struct {
-	Origin wire.StreamOrigin
+	ID     wire.StreamID
 	At     int64
+	Origin uint16
 }
 
 type savedVersions struct {
@@ -140,10 +169,10 @@
 	if len(t.order) == 0 && len(t.listed) == 0 {
 		return nil
 	}
-	out := &savedStreams{}
-	for _, id := range t.order {
-		o := t.origins[id]
-		out.Streams = append(out.Streams, savedStream{wire.StreamOrigin{ID: id, Service: o.service, Version: o.version}, o.at})
+	out := &savedStreams{Origins: t.origins, Streams: make([]savedStream, len(t.order))}
+	for i, id := range t.order {
+		b := t.begun[id]
+		out.Streams[i] = savedStream{id, b.at, b.origin}
 	}
 	for service, l := range t.listed {
 		out.Listed = append(out.Listed, savedVersions{service, l.versions, l.changedAt})
@@ -152,11 +181,17 @@
 	return out
 }
 
-func (t *streamTable) restore(in *savedStreams) {
+// restore returns false for a table that save did not write.
+func (t *streamTable) restore(in *savedStreams) bool {
+	t.origins = in.Origins
 	for _, s := range in.Streams {
-		t.insert(s.Origin.ID, streamOrigin{s.Origin.Service, s.Origin.Version, s.At})
+		if int(s.Origin) >= len(t.origins) {
+			return false
+		}
+		t.insert(s.ID, begunStream{s.At, s.Origin})
 	}
 	for _, l := range in.Listed {
 		t.listed[l.Service] = listedVersions{l.Versions, l.ChangedAt}
 	}
+	return true
 }
--- a/internal/state/streams_test.go
+++ b/internal/state/streams_test.go
@@ -76,7 +76,7 @@
 		}
 		applyStreams(c, s, uint64(i+1), time.Hour, wire.StreamChange{Begun: []wire.BegunStreams{{Service: "svc", Version: "v1", IDs: ids}}})
 	}
-	c.Assert(s.streams.origins, qt.HasLen, MaxStreams)
+	c.Assert(s.streams.begun, qt.HasLen, MaxStreams)
 	answer := applyStreams(c, s, 100, time.Hour, wire.StreamChange{Asked: []wire.StreamID{1, id}})
 	c.Assert(answer.Known, qt.HasLen, 1)
 	tooMany := wire.StreamChange{Asked: make([]wire.StreamID, MaxStreamsOfChange+1)}
