Add the failing test of a quarantine that nothing can disprove

Three instances crash 200 ms apart with requests that share a sound part and have a crashing one, and nothing is answered in between: checkParts then refuses every request with the sound part, so no answer can disprove its marks until they expire after an hour. This is the cause that the issue suspected, shown on the tracker with its clock injected. The mend is not begun.

--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -309,3 +309,24 @@
 		gw.Check(complete, qt.Equals, test.complete, qt.Commentf(test.name))
 	}
 }
+
+// Guards against sound requests that are refused for an hour because all crashes before any answer involved a part that they share.
+func TestSoundRequestsAreServedAgainAfterAWaveOfCrashes(t *testing.T) {
+	c := qt.New(t)
+	const shared, bad = 1, 2
+	const servedWithin = 5 * time.Second
+	tracker, rec, clock := crashingTracker()
+	for i, instance := range []string{"a", "b", "c"} {
+		crashAt(tracker, rec, instance, byte(i), shared, bad)
+		*clock = clock.Add(minCrashGap)
+	}
+	served := false
+	for waited := time.Duration(0); waited < servedWithin && !served; waited += minCrashGap {
+		*clock = clock.Add(minCrashGap)
+		if served = tracker.checkParts("s", partList(shared)) == nil; served {
+			tracker.partsAnswered("s", partList(shared))
+		}
+	}
+	c.Assert(served, qt.IsTrue)
+	c.Assert(fault.CodeOf(tracker.checkParts("s", partList(shared, bad))), qt.Equals, fault.CrashesUpstreams)
+}
