--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -211,9 +211,9 @@
 	case resp.Status == http.StatusMisdirectedRequest:
 		q.server.opts.Dispatcher.markReplaced(p)
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "another instance has the address of %s", p.Instance.ID)
-	case names.NotRun != "" && resp.Header.Get(names.NotRun) != "":
+	case names.notRun(resp.Header):
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "instance %s refused the request with %d", p.Instance.ID, resp.Status).WithRetryAfter(shortRetryAfter)
-	case resp.Status < 300 && (names.UpstreamProof != "" && resp.Header.Get(names.UpstreamProof) == "" || resp.Header.Get("Content-Encoding") != ""):
+	case resp.Status < 300 && (!names.proven(resp.Header) || resp.Header.Get("Content-Encoding") != ""):
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "the answer of instance %s is not its own", p.Instance.ID)
 	case resp.Status < 300 && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
 		return q.relayStream(ctx, p, resp)
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -139,10 +139,20 @@
 	return max(input, 0), max(output, 0)
 }
 
+// proven reports whether a response has the proof of its upstream, if upstreams give one.
+func (names *HeaderNames) proven(h http.Header) bool {
+	return names.UpstreamProof == "" || h.Get(names.UpstreamProof) != ""
+}
+
+// notRun reports whether a response proves that the upstream did not run the request.
+func (names *HeaderNames) notRun(h http.Header) bool {
+	return names.NotRun != "" && h.Get(names.NotRun) != ""
+}
+
 // ownResponse reports whether the upstream itself produced a response, which then has its proof or
 // says that the request did not run.
 func (names *HeaderNames) ownResponse(h http.Header) bool {
-	return names.UpstreamProof == "" || h.Get(names.UpstreamProof) != "" || names.NotRun != "" && h.Get(names.NotRun) != ""
+	return names.proven(h) || names.notRun(h)
 }
 
 // leaving reports whether the upstream says that it is about to stop.
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -12,9 +12,9 @@
 // told. Only a successful response of the instance itself ends a limit by naming none: refusals
 // and forged responses may lack the header.
 func (q *request) readRateLimit(p *dispatch.Placement, resp *engine.ForwardResponse) {
-	perSecond, named := q.server.opts.HeaderNames.rateLimit(resp.Header)
 	names := &q.server.opts.HeaderNames
-	if !named && (resp.Status >= 300 || names.UpstreamProof != "" && resp.Header.Get(names.UpstreamProof) == "") {
+	perSecond, named := names.rateLimit(resp.Header)
+	if !named && (resp.Status >= 300 || !names.proven(resp.Header)) {
 		return
 	}
 	before := q.server.opts.Dispatcher.setRateLimit(p, perSecond)
