Read the clock of a request's checks once

Each view of the configuration read the clock that runs through suspensions for the age of the configuration and, since the check of the list was added, again for that: a system call a view, also for refusals from the first bytes. One reading now serves both. The ages and their bounds are the same.

--- a/internal/daemon/catalog_contact.go
+++ b/internal/daemon/catalog_contact.go
@@ -38,11 +38,11 @@
 	l.Info("Upstream list confirmed again.")
 }
 
-// contactAge returns how long ago another host confirmed this host's list, 0 if none ever did.
-func (c *catalogRole) contactAge() time.Duration {
+// contactAge returns how long before now another host confirmed this host's list, 0 if none ever did.
+func (c *catalogRole) contactAge(now time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	age, known := c.contact.Age(c.clock.Now())
+	age, known := c.contact.Age(now)
 	if !known {
 		return 0
 	}
--- a/internal/daemon/catalog_test.go
+++ b/internal/daemon/catalog_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-func (f *catalogFleet) age(host string) time.Duration { return f.roles[host].contactAge() }
+func (f *catalogFleet) age(host string) time.Duration { return f.roles[host].contactAge(f.clock.now) }
 
 func readList(draining bool) catalog.List {
 	return catalog.List{ReadAt: time.Now(), Instances: []catalog.Instance{{ID: "i0", Service: "svc", Address: "10.0.0.1:1", Draining: draining}}}
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -93,12 +93,14 @@
 
 // view returns the gateway's view of the configuration.
 func (e *edgeRole) view() gateway.View {
-	v := gateway.View{Table: e.routingTable.Load(), Age: e.d.controlClient.ConfigAge(), Leaving: e.d.controlClient.Leaving()}
+	// The clock is read once, because that costs a system call on each request.
+	now := e.d.clock.Now()
+	v := gateway.View{Table: e.routingTable.Load(), Age: e.d.controlClient.ConfigAgeAt(now), Leaving: e.d.controlClient.Leaving()}
 	if v.Age < 0 {
 		v.Table = nil
 	}
 	v.ListAge, v.ListVersion = e.catalog.version()
-	v.ListContactAge = e.catalog.contactAge()
+	v.ListContactAge = e.catalog.contactAge(now)
 	return v
 }
 
