Refill the rate limit of an overloaded host between its checks

Cause: each check of the limits (every 100 ms) moved the time from which an account's token bucket is refilled, so what an account had earned since its last request was lost. Accounts far below the limit were refused: of 10 s at 8, 12 and 16 requests/s under a limit of 20. Change: the bucket has its own time of the last refill. Test: TestAccountBelowTheLimitIsNotRefused, which failed before.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -95,7 +95,9 @@
 	// rate and acceptedRate are the mean rates of its requests and of those that were accepted.
 	rate, acceptedRate float64
 	at                 time.Time
-	tokens             float64
+	// tokens is the content of the bucket at refilledAt.
+	tokens     float64
+	refilledAt time.Time
 }
 
 // New returns a Limiter that accepts everything.
@@ -208,10 +210,11 @@
 		if len(l.accounts) >= maxAccounts {
 			clear(l.accounts)
 		}
-		a = &account{at: now, tokens: minBurst}
+		a = &account{at: now, tokens: minBurst, refilledAt: now}
 		l.accounts[name] = a
 	}
-	since := now.Sub(a.at).Seconds()
+	since := now.Sub(a.refilledAt).Seconds()
+	a.refilledAt = now
 	a.decay(now)
 	if math.IsInf(l.limit, 1) {
 		a.tokens = minBurst
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -250,3 +250,24 @@
 		qt.Check(t, l.Shed(0.5), qt.IsFalse, qt.Commentf("lag %s", lag))
 	}
 }
+
+// Guards against an account that sends less than the limit and is refused, because the checks of the
+// limits take away what it may send since its last request.
+func TestAccountBelowTheLimitIsNotRefused(t *testing.T) {
+	for _, perSecond := range []int{8, 12, 16} {
+		l, now := New(), start
+		// As a flood has left them; a moderate lag keeps the limit.
+		l.limit, l.lag = 20, (calmLag+overloadLag)/2
+		refused := 0
+		for ms := range 10_000 {
+			now = now.Add(time.Millisecond)
+			if ms%20 == 0 {
+				l.Observe((calmLag+overloadLag)/2, now)
+			}
+			if ms%(1000/perSecond) == 0 && !l.Admit("steady", now) {
+				refused++
+			}
+		}
+		qt.Check(t, refused, qt.Equals, 0, qt.Commentf("%d/s at a limit of %.1f/s", perSecond, l.RateLimit()))
+	}
+}
