Send one response to a refused request that does not arrive whole

Cause: after an early refusal the rest of the request is read. If it did not arrive in time, the error that ended the wait made the HTTP server write a second response, a 400 to no request, behind the 503. Change: the error is the one after which the HTTP server closes the connection without a word. Test: TestRefusedRequestThatEndsEarlyGetsOneResponse, which counted two responses before.

--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -104,7 +104,7 @@
 		read, err := c.TCPConn.Read(buf[:min(n, len(buf))])
 		n -= read
 		if err != nil && n > 0 {
-			return io.ErrUnexpectedEOF
+			return io.EOF // after any other error the HTTP server would respond again
 		}
 	}
 	return nil
--- a/internal/gateway/earlyrefusal_test.go
+++ b/internal/gateway/earlyrefusal_test.go
@@ -181,3 +181,15 @@
 	c.Assert(body, qt.Equals, shedBody)
 	c.Assert(resp.Close, qt.IsTrue)
 }
+
+// Guards against a second response, to no request, on a connection whose refused request did not
+// arrive whole.
+func TestRefusedRequestThatEndsEarlyGetsOneResponse(t *testing.T) {
+	gw := newLimitedGateway(t, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))), func(opts *Options) {
+		quiet(opts)
+		opts.ReadHeaderTimeout = 100 * time.Millisecond
+	})
+	request := rawRequest("POST", "k1", "r1", "", strings.Repeat("b", 9_000))
+	got := gw.sendRaw(request[:len(request)-1])
+	gw.Assert(strings.Count(got, "HTTP/1.1"), qt.Equals, 1, qt.Commentf("%s", got))
+}
