Pass requests on from an overloaded host to others of its data centre

Change: an overloaded host decides from the first bytes of a request, as before, but requests of an account above the limit go to another host of the data centre, of two random ones the one with fewer of them running (package offload), on a kept connection to a port of its own; the response is copied event by event. The other host serves them as its own caller's and never passes them on. A request that was sent and not answered gets 502 or 504, never 503. The limiter counts a request that is passed on as a fifth of one that is served, and while requests are passed on its limit rises only a quarter above what is used, or all would be served here again.

--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -82,7 +82,8 @@
 	e.gateway = gateway.New(gateway.Options{
 		View: e.view, HeaderNames: e.adapter.HeaderNames(), Forwarder: d.engine, Dispatcher: e.dispatcher, Admission: e.admission, CrashStore: d.controlClient, StreamStore: d.controlClient,
 		MaxConfigAge: e.settings.ConfigMaxAge, MaxHeaderBytes: d.settings.CallerLimits.HeaderBytes,
-		ReadHeaderTimeout: d.settings.CallerLimits.ReadTimeout, MaxConnections: maxConnections(d.settings), MaxRunning: maxRunning(d.settings), MaxBodyMemory: maxBodyMemory(d.settings), MaxBufferedBytes: maxBufferedBytes(d.settings), Log: d.logFor("gateway"), Registry: d.registry,
+		ReadHeaderTimeout: d.settings.CallerLimits.ReadTimeout, MaxConnections: maxConnections(d.settings), MaxRunning: maxRunning(d.settings), MaxBodyMemory: maxBodyMemory(d.settings), MaxBufferedBytes: maxBufferedBytes(d.settings),
+		Offload: e.offloadOptions(), Log: d.logFor("gateway"), Registry: d.registry,
 	})
 	e.catalog = newCatalogRole(d, e.adapter.InstanceSource(e.settings.UpstreamList), e.gateway.SetInstances, e.gateway.ReportVersions)
 	e.loads = loads.New(d.settings.Host, d.settings.DataCentre)
@@ -137,6 +138,7 @@
 	e.loadsMu.Unlock()
 	e.catalog.setHosts(aliveNames)
 	e.admission.SetHosts(aliveNames)
+	e.gateway.SetOffloadHosts(e.offloadHosts(hosts))
 	e.dispatcher.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.SetHosts(aliveNames) })
 }
 
@@ -179,6 +181,13 @@
 		return fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", e.settings.GatewayAddress)
 	}
 	g.Go(func() error { return e.gateway.Serve(ln) })
+	if e.settings.OffloadAddress != "" {
+		offloadLn, err := lc.Listen(ctx, "tcp", e.settings.OffloadAddress)
+		if err != nil {
+			return fault.Wrap(err, fault.InvalidSettings, "", "listen on %s", e.settings.OffloadAddress)
+		}
+		g.Go(func() error { return e.gateway.ServeOffloaded(offloadLn) })
+	}
 	context.AfterFunc(ctx, func() {
 		if err := e.gateway.Close(); err != nil {
 			e.log.WithError(err).Debug("Failed to close the gateway.")
--- a/internal/daemon/edge_test.go
+++ b/internal/daemon/edge_test.go
@@ -28,6 +28,7 @@
 	"marigoldshunt/internal/native"
 	"marigoldshunt/internal/routing"
 	"marigoldshunt/internal/settings"
+	"marigoldshunt/internal/wire"
 )
 
 // edgeFleet is a group of up to three hosts on loopback, configured with seeds only, and one
@@ -35,7 +36,7 @@
 type edgeFleet struct {
 	*qt.C
 	t        *testing.T
-	ports    [6]int
+	ports    [7]int
 	upstream string
 	emulator *emulator.Emulator
 	hosts    map[string]*edgeHost
@@ -103,6 +104,7 @@
 	f.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
 	s, err := settings.Load(path)
 	f.Assert(err, qt.IsNil)
+	s.Edge.OffloadAddress = address(6) // the port after that of peer_address may be in use
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, stop := context.WithCancel(context.Background())
@@ -302,6 +304,46 @@
 	f.Assert(fault.CodeOf(err), qt.Equals, fault.HostIsolated)
 }
 
+// Guards against hosts that don't take the requests that other hosts pass on, and against passing
+// requests to hosts that are dead, in another data centre, or the host itself.
+func TestHostsTakeRequestsThatArePassedOn(t *testing.T) {
+	f := newEdgeFleet(t)
+	ips := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
+	for _, ip := range ips {
+		f.start(ip, true, t.TempDir())
+	}
+	f.waitFor("three voters", func() bool { return f.voters(ips[0]) == 3 })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	first := f.hosts[ips[0]].d.edge
+	f.Assert(first.PutDocument(ctx, edgeDocument(1), []byte("one")), qt.IsNil)
+	passOn := func() (int, error) {
+		nc, err := first.offloadOptions().Dial(ctx, ips[1])
+		if err != nil {
+			return 0, err
+		}
+		defer nc.Close()
+		f.Assert(nc.LocalAddr().(*net.TCPAddr).IP.String(), qt.Equals, ips[0])
+		fmt.Fprint(nc, "POST /orders/8 HTTP/1.1\r\nHost: records.example\r\nX-Request-Id: q1\r\nX-Api-Key: secret\r\nContent-Length: 0\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			return 0, err
+		}
+		return resp.StatusCode, resp.Body.Close()
+	}
+	f.waitFor("a response of the other host", func() bool {
+		status, err := passOn()
+		return err == nil && status == 200
+	})
+	f.Assert(first.offloadHosts(first.d.controlClient.Hosts()), qt.DeepEquals, ips[1:])
+	f.kill(ips[1])
+	f.waitFor("the dead host to be left out", func() bool {
+		hosts := first.offloadHosts(first.d.controlClient.Hosts())
+		return len(hosts) == 1 && hosts[0] == ips[2]
+	})
+	f.Assert(first.offloadHosts([]wire.HostStatus{{Host: ips[1], Alive: true, DataCentre: "south"}, {Host: ips[2], Alive: true, Leaving: true, DataCentre: "north"}}), qt.HasLen, 0)
+}
+
 // Guards against changed seeds in the settings file that take effect only after a restart.
 func TestSeedsReload(t *testing.T) {
 	f := newEdgeFleet(t)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -29,6 +29,21 @@
 // socket. Such bytes count towards the memory limit and not towards the Go runtime's.
 const unreadBytesPerConnection = 20 << 10
 
+// offloadsPerMB is the number of connections to other hosts per MB of the memory limit, each with a
+// request that is passed on. Such a request takes about 25 KB.
+const offloadsPerMB = 5
+
+// defaultMaxOffloads is the number of these connections without a memory limit.
+const defaultMaxOffloads = 1_000
+
+// maxOffloads returns how many requests may be passed on at once.
+func maxOffloads(s *settings.Settings) int {
+	if s.MemoryMB == 0 {
+		return defaultMaxOffloads
+	}
+	return s.MemoryMB * offloadsPerMB
+}
+
 // maxRunning returns how many requests the memory limit allows at once, 0 for no limit.
 func maxRunning(s *settings.Settings) int { return s.MemoryMB * runningPerMB }
 
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -59,6 +59,20 @@
 	benchmarkRequests(b, "POST /stream/x"+benchmarkHeader+strings.Repeat("x", 9_000), respondStream(7))
 }
 
+// BenchmarkPassedOnStream measures a request that is passed on; a stand-in takes the place of the
+// other host.
+func BenchmarkPassedOnStream(b *testing.B) {
+	u := newUpstream(b, respondStream(7))
+	gw := newTestGatewayWith(b, accountsDocument(), offloadTo(u.ln.Addr().String()), u)
+	gw.server.SetOffloadHosts([]string{"h2"})
+	gw.flood("hot", 5_000, 600*time.Millisecond)
+	request := "POST /stream/x" + strings.Replace(benchmarkHeader, "asnmgkcuyj8pjbvk9m68", "k1", 1) + strings.Repeat("x", 9_000)
+	benchmarkGateway(b, gw, request, http.StatusOK)
+	if n := gw.counted("offloaded"); n < int64(b.N) {
+		b.Fatalf("%d of %d requests were passed on", n, b.N)
+	}
+}
+
 func BenchmarkWhole(b *testing.B) {
 	benchmarkRequests(b, "POST /read/x"+benchmarkHeader+strings.Repeat("x", 9_000), writeRaw("%s", rawResponse(200, strings.Repeat("y", 800))))
 }
--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,6 +13,7 @@
 
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/logsink"
+	"marigoldshunt/internal/overload"
 )
 
 // earlyReadBytes is the size of one read of the rest of a refused request.
@@ -19,28 +22,52 @@
 // earlyBuffers holds buffers for the bodies of refused requests.
 var earlyBuffers = sync.Pool{New: func() any { return new([earlyReadBytes]byte) }}
 
-// refuseEarly answers the request that begins with p if the limiter of the overloaded host
-// refuses its account, and reads the rest of it. p is all that was read of it so far. The HTTP
-// server would spend more CPU time on the request than the refusal saves. The error is that of
-// the connection.
-func (s *Server) refuseEarly(c *headerConn, p []byte) (refused bool, err error) {
+// earlyHandler handles the request that begins with p, which is all that was read of it so far,
+// before the HTTP server sees it. handled is false if the HTTP server has to serve it. After an error
+// the connection is closed.
+type earlyHandler func(c *headerConn, p []byte) (handled bool, err error)
+
+// refuseEarly refuses a request if the limiter of the overloaded host refuses its account. The HTTP
+// server would spend more CPU time on the request than the refusal saves.
+func (s *Server) refuseEarly(c *headerConn, p []byte) (handled bool, err error) {
+	return s.handleEarly(c, p, false)
+}
+
+// offloadOrRefuseEarly also passes requests on to other hosts.
+func (s *Server) offloadOrRefuseEarly(c *headerConn, p []byte) (handled bool, err error) {
+	return s.handleEarly(c, p, s.offloader.usable())
+}
+
+func (s *Server) handleEarly(c *headerConn, p []byte, mayOffload bool) (handled bool, err error) {
 	if !s.Busy() {
 		return false, nil
 	}
 	h, ok := s.opts.HeaderNames.parseHead(p)
 	unread := h.headBytes + h.bodyBytes - len(p)
-	if !ok || unread < 0 || !s.refusesEarly(&h) {
+	if !ok || unread < 0 {
+		return false, nil
+	}
+	q := s.newPassedRequest(c, &h)
+	if q == nil {
+		return false, nil
+	}
+	mayOffload = mayOffload && q.route != nil && h.headBytes+h.bodyBytes <= offloadRequestBytes
+	s.limiter.Lock()
+	action := s.limiter.DecideEarly(q.account, mayOffload, q.arrived)
+	s.limiter.Unlock()
+	if action == overload.Serve {
 		return false, nil
 	}
 	// While the connection counts as idle, it may be closed to make room for another one.
 	s.connStateChanged(c, http.StateActive)
-	if err := s.answerEarly(c, &h); err != nil {
-		return false, err
+	if action == overload.Offload {
+		err = q.passOn(p)
+	} else {
+		err = q.refuse(unread)
 	}
-	if unread > 0 {
-		if err := s.skipBody(c, unread); err != nil {
-			return false, err
-		}
+	if err != nil {
+		// After any other error the HTTP server would respond to what it takes for a request.
+		return false, io.EOF
 	}
 	s.connStateChanged(c, http.StateIdle)
 	// The HTTP server sets a deadline for the header when it begins to wait for a first request,
@@ -48,39 +75,45 @@
 	return true, c.SetReadDeadline(time.Time{})
 }
 
-// refusesEarly reports whether the limiter refuses a request that a host with a valid
-// configuration would otherwise have to look at.
-func (s *Server) refusesEarly(h *requestHead) bool {
+// newPassedRequest returns nil for a request that a host with a valid configuration has to look at
+// itself.
+func (s *Server) newPassedRequest(c *headerConn, h *requestHead) *passedRequest {
 	view := s.opts.View()
 	if view.Leaving || view.Check(s.opts.MaxConfigAge) != nil {
-		return false
+		return nil
 	}
 	a := view.Table.Account(string(h.credential))
 	if a == nil {
-		return false
+		return nil
 	}
-	now := time.Now()
-	s.limiter.Lock()
-	refused, limit := s.limiter.RefuseEarly(a.Name, now), s.limiter.RateLimit()
-	s.limiter.Unlock()
-	if !refused {
-		return false
+	q := &passedRequest{server: s, caller: c, head: h, view: view, account: a.Name, arrived: time.Now()}
+	path, _, _ := bytes.Cut(h.target, []byte("?"))
+	if q.route = view.Table.Route(string(h.host), string(path)); q.route != nil {
+		q.deadline = s.offloadDeadline(h, q.route, q.arrived)
 	}
+	return q
+}
+
+// refuse refuses the request and reads the unread rest of it.
+func (q *passedRequest) refuse(unread int) error {
+	s := q.server
 	s.count("failed." + string(fault.HostOverloaded))
 	if !logsink.Drops(s.log, logrus.InfoLevel) {
-		q := &request{server: s, id: string(h.id), arrived: now, account: a.Name, view: view}
-		q.logFailure(rateLimited(limit))
+		q.logFailure(rateLimited(s.AccountRateLimit()))
 	}
-	return true
+	if err := s.answerEarly(q.caller, q.head, overloadedHead, shedBody); err != nil || unread == 0 {
+		return err
+	}
+	return s.skipBody(q.caller, unread)
 }
 
-// answerEarly writes the response that writeFailure would write.
-func (s *Server) answerEarly(c *headerConn, h *requestHead) error {
-	response := append(make([]byte, 0, len(earlyResponse)+len(h.id)+typicalEventBytes), earlyResponse...)
+// answerEarly writes a response. head lacks the request's id and the empty line.
+func (s *Server) answerEarly(c *headerConn, h *requestHead, head, body string) error {
+	response := append(make([]byte, 0, len(head)+len(h.id)+typicalEventBytes), head...)
 	if name := s.opts.HeaderNames.RequestID; name != "" && len(h.id) > 0 {
 		response = append(append(append(append(response, name...), ": "...), h.id...), crlf...)
 	}
-	response = append(append(response, crlf...), shedBody...)
+	response = append(append(response, crlf...), body...)
 	if err := c.SetWriteDeadline(time.Now().Add(writeGrace)); err != nil {
 		return err
 	}
@@ -90,8 +123,17 @@
 	return c.SetWriteDeadline(time.Time{})
 }
 
-var earlyResponse = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: " +
-	fault.FormatRetryAfter(overloadRetryAfter) + "\r\nContent-Length: " + strconv.Itoa(len(shedBody)) + "\r\n"
+// overloadedHead is the head of the refusals of an overloaded host.
+var overloadedHead = failureHead(http.StatusServiceUnavailable, overloadRetryAfter, len(shedBody))
+
+// failureHead returns the head that writeFailure would write, without a request's id.
+func failureHead(status int, retryAfter time.Duration, bodyBytes int) string {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status, http.StatusText(status))
+	if retryAfter > 0 && status == http.StatusServiceUnavailable {
+		head += "Retry-After: " + fault.FormatRetryAfter(retryAfter) + "\r\n"
+	}
+	return head + "Content-Length: " + strconv.Itoa(bodyBytes) + "\r\n"
+}
 
 // skipBody reads the n bytes that follow on the connection.
 func (s *Server) skipBody(c *headerConn, n int) error {
@@ -104,7 +146,7 @@
 		read, err := c.TCPConn.Read(buf[:min(n, len(buf))])
 		n -= read
 		if err != nil && n > 0 {
-			return io.EOF // after any other error the HTTP server would respond again
+			return errEndConnection
 		}
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/offload"
 	"marigoldshunt/internal/overload"
 	"marigoldshunt/internal/routing"
 	"marigoldshunt/internal/wait"
@@ -100,6 +101,7 @@
 	MaxBufferedBytes int64
 	// MaxBodyMemory bounds the memory of request bodies in sum, in bytes; 0 means no limit.
 	MaxBodyMemory int64
+	Offload       OffloadOptions
 	Log           logrus.FieldLogger
 	Registry      metrics.Registry
 }
@@ -111,7 +113,9 @@
 	log     logrus.FieldLogger
 	conns   *connections
 	limiter lockedLimiter
-	places  places
+	// offloader passes requests on while the host is overloaded.
+	offloader *offloader
+	places    places
 	// bodies is the use of MaxBodyMemory, buffered that of MaxBufferedBytes.
 	bodies, buffered budget
 	crashes          *crashTracker
@@ -140,6 +144,7 @@
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	s.conns = newConnections(opts.MaxConnections, time.Now)
 	s.limiter.Limiter = overload.New()
+	s.offloader = newOffloader(opts.Offload, offload.NewPicker(rand.New(rand.NewSource(time.Now().UnixNano()))))
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	s.places.byAccount = map[string]int{}
 	s.bodies.limit, s.buffered.limit = opts.MaxBodyMemory, opts.MaxBufferedBytes
@@ -154,9 +159,11 @@
 }
 
 // Serve accepts connections on ln until Shutdown or Close.
-func (s *Server) Serve(ln net.Listener) error {
+func (s *Server) Serve(ln net.Listener) error { return s.serve(ln, s.offloadOrRefuseEarly) }
+
+func (s *Server) serve(ln net.Listener, handleEarly earlyHandler) error {
 	context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
-	err := s.http.Serve(headerListener{newShedListener(ln, s), s.headerTimeout, s.refuseEarly})
+	err := s.http.Serve(headerListener{newShedListener(ln, s), s.headerTimeout, handleEarly})
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Err() != nil {
 		return nil
 	}
@@ -201,8 +208,9 @@
 }
 
 // CloseIdle closes connections that have been idle for longer than the routing document
-// allows.
+// allows, and those to other hosts that are no longer needed.
 func (s *Server) CloseIdle(now time.Time) {
+	s.offloader.closeIdleSince(now.Add(-offloadIdleTime))
 	if t := s.opts.View().Table; t != nil && t.Document.Limits.IdleTimeout > 0 {
 		s.conns.closeIdleSince(now.Add(-t.Document.Limits.IdleTimeout))
 	}
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -8,18 +8,18 @@
 )
 
 // headerListener accepts connections whose headers are bounded by timeout and whose requests
-// refuseEarly may refuse.
+// handleEarly may handle.
 type headerListener struct {
 	net.Listener
 	timeout     func() time.Duration
-	refuseEarly func(c *headerConn, p []byte) (refused bool, err error)
+	handleEarly earlyHandler
 }
 
 // Accept implements net.Listener.
 func (l headerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if t, ok := c.(*net.TCPConn); ok {
-		return &headerConn{TCPConn: t, timeout: l.timeout, refuseEarly: l.refuseEarly}, err
+		return &headerConn{TCPConn: t, timeout: l.timeout, handleEarly: l.handleEarly}, err
 	}
 	return c, err
 }
@@ -32,7 +32,7 @@
 type headerConn struct {
 	*net.TCPConn
 	timeout     func() time.Duration
-	refuseEarly func(c *headerConn, p []byte) (refused bool, err error)
+	handleEarly earlyHandler
 	state       http.ConnState
 	// bufferBytes is the size of the HTTP server's empty read buffer. A smaller buffer tells
 	// that the beginning of a request has been read already.
@@ -78,7 +78,7 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// Read implements net.Conn. It hands no request to the HTTP server that is refused early.
+// Read implements net.Conn. It hands no request to the HTTP server that is handled early.
 func (c *headerConn) Read(p []byte) (int, error) {
 	if c.bufferBytes == 0 {
 		c.bufferBytes = len(p)
@@ -89,11 +89,11 @@
 		if n == 0 || err != nil || !atStart {
 			return n, err
 		}
-		refused, err := c.refuseEarly(c, p[:n])
+		handled, err := c.handleEarly(c, p[:n])
 		if err != nil {
 			return 0, err
 		}
-		if !refused {
+		if !handled {
 			return n, nil
 		}
 	}
--- /dev/null
+++ b/internal/gateway/offload.go
@@ -0,0 +1,441 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/logsink"
+	"marigoldshunt/internal/netopt"
+	"marigoldshunt/internal/offload"
+	"marigoldshunt/internal/routing"
+)
+
+// Limits for requests that are passed on to other hosts.
+const (
+	// offloadRequestBytes bounds the size of such a request, which is read whole first, so that a
+	// slow caller holds nothing at the other host.
+	offloadRequestBytes = 64 << 10
+	// offloadBufferBytes bounds the head of the response, and one read of its body.
+	offloadBufferBytes = 8 << 10
+	// offloadConnectTimeout bounds the connect to a host of the same data centre.
+	offloadConnectTimeout = 300 * time.Millisecond
+	// maxOffloadConnects is the number of hosts that are tried for one request.
+	maxOffloadConnects = 2
+	// offloadIdleTime is how long a connection to another host is kept without a request, less
+	// than that host keeps it.
+	offloadIdleTime = 3 * time.Second
+	// offloadGrace is how long after the deadline of a request the response of the other host,
+	// which knows the same deadline, may begin.
+	offloadGrace = 200 * time.Millisecond
+	// offloadPollInterval is the interval at which a host looks whether the caller of a request
+	// that it has passed on is still connected.
+	offloadPollInterval = 200 * time.Millisecond
+)
+
+var (
+	offloadRequestBuffers  = sync.Pool{New: func() any { return new([offloadRequestBytes]byte) }}
+	offloadResponseBuffers = sync.Pool{New: func() any { return new([offloadBufferBytes]byte) }}
+)
+
+// errEndConnection ends the connection of a caller without another response.
+var errEndConnection = errors.New("the connection of the caller ends")
+
+// OffloadOptions configure how an overloaded host passes requests on.
+type OffloadOptions struct {
+	// Dial connects to the address at which another host takes passed-on requests; nil turns
+	// passing on off.
+	Dial func(ctx context.Context, host string) (net.Conn, error)
+	// MaxOpen bounds the connections to other hosts.
+	MaxOpen int
+}
+
+// offloader holds the connections to the hosts that take requests.
+type offloader struct {
+	opts OffloadOptions
+
+	mu     sync.Mutex
+	picker *offload.Picker
+	idle   map[string][]idleHostConn
+	// open counts the connections that are in use or idle.
+	open int
+}
+
+// hostConn is a connection to another host.
+type hostConn struct {
+	net.Conn
+	host string
+	// reused is true if it has carried an earlier request.
+	reused bool
+}
+
+type idleHostConn struct {
+	*hostConn
+	since time.Time
+}
+
+func newOffloader(opts OffloadOptions, picker *offload.Picker) *offloader {
+	return &offloader{opts: opts, picker: picker, idle: map[string][]idleHostConn{}}
+}
+
+// usable reports whether there are hosts that take requests, and room for one more.
+func (o *offloader) usable() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.opts.Dial != nil && o.picker.Any() && (o.open < o.opts.MaxOpen || len(o.idle) > 0)
+}
+
+// SetOffloadHosts sets the other hosts of the data centre that take requests.
+func (s *Server) SetOffloadHosts(hosts []string) {
+	s.offloader.mu.Lock()
+	defer s.offloader.mu.Unlock()
+	s.offloader.picker.SetHosts(hosts)
+}
+
+// connect returns a connection to a host with time to spare, or nil. Each connection must be
+// given back with release.
+func (o *offloader) connect(ctx context.Context) *hostConn {
+	for range maxOffloadConnects {
+		o.mu.Lock()
+		host, ok := o.picker.Pick(time.Now())
+		o.mu.Unlock()
+		if !ok {
+			return nil
+		}
+		if hc := o.connectTo(ctx, host); hc != nil {
+			return hc
+		}
+	}
+	return nil
+}
+
+// connectTo returns a connection to a host that was picked, or nil and ends the use of the host.
+func (o *offloader) connectTo(ctx context.Context, host string) *hostConn {
+	if hc := o.takeIdle(host); hc != nil {
+		return hc
+	}
+	if !o.reserve(host) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, offloadConnectTimeout)
+	defer cancel()
+	nc, err := o.opts.Dial(ctx, host)
+	if err != nil {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.picker.Done(host)
+		o.picker.Failed(host, time.Now())
+		o.open--
+		return nil
+	}
+	return &hostConn{Conn: nc, host: host}
+}
+
+// takeIdle returns an idle connection to a host that the host has not closed, or nil.
+func (o *offloader) takeIdle(host string) *hostConn {
+	for {
+		o.mu.Lock()
+		conns := o.idle[host]
+		if len(conns) == 0 {
+			o.mu.Unlock()
+			return nil
+		}
+		hc := conns[len(conns)-1].hostConn
+		o.removeIdleLocked(host, conns[:len(conns)-1])
+		o.mu.Unlock()
+		if raw, ok := rawConn(hc.Conn); ok {
+			if open, unread := netopt.CheckConn(raw); open && !unread {
+				return hc
+			}
+		}
+		o.discard(hc)
+	}
+}
+
+func (o *offloader) removeIdleLocked(host string, left []idleHostConn) {
+	if len(left) == 0 {
+		delete(o.idle, host)
+		return
+	}
+	o.idle[host] = left
+}
+
+// reserve counts one more open connection, unless there are too many.
+func (o *offloader) reserve(host string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.open >= o.opts.MaxOpen {
+		o.picker.Done(host)
+		return false
+	}
+	o.open++
+	return true
+}
+
+// discard closes a connection that is not in use.
+func (o *offloader) discard(hc *hostConn) {
+	_ = hc.Close() // nothing is sent on it any more
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.open--
+}
+
+// release ends the use of a connection. failed is true if the host did not complete a response.
+func (o *offloader) release(hc *hostConn, keep, failed bool) {
+	now := time.Now()
+	o.mu.Lock()
+	o.picker.Done(hc.host)
+	if failed {
+		o.picker.Failed(hc.host, now)
+	}
+	if keep {
+		hc.reused = true
+		o.idle[hc.host] = append(o.idle[hc.host], idleHostConn{hc, now})
+	}
+	o.mu.Unlock()
+	if !keep {
+		o.discard(hc)
+	}
+}
+
+// closeIdleSince closes the connections that have been idle since before cutoff.
+func (o *offloader) closeIdleSince(cutoff time.Time) {
+	var closing []*hostConn
+	o.mu.Lock()
+	for host, conns := range o.idle {
+		n := 0 // the longest idle connections come first
+		for ; n < len(conns) && conns[n].since.Before(cutoff); n++ {
+			closing = append(closing, conns[n].hostConn)
+		}
+		o.removeIdleLocked(host, conns[n:])
+	}
+	o.mu.Unlock()
+	for _, hc := range closing {
+		o.discard(hc)
+	}
+}
+
+// passedRequest is a request that is passed on to another host.
+type passedRequest struct {
+	server *Server
+	caller *headerConn
+	head   *requestHead
+	// deadline is when the other host must have responded.
+	deadline time.Time
+	view     View
+	route    *routing.Route
+	account  string
+	arrived  time.Time
+	// responded is true once bytes of a response were written to the caller.
+	responded bool
+}
+
+// offloadDeadline returns the time until which the host waits for the response to a request.
+func (s *Server) offloadDeadline(h *requestHead, r *routing.Route, arrived time.Time) time.Time {
+	timeout := r.Timeout
+	if ms, err := parseNumber(string(h.deadline)); err == nil && ms >= 0 {
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	return arrived.Add(timeout + offloadGrace)
+}
+
+// passOn passes the request that begins with p on and its response back. The error is that of the
+// caller's connection.
+func (q *passedRequest) passOn(p []byte) error {
+	hc, err := q.readAndSend(p)
+	if err != nil {
+		return q.fail(err)
+	}
+	q.server.count("offloaded")
+	q.log(hc)
+	whole, keep, err := q.copyResponse(hc)
+	q.server.offloader.release(hc, keep, err != nil && !errors.Is(err, errEndConnection))
+	if err != nil {
+		return q.fail(err)
+	}
+	if !whole {
+		return errEndConnection
+	}
+	return q.caller.SetWriteDeadline(time.Time{})
+}
+
+// readAndSend reads the whole request that begins with p and sends it to another host. It holds a
+// large buffer, which is given back before the response is waited for.
+func (q *passedRequest) readAndSend(p []byte) (*hostConn, error) {
+	buf := offloadRequestBuffers.Get().(*[offloadRequestBytes]byte)
+	defer offloadRequestBuffers.Put(buf)
+	request := buf[:q.head.headBytes+q.head.bodyBytes]
+	n := copy(request, p)
+	if err := q.readRest(request[n:]); err != nil {
+		return nil, errEndConnection
+	}
+	if !q.callerConnected() {
+		return nil, errEndConnection
+	}
+	return q.send(request)
+}
+
+// readRest reads the rest of the request.
+func (q *passedRequest) readRest(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if err := q.caller.SetReadDeadline(time.Now().Add(q.server.opts.ReadHeaderTimeout)); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(q.caller.TCPConn, p)
+	return err
+}
+
+// send sends the request to a host. Without an error it has been sent whole.
+func (q *passedRequest) send(request []byte) (*hostConn, error) {
+	o := q.server.offloader
+	for range maxOffloadConnects {
+		hc := o.connect(context.Background())
+		if hc == nil {
+			break
+		}
+		_ = hc.SetDeadline(q.deadline) // fails only if it is already closed, and then so does the write
+		n, err := hc.Write(request)
+		if err == nil {
+			return hc, nil
+		}
+		o.release(hc, false, true)
+		if n > 0 {
+			return nil, fault.Wrap(err, fault.PeerUnreachable, fault.MayHaveRun, "host %s broke off the request", hc.host)
+		}
+	}
+	return nil, fault.New(fault.HostOverloaded, fault.NotRun, "no other host took the request").WithRetryAfter(overloadRetryAfter)
+}
+
+// copyResponse copies the response from a host to the caller. whole is false if the connection to
+// the caller must be closed after it, keep is true if the one to the host can be used again.
+func (q *passedRequest) copyResponse(hc *hostConn) (whole, keep bool, err error) {
+	buf := offloadResponseBuffers.Get().(*[offloadBufferBytes]byte)
+	defer offloadResponseBuffers.Put(buf)
+	framing, n, headBytes, err := q.readResponseHead(hc, buf[:])
+	if err != nil {
+		return false, false, err
+	}
+	if err := q.caller.SetWriteDeadline(q.deadline.Add(writeGrace)); err != nil {
+		return false, false, errEndConnection
+	}
+	part, begin := buf[:n], headBytes
+	for {
+		bodyBytes, err := framing.consume(part[begin:])
+		if err != nil {
+			return false, false, err
+		}
+		end := begin + bodyBytes
+		q.responded = true
+		if _, err := q.caller.TCPConn.Write(part[:end]); err != nil {
+			return false, false, errEndConnection
+		}
+		if framing.ended() {
+			// Bytes after the response belong to no request.
+			return !framing.closes, !framing.closes && end == len(part), nil
+		}
+		if n, err = q.readPart(hc, buf[:]); err != nil {
+			return false, false, err
+		}
+		part, begin = buf[:n], 0
+	}
+}
+
+// readResponseHead reads until the head of the response is complete. n is the number of bytes read
+// and headBytes the part of them that is the head.
+func (q *passedRequest) readResponseHead(hc *hostConn, buf []byte) (framing responseFraming, n, headBytes int, err error) {
+	for headBytes == 0 {
+		if n == len(buf) {
+			return framing, n, 0, malformedResponse("its head is too long")
+		}
+		read, err := q.readPart(hc, buf[n:])
+		if err != nil {
+			return framing, n, 0, err
+		}
+		n += read
+		if framing, headBytes, err = parseResponseHead(buf[:n]); err != nil {
+			return framing, n, 0, err
+		}
+	}
+	return framing, n, headBytes, nil
+}
+
+// readPart reads from the host while the caller is connected, until the deadline.
+func (q *passedRequest) readPart(hc *hostConn, p []byte) (int, error) {
+	for {
+		poll := time.Now().Add(offloadPollInterval)
+		if poll.After(q.deadline) {
+			poll = q.deadline
+		}
+		if err := hc.SetReadDeadline(poll); err != nil {
+			return 0, err
+		}
+		n, err := hc.Read(p)
+		if n > 0 {
+			return n, nil
+		}
+		switch {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return 0, fault.Wrap(err, fault.PeerUnreachable, fault.MayHaveRun, "host %s broke off the response", hc.host)
+		case !time.Now().Before(q.deadline):
+			return 0, fault.New(fault.RunExpired, fault.MayHaveRun, "no response of host %s within the deadline", hc.host)
+		case !q.callerConnected():
+			return 0, errEndConnection
+		}
+	}
+}
+
+func (q *passedRequest) callerConnected() bool {
+	raw, ok := rawConn(q.caller)
+	if !ok {
+		return true
+	}
+	open, _ := netopt.CheckConn(raw)
+	return open
+}
+
+// fail responds to the caller with a failure, or ends the connection if a response has begun.
+func (q *passedRequest) fail(err error) error {
+	if errors.Is(err, errEndConnection) {
+		return err
+	}
+	e := fault.As(err)
+	q.server.count("failed." + string(e.Code))
+	if !logsink.Drops(q.server.log, logrus.InfoLevel) {
+		q.logFailure(e)
+	}
+	if q.responded {
+		return errEndConnection
+	}
+	body := failureBody(e.Code, e.RunState)
+	return q.server.answerEarly(q.caller, q.head, failureHead(statusOf(e), e.RetryAfter, len(body)), body)
+}
+
+func (q *passedRequest) logFailure(e *fault.Error) {
+	failed := &request{server: q.server, id: string(q.head.id), arrived: q.arrived, account: q.account, view: q.view, route: q.route}
+	failed.logFailure(e)
+}
+
+// log logs that the request was passed on. The other host logs its outcome.
+func (q *passedRequest) log(hc *hostConn) {
+	if logsink.DropsSecondary(q.server.log, logrus.InfoLevel) {
+		return
+	}
+	fields := logrus.Fields{"request": string(q.head.id), "account": q.account, "route": q.route.Name, "host": hc.host, "per_second": math.Round(q.server.AccountRateLimit())}
+	q.server.log.WithFields(fields).Info("Request was passed on to another host.")
+}
+
+// ServeOffloaded accepts the requests that other hosts pass on, until Shutdown or Close. It never
+// passes them on again.
+func (s *Server) ServeOffloaded(ln net.Listener) error {
+	return s.serve(ln, s.refuseEarly)
+}
--- a/internal/gateway/requesthead.go
+++ b/internal/gateway/requesthead.go
@@ -5,13 +5,16 @@
 	"strconv"
 )
 
-// maxEarlyBodyBytes is the size of a body up to which its request is refused early. The body
-// has to be read before the next request on the connection.
+// maxEarlyBodyBytes is the size of a body up to which its request is refused or passed on early.
+// The body has to be read before the next request on the connection.
 const maxEarlyBodyBytes = 256 << 10
 
-// requestHead is what an early refusal needs to know about a request.
+// requestHead is what an early refusal needs to know about a request, and what passing it on to
+// another host does.
 type requestHead struct {
 	credential, id []byte
+	// target is the request target of the request line.
+	host, target, deadline []byte
 	// headBytes and bodyBytes are the sizes of the head and the body.
 	headBytes, bodyBytes int
 }
@@ -30,6 +33,7 @@
 	if !bytes.HasSuffix(requestLine, []byte(" HTTP/1.1")) || bytes.HasPrefix(requestLine, []byte("HEAD ")) || bytes.HasPrefix(requestLine, []byte("CONNECT ")) {
 		return h, false
 	}
+	_, h.target, _ = bytes.Cut(bytes.TrimSuffix(requestLine, []byte(" HTTP/1.1")), []byte(" "))
 	for len(fields) > 0 {
 		var line []byte
 		line, fields, _ = bytes.Cut(fields, crlf)
@@ -51,15 +55,13 @@
 	value = bytes.Trim(value, " \t")
 	switch {
 	case isField(name, names.Credential):
-		if h.credential != nil {
-			return false
-		}
-		h.credential = value
+		return setOnce(&h.credential, value)
 	case isField(name, names.RequestID):
-		if h.id != nil {
-			return false
-		}
-		h.id = value
+		return setOnce(&h.id, value)
+	case isField(name, names.Deadline):
+		return setOnce(&h.deadline, value)
+	case isField(name, "Host"):
+		return setOnce(&h.host, value)
 	case isField(name, "Content-Length"):
 		return h.bodyBytes < 0 && parseLength(value, &h.bodyBytes)
 	case isField(name, "Connection"):
@@ -70,6 +72,13 @@
 	return true
 }
 
+// setOnce sets a field of a head and returns false if it was set before.
+func setOnce(field *[]byte, value []byte) bool {
+	repeated := *field != nil
+	*field = value
+	return !repeated
+}
+
 // isField compares without regard to case.
 func isField(name []byte, field string) bool {
 	return len(name) == len(field) && bytes.EqualFold(name, []byte(field))
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -5,7 +5,8 @@
 // after their callers have disconnected, and the host loses contact with the fleet. The
 // Limiter measures how late the host's own timers fire, and while they are late it limits
 // the accounts with the highest request rates, each to the same rate. This handles loads in
-// which few accounts send most of the fleet's requests to one host. Where even refusing
+// which few accounts send most of the fleet's requests to one host. What is above the limit is
+// passed on to other hosts, which costs a fraction of serving it, or refused. Where even that
 // takes too long, the Limiter has a fraction of the new connections refused before their
 // requests are processed.
 //
@@ -64,6 +65,15 @@
 	// once; it is at least minBurst.
 	burstTime = 100 * time.Millisecond
 	minBurst  = 3.0
+	// offloadCost is what passing a request on to another host counts for against the rate limit,
+	// in requests that are served: about the ratio of the CPU times.
+	offloadCost = 0.2
+	// offloadHeadroom bounds the rate limit, relative to the rate that is used of it, while
+	// requests are passed on. A limit above the rate of an account would have all its requests
+	// served here again, and the host overloaded again.
+	offloadHeadroom = 1.25
+	// offloadRecently is the time after the last request that was passed on for which that holds.
+	offloadRecently = time.Second
 	// maxAccounts bounds the accounts tracked.
 	maxAccounts = 16_384
 )
@@ -87,12 +97,28 @@
 	lateTimes [2]time.Time
 
 	checkedAt time.Time
-	accounts  map[string]*account
+	// offloadedAt is the time of the last request that was passed on.
+	offloadedAt time.Time
+	accounts    map[string]*account
 }
 
+// Action is what a host does with a request.
+type Action int
+
+// The actions.
+const (
+	// Serve leaves the decision to Admit.
+	Serve Action = iota
+	// Offload passes the request on to another host.
+	Offload
+	// Refuse refuses the request.
+	Refuse
+)
+
 // account is the request rate and the token bucket of one account at this host.
 type account struct {
-	// rate and acceptedRate are the mean rates of its requests and of those that were accepted.
+	// rate is the mean rate of its requests, acceptedRate that of those that were accepted, where
+	// one that is passed on counts for offloadCost.
 	rate, acceptedRate float64
 	at                 time.Time
 	// tokens is the content of the bucket at refilledAt.
@@ -132,6 +158,10 @@
 		if l.lag >= calmLag {
 			return
 		}
+		if now.Sub(l.offloadedAt) < offloadRecently {
+			l.limit = max(l.limit, min(l.limit*l.increase(now), acceptedRate*offloadHeadroom))
+			return
+		}
 		// Above twice the highest rate the limit affects no account.
 		unlimited := max(2*rate, minLimit)
 		if l.limit = min(l.limit*l.increase(now), unlimited); l.acceptedFraction == 1 && l.limit == unlimited {
@@ -189,18 +219,28 @@
 	return true
 }
 
-// RefuseEarly reports whether the host refuses a request of an account. Only then it records
-// the request, as Admit does; otherwise Admit has to decide.
-func (l *Limiter) RefuseEarly(name string, now time.Time) bool {
+// DecideEarly decides about a request before it is parsed. Unless the action is Serve, it records
+// the request. mayOffload is false if the request can't be passed on.
+//
+// All requests of an account above the limit are passed on, not only those beyond it: serving the
+// others here would take most of the CPU time that passing on needs.
+func (l *Limiter) DecideEarly(name string, mayOffload bool, now time.Time) Action {
 	if math.IsInf(l.limit, 1) {
-		return false
+		return Serve
 	}
 	a := l.refilled(name, now)
-	if a.tokens >= 1 {
-		return false
+	aboveLimit := a.rate > l.limit || a.tokens < 1
+	if !aboveLimit || !mayOffload && a.tokens >= 1 {
+		return Serve
 	}
 	a.rate += 1 / rateTimeConstant.Seconds()
-	return true
+	if !mayOffload || a.tokens < offloadCost {
+		return Refuse
+	}
+	a.tokens -= offloadCost
+	a.acceptedRate += offloadCost / rateTimeConstant.Seconds()
+	l.offloadedAt = now
+	return Offload
 }
 
 // refilled returns the rates and the token bucket of an account as they are now.
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -271,3 +271,95 @@
 		qt.Check(t, refused, qt.Equals, 0, qt.Commentf("%d/s at a limit of %.1f/s", perSecond, l.RateLimit()))
 	}
 }
+
+// offloadingHost is a CPU that passes on what the limiter does not let it serve. Passing a request
+// on takes a fifth of serving it, most of it with the events of the response, and a refusal a
+// thirtieth.
+type offloadingHost struct {
+	streamingHost
+	served, passedOn, refused int
+}
+
+const refusalWork = 1.0 / 30
+
+func (h *offloadingHost) simulate(rng *rand.Rand, fromMs, ms int, rates map[string]float64) {
+	h.idleMs, h.lagSum = 0, 0
+	h.served, h.passedOn, h.refused = 0, 0, 0
+	for at := fromMs; at < fromMs+ms; at++ {
+		now := start.Add(time.Duration(at) * time.Millisecond)
+		h.backlog += h.later[at%streamMs]
+		h.later[at%streamMs] = 0
+		for name, perSecond := range rates {
+			for n := perSecond / 1000; n > 0; n-- {
+				if rng.Float64() < n {
+					h.arrive(name, now, at)
+				}
+			}
+		}
+		h.idleMs += max(h.perMs-h.backlog, 0) / h.perMs
+		h.backlog = max(h.backlog-h.perMs, 0)
+		lag := time.Duration(h.backlog / h.perMs * float64(time.Millisecond))
+		h.lagSum += float64(lag.Milliseconds())
+		if at%20 == 0 {
+			h.l.Observe(lag, now)
+		}
+	}
+}
+
+func (h *offloadingHost) arrive(name string, now time.Time, at int) {
+	switch h.l.DecideEarly(name, true, now) {
+	case Offload:
+		h.passedOn++
+		h.work(offloadCost, at)
+	case Refuse:
+		h.refused++
+		h.backlog += refusalWork
+	case Serve:
+		if h.l.Admit(name, now) {
+			h.served++
+			h.work(1, at)
+			return
+		}
+		h.refused++
+		h.backlog += refusalWork
+	}
+}
+
+func (h *offloadingHost) work(cost float64, at int) {
+	h.backlog += cost * firstPart
+	for i := range 10 {
+		h.later[(at+(i+1)*streamMs/10-1)%streamMs] += cost * (1 - firstPart) / 10
+	}
+}
+
+// Guards against an account that gets little because one host refuses what it could pass on: under
+// a flood at least nine tenths of the requests that the host could pass on if refusals took no time
+// must be accepted, and an account beside it must not be refused.
+func TestFloodIsPassedOn(t *testing.T) {
+	const perSecond = 300.0
+	for _, flood := range []float64{400, 600, 900, 1_200, 1_500} {
+		for seed := range int64(10) {
+			h := &offloadingHost{streamingHost: streamingHost{l: New(), perMs: perSecond / 1000}}
+			rng := rand.New(rand.NewSource(seed))
+			h.simulate(rng, 0, 4_000, map[string]float64{"hot": flood, "small": 5})
+			const seconds = 20
+			h.simulate(rng, 4_000, seconds*1000, map[string]float64{"hot": flood, "small": 5})
+			accepted := float64(h.served+h.passedOn) / seconds
+			possible := min(flood+5, (perSecond-5)/offloadCost)
+			comment := qt.Commentf("%.0f/s, seed %d: %.0f/s of %.0f accepted (%d served), idle %.2f, mean lag %.0f ms, limit %.0f", flood, seed, accepted, possible, h.served, h.idleMs/seconds/1000, h.lagSum/seconds/1000, h.l.RateLimit())
+			qt.Check(t, accepted >= 0.9*possible, qt.IsTrue, comment)
+			qt.Check(t, h.lagSum/seconds/1000 <= 100, qt.IsTrue, comment)
+		}
+	}
+}
+
+// Guards against passing requests on for ever after a flood.
+func TestNothingIsPassedOnAfterTheFlood(t *testing.T) {
+	h := &offloadingHost{streamingHost: streamingHost{l: New(), perMs: 0.3}}
+	rng := rand.New(rand.NewSource(1))
+	h.simulate(rng, 0, 5_000, map[string]float64{"hot": 1_200, "small": 5})
+	qt.Assert(t, h.passedOn > 2_000, qt.IsTrue, qt.Commentf("%d", h.passedOn))
+	h.simulate(rng, 5_000, 10_000, map[string]float64{"hot": 50, "small": 5})
+	qt.Assert(t, math.IsInf(h.l.RateLimit(), 1), qt.IsTrue, qt.Commentf("%.0f", h.l.RateLimit()))
+	qt.Assert(t, h.refused, qt.Equals, 0)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"math"
 	"net/netip"
 	"net/url"
 	"path/filepath"
@@ -74,6 +75,9 @@
 	for _, h := range f.ControlHosts {
 		s.ControlHosts = append(s.ControlHosts, ControlHost{Name: h.Name, Address: h.Address})
 	}
+	if c.err == nil && s.Edge != nil && f.Edge.Offload {
+		s.Edge.OffloadAddress = c.offloadAddress(s)
+	}
 	if c.err == nil {
 		c.checkDistinctAddresses(s)
 		c.checkControlHosts(s)
@@ -113,6 +117,9 @@
 func (c *decoder) checkDistinctAddresses(s *Settings) {
 	keys := []string{"caller_address", "admin_address", "peer_address"}
 	values := []string{s.CallerAddress, s.AdminAddress, s.PeerAddress}
+	if s.Edge != nil && s.Edge.OffloadAddress != "" {
+		keys, values = append(keys, "edge.offload"), append(values, s.Edge.OffloadAddress)
+	}
 	for i := range values {
 		for j := range i {
 			a, b := netip.MustParseAddrPort(values[i]), netip.MustParseAddrPort(values[j])
@@ -182,6 +189,20 @@
 	}
 }
 
+// offloadAddress returns the address at which the host takes requests that other hosts pass on.
+func (c *decoder) offloadAddress(s *Settings) string {
+	if len(s.ControlSeeds) == 0 {
+		c.reject("edge.offload", "needs control_seeds, because hosts are then named by their address")
+		return ""
+	}
+	peer := netip.MustParseAddrPort(s.PeerListenAddress)
+	if peer.Port() == math.MaxUint16 {
+		c.reject("edge.offload", "there is no port after that of peer_listen_address")
+		return ""
+	}
+	return netip.AddrPortFrom(peer.Addr(), peer.Port()+1).String()
+}
+
 func (c *decoder) checkControlHosts(s *Settings) {
 	if len(s.ControlSeeds) > 0 {
 		c.checkSeededHost(s)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,6 +109,10 @@
 	DiscoveryAddress string
 	ReadinessAddress string
 	OperatorAddress  string
+	// OffloadAddress takes requests that overloaded hosts of the data centre pass on. All hosts use
+	// the same port, and their names must be their IP addresses. Its port is the one after that of
+	// PeerListenAddress.
+	OffloadAddress string
 	// MetricsAddress serves GET /metrics as text, without a credential.
 	MetricsAddress string
 	// UpstreamList is the address at which the installation publishes its instances.
@@ -155,6 +159,7 @@
 	DiscoveryAddress string   `toml:"discovery_address"`
 	ReadinessAddress string   `toml:"readiness_address"`
 	OperatorAddress  string   `toml:"operator_address"`
+	Offload          bool     `toml:"offload"`
 	MetricsAddress   string   `toml:"metrics_address"`
 	UpstreamList     string   `toml:"upstream_list"`
 	ConfigMaxAge     duration `toml:"config_max_age"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -58,6 +58,28 @@
 	c.Assert(fault.CodeOf(err), qt.Equals, fault.InvalidSettings)
 }
 
+// Guards against hosts that take requests of other hosts at a port at which these don't send them, or
+// that can't find each other.
+func TestOffloadAddress(t *testing.T) {
+	c := qt.New(t)
+	seeded := strings.Replace(strings.Replace(minimal, `"h1"`, `"10.0.0.1"`, 1), `control_hosts = [{name = "h2", address = "10.0.0.2:7102"}]`, `control_seeds = ["10.0.0.2:7102"]`, 1)
+	edge := "[edge]\ngateway_address = \"10.0.0.1:7200\"\nupstream_list = \"10.0.0.9:80\"\n"
+	s, err := Load(writeSettings(c, seeded+edge))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Edge.OffloadAddress, qt.Equals, "")
+	s, err = Load(writeSettings(c, seeded+edge+"offload = true\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Edge.OffloadAddress, qt.Equals, "10.0.0.1:7103")
+	for _, test := range []struct{ old, new, message string }{
+		{`control_seeds = ["10.0.0.2:7102"]`, `control_hosts = [{name = "h2", address = "10.0.0.2:7102"}]`, ".*edge.offload: needs control_seeds.*"},
+		{`peer_address = "10.0.0.1:7102"`, `peer_address = "10.0.0.1:65535"`, ".*edge.offload: there is no port after.*"},
+		{`admin_address = "10.0.0.1:7101"`, `admin_address = "10.0.0.1:7103"`, ".*edge.offload: .* collides with admin_address"},
+	} {
+		_, err = Load(writeSettings(c, strings.Replace(seeded, test.old, test.new, 1)+edge+"offload = true\n"))
+		c.Check(err, qt.ErrorMatches, test.message)
+	}
+}
+
 // Guards against a key that reaches logs through formatting.
 func TestSecretIsHidden(t *testing.T) {
 	s := Default()
