Let the limit of a host that passes requests on recover from a pause

Cause: while requests were passed on, the limit could rise only to 1.25 times what was let through in the last second, so after a pause that had made it 5 it doubled in some three seconds. Change: while requests are refused the limit rises as it does without passing on; a request that is passed on counts for an eighth.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -67,7 +67,7 @@
 	minBurst  = 3.0
 	// offloadCost is what passing a request on to another host counts for against the rate limit,
 	// in requests that are served: about the ratio of the CPU times.
-	offloadCost = 0.2
+	offloadCost = 0.125
 	// offloadHeadroom bounds the rate limit, relative to the rate that is used of it, while
 	// requests are passed on. A limit above the rate of an account would have all its requests
 	// served here again, and the host overloaded again.
@@ -97,9 +97,10 @@
 	lateTimes [2]time.Time
 
 	checkedAt time.Time
-	// offloadedAt is the time of the last request that was passed on.
-	offloadedAt time.Time
-	accounts    map[string]*account
+	// offloadedAt and refusedAt are the times of the last requests that were passed on and that
+	// DecideEarly refused.
+	offloadedAt, refusedAt time.Time
+	accounts               map[string]*account
 }
 
 // Action is what a host does with a request.
@@ -159,7 +160,7 @@
 			return
 		}
 		if now.Sub(l.offloadedAt) < offloadRecently {
-			l.limit = max(l.limit, min(l.limit*l.increase(now), acceptedRate*offloadHeadroom))
+			l.increaseOffloading(acceptedRate, now)
 			return
 		}
 		// Above twice the highest rate the limit affects no account.
@@ -178,6 +179,16 @@
 	return calmIncrease
 }
 
+// increaseOffloading increases the limit while requests are passed on. A limit that refuses requests
+// is far below the rate of their account and may rise; another one stays near the rate that is used.
+func (l *Limiter) increaseOffloading(acceptedRate float64, now time.Time) {
+	most := acceptedRate * offloadHeadroom
+	if now.Sub(l.refusedAt) < adjustInterval {
+		most = math.Inf(1)
+	}
+	l.limit = max(l.limit, min(l.limit*l.increase(now), most))
+}
+
 // decreased returns the rate limit after a decrease; acceptedRate is the highest rate at which
 // the requests of an account were accepted.
 func (l *Limiter) decreased(acceptedRate float64) float64 {
@@ -235,6 +246,7 @@
 	}
 	a.rate += 1 / rateTimeConstant.Seconds()
 	if !mayOffload || a.tokens < offloadCost {
+		l.refusedAt = now
 		return Refuse
 	}
 	a.tokens -= offloadCost
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -363,3 +363,19 @@
 	qt.Assert(t, math.IsInf(h.l.RateLimit(), 1), qt.IsTrue, qt.Commentf("%.0f", h.l.RateLimit()))
 	qt.Assert(t, h.refused, qt.Equals, 0)
 }
+
+// Guards against a limit that stays low for many seconds after a pause of the host, because it may only
+// rise a little above what it lets through.
+func TestLimitRecoversFromAPauseUnderAFlood(t *testing.T) {
+	const flood = 1_200
+	for seed := range int64(10) {
+		h := &offloadingHost{streamingHost: streamingHost{l: New(), perMs: 0.3}}
+		rng := rand.New(rand.NewSource(seed))
+		h.simulate(rng, 0, 5_000, map[string]float64{"hot": flood, "small": 5})
+		h.backlog += h.perMs * 2_000 // the host does nothing else for two seconds
+		h.simulate(rng, 5_000, 7_000, map[string]float64{"hot": flood, "small": 5})
+		h.simulate(rng, 12_000, 4_000, map[string]float64{"hot": flood, "small": 5})
+		accepted := float64(h.served+h.passedOn) / 4
+		qt.Check(t, accepted >= 0.9*flood, qt.IsTrue, qt.Commentf("seed %d: %.0f of %d a second are accepted five seconds after the pause, limit %.0f", seed, accepted, flood, h.l.RateLimit()))
+	}
+}
