Try quarantined prompt parts again, one request at a time

Cause: only an answer disproves the crash marks of a prompt part, and a quarantined part gets none. Change: a part is due for a trial 2 s after its last crash, or, if it alone explains one of its crashes, after 10 s and three times the time from its first to its last one. The host whose turn it is follows from the replicated marks, another one every 2 s. Requests with fewer marked parts come first, a trial is sent once, the refusal names the part and the time of its trial.

--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -138,6 +138,7 @@
 	e.loadsMu.Unlock()
 	e.catalog.setHosts(aliveNames)
 	e.admission.SetHosts(aliveNames)
+	e.gateway.SetHosts(e.d.settings.Host, aliveNames)
 	e.gateway.SetOffloadHosts(e.offloadHosts(hosts))
 	e.dispatcher.Update(func(d *dispatch.Dispatcher, _ time.Time) { d.SetHosts(aliveNames) })
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/rendezvous"
 	"marigoldshunt/internal/wire"
 )
 
@@ -65,6 +67,11 @@
 	unreported []wire.CrashMark
 	// broken holds the requests whose connection broke, by the instance being probed.
 	broken map[catalog.Key][]brokenRequest
+	// host is this host, hosts are those that take turns in trying quarantined parts. trials holds
+	// the times until which this host tries none of the parts that it has just tried.
+	host   string
+	hosts  rendezvous.Members
+	trials map[wire.Digest]time.Time
 }
 
 // brokenRequest is a request whose connection to an instance broke.
@@ -87,7 +94,7 @@
 func newCrashTracker(store CrashStore, log logrus.FieldLogger) *crashTracker {
 	return &crashTracker{
 		store: store, log: log, dial: probeDial, now: time.Now, own: newOwnCrashMarks(), recorded: crashMarks{}, disproved: newOwnCrashMarks(),
-		broken: map[catalog.Key][]brokenRequest{},
+		broken: map[catalog.Key][]brokenRequest{}, hosts: rendezvous.NewMembers("", nil), trials: map[wire.Digest]time.Time{},
 	}
 }
 
@@ -124,12 +131,24 @@
 }
 
 // checkCrashes refuses a request that, or a prompt part of which, has crashed too many
-// upstreams.
+// upstreams. A request by which quarantined parts are tried is sent once.
 func (q *request) checkCrashes() error {
 	if err := q.server.crashes.check(q.fingerprint); err != nil {
 		return err
 	}
-	return q.server.crashes.checkParts(q.service.Name, q.job.SharedParts)
+	if q.trial && q.sends == 0 {
+		return nil
+	}
+	trial, err := q.server.crashes.admitParts(q.service.Name, q.job.SharedParts)
+	if err != nil || !trial {
+		return err
+	}
+	if q.sends > 0 {
+		return crashesUpstreams(trialWindow, "a part of the prompt is being tried")
+	}
+	q.trial = true
+	q.server.count("quarantine_trials")
+	return nil
 }
 
 // check refuses a request that has crashed too many upstreams. It calls fingerprint, which
@@ -144,27 +163,45 @@
 	if n < maxCrashes {
 		return nil
 	}
-	return crashesUpstreams("the request has crashed %d upstreams", n)
+	return crashesUpstreams(crashRetryAfter, "the request has crashed %d upstreams", n)
 }
 
-// checkParts refuses a request with a prompt part that has crashed too many upstreams.
-func (c *crashTracker) checkParts(service string, sharedParts func() []uint64) error {
+// admitParts refuses a request with a prompt part that has crashed too many upstreams, unless the
+// part is tried again by this request.
+func (c *crashTracker) admitParts(service string, sharedParts func() []uint64) (trial bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.emptyLocked() {
-		return nil
+		return false, nil
 	}
+	var suspects []suspectPart
+	var refusal string
+	marked := 0
 	for _, id := range sharedParts() {
-		marks := c.validMarksLocked(partFingerprint(service, id))
-		if len(marks) >= maxPartCrashes && separateCrashes(marks) >= maxPartCrashes {
-			return crashesUpstreams("part %x of the prompt has crashed %d upstreams", id, len(marks))
+		fp := partFingerprint(service, id)
+		marks := c.validMarksLocked(fp)
+		if len(marks) > 0 {
+			marked++
+		}
+		if partQuarantined(marks) {
+			suspects = append(suspects, suspectPart{fingerprint: fp, marks: marks})
+			refusal = fmt.Sprintf("part %x of the prompt has crashed %d upstreams", id, len(marks))
 		}
 	}
-	return nil
+	if len(suspects) == 0 {
+		return false, nil
+	}
+	trial, due := c.tryLocked(suspects, marked)
+	if trial {
+		c.log.WithField("service", service).WithField("quarantined_parts", len(suspects)).WithField("cause", refusal).Info("Quarantined prompt parts are tried by one request.")
+		return true, nil
+	}
+	retryAfter := max(due.Sub(c.now()), trialWindow)
+	return false, crashesUpstreams(retryAfter, "%s; it is tried again in %s", refusal, retryAfter.Round(time.Millisecond))
 }
 
-func crashesUpstreams(format string, args ...any) error {
-	return fault.New(fault.CrashesUpstreams, fault.NotRun, format, args...).WithRetryAfter(crashRetryAfter)
+func crashesUpstreams(retryAfter time.Duration, format string, args ...any) error {
+	return fault.New(fault.CrashesUpstreams, fault.NotRun, format, args...).WithRetryAfter(retryAfter)
 }
 
 func (c *crashTracker) emptyLocked() bool { return c.own.len()+len(c.recorded) == 0 }
--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -189,6 +189,12 @@
 	}
 }
 
+// checkParts is admitParts for tests that only need the refusal.
+func (c *crashTracker) checkParts(service string, sharedParts func() []uint64) error {
+	_, err := c.admitParts(service, sharedParts)
+	return err
+}
+
 func partList(ids ...uint64) func() []uint64 { return func() []uint64 { return ids } }
 
 // Guards against refusing the other parts of the requests that crash upstreams, and those of
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -60,6 +60,8 @@
 	instanceVersion string
 	// runEvents counts the events that the present run has sent.
 	runEvents int
+	// trial is true for a request by which quarantined prompt parts are tried.
+	trial bool
 	// mayHaveRun is true once an instance may have run the request.
 	mayHaveRun bool
 	sends      int
