Test the reuse of a connection behind passed-on requests without a race

The test sent requests that are served locally between those that are passed on, on one connection. The HTTP server may read the first byte of the next request while it ends one, and then serves it itself; one of three runs of the package counted 3 requests passed on instead of 4. The assertions stay.

--- a/internal/gateway/offload_test.go
+++ b/internal/gateway/offload_test.go
@@ -123,11 +123,11 @@
 		pair.Assert(resp.StatusCode, qt.Equals, 200, qt.Commentf("%s", got))
 		pair.Assert(resp.Header.Get("X-Proof"), qt.Equals, "p1")
 		pair.Assert(got, qt.Equals, id+body)
-		if i == 0 {
-			continue
-		}
-		// The other account is below the limit.
-		resp, _ = exchange(pair.C, nc, br, rawRequest("POST", "k2", "s"+id, "", body))
+	}
+	// The other account is below the limit. Behind a request that the host serves itself, the HTTP
+	// server may have read the beginning of the next one already, so these come last.
+	for range 3 {
+		resp, _ := exchange(pair.C, nc, br, rawRequest("POST", "k2", "s1", "", strings.Repeat("b", 9_000)))
 		pair.Assert(resp.StatusCode, qt.Equals, 200)
 	}
 	pair.Assert(pair.counted("offloaded"), qt.Equals, int64(4))
