Resume no stream by a list that nobody has confirmed since the request came

Change: a resumed stream first waits until another host has confirmed the list in answer to a question asked after the request came. The stream began before, so its version is in that list. The question is asked at once, at most one in 20 ms; without an answer within 1 s the request is refused with a Retry-After. It costs a resumed stream a round trip. Tests: TestHostOutOfStepDoesNotResumeAtTheVersionThatItKnows (the older version got the request before), TestHurriedQuestionIsAskedAtOnce.

--- a/internal/catalog/contact.go
+++ b/internal/catalog/contact.go
@@ -15,6 +15,8 @@
 	CheckInterval = 600 * time.Millisecond
 	// RepeatAfter is how long an answer may take before another host is asked.
 	RepeatAfter = 200 * time.Millisecond
+	// HurriedAfter is the least time between two questions that requests wait for.
+	HurriedAfter = 20 * time.Millisecond
 	// MaxContactAge is the time without an answer after which a host must not send requests by its
 	// list. With the second between two reads of the list it stays below the time in which an
 	// instance that leaves must get no more requests.
@@ -49,6 +51,8 @@
 	lastAsked time.Duration
 	// answered is true once the latest question has been answered.
 	answered bool
+	// hurried is true while the next question is due at once.
+	hurried bool
 	// confirmed is true once an answer has confirmed the list, confirmedAt when that was asked.
 	confirmed   bool
 	confirmedAt time.Duration
@@ -71,15 +75,21 @@
 	c.answering = slices.DeleteFunc(c.answering, func(h string) bool { return !slices.Contains(c.others, h) })
 }
 
+// Hurry makes the next question due at once, unless one was asked within HurriedAfter.
+func (c *Contact) Hurry(now time.Duration) {
+	c.hurried = c.hurried || now-c.lastAsked >= HurriedAfter
+}
+
 // Next returns whom to ask now, and the number of the question; ok is false while none is due.
 func (c *Contact) Next(now time.Duration) (to string, seq uint64, ok bool) {
 	pause := RepeatAfter
 	if c.answered {
 		pause = CheckInterval
 	}
-	if len(c.others) == 0 || c.seq > 0 && now-c.lastAsked < pause {
+	if len(c.others) == 0 || c.seq > 0 && !c.hurried && now-c.lastAsked < pause {
 		return "", 0, false
 	}
+	c.hurried = false
 	hosts := c.others
 	if c.seq++; !c.answered && c.seq%2 == 0 && len(c.answering) > 0 {
 		hosts = c.answering
--- a/internal/catalog/contact_test.go
+++ b/internal/catalog/contact_test.go
@@ -48,6 +48,26 @@
 	c.Assert(age, qt.Equals, 3*time.Second-RepeatAfter)
 }
 
+// Guards against a resumed stream that waits for the next regular question, and against questions
+// that pile up.
+func TestHurriedQuestionIsAskedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	x := newTestContact("h1", "h2")
+	_, first, _ := x.Next(0)
+	x.Hurry(HurriedAfter - 1)
+	_, _, ok := x.Next(HurriedAfter - 1)
+	c.Assert(ok, qt.IsFalse)
+	x.Hurry(HurriedAfter)
+	_, second, ok := x.Next(HurriedAfter)
+	c.Assert(ok, qt.IsTrue)
+	_, _, ok = x.Next(HurriedAfter + 1)
+	c.Assert(ok, qt.IsFalse)
+	x.Confirm("h1", first, HurriedAfter+2)
+	x.Confirm("h1", second, HurriedAfter+2)
+	age, _ := x.Age(HurriedAfter + 2)
+	c.Assert(age, qt.Equals, time.Duration(2))
+}
+
 // Guards against a host that loses contact because one other host is lost, and against idle chatter.
 func TestContactSurvivesLostHosts(t *testing.T) {
 	c := qt.New(t)
--- a/internal/daemon/catalog_contact.go
+++ b/internal/daemon/catalog_contact.go
@@ -29,6 +29,15 @@
 	}
 }
 
+// confirmList asks another host at once, unless one was asked just now.
+func (c *catalogRole) confirmList() {
+	now := c.clock.Now()
+	c.mu.Lock()
+	c.contact.Hurry(now)
+	c.mu.Unlock()
+	c.checkContact(now)
+}
+
 func (c *catalogRole) logContact(lost bool, age time.Duration, digest uint64) {
 	l := c.log.WithField("contact_age_ms", age.Milliseconds()).WithField("list_version", catalog.FormatVersion(digest))
 	if lost {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,8 @@
 	CrashStore CrashStore
 	// StreamStore is the fleet-wide record of where streams began.
 	StreamStore StreamStore
+	// ConfirmList has another host asked soon whether its list of instances is the same. It may be nil.
+	ConfirmList func()
 	// MaxConfigAge is the age of the configuration above which requests are refused.
 	MaxConfigAge time.Duration
 	// MaxHeaderBytes bounds the size of a request header, ReadHeaderTimeout the time to
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -7,6 +7,7 @@
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wait"
 	"marigoldshunt/internal/wire"
 )
 
@@ -42,6 +43,24 @@
 // maxOriginWait bounds the wait for where a stream began.
 const maxOriginWait = time.Second
 
+// listPollInterval is the interval at which a resumed stream looks whether the list is confirmed.
+const listPollInterval = 5 * time.Millisecond
+
+// awaitList waits until another host has confirmed the list of instances in answer to a question from
+// after the request arrived. The stream began before that, so its version is then in the list; a host
+// that was out of step may know only the versions of before.
+func (q *request) awaitList(ctx context.Context) error {
+	for q.server.opts.View().ListContactAge > time.Since(q.arrived) {
+		if q.server.opts.ConfirmList != nil {
+			q.server.opts.ConfirmList()
+		}
+		if !wait.For(ctx, listPollInterval) {
+			return fault.New(fault.StreamOriginUnknown, fault.NotRun, "no host has confirmed the list of upstreams since the request came").WithRetryAfter(shortRetryAfter)
+		}
+	}
+	return nil
+}
+
 // findOrigin finds where a stream began that the caller resumes, and sends the request there. It
 // returns StreamOriginUnknown if that is not known, or the route doesn't lead there any more.
 func (q *request) findOrigin() error {
@@ -50,6 +69,9 @@
 	}
 	ctx, cancel := context.WithTimeout(q.r.Context(), min(maxOriginWait, time.Until(q.deadline)))
 	defer cancel()
+	if err := q.awaitList(ctx); err != nil {
+		return err
+	}
 	origin, err := q.server.streams.find(ctx, q.streamID(), q.service.Name)
 	if err != nil || origin == nil {
 		return err
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -240,3 +240,49 @@
 func (lostStreamStore) ChangeStreams(context.Context, *wire.StreamChange) (*wire.StreamAnswer, error) {
 	return nil, fault.New(fault.Timeout, fault.MayHaveRun, "no answer")
 }
+
+// Guards against a host that is out of step while a second version comes, and goes on with a stream
+// that began there at the version that it knows.
+func TestHostOutOfStepDoesNotResumeAtTheVersionThatItKnows(t *testing.T) {
+	for _, regains := range []bool{false, true} {
+		c := qt.New(t)
+		f := newVersionFleet(t, "older")
+		_, err := f.second.server.streams.find(t.Context(), 1, "svc") // learns that the service is settled
+		c.Assert(err, qt.IsNil)
+		f.list(f.first, "newer")
+		f.list(f.first, "older", "newer")
+		f.waitForReport(t, "older", "newer")
+		f.first.server.streams.begin(streamID("", "r1"), dispatch.Origin{Service: "svc", Version: "newer"})
+		f.waitForRecord(t, "r1")
+		// No other host has confirmed the second one's list since the stream began.
+		f.second.setView(func(v *View) { v.ListContactAge = time.Second })
+		if regains {
+			f.second.server.opts.ConfirmList = func() {
+				f.list(f.second, "older", "newer")
+				f.second.setView(func(v *View) { v.ListContactAge = 0 })
+			}
+		}
+		resp, body, _ := f.second.do("POST", "/resume/x", "", "Last-Event-Id: 1", "X-Resumes: r1")
+		c.Check(f.older.requests(), qt.HasLen, 0)
+		if !regains {
+			c.Check(resp.StatusCode, qt.Equals, 503)
+			c.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			continue
+		}
+		c.Check(body, qt.Equals, "id: 2\ndata: newer 2\n\nid: 3\ndata: newer 3\n\n")
+	}
+}
+
+// waitForRecord waits until the fleet's record has a stream.
+func (f *versionFleet) waitForRecord(t *testing.T, requestID string) {
+	id := streamID("", requestID)
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		a, err := f.first.server.opts.StreamStore.ChangeStreams(t.Context(), &wire.StreamChange{Asked: []wire.StreamID{id}})
+		if err == nil && len(a.Known) == 1 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the stream is not recorded")
+		}
+	}
+}
