--- a/internal/gateway/offload_test.go
+++ b/internal/gateway/offload_test.go
@@ -275,6 +275,49 @@
 	}
 }
 
+// Guards against a second copy of a response, late, on a connection to another host that is in use
+// again: the next caller would get a response that is not its own.
+func TestLateCopyOfAPassedOnResponseReachesNoCaller(t *testing.T) {
+	const copyOf = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy"
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		defer ln.Close()
+		copied := make(chan struct{}, 4)
+		go func() {
+			for {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					br := bufio.NewReader(nc)
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n%s", req.Header.Get("X-Request-Id"))
+					time.Sleep(delay)
+					fmt.Fprint(nc, copyOf)
+					copied <- struct{}{}
+				}()
+			}
+		}()
+		gw := newOffloadingGateway(t, ln.Addr().String(), newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))))
+		nc, err := net.Dial("tcp", gw.address)
+		gw.Assert(err, qt.IsNil)
+		defer nc.Close()
+		br := bufio.NewReader(nc)
+		for _, id := range []string{"r1", "r2"} {
+			resp, body := exchange(gw.C, nc, br, rawRequest("POST", "k1", id, "", "body"))
+			gw.Assert(resp.StatusCode, qt.Equals, 200)
+			gw.Assert(body, qt.Equals, id)
+			<-copied
+			time.Sleep(delay) // until the copy has arrived
+		}
+	}
+}
+
 // Guards against a host that neither passes a request on nor refuses it, because no other host can
 // be reached.
 func TestRefusesWhatNoOtherHostTakes(t *testing.T) {
