Pass on what crowds a host before it is overloaded

Change: requests of an account of which more than 32 run at the host are passed on at once, also while the host is not overloaded. While requests are passed on, the fraction of new connections that is accepted recovers five times as fast. Tests: TestHostPassesOnWhatCrowdsIt, TestCrowdedAccountIsPassedOnBeforeTheHostIsOverloaded, TestNewConnectionsAreSoonAcceptedWhileRequestsArePassedOn.

--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -35,11 +35,12 @@
 
 // offloadOrRefuseEarly also passes requests on to other hosts.
 func (s *Server) offloadOrRefuseEarly(c *headerConn, p []byte) (handled bool, err error) {
-	return s.handleEarly(c, p, s.offloader.usable())
+	return s.handleEarly(c, p, true)
 }
 
 func (s *Server) handleEarly(c *headerConn, p []byte, mayOffload bool) (handled bool, err error) {
-	if !s.Busy() {
+	mayOffload = mayOffload && s.offloader.usable()
+	if !s.Busy() && !(mayOffload && s.Running() > crowdedRunning) {
 		return false, nil
 	}
 	h, ok := s.opts.HeaderNames.parseHead(p)
@@ -52,8 +53,9 @@
 		return false, nil
 	}
 	mayOffload = mayOffload && q.route != nil && h.headBytes+h.bodyBytes <= offloadRequestBytes
+	crowded := s.places.held(q.account) > crowdedRunning
 	s.limiter.Lock()
-	action := s.limiter.DecideEarly(q.account, mayOffload, q.arrived)
+	action := s.limiter.DecideEarly(q.account, mayOffload, crowded, q.arrived)
 	s.limiter.Unlock()
 	if action == overload.Serve {
 		return false, nil
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -21,6 +21,9 @@
 
 // Limits for requests that are passed on to other hosts.
 const (
+	// crowdedRunning is the number of running requests of one account above which a host passes its
+	// others on. It is several times what an even spread over the hosts gives one of them.
+	crowdedRunning = 32
 	// offloadRequestBytes bounds the size of such a request, which is read whole first, so that a
 	// slow caller holds nothing at the other host.
 	offloadRequestBytes = 64 << 10
--- a/internal/gateway/offload_test.go
+++ b/internal/gateway/offload_test.go
@@ -145,6 +145,47 @@
 	pair.waitForOpenToHosts(0)
 }
 
+// Guards against a host that accepts a flood until it is overloaded, which then lasts for seconds.
+func TestHostPassesOnWhatCrowdsIt(t *testing.T) {
+	running, end := make(chan struct{}, 2*crowdedRunning), make(chan struct{})
+	u := newUpstream(t, func(req *receivedRequest) {
+		running <- struct{}{}
+		<-end
+		writeRaw("%s", rawResponse(200, "ok"))(req)
+	})
+	other := newTestGatewayWith(t, accountsDocument(), quiet, u)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	other.Assert(err, qt.IsNil)
+	go func() { _ = other.server.ServeOffloaded(ln) }()
+	gw := newTestGatewayWith(t, accountsDocument(), offloadTo(ln.Addr().String()), u)
+	gw.server.SetOffloadHosts([]string{"h2"})
+	statuses := make(chan int, 2*crowdedRunning)
+	send := func(key string) {
+		go func() {
+			resp, _, _ := gw.do("GET", "/read/x", "", "X-Api-Key: "+key)
+			if resp == nil {
+				resp = &http.Response{}
+			}
+			statuses <- resp.StatusCode
+		}()
+		select {
+		case <-running:
+		case <-time.After(testTimeout):
+			t.Error("a request did not reach the upstream")
+		}
+	}
+	for range crowdedRunning + 5 {
+		send("k1")
+	}
+	send("k2")
+	gw.Check(gw.counted("offloaded"), qt.Equals, int64(4)) // one more than crowdedRunning is served here
+	close(end)
+	for range crowdedRunning + 6 {
+		gw.Check(<-statuses, qt.Equals, 200)
+	}
+	gw.Check(gw.server.Busy(), qt.IsFalse)
+}
+
 // Guards against events of a stream that are held back by the host that passed its request on, and
 // against a stream that breaks off and looks complete to the caller.
 func TestPassedOnStreamIsDeliveredEventByEvent(t *testing.T) {
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -81,6 +81,13 @@
 	return true
 }
 
+// held returns the number of places that an account holds.
+func (p *places) held(account string) int {
+	p.Lock()
+	defer p.Unlock()
+	return p.byAccount[account]
+}
+
 func (p *places) release(account string) {
 	p.Lock()
 	defer p.Unlock()
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -53,6 +53,9 @@
 	acceptDecrease = 0.6
 	minAccepted    = 0.05
 	acceptIncrease = 0.01
+	// offloadingAcceptIncrease takes its place while requests are passed on, since other hosts then
+	// take the flood.
+	offloadingAcceptIncrease = 0.05
 	// fallingRatio is the ratio to the mean lag at the last check below which the lag counts
 	// as falling by itself, because the host works off requests that it had accepted. The
 	// limits are then not tightened further.
@@ -155,7 +158,7 @@
 			l.acceptedFraction = max(l.acceptedFraction*acceptDecrease, minAccepted)
 		}
 	case l.lag < overloadLag && !math.IsInf(l.limit, 1):
-		l.acceptedFraction = min(l.acceptedFraction+acceptIncrease, 1)
+		l.acceptedFraction = min(l.acceptedFraction+l.acceptIncrease(now), 1)
 		if l.lag >= calmLag {
 			return
 		}
@@ -171,6 +174,14 @@
 	}
 }
 
+// acceptIncrease returns the increase of the accepted fraction of new connections.
+func (l *Limiter) acceptIncrease(now time.Time) float64 {
+	if now.Sub(l.offloadedAt) < offloadRecently {
+		return offloadingAcceptIncrease
+	}
+	return acceptIncrease
+}
+
 // increase returns the factor of an increase of the rate limit.
 func (l *Limiter) increase(now time.Time) float64 {
 	if now.Sub(l.calmSince) < calmTime {
@@ -231,16 +242,19 @@
 }
 
 // DecideEarly decides about a request before it is parsed. Unless the action is Serve, it records
-// the request. mayOffload is false if the request can't be passed on.
+// the request. mayOffload is false if the request can't be passed on. crowded is true if many
+// requests of the account run here already; it then passes on others before the host is overloaded,
+// because the requests that it has accepted by then keep it late for seconds.
 //
 // All requests of an account above the limit are passed on, not only those beyond it: serving the
 // others here would take most of the CPU time that passing on needs.
-func (l *Limiter) DecideEarly(name string, mayOffload bool, now time.Time) Action {
-	if math.IsInf(l.limit, 1) {
+func (l *Limiter) DecideEarly(name string, mayOffload, crowded bool, now time.Time) Action {
+	crowded = crowded && mayOffload
+	if math.IsInf(l.limit, 1) && !crowded {
 		return Serve
 	}
 	a := l.refilled(name, now)
-	aboveLimit := a.rate > l.limit || a.tokens < 1
+	aboveLimit := crowded || a.rate > l.limit || a.tokens < 1
 	if !aboveLimit || !mayOffload && a.tokens >= 1 {
 		return Serve
 	}
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -307,7 +307,7 @@
 }
 
 func (h *offloadingHost) arrive(name string, now time.Time, at int) {
-	switch h.l.DecideEarly(name, true, now) {
+	switch h.l.DecideEarly(name, true, false, now) {
 	case Offload:
 		h.passedOn++
 		h.work(offloadCost, at)
@@ -379,3 +379,39 @@
 		qt.Check(t, accepted >= 0.9*flood, qt.IsTrue, qt.Commentf("seed %d: %.0f of %d a second are accepted five seconds after the pause, limit %.0f", seed, accepted, flood, h.l.RateLimit()))
 	}
 }
+
+// Guards against a host that accepts more than it can serve in the second before it counts as
+// overloaded, and against passing requests on from a host to which no other one could.
+func TestCrowdedAccountIsPassedOnBeforeTheHostIsOverloaded(t *testing.T) {
+	c := qt.New(t)
+	l := New()
+	c.Assert(l.DecideEarly("hot", true, false, start), qt.Equals, Serve)
+	c.Assert(l.DecideEarly("hot", false, true, start), qt.Equals, Serve)
+	for range 1_000 {
+		c.Assert(l.DecideEarly("hot", true, true, start), qt.Equals, Offload)
+	}
+	// What was passed on counts when the host becomes overloaded after all.
+	for i := range 20 {
+		l.Observe(2*overloadLag+time.Duration(i)*time.Millisecond, start.Add(time.Duration(i)*SampleInterval))
+	}
+	c.Assert(l.RateLimit() < 1_000*offloadCost, qt.IsTrue, qt.Commentf("%.0f", l.RateLimit()))
+	c.Assert(l.RateLimit() > 1_000*offloadCost/4, qt.IsTrue, qt.Commentf("%.0f", l.RateLimit()))
+}
+
+// Guards against new connections that are refused for many seconds although other hosts take the
+// requests that come on them.
+func TestNewConnectionsAreSoonAcceptedWhileRequestsArePassedOn(t *testing.T) {
+	l, now := New(), start
+	observe := func(lag, length time.Duration) {
+		for end := now.Add(length); now.Before(end); now = now.Add(SampleInterval) {
+			l.DecideEarly("hot", true, true, now)
+			l.Observe(lag, now)
+		}
+	}
+	for i := range 100 {
+		observe(overloadLag*4+time.Duration(i)*time.Second, SampleInterval)
+	}
+	qt.Assert(t, l.Shed(0.5), qt.IsTrue)
+	observe(0, 3*time.Second)
+	qt.Check(t, l.Shed(0.9), qt.IsFalse)
+}
