Refuse a request that a host with a newer routing document passed on

Change: the host that passes a request on names its version in a header between hosts, which is never forwarded; a host with an older one answers 503. Test: TestHostWithAnOlderDocumentTakesNoPassedOnRequest.

--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -52,7 +52,7 @@
 	if q == nil {
 		return false, nil
 	}
-	mayOffload = mayOffload && q.route != nil && h.headBytes+h.bodyBytes <= offloadRequestBytes
+	mayOffload = mayOffload && q.route != nil && h.headBytes+h.bodyBytes+maxOffloadVersionBytes <= offloadRequestBytes
 	crowded := s.places.held(q.account) > crowdedRunning
 	s.limiter.Lock()
 	action := s.limiter.DecideEarly(q.account, mayOffload, crowded, q.arrived)
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"math"
 	"net"
+	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -42,6 +45,11 @@
 	// offloadPollInterval is the interval at which a host looks whether the caller of a request
 	// that it has passed on is still connected.
 	offloadPollInterval = 200 * time.Millisecond
+	// offloadVersionHeader names the routing document of the host that passes a request on. It is
+	// between hosts only and not forwarded.
+	offloadVersionHeader = "Offload-Document-Version"
+	// maxOffloadVersionBytes bounds the header field.
+	maxOffloadVersionBytes = len(offloadVersionHeader) + len(": 18446744073709551615\r\n")
 )
 
 var (
@@ -275,8 +283,8 @@
 func (q *passedRequest) readAndSend(p []byte) (*hostConn, error) {
 	buf := offloadRequestBuffers.Get().(*[offloadRequestBytes]byte)
 	defer offloadRequestBuffers.Put(buf)
-	request := buf[:q.head.headBytes+q.head.bodyBytes]
-	n := copy(request, p)
+	n := q.copyWithVersion(buf[:], p)
+	request := buf[:n+q.head.headBytes+q.head.bodyBytes-len(p)]
 	if err := q.readRest(request[n:]); err != nil {
 		return nil, errEndConnection
 	}
@@ -286,6 +294,32 @@
 	return q.send(request)
 }
 
+// copyWithVersion copies the beginning p of the request and adds the version of the routing document
+// that this host knows to its head. It returns the size of the copy.
+func (q *passedRequest) copyWithVersion(buf, p []byte) int {
+	lineEnd := bytes.Index(p, crlf) + len(crlf)
+	n := copy(buf, p[:lineEnd])
+	field := append(buf[n:n], offloadVersionHeader+": "...)
+	field = append(strconv.AppendUint(field, q.view.Table.Document.Version, 10), crlf...)
+	n += len(field)
+	return n + copy(buf[n:], p[lineEnd:])
+}
+
+// checkOffloadVersion refuses a request that was passed on by a host that knows a newer routing
+// document: its callers would see an older one in force again.
+func checkOffloadVersion(h http.Header, own uint64) error {
+	value := h.Get(offloadVersionHeader)
+	if value == "" {
+		return nil
+	}
+	h.Del(offloadVersionHeader)
+	version, err := strconv.ParseUint(value, 10, 64)
+	if err != nil || version <= own {
+		return nil
+	}
+	return fault.New(fault.HostIsolated, fault.NotRun, "the request was passed on by a host with version %d of the routing document, this host has %d", version, own).WithRetryAfter(shortRetryAfter)
+}
+
 // readRest reads the rest of the request.
 func (q *passedRequest) readRest(p []byte) error {
 	if len(p) == 0 {
--- a/internal/gateway/offload_test.go
+++ b/internal/gateway/offload_test.go
@@ -308,7 +308,7 @@
 			resp, body := exchange(gw.C, nc, bufio.NewReader(nc), request)
 			gw.Assert(resp.StatusCode, qt.Equals, test.status)
 			gw.Assert(body, qt.Contains, test.body)
-			gw.Assert(<-received, qt.Equals, request)
+			gw.Assert(<-received, qt.Equals, strings.Replace(request, "\r\n", "\r\nOffload-Document-Version: 1\r\n", 1))
 			gw.Assert(u.requests(), qt.HasLen, 0)
 			gw.Assert(received, qt.HasLen, 0)
 			gw.waitForOpenToHosts(0)
@@ -382,6 +382,35 @@
 	gw.waitForOpenToHosts(0)
 }
 
+// Guards against a caller for whom an older routing document is in force again, because the host to
+// which its request was passed on has not the newer one yet, and against passing on the header
+// between hosts.
+func TestHostWithAnOlderDocumentTakesNoPassedOnRequest(t *testing.T) {
+	u := newUpstream(t, writeRaw("%s", rawResponse(200, "ok")))
+	pair := newOffloadPair(t, u)
+	for _, test := range []struct {
+		version uint64
+		status  int
+	}{{1, 200}, {2, 503}, {0, 200}} {
+		d := accountsDocument()
+		d.Version = test.version
+		pair.setView(func(v *View) { v.Table = routing.NewTable(d) })
+		nc, err := net.Dial("tcp", pair.address)
+		pair.Assert(err, qt.IsNil)
+		resp, body := exchange(pair.C, nc, bufio.NewReader(nc), rawRequest("POST", "k1", "r1", "", "body"))
+		nc.Close()
+		pair.Check(resp.StatusCode, qt.Equals, test.status, qt.Commentf("version %d", test.version))
+		if test.status == 503 {
+			pair.Check(body, qt.Equals, failureBody(fault.HostIsolated, fault.NotRun))
+			pair.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		}
+	}
+	pair.Assert(u.requests(), qt.HasLen, 2)
+	for _, req := range u.requests() {
+		pair.Check(req.Header.Get(offloadVersionHeader), qt.Equals, "")
+	}
+}
+
 // Guards against requests that go around between overloaded hosts.
 func TestPassedOnRequestsAreNotPassedOnAgain(t *testing.T) {
 	u := newUpstream(t, writeRaw("%s", rawResponse(200, "ok")))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -117,6 +117,9 @@
 	if err := view.Check(q.server.opts.MaxConfigAge); err != nil {
 		return err
 	}
+	if err := checkOffloadVersion(q.r.Header, view.Table.Document.Version); err != nil {
+		return err
+	}
 	if err := q.checkHeaderSize(view.Table.Document.Limits.HeaderBytes); err != nil {
 		return err
 	}
