Let a host pass more requests on at once, in less memory

Change: 8 per MB, 800 at most because of the descriptors; the buffer of a waited-for response is 4 KB instead of 8, and a longer head gets a larger one. Tests: two more cases in TestPassedOnRequestsWhoseHostFails.

--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -29,19 +29,19 @@
 // socket. Such bytes count towards the memory limit and not towards the Go runtime's.
 const unreadBytesPerConnection = 20 << 10
 
-// offloadsPerMB is the number of connections to other hosts per MB of the memory limit, each with a
-// request that is passed on. Such a request takes about 25 KB.
-const offloadsPerMB = 5
-
-// defaultMaxOffloads is the number of these connections without a memory limit.
-const defaultMaxOffloads = 1_000
+// Limits of the connections to other hosts for requests that are passed on: per MB of the memory
+// limit, and in all, because they take descriptors beside the connections of callers.
+const (
+	offloadsPerMB = 8
+	mostOffloads  = 800
+)
 
 // maxOffloads returns how many requests may be passed on at once.
 func maxOffloads(s *settings.Settings) int {
 	if s.MemoryMB == 0 {
-		return defaultMaxOffloads
+		return mostOffloads
 	}
-	return s.MemoryMB * offloadsPerMB
+	return min(s.MemoryMB*offloadsPerMB, mostOffloads)
 }
 
 // maxRunning returns how many requests the memory limit allows at once, 0 for no limit.
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -30,8 +30,10 @@
 	// offloadRequestBytes bounds the size of such a request, which is read whole first, so that a
 	// slow caller holds nothing at the other host.
 	offloadRequestBytes = 64 << 10
-	// offloadBufferBytes bounds the head of the response, and one read of its body.
-	offloadBufferBytes = 8 << 10
+	// offloadBufferBytes is the size of one read of a response. It is small, because it is held while
+	// the response is waited for. maxOffloadHeadBytes bounds the head.
+	offloadBufferBytes  = 4 << 10
+	maxOffloadHeadBytes = 64 << 10
 	// offloadConnectTimeout bounds the connect to a host of the same data centre.
 	offloadConnectTimeout = 300 * time.Millisecond
 	// maxOffloadConnects is the number of hosts that are tried for one request.
@@ -358,15 +360,14 @@
 func (q *passedRequest) copyResponse(hc *hostConn) (whole, keep bool, err error) {
 	buf := offloadResponseBuffers.Get().(*[offloadBufferBytes]byte)
 	defer offloadResponseBuffers.Put(buf)
-	framing, n, headBytes, err := q.readResponseHead(hc, buf[:])
+	framing, part, headBytes, err := q.readResponseHead(hc, buf[:])
 	if err != nil {
 		return false, false, err
 	}
 	if err := q.caller.SetWriteDeadline(q.deadline.Add(writeGrace)); err != nil {
 		return false, false, errEndConnection
 	}
-	part, begin := buf[:n], headBytes
-	for {
+	for begin := headBytes; ; begin = 0 {
 		bodyBytes, err := framing.consume(part[begin:])
 		if err != nil {
 			return false, false, err
@@ -380,30 +381,35 @@
 			// Bytes after the response belong to no request.
 			return !framing.closes, !framing.closes && end == len(part), nil
 		}
-		if n, err = q.readPart(hc, buf[:]); err != nil {
+		n, err := q.readPart(hc, buf[:])
+		if err != nil {
 			return false, false, err
 		}
-		part, begin = buf[:n], 0
+		part = buf[:n]
 	}
 }
 
-// readResponseHead reads until the head of the response is complete. n is the number of bytes read
-// and headBytes the part of them that is the head.
-func (q *passedRequest) readResponseHead(hc *hostConn, buf []byte) (framing responseFraming, n, headBytes int, err error) {
+// readResponseHead reads until the head of the response is complete, into buf or a larger buffer.
+// part is what was read, and headBytes the size of the head in it.
+func (q *passedRequest) readResponseHead(hc *hostConn, buf []byte) (framing responseFraming, part []byte, headBytes int, err error) {
+	n := 0
 	for headBytes == 0 {
+		if n == maxOffloadHeadBytes {
+			return framing, nil, 0, malformedResponse("its head is too long")
+		}
 		if n == len(buf) {
-			return framing, n, 0, malformedResponse("its head is too long")
+			buf = append(buf[:n:n], make([]byte, maxOffloadHeadBytes-n)...)
 		}
 		read, err := q.readPart(hc, buf[n:])
 		if err != nil {
-			return framing, n, 0, err
+			return framing, nil, 0, err
 		}
 		n += read
 		if framing, headBytes, err = parseResponseHead(buf[:n]); err != nil {
-			return framing, n, 0, err
+			return framing, nil, 0, err
 		}
 	}
-	return framing, n, headBytes, nil
+	return framing, buf[:n], headBytes, nil
 }
 
 // readPart reads from the host while the caller is connected, until the deadline.
--- a/internal/gateway/offload_test.go
+++ b/internal/gateway/offload_test.go
@@ -275,6 +275,12 @@
 	}{
 		{"ends", func(nc net.Conn) { nc.Close() }, 502, `"run_state":"may_have_run"`},
 		{"half a head", func(nc net.Conn) { fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nContent-"); nc.Close() }, 502, `"run_state":"may_have_run"`},
+		{"endless head", func(nc net.Conn) {
+			fmt.Fprint(nc, "HTTP/1.1 200 OK\r\n"+strings.Repeat("X: y\r\n", maxOffloadHeadBytes))
+		}, 502, `"run_state":"may_have_run"`},
+		{"large head", func(nc net.Conn) {
+			fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: "+strings.Repeat("y", 2*offloadBufferBytes)+"\r\nConnection: close\r\n\r\nok")
+		}, 200, "ok"},
 		{"other bytes", func(nc net.Conn) { fmt.Fprint(nc, "hello\r\n\r\n") }, 502, `"run_state":"may_have_run"`},
 		{"no length", func(nc net.Conn) { fmt.Fprint(nc, "HTTP/1.1 200 OK\r\n\r\nbody"); nc.Close() }, 502, `"run_state":"may_have_run"`},
 		{"silent", func(net.Conn) {}, 504, `"run_state":"may_have_run"`},
