Do not avoid a host because an upstream broke off a response that it passed back

Cause (read in the code): a response that broke off after its head counted as a failure of the host that served the request, which then got no requests for 2 s. Where many upstreams crash at once, all hosts of the data centre could be left out, and the flooded host refuse all. Change: only a host that gave no response is avoided. Test: TestPassedOnStreamIsDeliveredEventByEvent sends one more request, which was refused before.

--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -201,7 +201,7 @@
 	o.open--
 }
 
-// release ends the use of a connection. failed is true if the host did not complete a response.
+// release ends the use of a connection. failed is true if the host gave no response.
 func (o *offloader) release(hc *hostConn, keep, failed bool) {
 	now := time.Now()
 	o.mu.Lock()
@@ -270,7 +270,9 @@
 	q.server.count("offloaded")
 	q.log(hc)
 	whole, keep, err := q.copyResponse(hc)
-	q.server.offloader.release(hc, keep, err != nil && !errors.Is(err, errEndConnection))
+	// A response that breaks off may be one that the upstream broke off.
+	hostFailed := err != nil && !errors.Is(err, errEndConnection) && !q.responded
+	q.server.offloader.release(hc, keep, hostFailed)
 	if err != nil {
 		return q.fail(err)
 	}
--- a/internal/gateway/offload_test.go
+++ b/internal/gateway/offload_test.go
@@ -233,6 +233,15 @@
 	_, err = io.ReadAll(begin())
 	pair.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
 	pair.Assert(pair.counted("offloaded"), qt.Equals, int64(2))
+	// The upstream broke off, not the host, which is chosen again at once.
+	nc, err = net.Dial("tcp", pair.address)
+	pair.Assert(err, qt.IsNil)
+	defer nc.Close()
+	pair.Assert(nc.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	br = bufio.NewReader(nc)
+	_, err = io.ReadAll(begin())
+	pair.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
+	pair.Assert(pair.counted("offloaded"), qt.Equals, int64(3))
 }
 
 // Guards against work at an upstream for a caller that has left the host that passed its request on.
