--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -86,8 +86,6 @@
 type hostConn struct {
 	net.Conn
 	host string
-	// reused is true if it has carried an earlier request.
-	reused bool
 }
 
 type idleHostConn struct {
@@ -210,7 +208,6 @@
 		o.picker.Failed(hc.host, now)
 	}
 	if keep {
-		hc.reused = true
 		o.idle[hc.host] = append(o.idle[hc.host], idleHostConn{hc, now})
 	}
 	o.mu.Unlock()
