--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -255,7 +255,8 @@
 		f.first.server.streams.begin(streamID("", "r1"), dispatch.Origin{Service: "svc", Version: "newer"})
 		f.waitForRecord(t, "r1")
 		// No other host has confirmed the second one's list since the stream began.
-		f.second.setView(func(v *View) { v.ListContactAge = time.Second })
+		// The age stands still here, so it must be longer than the host waits.
+		f.second.setView(func(v *View) { v.ListContactAge = maxOriginWait + (catalog.MaxContactAge-maxOriginWait)/2 })
 		if regains {
 			f.second.server.opts.ConfirmList = func() {
 				f.list(f.second, "older", "newer")
