--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -48,7 +48,7 @@
 	if !ok || unread < 0 {
 		return false, nil
 	}
-	q := s.newPassedRequest(c, &h)
+	q := s.newEarlyRequest(c, &h)
 	if q == nil {
 		return false, nil
 	}
@@ -77,9 +77,9 @@
 	return true, c.SetReadDeadline(time.Time{})
 }
 
-// newPassedRequest returns nil for a request that a host with a valid configuration has to look at
+// newEarlyRequest returns nil for a request that a host with a valid configuration has to look at
 // itself.
-func (s *Server) newPassedRequest(c *headerConn, h *requestHead) *passedRequest {
+func (s *Server) newEarlyRequest(c *headerConn, h *requestHead) *earlyRequest {
 	view := s.opts.View()
 	if view.Leaving || view.Check(s.opts.MaxConfigAge) != nil {
 		return nil
@@ -88,7 +88,7 @@
 	if a == nil {
 		return nil
 	}
-	q := &passedRequest{server: s, caller: c, head: h, view: view, account: a.Name, arrived: time.Now()}
+	q := &earlyRequest{server: s, caller: c, head: h, view: view, account: a.Name, arrived: time.Now()}
 	path, _, _ := bytes.Cut(h.target, []byte("?"))
 	if q.route = view.Table.Route(string(h.host), string(path)); q.route != nil {
 		q.deadline = s.offloadDeadline(h, q.route, q.arrived)
@@ -97,7 +97,7 @@
 }
 
 // refuse refuses the request and reads the unread rest of it.
-func (q *passedRequest) refuse(unread int) error {
+func (q *earlyRequest) refuse(unread int) error {
 	s := q.server
 	s.count("failed." + string(fault.HostOverloaded))
 	if !logsink.Drops(s.log, logrus.InfoLevel) {
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -233,8 +233,9 @@
 	}
 }
 
-// passedRequest is a request that is passed on to another host.
-type passedRequest struct {
+// earlyRequest is a request that is refused, or passed on to another host, before the HTTP server sees
+// it.
+type earlyRequest struct {
 	server *Server
 	caller *headerConn
 	head   *requestHead
@@ -259,7 +260,7 @@
 
 // passOn passes the request that begins with p on and its response back. The error is that of the
 // caller's connection.
-func (q *passedRequest) passOn(p []byte) error {
+func (q *earlyRequest) passOn(p []byte) error {
 	hc, err := q.readAndSend(p)
 	if err != nil {
 		return q.fail(err)
@@ -281,7 +282,7 @@
 
 // readAndSend reads the whole request that begins with p and sends it to another host. It holds a
 // large buffer, which is given back before the response is waited for.
-func (q *passedRequest) readAndSend(p []byte) (*hostConn, error) {
+func (q *earlyRequest) readAndSend(p []byte) (*hostConn, error) {
 	buf := offloadRequestBuffers.Get().(*[offloadRequestBytes]byte)
 	defer offloadRequestBuffers.Put(buf)
 	n := q.copyWithVersion(buf[:], p)
@@ -297,7 +298,7 @@
 
 // copyWithVersion copies the beginning p of the request and adds the version of the routing document
 // that this host knows to its head. It returns the size of the copy.
-func (q *passedRequest) copyWithVersion(buf, p []byte) int {
+func (q *earlyRequest) copyWithVersion(buf, p []byte) int {
 	lineEnd := bytes.Index(p, crlf) + len(crlf)
 	n := copy(buf, p[:lineEnd])
 	field := append(buf[n:n], offloadVersionHeader+": "...)
@@ -322,7 +323,7 @@
 }
 
 // readRest reads the rest of the request.
-func (q *passedRequest) readRest(p []byte) error {
+func (q *earlyRequest) readRest(p []byte) error {
 	if len(p) == 0 {
 		return nil
 	}
@@ -334,7 +335,7 @@
 }
 
 // send sends the request to a host. Without an error it has been sent whole.
-func (q *passedRequest) send(request []byte) (*hostConn, error) {
+func (q *earlyRequest) send(request []byte) (*hostConn, error) {
 	o := q.server.offloader
 	for range maxOffloadConnects {
 		hc := o.connect(context.Background())
@@ -356,7 +357,7 @@
 
 // copyResponse copies the response from a host to the caller. whole is false if the connection to
 // the caller must be closed after it, keep is true if the one to the host can be used again.
-func (q *passedRequest) copyResponse(hc *hostConn) (whole, keep bool, err error) {
+func (q *earlyRequest) copyResponse(hc *hostConn) (whole, keep bool, err error) {
 	buf := offloadResponseBuffers.Get().(*[offloadBufferBytes]byte)
 	defer offloadResponseBuffers.Put(buf)
 	framing, part, headBytes, err := q.readResponseHead(hc, buf[:])
@@ -390,7 +391,7 @@
 
 // readResponseHead reads until the head of the response is complete, into buf or a larger buffer.
 // part is what was read, and headBytes the size of the head in it.
-func (q *passedRequest) readResponseHead(hc *hostConn, buf []byte) (framing responseFraming, part []byte, headBytes int, err error) {
+func (q *earlyRequest) readResponseHead(hc *hostConn, buf []byte) (framing responseFraming, part []byte, headBytes int, err error) {
 	n := 0
 	for headBytes == 0 {
 		if n == maxOffloadHeadBytes {
@@ -412,7 +413,7 @@
 }
 
 // readPart reads from the host while the caller is connected, until the deadline.
-func (q *passedRequest) readPart(hc *hostConn, p []byte) (int, error) {
+func (q *earlyRequest) readPart(hc *hostConn, p []byte) (int, error) {
 	for {
 		poll := time.Now().Add(offloadPollInterval)
 		if poll.After(q.deadline) {
@@ -436,7 +437,7 @@
 	}
 }
 
-func (q *passedRequest) callerConnected() bool {
+func (q *earlyRequest) callerConnected() bool {
 	raw, ok := rawConn(q.caller)
 	if !ok {
 		return true
@@ -446,7 +447,7 @@
 }
 
 // fail responds to the caller with a failure, or ends the connection if a response has begun.
-func (q *passedRequest) fail(err error) error {
+func (q *earlyRequest) fail(err error) error {
 	if errors.Is(err, errEndConnection) {
 		return err
 	}
@@ -462,13 +463,13 @@
 	return q.server.answerEarly(q.caller, q.head, failureHead(statusOf(e), e.RetryAfter, len(body)), body)
 }
 
-func (q *passedRequest) logFailure(e *fault.Error) {
+func (q *earlyRequest) logFailure(e *fault.Error) {
 	failed := &request{server: q.server, id: string(q.head.id), arrived: q.arrived, account: q.account, view: q.view, route: q.route}
 	failed.logFailure(e)
 }
 
 // log logs that the request was passed on. The other host logs its outcome.
-func (q *passedRequest) log(hc *hostConn) {
+func (q *earlyRequest) log(hc *hostConn) {
 	if logsink.DropsSecondary(q.server.log, logrus.InfoLevel) {
 		return
 	}
