Count and log messages between hosts that are not sent

Cause: a message above the frame limit was refused with an error that its senders log at debug level, and messages that were dropped, expired or queued when a session ended were counted in part and never logged.

TestLostMessagesAreCountedAndLogged, TestLinesAboutLostMessagesAreFew. TestFullQueue now checks which messages are dropped, not only how many.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -81,6 +81,7 @@
 	count    counters
 	handlers [256]atomic.Pointer[Handler]
 	local    localQueue
+	losses   lossLog
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -100,7 +101,8 @@
 
 // counters are the metrics of a node.
 type counters struct {
-	connects, losses, dropped, overflows, expired   metrics.Counter
+	connects, losses, overflows                     metrics.Counter
+	dropped, expired, discarded, tooLarge           metrics.Counter
 	handshakeFailures, pendingClosed, invalidFrames metrics.Counter
 }
 
@@ -133,12 +135,13 @@
 	n := &Node{key: bytes.Clone(opts.Key), log: opts.Log.WithField("part", "peer"), peerStates: map[string]*peerState{}}
 	opts.Key = nil
 	n.opts = opts
+	n.losses.log = n.log
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.local.wake = make(chan struct{}, 1)
 	for name, c := range map[string]*metrics.Counter{
 		"connects": &n.count.connects, "losses": &n.count.losses,
 		"dropped_heartbeats": &n.count.dropped, "overflows": &n.count.overflows,
-		"expired": &n.count.expired, "handshake_failures": &n.count.handshakeFailures,
+		"expired": &n.count.expired, "discarded": &n.count.discarded, "too_large": &n.count.tooLarge, "handshake_failures": &n.count.handshakeFailures,
 		"pending_closed": &n.count.pendingClosed, "invalid_frames": &n.count.invalidFrames,
 	} {
 		*c = metrics.GetOrRegisterCounter("peer."+name, opts.Registry)
@@ -181,6 +184,8 @@
 		return err
 	}
 	if len(body) > MaxFrameBytes {
+		n.count.tooLarge.Inc(1)
+		n.losses.record("too_large", to, kind, len(body), time.Now())
 		return fault.New(fault.FrameTooLarge, "", "message of %d bytes exceeds %d", len(body), MaxFrameBytes)
 	}
 	p := n.peerState(to)
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -36,33 +36,34 @@
 	return false
 }
 
-// push adds m to the queue. dropped counts the messages that were dropped to make room,
-// which may include m. full is true when there is no room and nothing may be dropped; m is
-// then not added.
-func (q *queue) push(m queuedMessage) (dropped int, full bool) {
+// push adds m to the queue. dropped are the messages that were dropped to make room, which may
+// include m. full is true when there is no room and nothing may be dropped; m is then not added.
+func (q *queue) push(m queuedMessage) (dropped []queuedMessage, full bool) {
 	for len(q.messages) >= maxQueueMessages || q.bytes+len(m.body) > maxQueueBytes {
-		if !q.dropOldest() {
-			if droppable(m.kind) {
-				return dropped + 1, false
-			}
+		oldest, ok := q.dropOldest()
+		switch {
+		case ok:
+			dropped = append(dropped, oldest)
+		case droppable(m.kind):
+			return append(dropped, m), false
+		default:
 			return dropped, true
 		}
-		dropped++
 	}
 	q.messages = append(q.messages, m)
 	q.bytes += len(m.body)
 	return dropped, false
 }
 
-func (q *queue) dropOldest() bool {
+func (q *queue) dropOldest() (dropped queuedMessage, ok bool) {
 	for i, m := range q.messages {
 		if droppable(m.kind) {
 			q.bytes -= len(m.body)
 			q.messages = append(q.messages[:i], q.messages[i+1:]...)
-			return true
+			return m, true
 		}
 	}
-	return false
+	return queuedMessage{}, false
 }
 
 // take empties the queue and returns its messages.
@@ -72,13 +73,14 @@
 	return messages
 }
 
-// expire removes the messages queued before t and returns how many there were.
-func (q *queue) expire(t time.Time) int {
+// expire removes the messages queued before t and returns them.
+func (q *queue) expire(t time.Time) []queuedMessage {
 	n := 0
 	for n < len(q.messages) && q.messages[n].at.Before(t) {
 		q.bytes -= len(q.messages[n].body)
 		n++
 	}
+	expired := q.messages[:n:n]
 	q.messages = q.messages[n:]
-	return n
+	return expired
 }
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"marigoldshunt/internal/wire"
 )
 
@@ -63,7 +65,7 @@
 	}
 	p.lastSend = m.at
 	dropped, full := p.queue.push(m)
-	p.n.count.dropped.Inc(int64(dropped))
+	p.recordLost("queue_full", p.n.count.dropped, dropped)
 	if full {
 		p.n.count.overflows.Inc(1)
 		p.n.log.WithField("peer", p.host).Warn("Send queue is full. Connection reset.")
@@ -82,7 +84,7 @@
 		p.outgoing.Close()
 	}
 	p.incoming, p.outgoing = nil, nil
-	p.queue.take()
+	p.recordLost("session_ended", p.n.count.discarded, p.queue.take())
 	if p.up {
 		p.up = false
 		p.n.count.losses.Inc(1)
@@ -127,17 +129,28 @@
 // dropExpiredLocked drops the messages that waited too long for a connection, and reports
 // the loss as the end of a session and the start of the next. The caller holds mu.
 func (p *peerState) dropExpiredLocked() {
-	n := p.queue.expire(time.Now().Add(-queueMaxAge))
-	if n == 0 {
+	expired := p.queue.expire(time.Now().Add(-queueMaxAge))
+	if len(expired) == 0 {
 		return
 	}
-	p.n.count.expired.Inc(int64(n))
+	p.recordLost("expired", p.n.count.expired, expired)
 	if p.up {
 		p.changes = append(p.changes, sessionChange{boot: p.boot}, sessionChange{boot: p.boot, up: true})
 		p.n.spawn(p.reportChanges)
 	}
 }
 
+// recordLost counts and logs messages that will not be sent.
+func (p *peerState) recordLost(reason string, counter metrics.Counter, lost []queuedMessage) {
+	counter.Inc(int64(len(lost)))
+	if p.n.ctx.Err() != nil {
+		return
+	}
+	for _, m := range lost {
+		p.n.losses.record(reason, p.host, m.kind, len(m.body), time.Now())
+	}
+}
+
 // reportChanges passes the pending changes of the session to the OnSessionChange functions.
 func (p *peerState) reportChanges() {
 	p.callbackMu.Lock()
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -197,9 +197,10 @@
 }
 
 func (p *peerState) writeMessages(c *conn, messages []queuedMessage) error {
-	for _, m := range messages {
+	for i, m := range messages {
 		c.SetWriteDeadline(time.Now().Add(p.n.opts.SilenceTimeout))
 		if err := c.w.write(m.body); err != nil {
+			p.recordLost("session_ended", p.n.count.discarded, messages[i:])
 			return err
 		}
 		p.traffic.framesSent.Add(1)
