Add the failing tests of a large document that reaches no host

Three more cases of the same kind: the leader is lost between commit and push, more than 64 hosts, a host that restarts during a transfer.

--- /dev/null
+++ b/internal/control/routing_test.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/routing"
+	"marigoldshunt/internal/wire"
+)
+
+// routingChange returns a change that sets a routing document with a number of routes.
+func routingChange(t testing.TB, version uint64, routes int) config.Change {
+	t.Helper()
+	d := &routing.Document{Version: version, Services: []routing.Service{{Name: "records"}}}
+	for i := range routes {
+		d.Routes = append(d.Routes, routing.Route{
+			Name: fmt.Sprintf("route-%07d", i), Host: fmt.Sprintf("records%05d.example", i/8), PathPrefix: fmt.Sprintf("/path%05d/", i),
+			Kind: routing.Idempotent, Attempts: 2, Timeout: 5 * time.Second, Objective: time.Second,
+			Split: []routing.WeightedService{{Service: "records", Weight: 1}},
+		})
+	}
+	return routingChangeOf(t, d)
+}
+
+func routingChangeOf(t testing.TB, d *routing.Document) config.Change {
+	t.Helper()
+	source, err := json.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config.Change{Routing: config.NewRouting(d, source)}
+}
+
+// routingVersions returns the version of the routing document that each host has.
+func (sim *simulation) routingVersions() map[string]uint64 {
+	versions := map[string]uint64{}
+	for h, c := range sim.clients {
+		if r := c.Config().Routing; r != nil {
+			versions[h] = r.Version
+		}
+	}
+	return versions
+}
+
+// allHaveVersion reports whether every host has a version of the routing document and a recent
+// confirmation of it.
+func (sim *simulation) allHaveVersion(version uint64) bool {
+	for h, c := range sim.clients {
+		if r := c.Config().Routing; !sim.isolated[h] && (r == nil || r.Version != version || !c.ConfigCurrent()) {
+			return false
+		}
+	}
+	return true
+}
+
+// applyLimit is the time in which an acknowledged document must be in force on all hosts.
+const applyLimit = 2 * time.Second
+
+func TestAcknowledgedRoutingDocumentOfAnySizeReachesAllHosts(t *testing.T) {
+	for _, routes := range []int{1_000, 3_500, 20_000} {
+		t.Run(fmt.Sprint(routes), func(t *testing.T) {
+			c := qt.New(t)
+			sim := newFormedSimulation(t, 1, 2, "r1", "r2", "r3")
+			c.Assert(sim.change("r1", "first", routingChange(t, 1, 2)).err, qt.IsNil)
+			sim.runUntil("the first document", applyLimit, func() bool { return sim.allHaveVersion(1) })
+			c.Assert(sim.change("r2", "large", routingChange(t, 2, routes)).err, qt.IsNil)
+			sim.runUntil("the large document", applyLimit, func() bool { return sim.allHaveVersion(2) })
+
+			small := routingChange(t, 3, routes)
+			small.Routing.Document.Routes[routes/2].Timeout = time.Minute
+			small = routingChangeOf(t, &small.Routing.Document)
+			c.Assert(sim.change("r1", "small", small).err, qt.IsNil)
+			sim.startClient("r4")
+			sim.runUntil("the small change, also at a host that joins", applyLimit, func() bool { return sim.allHaveVersion(3) })
+			for _, cl := range sim.clients {
+				c.Assert(cl.Config().Routing.Document, qt.DeepEquals, small.Routing.Document)
+				c.Assert(string(cl.Config().Routing.Source), qt.Equals, string(small.Routing.Source))
+			}
+		})
+	}
+}
+
+func TestRoutingDocumentReachesAllHostsWhenTheLeaderIsLostBeforeThePush(t *testing.T) {
+	c := qt.New(t)
+	sim := newFormedSimulation(t, 3, 2, "r1", "r2")
+	c.Assert(sim.change("r1", "first", routingChange(t, 1, 2)).err, qt.IsNil)
+	sim.runUntil("the first document", applyLimit, func() bool { return sim.allHaveVersion(1) })
+	leader := sim.leader()
+	sim.drop = func(p packet) bool {
+		var chunk wire.Chunk
+		ofRenewAck := p.kind == wire.KindChunk && wire.Unmarshal(p.payload, &chunk) == nil && chunk.Inner == wire.KindRenewAck
+		return p.from == leader && (ofRenewAck || p.kind == wire.KindRenewAck || p.kind == wire.KindProposeAck)
+	}
+	call := sim.startChange("r1", "large", routingChange(t, 2, 3_500))
+	sim.runUntil("the commit", 5*time.Second, func() bool { return sim.nodes[leader].state.Config().Routing.Version == 2 })
+	sim.run(TickInterval)
+	sim.isolated[leader] = true
+	sim.drop = nil
+	sim.runUntil("the document at all reachable hosts", 8*time.Second, func() bool { return sim.allHaveVersion(2) })
+	c.Assert(waitForCall(sim, call).err, qt.IsNil)
+}
+
+func TestMoreHostsThanOpenTransfersGetALargeDocument(t *testing.T) {
+	c := qt.New(t)
+	sim := newFormedSimulation(t, 5, 2)
+	for i := range 150 {
+		sim.startClient(fmt.Sprintf("r%03d", i))
+	}
+	c.Assert(sim.change("r000", "first", routingChange(t, 1, 2)).err, qt.IsNil)
+	sim.runUntil("the first document", applyLimit, func() bool { return sim.allHaveVersion(1) })
+	c.Assert(sim.change("r001", "large", routingChange(t, 2, 6_000)).err, qt.IsNil)
+	sim.runUntil("the large document", applyLimit, func() bool { return sim.allHaveVersion(2) })
+}
+
+func TestRestartedHostGetsTheDocumentWhoseTransferItLost(t *testing.T) {
+	c := qt.New(t)
+	sim := newFormedSimulation(t, 7, 2, "r1", "r2")
+	c.Assert(sim.change("r1", "first", routingChange(t, 1, 2)).err, qt.IsNil)
+	sim.runUntil("the first document", applyLimit, func() bool { return sim.allHaveVersion(1) })
+	sim.drop = func(p packet) bool { return p.to == "r2" }
+	c.Assert(sim.change("r1", "large", routingChange(t, 2, 6_000)).err, qt.IsNil)
+	sim.run(TickInterval)
+	sim.drop = nil
+	sim.stopHost("r2")
+	sim.startClient("r2")
+	sim.runUntil("the large document at the restarted host", applyLimit, func() bool { return sim.allHaveVersion(2) })
+}
