Split messages of the control group by their size, and encode a change once for all hosts

Cause: whether an answer or a push went in chunks followed from the number of changes in it, and a routing document is one change. The transport refuses a message above 1 MiB, and each repetition met the same refusal. Beside it: the leader encoded the document anew for each host, on the goroutine that also sends its heartbeats; while 64 transfers were open, further ones were not started, those of the log included; a transfer to a process that had been restarted blocked the new one for 10 s.

Change: every message of the control group is encoded first, and its size decides. Changes are encoded once for all hosts that have the same revision, and transfers share the bytes. At most 32 pushes are active, others wait for their turn, and one without progress for 250 ms gives its turn away; transfers of the log don't wait. A new run of a host's process cancels the transfer to the earlier one. What was committed during a transfer follows at its end. A host whose configuration does not fit in now still gets an answer, so that it does not look for another leader. Messages that can't be sent are logged as warnings.

Why it works: no sender decides any more; no kind of message of the control group can meet the limit of a frame.

--- a/internal/control/call.go
+++ b/internal/control/call.go
@@ -43,8 +43,12 @@
 		c.afterUnlock = append(c.afterUnlock, func() { _ = c.transmit(to, wire.KindPropose, m) })
 		return
 	}
-	if payload, err := wire.Marshal(m); err == nil {
-		c.chunks.start(to, wire.KindPropose, payload, c.now)
+	payload, err := wire.Marshal(m)
+	if err == nil {
+		err = c.chunks.start(to, wire.KindPropose, payload, c.now)
+	}
+	if err != nil {
+		c.opts.Log.WithError(err).WithField("to", to).WithField("bytes", len(payload)).Warn("Proposal was not sent.")
 	}
 }
 
--- a/internal/control/chunk.go
+++ b/internal/control/chunk.go
@@ -3,21 +3,32 @@
 import (
 	"time"
 
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/wire"
 )
 
 // Parameters of chunked transfers.
 const (
-	chunkBytes = 256 << 10
+	chunkBytes = 64 << 10
+	// maxChunkBytes is the largest chunk that is accepted. Earlier versions send chunks of
+	// this size.
+	maxChunkBytes = 256 << 10
 	// chunkWindow is the maximum number of unacknowledged chunks. It keeps a transfer from
 	// filling the bounded send queue of the peer.
 	chunkWindow         = 4
-	chunkResendInterval = time.Second
+	chunkResendInterval = 500 * time.Millisecond
 	// chunkTimeout is the time without progress after which a transfer is dropped.
 	chunkTimeout = 10 * time.Second
-	// maxChunks bounds a received message to 256 MiB.
-	maxChunks    = 1_024
-	maxTransfers = 64
+	// maxChunks bounds a message to 256 MiB.
+	maxChunks = 4_096
+	// maxIncomingTransfers bounds the messages that are received at once.
+	maxIncomingTransfers = 64
+	// maxActivePushes bounds the pushes that are sent at once, and with chunkWindow the memory
+	// for their chunks. The others wait for their turn.
+	maxActivePushes = 32
+	// stalledAfter is the time without progress after which a push no longer counts as active,
+	// so that hosts that don't answer delay the others by this time only.
+	stalledAfter = 250 * time.Millisecond
 )
 
 type transferKey struct {
@@ -25,13 +36,18 @@
 	inner wire.Kind
 }
 
+// isPush reports whether the leader sends this message to many hosts at once.
+func (k transferKey) isPush() bool { return k.inner == wire.KindRenewAck }
+
 type outgoingTransfer struct {
 	id          uint64
 	data        []byte
 	chunkCount  int
 	acked, next int
-	progressAt  time.Duration
-	resentAt    time.Duration
+	// waiting is true until the first chunk is sent.
+	waiting    bool
+	progressAt time.Duration
+	resentAt   time.Duration
 }
 
 type incomingTransfer struct {
@@ -43,12 +59,16 @@
 }
 
 // chunker splits messages that are too large for a frame into chunks and joins received
-// chunks. There is one transfer per peer and kind in each direction.
+// chunks. There is one transfer per peer and kind in each direction. Transfers of one message
+// to many peers share its bytes.
 type chunker struct {
 	send   func(to string, kind wire.Kind, msg any) error
 	lastID uint64
 	out    map[transferKey]*outgoingTransfer
-	in     map[transferKey]*incomingTransfer
+	// waiting lists the transfers that wait for their turn, in order. It may name transfers
+	// that have been cancelled.
+	waiting []transferKey
+	in      map[transferKey]*incomingTransfer
 }
 
 // newChunker returns a chunker whose transfer ids count up from idBase. The base differs
@@ -57,26 +77,62 @@
 	return &chunker{send: send, lastID: idBase, out: map[transferKey]*outgoingTransfer{}, in: map[transferKey]*incomingTransfer{}}
 }
 
-// start begins a transfer. It does nothing while a transfer of this kind to this peer or
-// maxTransfers in all are open; the caller repeats the message later. Data of more than
-// maxChunks chunks is never sent.
-func (c *chunker) start(to string, inner wire.Kind, data []byte, now time.Duration) {
+// start begins a transfer. It does nothing while a transfer of this kind to this peer is open;
+// the caller repeats the message later. It returns FrameTooLarge for more than maxChunks chunks.
+func (c *chunker) start(to string, inner wire.Kind, data []byte, now time.Duration) error {
 	key := transferKey{to, inner}
 	if c.busy(to, inner) {
-		return
+		return nil
 	}
-	c.lastID++
-	o := &outgoingTransfer{id: c.lastID, data: data, chunkCount: (len(data) + chunkBytes - 1) / chunkBytes, progressAt: now}
+	o := &outgoingTransfer{data: data, chunkCount: (len(data) + chunkBytes - 1) / chunkBytes, waiting: true, progressAt: now}
 	if o.chunkCount > maxChunks {
-		return
+		return fault.New(fault.FrameTooLarge, "", "message of %d bytes exceeds %d", len(data), maxChunks*chunkBytes)
 	}
+	c.lastID++
+	o.id = c.lastID
 	c.out[key] = o
+	if key.isPush() {
+		c.waiting = append(c.waiting, key)
+		c.startWaiting(now)
+		return nil
+	}
+	c.begin(key, o, now)
+	return nil
+}
+
+func (c *chunker) begin(key transferKey, o *outgoingTransfer, now time.Duration) {
+	o.waiting, o.progressAt = false, now
 	c.sendWindow(key, o)
 }
 
-// busy reports whether the open transfers keep start from sending to this peer and kind.
+// startWaiting starts the pushes whose turn has come.
+func (c *chunker) startWaiting(now time.Duration) {
+	if len(c.waiting) == 0 {
+		return
+	}
+	free := maxActivePushes
+	for key, o := range c.out {
+		if key.isPush() && !o.waiting && now-o.progressAt < stalledAfter {
+			free--
+		}
+	}
+	for ; free > 0 && len(c.waiting) > 0; c.waiting = c.waiting[1:] {
+		key := c.waiting[0]
+		if o := c.out[key]; o != nil && o.waiting {
+			c.begin(key, o, now)
+			free--
+		}
+	}
+}
+
+// busy reports whether a transfer of this kind to this peer is open.
 func (c *chunker) busy(to string, inner wire.Kind) bool {
-	return c.out[transferKey{to, inner}] != nil || len(c.out) >= maxTransfers
+	return c.out[transferKey{to, inner}] != nil
+}
+
+// cancel drops the transfer of this kind to this peer.
+func (c *chunker) cancel(to string, inner wire.Kind) {
+	delete(c.out, transferKey{to, inner})
 }
 
 // sendWindow sends the chunks that fit into the window.
@@ -91,20 +147,23 @@
 	}
 }
 
-// onAck handles the receiver's count of received chunks.
-func (c *chunker) onAck(from string, m wire.Chunk, now time.Duration) {
+// onAck handles the receiver's count of received chunks. It reports whether the transfer has
+// ended.
+func (c *chunker) onAck(from string, m wire.Chunk, now time.Duration) (done bool) {
 	key := transferKey{from, m.Inner}
 	o := c.out[key]
 	if o == nil || o.id != m.ID || m.Part <= o.acked || m.Part > o.chunkCount {
-		return
+		return false
 	}
 	o.acked, o.progressAt = m.Part, now
 	o.next = max(o.next, o.acked)
 	if o.acked == o.chunkCount {
 		delete(c.out, key)
-		return
+		c.startWaiting(now)
+		return true
 	}
 	c.sendWindow(key, o)
+	return false
 }
 
 // receiveChunk handles a received chunk and returns the complete message after the last
@@ -113,14 +172,14 @@
 	key := transferKey{from, m.Inner}
 	in := c.in[key]
 	if in == nil || in.id != m.ID {
-		if m.Part != 0 || m.Parts < 1 || m.Parts > maxChunks || (in == nil && len(c.in) >= maxTransfers) {
+		if m.Part != 0 || m.Parts < 1 || m.Parts > maxChunks || (in == nil && len(c.in) >= maxIncomingTransfers) {
 			return nil
 		}
 		in = &incomingTransfer{id: m.ID, chunkCount: m.Parts}
 		c.in[key] = in
 	}
 	var whole []byte
-	if m.Part == in.next && m.Part < in.chunkCount && len(m.Data) <= chunkBytes {
+	if m.Part == in.next && m.Part < in.chunkCount && len(m.Data) <= maxChunkBytes {
 		in.data = append(in.data, m.Data...)
 		in.next++
 		in.progressAt = now
@@ -132,10 +191,11 @@
 	return whole
 }
 
-// tick resends chunks and drops transfers without progress.
+// tick resends chunks, drops transfers without progress and starts others in their place.
 func (c *chunker) tick(now time.Duration) {
 	for key, o := range c.out {
 		switch {
+		case o.waiting:
 		case now-o.progressAt > chunkTimeout:
 			delete(c.out, key)
 		case now-max(o.progressAt, o.resentAt) > chunkResendInterval:
@@ -148,4 +208,5 @@
 			delete(c.in, key)
 		}
 	}
+	c.startWaiting(now)
 }
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -174,6 +174,11 @@
 func (c *Client) handleEvent(e event) {
 	c.lock()
 	defer c.unlock()
+	c.handleMessage(e)
+}
+
+// handleMessage handles a message or a queued function. It runs under the lock.
+func (c *Client) handleMessage(e event) {
 	switch e.kind {
 	case wire.KindRenewAck:
 		c.onRenewAck(e)
@@ -197,11 +202,11 @@
 		return
 	}
 	switch {
-	case m.Ack && m.Inner == wire.KindPropose:
+	case m.Ack && sentByClients(m.Inner):
 		c.chunks.onAck(e.from, m, c.now)
-	case !m.Ack && m.Inner == wire.KindRenewAck:
+	case !m.Ack && !handledByNodes(m.Inner):
 		if whole := c.chunks.receiveChunk(e.from, m, c.now); whole != nil {
-			c.onRenewAck(event{from: e.from, boot: e.boot, kind: m.Inner, payload: whole})
+			c.handleMessage(event{from: e.from, boot: e.boot, kind: m.Inner, payload: whole})
 		}
 	}
 }
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -22,7 +22,7 @@
 			return
 		}
 	}
-	if len(n.senderHosts) >= maxTransfers {
+	if len(n.senderHosts) >= maxSenderHosts {
 		clear(n.senderHosts)
 	}
 	n.senderHosts[m.From] = e.from
@@ -112,14 +112,6 @@
 	if to == "" {
 		return
 	}
-	size := 0
-	for _, e := range m.Entries {
-		size += len(e.Data)
-	}
-	if m.Snapshot != nil || size > chunkBytes {
-		n.sendLarge(to, wire.KindRaft, m)
-		return
-	}
 	n.send(to, wire.KindRaft, m)
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -130,6 +130,7 @@
 	proposedHolders map[string]string
 	orders          orderDispatch
 	pushed          pushedVersions
+	configMessages  configMessages
 	// lastHeard is when a message of each replica last arrived; joinRequests holds the
 	// hosts that ask to be members.
 	lastHeard    map[raft.ReplicaID]time.Duration
@@ -323,10 +324,12 @@
 	if !n.decode(e, &m) {
 		return
 	}
-	switch toNode := m.Inner == wire.KindRaft || m.Inner == wire.KindPropose; {
-	case m.Ack && m.Inner != wire.KindPropose:
-		n.chunks.onAck(e.from, m, n.now)
-	case !m.Ack && toNode:
+	switch {
+	case m.Ack && !sentByClients(m.Inner):
+		if n.chunks.onAck(e.from, m, n.now) && m.Inner == wire.KindRenewAck {
+			n.pushRest(e.from)
+		}
+	case !m.Ack && handledByNodes(m.Inner):
 		if whole := n.chunks.receiveChunk(e.from, m, n.now); whole != nil {
 			n.handleEvent(event{from: e.from, boot: e.boot, kind: m.Inner, payload: whole})
 		}
@@ -341,32 +344,32 @@
 	return true
 }
 
-// send hands a message to the transport. A failure is only logged, since every message
-// of the control group is repeated or superseded.
+// send sends a message. A failure is only logged, since every message of the control group is
+// repeated or superseded.
 func (n *Node) send(to string, kind wire.Kind, msg any) {
-	if to == n.opts.Host && (kind == wire.KindForm || kind == wire.KindFormAck) {
-		if payload, err := wire.Marshal(msg); err == nil {
-			n.selfMessages = append(n.selfMessages, event{from: to, boot: n.opts.Boot, kind: kind, payload: payload})
-		}
-		return
-	}
-	if err := n.opts.Transport.Send(to, kind, msg); err != nil {
-		n.opts.Log.WithError(err).WithField("to", to).Debug("Failed to send a message.")
-	}
-}
-
-// sendLarge sends a message that may be too large for one frame.
-func (n *Node) sendLarge(to string, kind wire.Kind, msg any) {
 	payload, err := wire.Marshal(msg)
 	if err != nil {
 		n.opts.Log.WithError(err).Error("Failed to encode a message.")
 		return
 	}
-	if len(payload) < maxInlineBytes {
-		n.send(to, kind, msg)
+	if to == n.opts.Host && (kind == wire.KindForm || kind == wire.KindFormAck) {
+		n.selfMessages = append(n.selfMessages, event{from: to, boot: n.opts.Boot, kind: kind, payload: payload})
 		return
 	}
-	n.chunks.start(to, kind, payload, n.now)
+	n.sendEncoded(to, kind, payload)
+}
+
+// sendEncoded sends an encoded message, in chunks if it is too large for one frame.
+func (n *Node) sendEncoded(to string, kind wire.Kind, payload []byte) {
+	var err error
+	if len(payload) < maxInlineBytes {
+		err = n.opts.Transport.Send(to, kind, wire.Encoded(payload))
+	} else {
+		err = n.chunks.start(to, kind, payload, n.now)
+	}
+	if err != nil {
+		n.opts.Log.WithError(err).WithField("to", to).WithField("kind", kind).WithField("bytes", len(payload)).Warn("Message was not sent.")
+	}
 }
 
 // isActiveLeader reports whether this node leads and has applied an entry of its own term.
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"marigoldshunt/internal/raft"
@@ -51,9 +52,9 @@
 	// formResendInterval is the interval at which formation messages are resent.
 	formResendInterval = 500 * time.Millisecond
 
-	// maxConfigsPerTick bounds the full configurations that the leader sends per tick of
-	// 50 ms. With 6,800 contracts this is about 40 ms of work per tick, and enough for 80
-	// restarted hosts per second.
+	// maxConfigsPerTick bounds the full configurations that the leader sends per tick of 50 ms,
+	// which is enough for 80 restarted hosts per second. Without a limit, the answers to the first
+	// Renews of many hosts would delay the leader's heartbeats.
 	maxConfigsPerTick = 4
 
 	heartbeatTicks = 2
@@ -73,6 +74,7 @@
 	batchCommands             = 512
 	batchBytes                = 256 << 10
 	maxTrackedHosts           = 4_096
+	maxSenderHosts            = 64
 	maxOrdersInFlight         = 64
 	defaultMinSnapshotEntries = 4_096
 	// maxSnapshotFactor times MinSnapshotEntries is the most entries between two snapshots.
@@ -114,3 +116,9 @@
 	NodeKinds   = []wire.Kind{wire.KindRaft, wire.KindRenew, wire.KindPropose, wire.KindForm, wire.KindFormAck, wire.KindChunk}
 	ClientKinds = []wire.Kind{wire.KindRenewAck, wire.KindProposeAck, wire.KindLeaderAnnouncement, wire.KindChunk}
 )
+
+func handledByNodes(k wire.Kind) bool { return slices.Contains(NodeKinds, k) }
+
+// sentByClients reports whether clients send this kind of message, and so get the
+// acknowledgements of its chunks.
+func sentByClients(k wire.Kind) bool { return k == wire.KindRenew || k == wire.KindPropose }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -22,16 +22,25 @@
 	renews []pendingRenew
 }
 
-// answeredHost is the configuration revision that the leader last sent to a host, and when
-// it last answered a Renew of that host.
+// answeredHost is what the leader knows of a host that it has answered.
 type answeredHost struct {
-	revision   uint64
+	// boot is the run of the host's process.
+	boot uint64
+	// revision is the configuration revision that the host has once everything has arrived that
+	// was sent to it, pushedAt when the latest part was sent.
+	revision uint64
+	pushedAt time.Duration
+	// answeredAt is when the latest Renew was answered.
 	answeredAt time.Duration
 }
 
 // pushedVersions holds the versions that were last pushed to all hosts.
 type pushedVersions struct{ revision, leases, crashMarks uint64 }
 
+// pushCrossing is the time after a push in which a Renew may have been sent before the push
+// arrived. It is shorter than RenewInterval, so that a lost push is repeated with the next Renew.
+const pushCrossing = RenewInterval / 2
+
 func (n *Node) resetLeadership() {
 	n.lead = leadership{
 		since: n.now,
@@ -110,22 +119,21 @@
 	n.confirmedReads = kept
 }
 
+// answerRenew sends a host the configuration, if it has an older one, and then the answer, which
+// confirms the configuration once the host has applied it.
 func (n *Node) answerRenew(r pendingRenew) {
-	revision := n.state.Config().Revision
-	ack := wire.RenewAck{Seq: r.msg.Seq, Leader: n.opts.Host, Term: n.term, Revision: revision}
-	large := false
-	if r.msg.Revision < revision {
-		if d, ok := n.state.Delta(r.msg.Revision); ok {
-			ack.Delta = d
-			large = len(d.Changes) > 64
-		} else if n.allowConfigSend(r.from) {
-			ack.Snapshot = n.state.Config()
-			large = true
-		} else {
-			// Without an answer the host repeats its Renew and serves nothing until then.
-			return
-		}
-	}
+	answered := n.answeredHost(r.from)
+	if answered.boot != r.boot {
+		// What was sent to the earlier process is lost.
+		n.chunks.cancel(r.from, wire.KindRenewAck)
+		*answered = answeredHost{boot: r.boot, revision: r.msg.Revision}
+	}
+	if n.now-answered.pushedAt >= pushCrossing {
+		answered.revision = r.msg.Revision
+	}
+	answered.answeredAt = n.now
+	n.pushConfig(r.from, answered)
+	ack := wire.RenewAck{Seq: r.msg.Seq, Leader: n.opts.Host, Term: n.term, Revision: n.state.Config().Revision}
 	for _, l := range r.msg.Held {
 		switch {
 		case n.mustRevoke(l, r):
@@ -135,32 +143,20 @@
 		}
 	}
 	n.addTables(&ack, r.msg)
-	answered := n.lead.answeredHosts[r.from]
+	n.send(r.from, wire.KindRenewAck, ack)
+}
+
+// answeredHost returns the entry of a host, which it adds if there is none.
+func (n *Node) answeredHost(host string) *answeredHost {
+	answered := n.lead.answeredHosts[host]
 	if answered == nil {
 		if len(n.lead.answeredHosts) >= maxTrackedHosts {
 			clear(n.lead.answeredHosts)
 		}
 		answered = &answeredHost{}
-		n.lead.answeredHosts[r.from] = answered
-	}
-	*answered = answeredHost{revision: revision, answeredAt: n.now}
-	if large {
-		n.sendLarge(r.from, wire.KindRenewAck, ack)
-		return
+		n.lead.answeredHosts[host] = answered
 	}
-	n.send(r.from, wire.KindRenewAck, ack)
-}
-
-// allowConfigSend reports whether a host can get the full configuration now, and counts it
-// if so. Encoding one takes 10 ms at 6,800 contracts, so without a limit the answers to the
-// first Renews of many hosts would delay the leader's heartbeats for longer than an
-// election timeout.
-func (n *Node) allowConfigSend(host string) bool {
-	if n.configsSent >= maxConfigsPerTick || n.chunks.busy(host, wire.KindRenewAck) {
-		return false
-	}
-	n.configsSent++
-	return true
+	return answered
 }
 
 // addTables adds the lists of which the host lacks the current version.
@@ -211,32 +207,37 @@
 	if !n.isActiveLeader() {
 		return
 	}
-	revision := n.state.Config().Revision
 	leasesVersion, crashMarksVersion := n.state.Versions()
-	now := pushedVersions{revision, leasesVersion, crashMarksVersion}
+	now := pushedVersions{n.state.Config().Revision, leasesVersion, crashMarksVersion}
 	last := n.lead.pushed
 	if now == last {
 		return
 	}
 	n.lead.pushed = now
+	tables := n.changedTables(last)
 	for host, answered := range n.lead.answeredHosts {
 		if n.now-answered.answeredAt > LeaseDuration {
 			continue
 		}
-		ack := wire.RenewAck{Leader: n.opts.Host, Term: n.term, Revision: revision}
-		large := false
-		if answered.revision < revision {
-			d, ok := n.state.Delta(answered.revision)
-			if ok {
-				ack.Delta, answered.revision = d, revision
-				large = len(d.Changes) > 64
-			}
-		}
-		n.addLeasesAndCrashMarks(&ack, last.leases, last.crashMarks)
-		if large {
-			n.sendLarge(host, wire.KindRenewAck, ack)
-		} else {
-			n.send(host, wire.KindRenewAck, ack)
+		n.pushConfig(host, answered)
+		if tables != nil {
+			n.sendEncoded(host, wire.KindRenewAck, tables)
 		}
 	}
 }
+
+// changedTables returns an encoded message with the tables that have changed since they were last
+// pushed, or nil if none has.
+func (n *Node) changedTables(last pushedVersions) []byte {
+	m := wire.RenewAck{Leader: n.opts.Host, Term: n.term, Revision: n.state.Config().Revision}
+	n.addLeasesAndCrashMarks(&m, last.leases, last.crashMarks)
+	if !m.HasLeases && !m.HasMarks {
+		return nil
+	}
+	payload, err := wire.Marshal(m)
+	if err != nil {
+		n.opts.Log.WithError(err).Error("Failed to encode leases and crash marks.")
+		return nil
+	}
+	return payload
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -20,9 +20,15 @@
 // extensionTarget is implemented by pointers to extended messages.
 type extensionTarget interface{ ExtensionTarget() any }
 
+// Encoded is a message that Marshal has encoded, for a message that goes to many hosts.
+type Encoded []byte
+
 // Marshal encodes a message. Structs are encoded as arrays, without field names. Fields that are
-// added to a released message belong into its extension.
+// added to a released message belong into its extension. It returns an Encoded as it is.
 func Marshal(v any) ([]byte, error) {
+	if b, ok := v.(Encoded); ok {
+		return b, nil
+	}
 	var buf bytes.Buffer
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
