Send hosts the routes that differ instead of the whole routing document

Cause: each change of the routing document sent all of it, twice (as source and decoded), to each host: at 4,500 routes 170 MB for one changed field and 100 hosts.

A host says in its Renew that it applies patches; one that has an earlier document gets the patches since, if they are smaller, and one of an earlier version of the program gets the whole document. A patch names the document that it belongs to, and the digest of the result is checked; on a mismatch the host asks for the whole configuration.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -38,7 +38,7 @@
 	f := &renewFleet{simulation: sim, leaderNode: sim.nodes[sim.leader()], hosts: make([]wire.Renew, hosts), index: map[string]int{}}
 	for i := range f.hosts {
 		f.index[hostName(i)] = i
-		f.hosts[i].Ready = true
+		f.hosts[i].Ready, f.hosts[i].RoutingPatches = true, true
 	}
 	for range 16 {
 		f.runInterval()
--- a/internal/control/configpush.go
+++ b/internal/control/configpush.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/state"
 	"marigoldshunt/internal/wire"
 )
 
@@ -13,10 +15,16 @@
 type configMessages struct {
 	revision uint64
 	// changes holds the changes since earlier revisions. whole is the complete configuration.
-	changes map[uint64][]byte
+	changes map[configRecipient][]byte
 	whole   []byte
 }
 
+// configRecipient is what the changes for a host depend on.
+type configRecipient struct {
+	revision uint64
+	patches  bool
+}
+
 // pushConfig sends a host what it lacks of the configuration. While an earlier part is on its way,
 // it sends nothing: pushRest sends the rest.
 func (n *Node) pushConfig(host string, answered *answeredHost) {
@@ -24,7 +32,7 @@
 	if answered.revision >= revision || n.chunks.busy(host, wire.KindRenewAck) {
 		return
 	}
-	payload := n.configMessage(answered.revision)
+	payload := n.configMessage(configRecipient{answered.revision, answered.patches})
 	if payload == nil {
 		return
 	}
@@ -39,22 +47,22 @@
 	}
 }
 
-// configMessage returns the encoded changes since a revision or, if they are no longer kept, the
+// configMessage returns the encoded changes that a host lacks or, if they are no longer kept, the
 // whole configuration. It returns nil if as many hosts as allowed got the latter in this tick.
-func (n *Node) configMessage(since uint64) []byte {
+func (n *Node) configMessage(to configRecipient) []byte {
 	m := &n.lead.configMessages
 	if revision := n.state.Config().Revision; m.revision != revision || m.changes == nil {
-		*m = configMessages{revision: revision, changes: map[uint64][]byte{}}
+		*m = configMessages{revision: revision, changes: map[configRecipient][]byte{}}
 	}
-	if payload, ok := m.changes[since]; ok {
+	if payload, ok := m.changes[to]; ok {
 		return payload
 	}
-	if delta, ok := n.state.Delta(since); ok {
+	if delta, ok := n.state.Delta(to.revision); ok {
 		if len(m.changes) >= maxConfigMessages {
 			clear(m.changes)
 		}
-		m.changes[since] = n.encodeConfig(wire.RenewAck{Delta: delta})
-		return m.changes[since]
+		m.changes[to] = n.encodeConfig(n.changesFor(to, delta))
+		return m.changes[to]
 	}
 	if n.configsSent >= maxConfigsPerTick {
 		return nil
@@ -66,6 +74,17 @@
 	return m.whole
 }
 
+// changesFor returns a message with a delta, and with patches in place of the routing document if
+// the host has an earlier one and understands them.
+func (n *Node) changesFor(to configRecipient, delta *config.Delta) wire.RenewAck {
+	if to.patches {
+		if patches, ok := n.state.RoutingPatches(to.revision); ok {
+			return wire.RenewAck{Delta: state.WithoutRouting(delta), Patches: patches}
+		}
+	}
+	return wire.RenewAck{Delta: delta}
+}
+
 // encodeConfig completes and encodes a message with a configuration. It returns nil on failure.
 func (n *Node) encodeConfig(m wire.RenewAck) []byte {
 	m.Leader, m.Term, m.Revision = n.opts.Host, n.term, n.state.Config().Revision
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -38,7 +38,8 @@
 		DataCentre:   c.opts.DataCentre,
 		Ready:        !c.leaving && (c.opts.Ready == nil || c.opts.Ready()),
 		HostsVersion: c.hostsVersion, LeasesVersion: c.leasesVersion, MarksVersion: c.crashMarksVersion,
-		Held: c.ownLeases(),
+		Held:         c.ownLeases(),
+		Capabilities: wire.Capabilities{RoutingPatches: true},
 	}
 	if c.needFullConfig {
 		m.Revision = 0
@@ -170,10 +171,9 @@
 	next := c.config
 	switch {
 	case m.Snapshot != nil:
-		if m.Snapshot.Revision < next.Revision || m.Snapshot.Revision == next.Revision && !c.needFullConfig {
-			return
+		if m.Snapshot.Revision > next.Revision || c.needFullConfig {
+			c.setConfig(m.Snapshot)
 		}
-		next = m.Snapshot
 	case m.Delta != nil:
 		if c.needFullConfig && m.Delta.From == 0 {
 			next = config.New()
@@ -181,18 +181,23 @@
 		if m.Delta.From > next.Revision || m.Delta.To <= next.Revision {
 			return
 		}
-		var err error
-		if next, err = applyDelta(next, m.Delta); err != nil {
+		next, err := applyDelta(next, m.Delta)
+		if err == nil {
+			err = applyRoutingPatches(next, c.config.Revision, m.Patches)
+		}
+		if err != nil {
 			// The configuration differs from the leader's, so the next Renew asks for the
 			// full one.
 			c.opts.Log.WithError(err).Error("Failed to apply a configuration change.")
 			c.needFullConfig, c.renewNow = true, true
 			return
 		}
-		if next.Revision < c.config.Revision {
-			return
-		}
-	default:
+		c.setConfig(next)
+	}
+}
+
+func (c *Client) setConfig(next *config.Config) {
+	if next.Revision < c.config.Revision {
 		return
 	}
 	c.config, c.needFullConfig = next, false
@@ -224,6 +229,22 @@
 	return next, nil
 }
 
+// applyRoutingPatches applies the patches that are newer than a revision to a configuration that
+// nothing else reads yet.
+func applyRoutingPatches(next *config.Config, revision uint64, patches []*config.RoutingPatch) error {
+	for _, p := range patches {
+		if p.Revision <= revision {
+			continue
+		}
+		patched, err := p.Apply(next.Routing)
+		if err != nil {
+			return err
+		}
+		next.Routing = patched
+	}
+	return nil
+}
+
 func (c *Client) updateTables(m wire.RenewAck) {
 	if m.HasLeases && m.LeasesVersion > c.leasesVersion {
 		c.leases, c.leasesVersion = m.Leases, m.LeasesVersion
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -32,6 +32,8 @@
 	pushedAt time.Duration
 	// answeredAt is when the latest Renew was answered.
 	answeredAt time.Duration
+	// patches is true if the host applies patches of the routing document.
+	patches bool
 }
 
 // pushedVersions holds the versions that were last pushed to all hosts.
@@ -131,7 +133,7 @@
 	if n.now-answered.pushedAt >= pushCrossing {
 		answered.revision = r.msg.Revision
 	}
-	answered.answeredAt = n.now
+	answered.answeredAt, answered.patches = n.now, r.msg.RoutingPatches
 	n.pushConfig(r.from, answered)
 	ack := wire.RenewAck{Seq: r.msg.Seq, Leader: n.opts.Host, Term: n.term, Revision: n.state.Config().Revision}
 	for _, l := range r.msg.Held {
--- a/internal/control/routing_test.go
+++ b/internal/control/routing_test.go
@@ -85,6 +85,39 @@
 	}
 }
 
+func TestChangeOfOneRouteCostsWhatItChanges(t *testing.T) {
+	c := qt.New(t)
+	sim := newFormedSimulation(t, 2, 2, "r1", "r2")
+	c.Assert(sim.change("r1", "first", routingChange(t, 1, 4_500)).err, qt.IsNil)
+	sim.runUntil("the first document", applyLimit, func() bool { return sim.allHaveVersion(1) })
+	received := 0
+	sim.onSend = func(p packet) {
+		if p.to == "r2" {
+			received += len(p.payload)
+		}
+	}
+	next := routingChange(t, 2, 4_500)
+	next.Routing.Document.Routes[2_000].Timeout = time.Minute
+	c.Assert(sim.change("r1", "small", routingChangeOf(t, &next.Routing.Document)).err, qt.IsNil)
+	sim.runUntil("the small change", applyLimit, func() bool { return sim.allHaveVersion(2) })
+	c.Assert(received < 8<<10, qt.IsTrue, qt.Commentf("%d bytes", received))
+}
+
+// A host whose document is not the one that a patch belongs to gets the whole one.
+func TestHostWithAnotherDocumentGetsTheWholeOne(t *testing.T) {
+	c := qt.New(t)
+	sim := newFormedSimulation(t, 4, 2, "r1", "r2")
+	c.Assert(sim.change("r1", "first", routingChange(t, 1, 100)).err, qt.IsNil)
+	sim.runUntil("the first document", applyLimit, func() bool { return sim.allHaveVersion(1) })
+	damaged := *sim.clients["r2"].config
+	damaged.Routing = routingChange(t, 1, 99).Routing
+	sim.clients["r2"].config = &damaged
+	next := routingChange(t, 2, 101)
+	c.Assert(sim.change("r1", "next", next).err, qt.IsNil)
+	sim.runUntil("the next document", applyLimit, func() bool { return sim.allHaveVersion(2) })
+	c.Assert(sim.clients["r2"].Config().Routing.Document, qt.DeepEquals, next.Routing.Document)
+}
+
 func TestRoutingDocumentReachesAllHostsWhenTheLeaderIsLostBeforeThePush(t *testing.T) {
 	c := qt.New(t)
 	sim := newFormedSimulation(t, 3, 2, "r1", "r2")
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -63,6 +63,14 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// Equal reports whether two routes are the same.
+func (r *Route) Equal(o *Route) bool {
+	return r.Name == o.Name && r.Host == o.Host && r.PathPrefix == o.PathPrefix && r.Kind == o.Kind &&
+		slices.Equal(r.Split, o.Split) && r.Attempts == o.Attempts && r.Timeout == o.Timeout &&
+		r.Objective == o.Objective && r.EventGap == o.EventGap && r.Priority == o.Priority &&
+		r.Public == o.Public && r.Resumable == o.Resumable && r.PromptAffinity == o.PromptAffinity
+}
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	// Slots is the number of requests that an engine runs at once.
--- a/internal/state/routing_test.go
+++ b/internal/state/routing_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -81,3 +82,51 @@
 	c.Assert(restored.Restore(data), qt.IsNil)
 	c.Assert(restored.Config().Routing, qt.DeepEquals, s.Config().Routing)
 }
+
+// A host with an earlier document ends up with the same document by patches as by a whole one, also
+// after the leader has dropped the oldest patches.
+func TestRoutingPatchesReachTheDocumentInForce(t *testing.T) {
+	c := qt.New(t)
+	s := New("f")
+	configs := []*config.Config{s.Config()}
+	d := &routing.Document{Services: []routing.Service{{Name: "s"}}}
+	for i := range 100 {
+		d.Routes = append(d.Routes, routing.Route{Name: "r", Host: fmt.Sprint("h", i), PathPrefix: "/", Kind: routing.Idempotent, Timeout: time.Second, Split: []routing.WeightedService{{Service: "s", Weight: 1}}})
+	}
+	for v := range uint64(maxRoutingPatches + 40) {
+		d.Version = v + 1
+		d.Routes[v%100].Timeout += time.Second
+		source, err := json.Marshal(d)
+		c.Assert(err, qt.IsNil)
+		next := d.Clone()
+		cmd, err := Command{Config: &ConfigChange{RequestID: fmt.Sprint(v), Operator: "op", Changes: []config.Change{{Routing: config.NewRouting(&next, source)}}}}.Encode()
+		c.Assert(err, qt.IsNil)
+		c.Assert(s.Apply(v+1, cmd).Code, qt.Equals, fault.Code(""))
+		configs = append(configs, s.Config())
+	}
+	patched := 0
+	for _, earlier := range configs[:len(configs)-1] {
+		patches, ok := s.RoutingPatches(earlier.Revision)
+		if !ok {
+			continue
+		}
+		patched++
+		r := earlier.Routing
+		for _, p := range patches {
+			var err error
+			r, err = p.Apply(r)
+			c.Assert(err, qt.IsNil)
+		}
+		c.Assert(r, qt.DeepEquals, s.Config().Routing)
+		delta, ok := s.Delta(earlier.Revision)
+		c.Assert(ok, qt.IsTrue)
+		for _, change := range WithoutRouting(delta).Changes {
+			c.Assert(change.Change.Routing.Superseded, qt.IsTrue)
+		}
+		last := delta.Changes[len(delta.Changes)-1]
+		c.Assert(last.Change.Routing.Superseded, qt.IsFalse)
+	}
+	c.Assert(patched > 10, qt.IsTrue, qt.Commentf("%d earlier documents", patched))
+	_, ok := s.RoutingPatches(0)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -110,6 +110,7 @@
 	restored := New(in.FormedBy)
 	restored.index, restored.now = in.Index, in.Now
 	restored.config.Revision = in.Revision
+	restored.patches.since = in.Revision
 	for _, ch := range in.Objects {
 		if err := restored.config.LoadObject(ch); err != nil {
 			return fault.Wrap(err, fault.StorageCorrupt, "", "the snapshot holds a wrong object")
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -21,6 +21,9 @@
 	// recentChanges holds the latest configuration changes since the last restore, for
 	// deltas. It is not part of the replicated state.
 	recentChanges []config.AppliedChange
+	// patches holds the latest changes of the routing document, for hosts that have an earlier
+	// one. It is not part of the replicated state either.
+	patches routingPatches
 
 	answers     map[string]answer
 	answerOrder []string
@@ -181,6 +184,9 @@
 		return errorResult(err)
 	}
 	replaced := next.Routing != s.config.Routing
+	if replaced {
+		s.patches.add(s.config.Routing, next.Routing)
+	}
 	s.config = next
 	for _, change := range request.Changes {
 		switch {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -257,9 +257,28 @@
 	// MarksVersion is the version of the crash marks that the host has.
 	MarksVersion uint64
 	// DataCentre is the data centre of the host.
-	DataCentre string
+	DataCentre   string
+	Capabilities `msgpack:"-"`
+}
+
+// Capabilities are what a host understands beyond the first version of the protocol. They are the
+// extension of a Renew.
+type Capabilities struct {
+	// RoutingPatches is true if the host applies the patches of a RenewAck.
+	RoutingPatches bool
+}
+
+// Extension returns the extension of the message, nil if there is nothing to add.
+func (m Renew) Extension() any {
+	if m.Capabilities == (Capabilities{}) {
+		return nil
+	}
+	return m.Capabilities
 }
 
+// ExtensionTarget returns what the extension of the message is decoded into.
+func (m *Renew) ExtensionTarget() any { return &m.Capabilities }
+
 // RenewAck answers a Renew.
 type RenewAck struct {
 	// Seq is the sequence number of the Renew, 0 for an unsolicited push.
@@ -286,8 +305,22 @@
 	Marks        []CrashMark
 	MarksVersion uint64
 	HasMarks     bool
+	// Patches take the place of the routing documents in Delta, in order, for hosts that have an
+	// earlier document. They are the extension of the message.
+	Patches []*config.RoutingPatch `msgpack:"-"`
+}
+
+// Extension returns the extension of the message, nil if there is nothing to add.
+func (m RenewAck) Extension() any {
+	if len(m.Patches) == 0 {
+		return nil
+	}
+	return m.Patches
 }
 
+// ExtensionTarget returns what the extension of the message is decoded into.
+func (m *RenewAck) ExtensionTarget() any { return &m.Patches }
+
 // Propose carries a command for the replicated state to the leader.
 type Propose struct {
 	Seq     uint64
