Compress large configurations between hosts

Cause: a document that grows by 1,400 routes costs 34 MB for 100 hosts even as a patch, from one host whose link and processor are small, and bytes between data centres are dear.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -38,7 +38,7 @@
 	f := &renewFleet{simulation: sim, leaderNode: sim.nodes[sim.leader()], hosts: make([]wire.Renew, hosts), index: map[string]int{}}
 	for i := range f.hosts {
 		f.index[hostName(i)] = i
-		f.hosts[i].Ready, f.hosts[i].RoutingPatches = true, true
+		f.hosts[i].Ready, f.hosts[i].Capabilities = true, wire.Capabilities{RoutingPatches: true, Compression: true}
 	}
 	for range 16 {
 		f.runInterval()
@@ -154,9 +154,13 @@
 		if c.Part+1 == c.Parts {
 			h.Revision = f.leaderNode.state.Config().Revision
 		}
-	case wire.KindRenewAck:
+	case wire.KindRenewAck, wire.KindCompressedRenewAck:
+		payload := p.payload
+		if p.kind == wire.KindCompressedRenewAck {
+			payload, _ = wire.Decompress(payload)
+		}
 		var a wire.RenewAck
-		if wire.Unmarshal(p.payload, &a) != nil || a.NotLeader {
+		if wire.Unmarshal(payload, &a) != nil || a.NotLeader {
 			return
 		}
 		h.Revision = max(h.Revision, a.Revision)
--- a/internal/control/chunk.go
+++ b/internal/control/chunk.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"marigoldshunt/internal/fault"
@@ -37,7 +38,7 @@
 }
 
 // isPush reports whether the leader sends this message to many hosts at once.
-func (k transferKey) isPush() bool { return k.inner == wire.KindRenewAck }
+func (k transferKey) isPush() bool { return slices.Contains(pushKinds, k.inner) }
 
 type outgoingTransfer struct {
 	id          uint64
@@ -125,14 +126,16 @@
 	}
 }
 
-// busy reports whether a transfer of this kind to this peer is open.
-func (c *chunker) busy(to string, inner wire.Kind) bool {
-	return c.out[transferKey{to, inner}] != nil
+// busy reports whether a transfer of one of these kinds to this peer is open.
+func (c *chunker) busy(to string, inner ...wire.Kind) bool {
+	return slices.ContainsFunc(inner, func(k wire.Kind) bool { return c.out[transferKey{to, k}] != nil })
 }
 
-// cancel drops the transfer of this kind to this peer.
-func (c *chunker) cancel(to string, inner wire.Kind) {
-	delete(c.out, transferKey{to, inner})
+// cancel drops the transfers of these kinds to this peer.
+func (c *chunker) cancel(to string, inner ...wire.Kind) {
+	for _, k := range inner {
+		delete(c.out, transferKey{to, k})
+	}
 }
 
 // sendWindow sends the chunks that fit into the window.
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -182,6 +182,8 @@
 	switch e.kind {
 	case wire.KindRenewAck:
 		c.onRenewAck(e)
+	case wire.KindCompressedRenewAck:
+		c.onCompressedRenewAck(e)
 	case wire.KindProposeAck:
 		c.onProposeAck(e)
 	case wire.KindLeaderAnnouncement:
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -39,7 +39,7 @@
 		Ready:        !c.leaving && (c.opts.Ready == nil || c.opts.Ready()),
 		HostsVersion: c.hostsVersion, LeasesVersion: c.leasesVersion, MarksVersion: c.crashMarksVersion,
 		Held:         c.ownLeases(),
-		Capabilities: wire.Capabilities{RoutingPatches: true},
+		Capabilities: wire.Capabilities{RoutingPatches: true, Compression: true},
 	}
 	if c.needFullConfig {
 		m.Revision = 0
@@ -114,6 +114,16 @@
 	return out
 }
 
+func (c *Client) onCompressedRenewAck(e event) {
+	payload, err := wire.Decompress(e.payload)
+	if err != nil {
+		c.opts.Log.WithError(err).WithField("from", e.from).Warn("Failed to decompress a configuration.")
+		return
+	}
+	e.payload = payload
+	c.onRenewAck(e)
+}
+
 func (c *Client) onRenewAck(e event) {
 	var m wire.RenewAck
 	if wire.Unmarshal(e.payload, &m) != nil {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -326,7 +327,7 @@
 	}
 	switch {
 	case m.Ack && !sentByClients(m.Inner):
-		if n.chunks.onAck(e.from, m, n.now) && m.Inner == wire.KindRenewAck {
+		if n.chunks.onAck(e.from, m, n.now) && slices.Contains(pushKinds, m.Inner) {
 			n.pushRest(e.from)
 		}
 	case !m.Ack && handledByNodes(m.Inner):
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -114,9 +114,12 @@
 // On a control host both get every KindChunk and ignore the chunks of the other.
 var (
 	NodeKinds   = []wire.Kind{wire.KindRaft, wire.KindRenew, wire.KindPropose, wire.KindForm, wire.KindFormAck, wire.KindChunk}
-	ClientKinds = []wire.Kind{wire.KindRenewAck, wire.KindProposeAck, wire.KindLeaderAnnouncement, wire.KindChunk}
+	ClientKinds = []wire.Kind{wire.KindRenewAck, wire.KindCompressedRenewAck, wire.KindProposeAck, wire.KindLeaderAnnouncement, wire.KindChunk}
 )
 
+// pushKinds are the kinds of messages that the leader may send to all hosts at once.
+var pushKinds = []wire.Kind{wire.KindRenewAck, wire.KindCompressedRenewAck}
+
 func handledByNodes(k wire.Kind) bool { return slices.Contains(NodeKinds, k) }
 
 // sentByClients reports whether clients send this kind of message, and so get the
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -31,9 +31,8 @@
 	revision uint64
 	pushedAt time.Duration
 	// answeredAt is when the latest Renew was answered.
-	answeredAt time.Duration
-	// patches is true if the host applies patches of the routing document.
-	patches bool
+	answeredAt   time.Duration
+	capabilities wire.Capabilities
 }
 
 // pushedVersions holds the versions that were last pushed to all hosts.
@@ -127,13 +126,13 @@
 	answered := n.answeredHost(r.from)
 	if answered.boot != r.boot {
 		// What was sent to the earlier process is lost.
-		n.chunks.cancel(r.from, wire.KindRenewAck)
+		n.chunks.cancel(r.from, pushKinds...)
 		*answered = answeredHost{boot: r.boot, revision: r.msg.Revision}
 	}
 	if n.now-answered.pushedAt >= pushCrossing {
 		answered.revision = r.msg.Revision
 	}
-	answered.answeredAt, answered.patches = n.now, r.msg.RoutingPatches
+	answered.answeredAt, answered.capabilities = n.now, r.msg.Capabilities
 	n.pushConfig(r.from, answered)
 	ack := wire.RenewAck{Seq: r.msg.Seq, Leader: n.opts.Host, Term: n.term, Revision: n.state.Config().Revision}
 	for _, l := range r.msg.Held {
--- a/internal/control/routing_test.go
+++ b/internal/control/routing_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,9 +19,10 @@
 func routingChange(t testing.TB, version uint64, routes int) config.Change {
 	t.Helper()
 	d := &routing.Document{Version: version, Services: []routing.Service{{Name: "records"}}}
-	for i := range routes {
+	rng := rand.New(rand.NewSource(1)) // names that compress no better than those of operators
+	for range routes {
 		d.Routes = append(d.Routes, routing.Route{
-			Name: fmt.Sprintf("route-%07d", i), Host: fmt.Sprintf("records%05d.example", i/8), PathPrefix: fmt.Sprintf("/path%05d/", i),
+			Name: fmt.Sprintf("r-%07x", rng.Uint32()), Host: fmt.Sprintf("%08x.example", rng.Uint32()), PathPrefix: fmt.Sprintf("/%016x/", rng.Uint64()),
 			Kind: routing.Idempotent, Attempts: 2, Timeout: 5 * time.Second, Objective: time.Second,
 			Split: []routing.WeightedService{{Service: "records", Weight: 1}},
 		})
@@ -126,8 +129,11 @@
 	leader := sim.leader()
 	sim.drop = func(p packet) bool {
 		var chunk wire.Chunk
-		ofRenewAck := p.kind == wire.KindChunk && wire.Unmarshal(p.payload, &chunk) == nil && chunk.Inner == wire.KindRenewAck
-		return p.from == leader && (ofRenewAck || p.kind == wire.KindRenewAck || p.kind == wire.KindProposeAck)
+		kind := p.kind
+		if kind == wire.KindChunk && wire.Unmarshal(p.payload, &chunk) == nil {
+			kind = chunk.Inner
+		}
+		return p.from == leader && (slices.Contains(pushKinds, kind) || kind == wire.KindProposeAck)
 	}
 	call := sim.startChange("r1", "large", routingChange(t, 2, 3_500))
 	sim.runUntil("the commit", 5*time.Second, func() bool { return sim.nodes[leader].state.Config().Routing.Version == 2 })
@@ -163,3 +169,36 @@
 	sim.startClient("r2")
 	sim.runUntil("the large document at the restarted host", applyLimit, func() bool { return sim.allHaveVersion(2) })
 }
+
+// Hosts of a version without patches and compression must not be left with their earlier document
+// during an upgrade.
+func TestHostOfAnEarlierVersionGetsTheWholeDocument(t *testing.T) {
+	c := qt.New(t)
+	f := newRenewFleet(t, 3, 1)
+	f.hosts[0].Capabilities = wire.Capabilities{}
+	f.change(routingChange(t, 1, 200))
+	f.runInterval()
+	whole, patches := map[string]int{}, map[string]int{}
+	f.onSend = func(p packet) {
+		payload := p.payload
+		if p.kind == wire.KindCompressedRenewAck {
+			var err error
+			payload, err = wire.Decompress(payload)
+			c.Assert(err, qt.IsNil)
+		} else if p.kind != wire.KindRenewAck {
+			return
+		}
+		var m wire.RenewAck
+		c.Assert(wire.Unmarshal(payload, &m), qt.IsNil)
+		patches[p.to] += len(m.Patches)
+		if m.Delta != nil && !m.Delta.Changes[0].Change.Routing.Superseded {
+			whole[p.to]++
+			c.Assert(p.kind, qt.Equals, wire.KindRenewAck)
+		}
+	}
+	f.change(routingChange(t, 2, 201))
+	c.Assert(whole[hostName(0)], qt.Equals, 1)
+	c.Assert(patches[hostName(0)], qt.Equals, 0)
+	c.Assert(whole[hostName(1)], qt.Equals, 0)
+	c.Assert(patches[hostName(1)], qt.Equals, 1)
+}
--- a/internal/control/routingbench_test.go
+++ b/internal/control/routingbench_test.go
@@ -34,3 +34,24 @@
 		}
 	}
 }
+
+// BenchmarkRoutingGrowth measures a document to which 1,400 routes are added, and that is pushed to
+// 100 hosts.
+func BenchmarkRoutingGrowth(b *testing.B) {
+	f := newRenewFleet(b, 100, 1)
+	routes := 100
+	f.change(routingChange(b, 1, routes))
+	f.runInterval()
+	f.leaderTime, f.outBytes = 0, 0
+	b.ResetTimer()
+	for i := range b.N {
+		b.StopTimer()
+		routes += 1_400
+		next := routingChange(b, uint64(i+2), routes)
+		b.StartTimer()
+		f.change(next)
+	}
+	b.ReportMetric(float64(f.leaderTime.Microseconds())/1000/float64(b.N), "leader-ms/change")
+	b.ReportMetric(float64(f.outBytes)/1000/float64(b.N), "out-KB/change")
+	b.ReportMetric(0, "ns/op")
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -40,6 +40,8 @@
 	KindCatalogRequest
 	KindCatalogCheck
 	KindCatalogState
+	// KindCompressedRenewAck is a RenewAck that Compress has compressed.
+	KindCompressedRenewAck
 )
 
 // Envelope carries one message between two hosts.
@@ -266,6 +268,8 @@
 type Capabilities struct {
 	// RoutingPatches is true if the host applies the patches of a RenewAck.
 	RoutingPatches bool
+	// Compression is true if the host takes a KindCompressedRenewAck.
+	Compression bool
 }
 
 // Extension returns the extension of the message, nil if there is nothing to add.
