Take the ages up to which a host acts from the bounds of the deployment

Cause: a host served by a configuration that was confirmed up to 3 s ago, a constant of the template, while the deployments bound the time until a change is in force to 2.0 and 2.5 s.

Change: the settings have a table edge.bounds with the times of the installation. The age of the configuration is at most the shortest of the times for documents, credentials and data centres; that of the list of instances leaves a second for the interval of its reads. A confirmation counts from the time at which the host asked for it, and a change that it does not know is acknowledged after that, so the whole bound may be used.

--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -25,6 +25,8 @@
 	onRead func(catalog.List)
 	log    logrus.FieldLogger
 	reader *catalog.Reader
+	// maxAge is the age of the list above which this host counts as out of touch.
+	maxAge time.Duration
 
 	mu           sync.Mutex
 	readSchedule *catalog.ReadSchedule
@@ -36,9 +38,9 @@
 	lost bool
 }
 
-func newCatalogRole(d *Daemon, source catalog.Source, onList, onRead func(catalog.List)) *catalogRole {
+func newCatalogRole(d *Daemon, maxAge time.Duration, source catalog.Source, onList, onRead func(catalog.List)) *catalogRole {
 	c := &catalogRole{
-		host: d.settings.Host, clock: d.clock, send: d.peers.Send, onList: onList, onRead: onRead, log: d.logFor("catalog"),
+		host: d.settings.Host, maxAge: maxAge, clock: d.clock, send: d.peers.Send, onList: onList, onRead: onRead, log: d.logFor("catalog"),
 		readSchedule: catalog.NewReadSchedule(d.settings.Host, time.Now()),
 		contact:      catalog.NewContact(d.settings.Host, rand.New(rand.NewSource(randomSeed(d.settings.Host, d.boot)))),
 	}
--- a/internal/daemon/catalog_contact.go
+++ b/internal/daemon/catalog_contact.go
@@ -14,7 +14,7 @@
 	to, seq, ask := c.contact.Next(now)
 	digest := c.digest
 	age, known := c.contact.Age(now)
-	lost := known && age > catalog.MaxContactAge
+	lost := known && age > c.maxAge
 	changed := lost != c.lost
 	c.lost = lost
 	c.mu.Unlock()
--- a/internal/daemon/catalog_test.go
+++ b/internal/daemon/catalog_test.go
@@ -29,7 +29,7 @@
 	for i, name := range names {
 		log, _ := logtest.NewNullLogger()
 		role := &catalogRole{
-			host: name, clock: &f.clock, log: log, onList: func(catalog.List) {}, onRead: func(catalog.List) {}, hosts: names,
+			host: name, maxAge: catalog.MaxContactAge, clock: &f.clock, log: log, onList: func(catalog.List) {}, onRead: func(catalog.List) {}, hosts: names,
 			readSchedule: catalog.NewReadSchedule(name, time.Now()), contact: catalog.NewContact(name, rand.New(rand.NewSource(int64(i)))),
 		}
 		role.send = func(to string, kind wire.Kind, msg any) error { return f.send(name, to, kind, msg) }
--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -81,11 +81,11 @@
 	}
 	e.gateway = gateway.New(gateway.Options{
 		View: e.view, HeaderNames: e.adapter.HeaderNames(), Forwarder: d.engine, Dispatcher: e.dispatcher, Admission: e.admission, CrashStore: d.controlClient, StreamStore: d.controlClient,
-		MaxConfigAge: e.settings.ConfigMaxAge, MaxHeaderBytes: d.settings.CallerLimits.HeaderBytes,
+		MaxAges: e.maxAges(), MaxHeaderBytes: d.settings.CallerLimits.HeaderBytes,
 		ReadHeaderTimeout: d.settings.CallerLimits.ReadTimeout, MaxConnections: maxConnections(d.settings), MaxRunning: maxRunning(d.settings), MaxBodyMemory: maxBodyMemory(d.settings), MaxBufferedBytes: maxBufferedBytes(d.settings),
 		ConfirmList: func() { e.catalog.confirmList() }, Offload: e.offloadOptions(), Log: d.logFor("gateway"), Registry: d.registry,
 	})
-	e.catalog = newCatalogRole(d, e.adapter.InstanceSource(e.settings.UpstreamList), e.gateway.SetInstances, e.gateway.ReportVersions)
+	e.catalog = newCatalogRole(d, e.settings.ListMaxAge, e.adapter.InstanceSource(e.settings.UpstreamList), e.gateway.SetInstances, e.gateway.ReportVersions)
 	e.loads = loads.New(d.settings.Host, d.settings.DataCentre)
 	d.peers.Handle(wire.KindLoads, e.handleLoads)
 	d.peers.Handle(wire.KindLoadSums, e.handleLoads)
--- a/internal/daemon/edge_fleet.go
+++ b/internal/daemon/edge_fleet.go
@@ -11,13 +11,18 @@
 	"marigoldshunt/internal/discovery"
 	"marigoldshunt/internal/edge"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/gateway"
 	"marigoldshunt/internal/routing"
 )
 
 // Ready implements edge.HostAPI.
 func (e *edgeRole) Ready() bool {
 	v := e.view()
-	return v.Check(e.settings.ConfigMaxAge) == nil && !v.Leaving
+	return v.Check(e.maxAges()) == nil && !v.Leaving
+}
+
+func (e *edgeRole) maxAges() gateway.MaxAges {
+	return gateway.MaxAges{Config: e.settings.ConfigMaxAge, List: e.settings.ListMaxAge}
 }
 
 // GatewayAddresses implements edge.HostAPI. It returns the hosts of the caller's data centre
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -158,7 +158,7 @@
 func (q *request) recheck(p *dispatch.Placement) error {
 	view := q.server.opts.View()
 	q.view = view
-	if err := view.Check(q.server.opts.MaxConfigAge); err != nil {
+	if err := view.Check(q.server.opts.MaxAges); err != nil {
 		return err
 	}
 	if view.Table.NeedsCredential(q.route) && view.Table.Account(q.r.Header.Get(q.server.opts.HeaderNames.Credential)) == nil {
--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -81,7 +81,7 @@
 // itself.
 func (s *Server) newEarlyRequest(c *headerConn, h *requestHead) *earlyRequest {
 	view := s.opts.View()
-	if view.Leaving || view.Check(s.opts.MaxConfigAge) != nil {
+	if view.Leaving || view.Check(s.opts.MaxAges) != nil {
 		return nil
 	}
 	a := view.Table.Account(string(h.credential))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,7 +24,6 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/admission"
-	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/offload"
@@ -50,15 +49,21 @@
 	ListContactAge time.Duration
 }
 
+// MaxAges are how long a host may act on what nobody confirms.
+type MaxAges struct {
+	// Config is that of the configuration, List that of the list of instances.
+	Config, List time.Duration
+}
+
 // Check returns HostIsolated if the host must not serve requests: it has no routing
-// document, its configuration is older than maxAge, or it may not know which instances leave.
-func (v View) Check(maxAge time.Duration) error {
+// document, its configuration is too old, or it may not know which instances leave.
+func (v View) Check(limits MaxAges) error {
 	switch {
 	case v.Table == nil:
 		return fault.New(fault.HostIsolated, fault.NotRun, "the host has no routing document yet").WithRetryAfter(shortRetryAfter)
-	case v.Age > maxAge:
+	case v.Age > limits.Config:
 		return fault.New(fault.HostIsolated, fault.NotRun, "the configuration is %s old", v.Age.Round(time.Millisecond)).WithRetryAfter(shortRetryAfter)
-	case v.ListContactAge > catalog.MaxContactAge:
+	case v.ListContactAge > limits.List:
 		return fault.New(fault.HostIsolated, fault.NotRun, "no host has confirmed the list of upstreams for %s", v.ListContactAge.Round(time.Millisecond)).WithRetryAfter(shortRetryAfter)
 	}
 	return nil
@@ -88,8 +93,8 @@
 	StreamStore StreamStore
 	// ConfirmList has another host asked soon whether its list of instances is the same. It may be nil.
 	ConfirmList func()
-	// MaxConfigAge is the age of the configuration above which requests are refused.
-	MaxConfigAge time.Duration
+	// MaxAges are the ages above which requests are refused.
+	MaxAges MaxAges
 	// MaxHeaderBytes bounds the size of a request header, ReadHeaderTimeout the time to
 	// read it.
 	MaxHeaderBytes    int
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -114,7 +114,7 @@
 	if view.Leaving {
 		q.w.Header().Set("Connection", "close")
 	}
-	if err := view.Check(q.server.opts.MaxConfigAge); err != nil {
+	if err := view.Check(q.server.opts.MaxAges); err != nil {
 		return err
 	}
 	if err := checkOffloadVersion(q.r.Header, view.Table.Document.Version); err != nil {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -223,7 +223,7 @@
 			defer gw.mu.Unlock()
 			return gw.view
 		},
-		HeaderNames: testHeaderNames(), Forwarder: engine.New(engine.Options{}), Dispatcher: dispatcher, MaxConfigAge: time.Second, CrashStore: discardCrashMarks{}, StreamStore: newMemoryStreamStore(),
+		HeaderNames: testHeaderNames(), Forwarder: engine.New(engine.Options{}), Dispatcher: dispatcher, MaxAges: MaxAges{Config: time.Second, List: catalog.MaxContactAge}, CrashStore: discardCrashMarks{}, StreamStore: newMemoryStreamStore(),
 		MaxHeaderBytes: 8 << 10, ReadHeaderTimeout: time.Second, Log: discardLog(), Registry: metrics.NewRegistry(),
 	}
 	change(&opts)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -177,6 +177,7 @@
 	if f.Adapter == "" {
 		f.Adapter = AdapterNative
 	}
+	bounds := c.bounds(f.Bounds)
 	return &Edge{
 		Adapter:          c.objectName("edge.adapter", f.Adapter),
 		GatewayAddress:   c.address("edge.gateway_address", f.GatewayAddress),
@@ -185,7 +186,9 @@
 		OperatorAddress:  optionalAddress("edge.operator_address", f.OperatorAddress),
 		MetricsAddress:   optionalAddress("edge.metrics_address", f.MetricsAddress),
 		UpstreamList:     c.address("edge.upstream_list", f.UpstreamList),
-		ConfigMaxAge:     c.duration("edge.config_max_age", f.ConfigMaxAge, maxConfigMaxAge),
+		ConfigMaxAge:     bounds.configMaxAge(c.duration("edge.config_max_age", f.ConfigMaxAge, maxConfigMaxAge)),
+		ListMaxAge:       bounds.listMaxAge(),
+		Bounds:           bounds,
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,8 +118,10 @@
 	// UpstreamList is the address at which the installation publishes its instances.
 	UpstreamList string
 	// ConfigMaxAge is how long a host serves requests without confirmation that its
-	// configuration is current.
-	ConfigMaxAge time.Duration
+	// configuration is current, ListMaxAge the same for its list of instances. Both follow from
+	// Bounds where these name times.
+	ConfigMaxAge, ListMaxAge time.Duration
+	Bounds                   Bounds
 }
 
 // file is the structure of the settings file.
@@ -163,6 +165,8 @@
 	MetricsAddress   string   `toml:"metrics_address"`
 	UpstreamList     string   `toml:"upstream_list"`
 	ConfigMaxAge     duration `toml:"config_max_age"`
+
+	Bounds *fileBounds `toml:"bounds"`
 }
 
 // duration is a time with a unit, such as "30s". A number without a unit is refused.
