Refuse requests that the end of a planned stop would cut

What operators saw: requests that came late in a planned stop were taken, passed on and cut without an answer. It could happen here: after the listener is closed, connections that have brought no request yet stay open for 5 s, and a request on one of them, or a body that ended late, was passed on even if its deadline lay behind the end of the stop, when all is aborted.

Change: a request that is read whole during the shutdown is refused with 503, not run, and its connection closed, if its deadline lies behind the time at which running requests are aborted. Its caller goes to another host.

TestRequestsThatTheStopWouldCutAreRefused: three cases (an order, a stream, a body that ends late) reached the upstream and got no answer before; a request whose deadline comes first is served as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,8 @@
 	running          atomic.Int64
 	// stopping ends with the call of stop, when Shutdown begins.
 	stopping context.Context
+	// abortAt is when Shutdown aborts running requests; nil before Shutdown.
+	abortAt atomic.Pointer[time.Time]
 	stop     context.CancelFunc
 	// refusing counts the connections that are being refused without parsing a request.
 	refusing atomic.Int64
@@ -190,6 +192,9 @@
 // it closes all connections. The Shutdown of net/http would close connections whose requests
 // it has read and not yet passed to the handler.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if at, ok := ctx.Deadline(); ok {
+		s.abortAt.Store(&at)
+	}
 	s.stop()
 	begun := time.Now()
 	for {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -142,6 +142,9 @@
 	if err := q.readBody(view.Table.Document.Limits); err != nil {
 		return err
 	}
+	if err := q.checkStop(); err != nil {
+		return err
+	}
 	q.header = q.server.opts.HeaderNames.upstreamHeader(q.r.Header, q.account)
 	q.lastEventID = q.r.Header.Get(q.server.opts.HeaderNames.LastEventID)
 	q.resumes = q.r.Header.Get(q.server.opts.HeaderNames.Resumes)
@@ -156,6 +159,17 @@
 	return nil
 }
 
+// checkStop refuses a request that was read during a shutdown and may last longer than that. Another
+// host can run it; here it would be cut.
+func (q *request) checkStop() error {
+	abortAt := q.server.abortAt.Load()
+	if abortAt == nil || !q.deadline.After(*abortAt) {
+		return nil
+	}
+	q.w.Header().Set("Connection", "close")
+	return fault.New(fault.HostLeaving, fault.NotRun, "the host stops before the deadline of the request").WithRetryAfter(shortRetryAfter)
+}
+
 // shortRetryAfter is the Retry-After for failures that are usually over soon or that do not
 // affect other hosts.
 const shortRetryAfter = 100 * time.Millisecond
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -82,3 +82,59 @@
 	gw.Check(s.Shutdown(context.Background()), qt.IsNil)
 	gw.Check(<-served, qt.IsNil)
 }
+
+// Operators saw requests that came late in a planned stop passed on and then cut without an answer,
+// among them requests that may not be repeated.
+func TestRequestsThatTheStopWouldCutAreRefused(t *testing.T) {
+	const grace = 800 * time.Millisecond
+	for _, tc := range []struct {
+		name, begin, rest string
+		timeout           time.Duration
+		status            int
+	}{
+		{"order", "", "POST /order/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok", 2 * time.Second, 503},
+		{"stream", "", "GET /stream/x HTTP/1.1\r\nHost: h\r\n\r\n", 2 * time.Second, 503},
+		{"body that ends late", "POST /order/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\no", "k", 2 * time.Second, 503},
+		{"order that ends in time", "", "POST /order/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok", 100 * time.Millisecond, 504},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			silent := func(req *receivedRequest) { _, _ = io.Copy(io.Discard, req.conn) }
+			u := newUpstream(t, silent)
+			d := document()
+			for i := range d.Routes {
+				d.Routes[i].Timeout = tc.timeout
+			}
+			gw := newTestGateway(t, d, u)
+			awaited := http.StateNew
+			if tc.begin != "" {
+				awaited = http.StateActive
+			}
+			reached := make(chan *Server, 1)
+			nc := gw.serveWithHook(func(*Server, http.ConnState) {}, func(s *Server, state http.ConnState) {
+				if state == awaited {
+					reached <- s
+				}
+			})
+			_, err := io.WriteString(nc, tc.begin)
+			gw.Assert(err, qt.IsNil)
+			server := <-reached
+			ctx, cancel := context.WithTimeout(t.Context(), grace)
+			defer cancel()
+			stopped := make(chan error, 1)
+			go func() { stopped <- server.Shutdown(ctx) }()
+			<-server.stopping.Done()
+			_, err = io.WriteString(nc, tc.rest)
+			gw.Assert(err, qt.IsNil)
+			answer, err := io.ReadAll(nc)
+			gw.Check(err, qt.IsNil)
+			gw.Check(string(answer), qt.Contains, fmt.Sprintf("HTTP/1.1 %d ", tc.status))
+			if tc.status == http.StatusServiceUnavailable {
+				gw.Check(string(answer), qt.Contains, "Connection: close")
+				gw.Check(string(answer), qt.Contains, `"run_state":"not_run"`)
+				gw.Check(string(answer), qt.Contains, "Retry-After: ")
+				gw.Check(u.requests(), qt.HasLen, 0)
+			}
+			gw.Check(<-stopped, qt.IsNil)
+		})
+	}
+}
