Split messages between hosts that do not fit into a frame

A list of 20,000 entries was read and could be told to nobody, so that all hosts but one would have refused everything.

--- a/internal/daemon/catalog_test.go
+++ b/internal/daemon/catalog_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"math/rand"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/peer"
 	"marigoldshunt/internal/wire"
 )
 
@@ -103,3 +105,21 @@
 	}
 	c.Assert(got, qt.DeepEquals, []string{"Upstream list lost: no host confirms it. Requests are refused.", "Upstream list confirmed again."})
 }
+
+// Guards against a list of upstreams that a host accepts and cannot tell the others.
+func TestLongestListOfInstancesFitsIntoAMessage(t *testing.T) {
+	c := qt.New(t)
+	f := newCatalogFleet(t, "h0", "h1")
+	var l catalog.List
+	for i := range 20_000 {
+		l.Instances = append(l.Instances, catalog.Instance{
+			ID: fmt.Sprintf("i-%010d", i), Born: 1_800_000_000_000, Service: "marigold-servers", Address: fmt.Sprintf("10.200.%d.%d:65535", i/256, i%256),
+			DataCentre: "salish-north", Version: "v1.2.3", Slots: 64, Draining: true, ColdFor: time.Minute,
+		})
+	}
+	f.roles["h0"].list = l
+	m, err := wire.Marshal(f.roles["h0"].messageLocked(true))
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(m) > peer.MaxFrameBytes, qt.IsTrue, qt.Commentf("%d bytes: the list needs no fragments", len(m)))
+	c.Assert(len(m) < peer.MaxMessageBytes, qt.IsTrue, qt.Commentf("%d bytes", len(m)))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,7 +132,7 @@
 	stopping context.Context
 	// abortAt is when Shutdown aborts running requests; nil before Shutdown.
 	abortAt atomic.Pointer[time.Time]
-	stop     context.CancelFunc
+	stop    context.CancelFunc
 	// refusing counts the connections that are being refused without parsing a request.
 	refusing atomic.Int64
 	// awaited holds those of them that wait for their request, the longest waiting first.
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -106,6 +106,8 @@
 	boot uint64
 	r    frameReader
 	w    frameWriter
+	// fragments belongs to the goroutine that reads.
+	fragments reassembly
 }
 
 // newConn returns a connection whose reader and writer have buffers of the given sizes.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -166,7 +166,7 @@
 
 // Send queues a message for a host and returns without waiting for the network. A
 // message to the host itself is handled later by another goroutine, in order. Send
-// returns a FrameTooLarge error for a message that does not fit in a frame, and a
+// returns a FrameTooLarge error for a message above MaxMessageBytes, and a
 // PeerUnreachable error when the node is closed or the queue of messages to the host
 // itself is full.
 func (n *Node) Send(to string, kind wire.Kind, msg any) error {
@@ -177,25 +177,52 @@
 	if to == n.opts.Host {
 		return n.sendLocal(localMessage{kind: kind, payload: payload})
 	}
-	body, err := wire.Marshal(&wire.Envelope{
-		Kind: kind, From: n.opts.Host, Boot: n.opts.Boot, HLC: n.opts.Clock.Now(), Payload: payload,
-	})
+	if len(payload) > MaxMessageBytes {
+		n.count.tooLarge.Inc(1)
+		n.losses.record("too_large", to, kind, len(payload), time.Now())
+		return fault.New(fault.FrameTooLarge, "", "message of %d bytes exceeds %d", len(payload), MaxMessageBytes)
+	}
+	messages, err := n.encode(kind, payload)
 	if err != nil {
 		return err
 	}
-	if len(body) > MaxFrameBytes {
-		n.count.tooLarge.Inc(1)
-		n.losses.record("too_large", to, kind, len(body), time.Now())
-		return fault.New(fault.FrameTooLarge, "", "message of %d bytes exceeds %d", len(body), MaxFrameBytes)
-	}
 	p := n.peerState(to)
 	if p == nil {
 		return errClosed()
 	}
-	p.send(queuedMessage{kind: kind, body: body, at: time.Now()})
+	p.send(messages)
 	return nil
 }
 
+// encode returns the bodies of the frames that carry a message.
+func (n *Node) encode(kind wire.Kind, payload []byte) ([]queuedMessage, error) {
+	if len(payload) <= MaxFrameBytes-maxEnvelopeBytes {
+		m, err := n.envelope(kind, payload)
+		return []queuedMessage{m}, err
+	}
+	var out []queuedMessage
+	for _, f := range fragments(kind, payload) {
+		encoded, err := wire.Marshal(f)
+		if err != nil {
+			return nil, err
+		}
+		m, err := n.envelope(wire.KindFragment, encoded)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, m)
+	}
+	return out, nil
+}
+
+// maxEnvelopeBytes bounds what an envelope adds to its payload: the name of a host and four numbers.
+const maxEnvelopeBytes = MaxHostBytes + 64
+
+func (n *Node) envelope(kind wire.Kind, payload []byte) (queuedMessage, error) {
+	body, err := wire.Marshal(&wire.Envelope{Kind: kind, From: n.opts.Host, Boot: n.opts.Boot, HLC: n.opts.Clock.Now(), Payload: payload})
+	return queuedMessage{kind: kind, body: body, at: time.Now()}, err
+}
+
 func errClosed() error { return fault.New(fault.PeerUnreachable, "", "the peer transport is closed") }
 
 // Run waits until ctx ends, closes the node and returns nil.
--- a/internal/peer/receiver.go
+++ b/internal/peer/receiver.go
@@ -139,12 +139,31 @@
 		}
 		p.traffic.framesReceived.Add(1)
 		p.n.opts.Clock.Observe(e.HLC)
-		if !p.dispatch(c, e.Kind, e.Payload) {
+		kind, payload := e.Kind, e.Payload
+		if kind == wire.KindFragment {
+			if kind, payload, err = c.reassemble(payload); err != nil {
+				return err
+			}
+			if payload == nil {
+				continue
+			}
+		}
+		if !p.dispatch(c, kind, payload) {
 			return nil
 		}
 	}
 }
 
+// reassemble returns the message that a fragment completes; payload is nil if more fragments follow.
+func (c *conn) reassemble(encoded []byte) (kind wire.Kind, payload []byte, err error) {
+	var f wire.Fragment
+	if err := wire.Unmarshal(encoded, &f); err != nil {
+		return 0, nil, err
+	}
+	payload, err = c.fragments.add(f)
+	return f.Kind, payload, err
+}
+
 // sendKeepalives sends keepalives to the dialler of c while this end has no outgoing
 // connection of its own, whose keepalives would show already that this end is alive.
 func (p *peerState) sendKeepalives(c *conn, done chan struct{}) {
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -55,14 +55,21 @@
 	return &peerState{n: n, host: host, wake: make(chan struct{}, 1), dialNow: make(chan struct{}, 1)}
 }
 
-// send queues a message, and starts the goroutine that sends if it does not run yet. A
-// full queue ends the session.
-func (p *peerState) send(m queuedMessage) {
+// send queues the frames of a message, and starts the goroutine that sends if it does not run yet.
+func (p *peerState) send(frames []queuedMessage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.senderStarted {
 		p.senderStarted = p.n.spawn(p.connectLoop)
 	}
+	for _, m := range frames {
+		p.queueLocked(m)
+	}
+	signal(p.wake)
+}
+
+// queueLocked queues a frame. A full queue ends the session. The caller holds mu.
+func (p *peerState) queueLocked(m queuedMessage) {
 	p.lastSend = m.at
 	dropped, full := p.queue.push(m)
 	p.recordLost("queue_full", p.n.count.dropped, dropped)
@@ -72,7 +79,6 @@
 		p.endSessionLocked()
 		p.queue.push(m)
 	}
-	signal(p.wake)
 }
 
 // endSessionLocked ends the session. The caller holds mu.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -42,6 +42,7 @@
 	KindCatalogState
 	// KindCompressedRenewAck is a RenewAck that Compress has compressed.
 	KindCompressedRenewAck
+	KindFragment
 )
 
 // Envelope carries one message between two hosts.
@@ -54,6 +55,17 @@
 	Payload []byte
 }
 
+// Fragment is a part of a message that does not fit into a frame. The fragments of a message follow
+// one another on a connection.
+type Fragment struct {
+	// Kind is the kind of the whole message.
+	Kind Kind
+	// Part counts the fragments of the message from 0.
+	Part int
+	Last bool
+	Data []byte
+}
+
 // TicketID identifies a request uniquely in the fleet, also across restarts.
 type TicketID struct {
 	Host string
