Let the soak and a fleet of daemons play documents above the size of a frame

Eight of twelve versions of the soak have 4,000 routes more (over 1 MB), with small changes between them. Three daemons on loopback get 8,000 routes more while one restarts, then a change of one route.

--- a/internal/daemon/edge_test.go
+++ b/internal/daemon/edge_test.go
@@ -279,6 +279,57 @@
 	})
 }
 
+// Guards against an acknowledged document that does not reach the other hosts because of its size, and
+// against a host that restarts meanwhile and does not get it.
+func TestDocumentAboveTheSizeOfAFrameIsInForceOnAllHosts(t *testing.T) {
+	f := newEdgeFleet(t)
+	ips := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
+	for _, ip := range ips {
+		f.start(ip, true, t.TempDir())
+	}
+	f.waitFor("three voters", func() bool { return f.voters(ips[0]) == 3 })
+	put := func(ip string, doc *routing.Document) {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		source, err := json.Marshal(doc)
+		f.Assert(err, qt.IsNil)
+		f.Assert(f.hosts[ip].d.edge.PutDocument(ctx, doc, source), qt.IsNil)
+	}
+	inForce := func(doc *routing.Document) func() bool {
+		return func() bool {
+			for _, ip := range ips {
+				e := f.hosts[ip].d.edge
+				table := e.routingTable.Load()
+				if table == nil || table.Document.Version != doc.Version || len(table.Document.Routes) != len(doc.Routes) || !e.Ready() {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	first := edgeDocument(1)
+	put(ips[0], first)
+	f.waitFor("the first document", inForce(first))
+	large := edgeDocument(2)
+	for i := range 8_000 {
+		r := large.Routes[0]
+		r.Name, r.PathPrefix = fmt.Sprint("more-", i), fmt.Sprintf("/more/%016x/", i)
+		large.Routes = append(large.Routes, r)
+	}
+	put(ips[1], large)
+	f.kill(ips[2])
+	f.start(ips[2], true, t.TempDir())
+	f.waitFor("the large document", inForce(large))
+	small := large.Clone()
+	small.Version = 3
+	small.Routes[4_000].Timeout = time.Minute
+	put(ips[2], &small)
+	f.waitFor("the small change", inForce(&small))
+	for _, ip := range ips {
+		f.Assert(f.hosts[ip].d.edge.routingTable.Load().Document.Routes, qt.DeepEquals, small.Routes)
+	}
+}
+
 // Guards against an isolated host that serves with an outdated configuration, or that answers
 // a read of the configuration which it can't confirm.
 func TestIsolatedHostRefusesRequests(t *testing.T) {
--- a/internal/scenario/soak_fleet_test.go
+++ b/internal/scenario/soak_fleet_test.go
@@ -269,11 +269,23 @@
 	b.WriteString(route("notes", "/events/", "stream", "engines", "resumable = true\nprompt_affinity = true\nevent_gap = \"500ms\""))
 	b.WriteString(route("drafts", "/events/once/", "stream", "engines", "prompt_affinity = true\nevent_gap = \"500ms\""))
 	b.WriteString(route("version", versionPath(version), "idempotent", "records", ""))
+	for i := range soakMoreRoutes(version) {
+		b.WriteString(route(fmt.Sprint("more-", i), fmt.Sprintf("/more/%016x/", i), "idempotent", "records", ""))
+	}
 	fmt.Fprintf(&b, "[[routing.account]]\nname = \"district\"\ncredentials = [%q]\n", soakCredential)
 	fmt.Fprintf(&b, "[[routing.account]]\nname = \"visitor\"\ncredentials = [%q]\n", versionCredential(version))
 	return b.String()
 }
 
+// soakMoreRoutes returns the number of routes that a version has beside those that callers use. The
+// document grows above the size of a frame between hosts, changes a little, and shrinks again.
+func soakMoreRoutes(version int) int {
+	if version%12 < 4 {
+		return 0
+	}
+	return 4_000
+}
+
 const (
 	soakCredential = "soak-district-credential"
 	// coldLimitPerSecond is the limit in the document, coldCapacityPerSecond is what a cold
