--- a/internal/control/routing_test.go
+++ b/internal/control/routing_test.go
@@ -39,17 +39,6 @@
 	return config.Change{Routing: config.NewRouting(d, source)}
 }
 
-// routingVersions returns the version of the routing document that each host has.
-func (sim *simulation) routingVersions() map[string]uint64 {
-	versions := map[string]uint64{}
-	for h, c := range sim.clients {
-		if r := c.Config().Routing; r != nil {
-			versions[h] = r.Version
-		}
-	}
-	return versions
-}
-
 // allHaveVersion reports whether every host has a version of the routing document and a recent
 // confirmation of it.
 func (sim *simulation) allHaveVersion(version uint64) bool {
