Take retry budgets, the cold limit and the age of discovery answers from the deployment

Cause, of the same class as the age of the configuration: constants for which the deployment names bounds. A site with a smaller retry budget, a smaller allowance for cold instances or shorter answers of discovery would have been served against its bounds.

Change: the bounds are part of edge.bounds.

TestRetryBudgetOfTheDeploymentIsKept, TestLimitsComeFromTheBoundsOfTheDeployment; the settings had no such keys before.

--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -72,7 +72,7 @@
 	if e.adapter = d.opts.Adapters[e.settings.Adapter]; e.adapter == nil {
 		e.adapter = native.Adapter{}
 	}
-	e.dispatcher = gateway.NewLockedDispatcher(dispatch.New(dispatch.Options{Host: d.settings.Host, DataCentre: d.settings.DataCentre}), time.Now)
+	e.dispatcher = gateway.NewLockedDispatcher(dispatch.New(dispatch.Options{Host: d.settings.Host, DataCentre: d.settings.DataCentre, Limits: e.settings.Bounds.Dispatch}), time.Now)
 	e.admission = admission.New(admission.Options{
 		Host: d.settings.Host, Transport: d.peers, Now: time.Now, Busy: func() bool { return e.gateway.Busy() }, Log: d.logFor("admission"), Registry: d.registry,
 	})
--- a/internal/daemon/edge_fleet.go
+++ b/internal/daemon/edge_fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,14 @@
 	return gateway.MaxAges{Config: e.settings.ConfigMaxAge, List: e.settings.ListMaxAge}
 }
 
+// discoveryTTL returns how long callers may keep an answer of discovery.
+func (e *edgeRole) discoveryTTL() time.Duration {
+	if kept := e.settings.Bounds.DiscoveryKept; kept > 0 {
+		return min(discoveryTTL, kept)
+	}
+	return discoveryTTL
+}
+
 // GatewayAddresses implements edge.HostAPI. It returns the hosts of the caller's data centre
 // that are alive and not leaving or, if there are none, all such hosts, but no more than an answer
 // may name.
@@ -48,7 +57,7 @@
 	if len(local) == 0 {
 		return edge.ConnectAnswer{}, fault.New(fault.HostIsolated, fault.NotRun, "no host is known yet").WithRetryAfter(tickInterval)
 	}
-	return edge.ConnectAnswer{Addresses: discovery.Bound(e.d.settings.Host, local), KeepFor: discoveryTTL}, nil
+	return edge.ConnectAnswer{Addresses: discovery.Bound(e.d.settings.Host, local), KeepFor: e.discoveryTTL()}, nil
 }
 
 // PutDocument implements edge.HostAPI.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -81,6 +81,7 @@
 type Options struct {
 	Host       string
 	DataCentre string
+	Limits     Limits
 }
 
 // Dispatcher holds one host's view of the instances. It is not safe for concurrent use.
@@ -108,6 +109,7 @@
 
 // New returns a Dispatcher without instances.
 func New(opts Options) *Dispatcher {
+	opts.Limits = opts.Limits.tightened()
 	return &Dispatcher{
 		opts: opts, services: map[string]*routing.Service{}, instances: map[catalog.Key]*instance{},
 		byService: map[string][]*instance{}, outOfService: map[string]bool{}, hosts: rendezvous.NewMembers(opts.Host, nil),
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -203,7 +203,7 @@
 				p.Done(Answered, at(later))
 			}
 		}
-		c.Assert(atNew <= maxHostsPerColdInstance, qt.IsTrue)
+		c.Assert(atNew <= DefaultLimits.maxHostsPerColdInstance(), qt.IsTrue)
 	}
 	// Once it is warm, the empty engine gets the prompts that belong to it.
 	d := newTestDispatcher("h0", names...)
@@ -256,12 +256,34 @@
 // Guards against a retry storm: over all hosts, at most a fifth of the requests and the
 // spare retries may be retried.
 func TestRetryBudget(t *testing.T) {
+	retries, requests := retriesOfFleet(Limits{})
 	c := qt.New(t)
+	c.Assert(float64(retries) <= 0.2*float64(requests)+60, qt.IsTrue, qt.Commentf("%d retries of %d requests", retries, requests))
+	c.Assert(retries > requests/20, qt.IsTrue)
+}
+
+func TestRetryBudgetOfTheDeploymentIsKept(t *testing.T) {
+	for _, limits := range []Limits{
+		{RetryRatio: 0.05, RetryWindow: 10 * time.Second, SpareRetries: 10},
+		{RetryRatio: 0.2, RetryWindow: 4 * time.Second, SpareRetries: 4},
+		{RetryRatio: 0.02, RetryWindow: 20 * time.Second, SpareRetries: 1},
+	} {
+		retries, requests := retriesOfFleet(limits)
+		windows := max(10*time.Second/limits.RetryWindow, 1)
+		allowed := limits.RetryRatio*float64(requests) + float64(windows)*limits.SpareRetries
+		qt.Check(t, float64(retries) <= allowed, qt.IsTrue, qt.Commentf("%+v: %d retries of %d requests", limits, retries, requests))
+		qt.Check(t, retries > 0, qt.IsTrue)
+	}
+}
+
+// retriesOfFleet returns the retries that four hosts make in 10 s if they try to retry each request.
+func retriesOfFleet(limits Limits) (retries, requests int) {
 	names := []string{"a", "b", "c", "d"}
-	retries, requests := 0, 0
 	var all []*Dispatcher
 	for _, h := range names {
-		all = append(all, newTestDispatcher(h, names...))
+		d := newTestDispatcher(h, names...)
+		d.opts.Limits = limits.tightened()
+		all = append(all, d)
 	}
 	for ms := 0; ms < 10_000; ms += 10 {
 		for _, d := range all {
@@ -272,6 +294,5 @@
 			}
 		}
 	}
-	c.Assert(float64(retries) <= 0.2*float64(requests)+60, qt.IsTrue, qt.Commentf("%d retries of %d requests", retries, requests))
-	c.Assert(retries > requests/20, qt.IsTrue)
+	return retries, requests
 }
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -18,10 +18,45 @@
 	b.at = now
 }
 
-// maxHostsPerColdInstance is the number of hosts that send to a cold instance. Each of
+// Limits are what the installation allows of retries, and of requests to cold instances. A field
+// that is 0 names no limit. They only tighten DefaultLimits, above which retries gain little.
+type Limits struct {
+	// RetryRatio is the number of retries of a service in RetryWindow as a share of its requests,
+	// SpareRetries what is allowed beyond it, both over all hosts.
+	RetryRatio   float64
+	RetryWindow  time.Duration
+	SpareRetries float64
+	// SpareColdRequests is the number of requests that a cold instance may get in a second beyond
+	// its rate.
+	SpareColdRequests float64
+}
+
+// DefaultLimits hold where the installation names none.
+var DefaultLimits = Limits{RetryRatio: 0.2, RetryWindow: 10 * time.Second, SpareRetries: 60, SpareColdRequests: 4}
+
+// tightened returns the smaller of each limit and its default.
+func (l Limits) tightened() Limits {
+	d := DefaultLimits
+	if l.RetryRatio > 0 {
+		d.RetryRatio = min(d.RetryRatio, l.RetryRatio)
+	}
+	if l.RetryWindow > 0 {
+		// A shorter window has fewer spare retries in the same time, a longer one holds in each part of it.
+		d.RetryWindow = l.RetryWindow
+	}
+	if l.SpareRetries > 0 {
+		d.SpareRetries = min(d.SpareRetries, l.SpareRetries)
+	}
+	if l.SpareColdRequests > 0 {
+		d.SpareColdRequests = min(d.SpareColdRequests, l.SpareColdRequests)
+	}
+	return d
+}
+
+// maxHostsPerColdInstance returns the number of hosts that send to a cold instance. Each of
 // them may send one request immediately, so that their number adds to the requests within
 // a second.
-const maxHostsPerColdInstance = 4
+func (l Limits) maxHostsPerColdInstance() int { return max(int(l.SpareColdRequests), 1) }
 
 func coldLimitApplies(s *routing.Service, x *instance, now time.Time) bool {
 	return s.ColdPerSecond > 0 && now.Before(x.coldUntil)
@@ -34,21 +69,17 @@
 	if !coldLimitApplies(s, x, now) {
 		return true
 	}
-	if d.hosts.Rank(x.hash+uint64(x.Born), d.opts.Host) >= maxHostsPerColdInstance {
+	hosts := d.opts.Limits.maxHostsPerColdInstance()
+	if d.hosts.Rank(x.hash+uint64(x.Born), d.opts.Host) >= hosts {
 		return false
 	}
-	x.coldBucket.fill(s.ColdPerSecond/float64(min(d.hosts.Len(), maxHostsPerColdInstance)), 1, now)
+	x.coldBucket.fill(s.ColdPerSecond/float64(min(d.hosts.Len(), hosts)), 1, now)
 	return x.coldBucket.tokens >= 1
 }
 
-// Parameters of the retry budget. The fleet may retry a fifth of its requests and a few
-// more. Each host uses only half of its share of that, since the hosts' counts differ:
-// retryRatio of its own requests, and its share of spareRetries.
-const (
-	retryWindow  = 10 * time.Second
-	retryRatio   = 0.1
-	spareRetries = 30.0
-)
+// retryShare is the part of the fleet's retry budget that the hosts use: of its own requests, and of
+// its share of the spare retries. The rest is left because the counts of the hosts differ.
+const retryShare = 0.5
 
 // retryBudget counts requests and retries of one service in two half windows.
 type retryBudget struct {
@@ -56,8 +87,8 @@
 	requests, retries [2]int
 }
 
-func (b *retryBudget) roll(now time.Time) {
-	half := retryWindow / 2
+func (b *retryBudget) roll(window time.Duration, now time.Time) {
+	half := window / 2
 	if b.startedAt.IsZero() || now.Sub(b.startedAt) >= 2*half {
 		*b = retryBudget{startedAt: now}
 		return
@@ -75,7 +106,7 @@
 		b = &retryBudget{}
 		d.retryBudgets[service] = b
 	}
-	b.roll(now)
+	b.roll(d.opts.Limits.RetryWindow, now)
 	return b
 }
 
@@ -87,7 +118,8 @@
 // TakeRetry reports whether the budget allows a retry of a request, and counts it.
 func (d *Dispatcher) TakeRetry(service string, now time.Time) bool {
 	b := d.budget(service, now)
-	limit := retryRatio*float64(b.requests[0]+b.requests[1]) + spareRetries/float64(d.hosts.Len())
+	limits := &d.opts.Limits
+	limit := retryShare * (limits.RetryRatio*float64(b.requests[0]+b.requests[1]) + limits.SpareRetries/float64(d.hosts.Len()))
 	if float64(b.retries[0]+b.retries[1]+1) > limit {
 		return false
 	}
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -4,9 +4,10 @@
 	"time"
 
 	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/dispatch"
 )
 
-// Bounds are the times within which the installation expects changes to take effect. A time of 0
+// Bounds are what the installation expects: the times within which changes take effect, and limits. 0
 // means that the installation names none.
 type Bounds struct {
 	// ConfigInForce is the time from the acknowledgement of a routing document until no host
@@ -16,6 +17,10 @@
 	// InstanceLeft is the time from the entry in the list of instances that one leaves until no
 	// host sends it requests.
 	InstanceLeft time.Duration
+	// DiscoveryKept is how long callers keep an answer of discovery at most.
+	DiscoveryKept time.Duration
+	// Dispatch are the limits of retries and of requests to cold instances.
+	Dispatch dispatch.Limits
 }
 
 type fileBounds struct {
@@ -23,6 +28,11 @@
 	CredentialRemoved duration `toml:"credential_removed"`
 	DataCentreOut     duration `toml:"data_centre_out"`
 	InstanceLeft      duration `toml:"instance_left"`
+	DiscoveryKept     duration `toml:"discovery_kept"`
+	RetryRatio        float64  `toml:"retry_ratio"`
+	RetryWindow       duration `toml:"retry_window"`
+	SpareRetries      float64  `toml:"spare_retries"`
+	SpareColdRequests float64  `toml:"spare_cold_requests"`
 }
 
 // maxBound is the longest time that a bound may name.
@@ -38,11 +48,21 @@
 		}
 		return c.duration("edge.bounds."+key, v, maxBound)
 	}
+	for key, v := range map[string]float64{"retry_ratio": f.RetryRatio, "spare_retries": f.SpareRetries, "spare_cold_requests": f.SpareColdRequests} {
+		if v < 0 {
+			c.reject("edge.bounds."+key, "%g is negative", v)
+		}
+	}
 	return Bounds{
 		ConfigInForce:     optional("config_in_force", f.ConfigInForce),
 		CredentialRemoved: optional("credential_removed", f.CredentialRemoved),
 		DataCentreOut:     optional("data_centre_out", f.DataCentreOut),
 		InstanceLeft:      optional("instance_left", f.InstanceLeft),
+		DiscoveryKept:     optional("discovery_kept", f.DiscoveryKept),
+		Dispatch: dispatch.Limits{
+			RetryRatio: f.RetryRatio, RetryWindow: optional("retry_window", f.RetryWindow),
+			SpareRetries: f.SpareRetries, SpareColdRequests: f.SpareColdRequests,
+		},
 	}
 }
 
