End a resumed stream of the emulator where the first one would have ended

A stream of 40 tokens, six an event, that breaks off between its seventh event and its end is resumed after event 7, and the emulator made at least one more event of a stream whose tokens were all sent. What the hosts did was right: they can't know the length.

Change: such a stream ends at once. TestResumedEngineStreamEndsAtTheSameEvent had an event 6 of 5 before.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -141,7 +141,14 @@
 	e.mu.Lock()
 	d := e.engine
 	e.mu.Unlock()
-	remaining := max(output-lastEvent*max(e.opts.Engine.TokensPerEvent, 1), 1)
+	remaining := output - lastEvent*max(e.opts.Engine.TokensPerEvent, 1)
+	if remaining <= 0 {
+		// The stream broke off between its last event and its end.
+		e.mu.Lock()
+		e.countRunLocked(r, lastEvent)
+		e.mu.Unlock()
+		return true
+	}
 	id, events, accepted, failed := d.add(parts, remaining)
 	switch {
 	case failed:
--- a/internal/emulator/engine_test.go
+++ b/internal/emulator/engine_test.go
@@ -14,11 +14,19 @@
 
 // postStream sends a generation request and returns the response without reading its body.
 func (h *harness) postStream(id, parts, usage string) *http.Response {
+	return h.resumeStream(id, parts, usage, "")
+}
+
+// resumeStream is postStream after the event lastEvent, unless that is empty.
+func (h *harness) resumeStream(id, parts, usage, lastEvent string) *http.Response {
 	req, err := http.NewRequest("POST", h.baseURL+"/events/x", strings.NewReader("body"))
 	h.Assert(err, qt.IsNil)
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Prompt-Parts", parts)
 	req.Header.Set("X-Token-Usage", usage)
+	if lastEvent != "" {
+		req.Header.Set("Last-Event-Id", lastEvent)
+	}
 	r, err := h.client.Do(req)
 	h.Assert(err, qt.IsNil)
 	h.Cleanup(func() { _ = r.Body.Close() })
@@ -46,6 +54,19 @@
 	h.Assert(h.postStream("c", "1:x", "1,1").StatusCode, qt.Equals, http.StatusBadRequest)
 }
 
+// Guards against a resumed stream with other events than the first one would have had, above all if
+// that broke off between its last event and its end.
+func TestResumedEngineStreamEndsAtTheSameEvent(t *testing.T) {
+	h := startEmulator(t, Options{Engine: fastEngine(), Seed: 1})
+	for last, events := range map[string]int{"": 5, "2": 3, "4": 1, "5": 0, "9": 0} {
+		r := h.resumeStream("a", "1:6000,2:50", "6050,30", last)
+		text, err := io.ReadAll(r.Body)
+		h.Assert(err, qt.IsNil)
+		h.Check(r.StatusCode, qt.Equals, http.StatusOK)
+		h.Check(strings.Count(string(text), "id: "), qt.Equals, events, qt.Commentf("after event %q: %s", last, text))
+	}
+}
+
 // Guards against a refusal that counts as a run, and against a slot that stays occupied
 // after its caller has disconnected.
 func TestEngineRefusesWhenFullAndFreesSlots(t *testing.T) {
