--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -1,9 +1,13 @@
 package config
 
 import (
+	"crypto/sha256"
 	"os"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
 	"marigoldshunt/internal/fault"
 )
 
@@ -33,3 +37,26 @@
 		}
 	})
 }
+
+// FuzzRoutingPatch guards against a patch that causes a panic, takes up all memory, or gives another
+// document than the one that it names.
+func FuzzRoutingPatch(f *testing.F) {
+	c := qt.New(f)
+	from := patchRouting(c, 4, patchDocument(6))
+	for _, routes := range []int{0, 5, 6, 9} {
+		encoded, err := msgpack.Marshal(NewRoutingPatch(from, patchRouting(c, 5, patchDocument(routes))))
+		c.Assert(err, qt.IsNil)
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		var p RoutingPatch
+		if msgpack.Unmarshal(encoded, &p) != nil {
+			return
+		}
+		p.From = from.id()
+		to, err := p.Apply(from)
+		if err == nil && (to.Digest != sha256.Sum256(to.Source) || to.Version != p.To.Version) {
+			t.Fatalf("version %d with another source", to.Version)
+		}
+	})
+}
