--- a/internal/daemon/edge_test.go
+++ b/internal/daemon/edge_test.go
@@ -119,6 +119,17 @@
 	delete(f.hosts, ip)
 }
 
+// newGroupOfThree starts three hosts with empty disks and waits until they form a control group.
+func newGroupOfThree(t *testing.T) (f *edgeFleet, ips []string) {
+	f = newEdgeFleet(t)
+	ips = []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
+	for _, ip := range ips {
+		f.start(ip, true, t.TempDir())
+	}
+	f.waitFor("three voters", func() bool { return f.voters(ips[0]) == 3 })
+	return f, ips
+}
+
 // waitFor waits until ok returns true, for at most 20 s.
 func (f *edgeFleet) waitFor(what string, ok func() bool) {
 	f.t.Helper()
@@ -282,12 +293,7 @@
 // Guards against an acknowledged document that does not reach the other hosts because of its size, and
 // against a host that restarts meanwhile and does not get it.
 func TestDocumentAboveTheSizeOfAFrameIsInForceOnAllHosts(t *testing.T) {
-	f := newEdgeFleet(t)
-	ips := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
-	for _, ip := range ips {
-		f.start(ip, true, t.TempDir())
-	}
-	f.waitFor("three voters", func() bool { return f.voters(ips[0]) == 3 })
+	f, ips := newGroupOfThree(t)
 	put := func(ip string, doc *routing.Document) {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
@@ -333,12 +339,7 @@
 // Guards against an isolated host that serves with an outdated configuration, or that answers
 // a read of the configuration which it can't confirm.
 func TestIsolatedHostRefusesRequests(t *testing.T) {
-	f := newEdgeFleet(t)
-	ips := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
-	for _, ip := range ips {
-		f.start(ip, true, t.TempDir())
-	}
-	f.waitFor("three voters", func() bool { return f.voters(ips[0]) == 3 })
+	f, ips := newGroupOfThree(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	f.Assert(f.hosts[ips[0]].d.edge.PutDocument(ctx, edgeDocument(1), []byte("one")), qt.IsNil)
@@ -358,12 +359,7 @@
 // Guards against hosts that don't take the requests that other hosts pass on, and against passing
 // requests to hosts that are dead, in another data centre, or the host itself.
 func TestHostsTakeRequestsThatArePassedOn(t *testing.T) {
-	f := newEdgeFleet(t)
-	ips := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
-	for _, ip := range ips {
-		f.start(ip, true, t.TempDir())
-	}
-	f.waitFor("three voters", func() bool { return f.voters(ips[0]) == 3 })
+	f, ips := newGroupOfThree(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	first := f.hosts[ips[0]].d.edge
