Bound chunked messages by their bytes, and let no chunk hold a chunk

Seen when the change was read again: with smaller chunks the bound of 256 MiB followed from their number, while larger chunks of earlier versions are still accepted; a chunk could name a chunk as its message; and patches were applied to a configuration that a delta without changes would have shared.

--- a/internal/control/chunk.go
+++ b/internal/control/chunk.go
@@ -20,8 +20,9 @@
 	chunkResendInterval = 500 * time.Millisecond
 	// chunkTimeout is the time without progress after which a transfer is dropped.
 	chunkTimeout = 10 * time.Second
-	// maxChunks bounds a message to 256 MiB.
-	maxChunks = 4_096
+	// maxChunks bounds a message to maxChunkedBytes.
+	maxChunks       = 4_096
+	maxChunkedBytes = maxChunks * chunkBytes
 	// maxIncomingTransfers bounds the messages that are received at once.
 	maxIncomingTransfers = 64
 	// maxActivePushes bounds the pushes that are sent at once, and with chunkWindow the memory
@@ -87,7 +88,7 @@
 	}
 	o := &outgoingTransfer{data: data, chunkCount: (len(data) + chunkBytes - 1) / chunkBytes, waiting: true, progressAt: now}
 	if o.chunkCount > maxChunks {
-		return fault.New(fault.FrameTooLarge, "", "message of %d bytes exceeds %d", len(data), maxChunks*chunkBytes)
+		return fault.New(fault.FrameTooLarge, "", "message of %d bytes exceeds %d", len(data), maxChunkedBytes)
 	}
 	c.lastID++
 	o.id = c.lastID
@@ -182,7 +183,7 @@
 		c.in[key] = in
 	}
 	var whole []byte
-	if m.Part == in.next && m.Part < in.chunkCount && len(m.Data) <= maxChunkBytes {
+	if m.Part == in.next && m.Part < in.chunkCount && len(m.Data) <= maxChunkBytes && len(in.data)+len(m.Data) <= maxChunkedBytes {
 		in.data = append(in.data, m.Data...)
 		in.next++
 		in.progressAt = now
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -206,7 +206,7 @@
 	switch {
 	case m.Ack && sentByClients(m.Inner):
 		c.chunks.onAck(e.from, m, c.now)
-	case !m.Ack && !handledByNodes(m.Inner):
+	case !m.Ack && handledByClients(m.Inner):
 		if whole := c.chunks.receiveChunk(e.from, m, c.now); whole != nil {
 			c.handleMessage(event{from: e.from, boot: e.boot, kind: m.Inner, payload: whole})
 		}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -193,7 +193,7 @@
 		}
 		next, err := applyDelta(next, m.Delta)
 		if err == nil {
-			err = applyRoutingPatches(next, c.config.Revision, m.Patches)
+			next, err = applyRoutingPatches(next, c.config.Revision, m.Patches)
 		}
 		if err != nil {
 			// The configuration differs from the leader's, so the next Renew asks for the
@@ -239,20 +239,20 @@
 	return next, nil
 }
 
-// applyRoutingPatches applies the patches that are newer than a revision to a configuration that
-// nothing else reads yet.
-func applyRoutingPatches(next *config.Config, revision uint64, patches []*config.RoutingPatch) error {
+// applyRoutingPatches returns a configuration with the patches that are newer than a revision.
+func applyRoutingPatches(c *config.Config, revision uint64, patches []*config.RoutingPatch) (*config.Config, error) {
+	next := *c
 	for _, p := range patches {
 		if p.Revision <= revision {
 			continue
 		}
 		patched, err := p.Apply(next.Routing)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		next.Routing = patched
 	}
-	return nil
+	return &next, nil
 }
 
 func (c *Client) updateTables(m wire.RenewAck) {
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -120,7 +120,13 @@
 // pushKinds are the kinds of messages that the leader may send to all hosts at once.
 var pushKinds = []wire.Kind{wire.KindRenewAck, wire.KindCompressedRenewAck}
 
-func handledByNodes(k wire.Kind) bool { return slices.Contains(NodeKinds, k) }
+// handledByNodes reports whether a Node, and not a Client, handles a message that came in chunks. No
+// message of chunks is a chunk itself.
+func handledByNodes(k wire.Kind) bool { return k != wire.KindChunk && slices.Contains(NodeKinds, k) }
+
+func handledByClients(k wire.Kind) bool {
+	return k != wire.KindChunk && slices.Contains(ClientKinds, k)
+}
 
 // sentByClients reports whether clients send this kind of message, and so get the
 // acknowledgements of its chunks.
