--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -1,6 +1,9 @@
 package wire
 
-import "marigoldshunt/internal/fault"
+import (
+	"marigoldshunt/internal/config"
+	"marigoldshunt/internal/fault"
+)
 
 // CrashMark says that a request with this fingerprint crashed an upstream.
 type CrashMark struct {
@@ -75,3 +78,122 @@
 	Ack   bool
 	Data  []byte
 }
+
+// Lease is the right of one host to schedule one pool.
+type Lease struct {
+	Pool  string
+	Host  string
+	Boot  uint64
+	Fence uint64
+}
+
+// HostStatus is a host's liveness as the control leader sees it.
+type HostStatus struct {
+	Host    string
+	Boot    uint64
+	Alive   bool
+	Leaving bool
+	// DataCentre is the data centre of the host.
+	DataCentre string
+	// Voter is true for hosts with a vote in the control group.
+	Voter bool
+}
+
+// Renew is a host's heartbeat to the control leader.
+type Renew struct {
+	Seq uint64
+	// Revision is the configuration revision that the host has applied.
+	Revision uint64
+	// Held lists the leases that the host renews, with their fencing numbers.
+	Held    []Lease
+	Leaving bool
+	// Ready is true when the host can take leases.
+	Ready bool
+	// HostsVersion is the version of the host list that the host has.
+	HostsVersion uint64
+	// LeasesVersion is the version of the lease table that the host has.
+	LeasesVersion uint64
+	// MarksVersion is the version of the crash marks that the host has.
+	MarksVersion uint64
+	// DataCentre is the data centre of the host.
+	DataCentre   string
+	Capabilities `msgpack:"-"`
+}
+
+// Capabilities are what a host understands beyond the first version of the protocol. They are the
+// extension of a Renew.
+type Capabilities struct {
+	// RoutingPatches is true if the host applies the patches of a RenewAck.
+	RoutingPatches bool
+	// Compression is true if the host takes a KindCompressedRenewAck.
+	Compression bool
+}
+
+// Extension returns the extension of the message, nil if there is nothing to add.
+func (m Renew) Extension() any {
+	if m.Capabilities == (Capabilities{}) {
+		return nil
+	}
+	return m.Capabilities
+}
+
+// ExtensionTarget returns what the extension of the message is decoded into.
+func (m *Renew) ExtensionTarget() any { return &m.Capabilities }
+
+// RenewAck answers a Renew.
+type RenewAck struct {
+	// Seq is the sequence number of the Renew, 0 for an unsolicited push.
+	Seq uint64
+	// NotLeader is true when the receiver of the Renew is not the leader. Leader names the
+	// leader if it is known.
+	NotLeader bool
+	Leader    string
+	Term      uint64
+	// Revision is the configuration revision at the time of the answer.
+	Revision uint64
+	Delta    *config.Delta
+	Snapshot *config.Config
+	// Renewed lists the held leases that the leader extended.
+	Renewed       []Lease
+	Leases        []Lease
+	LeasesVersion uint64
+	HasLeases     bool
+	Hosts         []HostStatus
+	HostsVersion  uint64
+	HasHosts      bool
+	// Revoked lists held leases that the host must stop using and release.
+	Revoked      []Lease
+	Marks        []CrashMark
+	MarksVersion uint64
+	HasMarks     bool
+	// Patches take the place of the routing documents in Delta, in order, for hosts that have an
+	// earlier document. They are the extension of the message.
+	Patches []*config.RoutingPatch `msgpack:"-"`
+}
+
+// Extension returns the extension of the message, nil if there is nothing to add.
+func (m RenewAck) Extension() any {
+	if len(m.Patches) == 0 {
+		return nil
+	}
+	return m.Patches
+}
+
+// ExtensionTarget returns what the extension of the message is decoded into.
+func (m *RenewAck) ExtensionTarget() any { return &m.Patches }
+
+// Propose carries a command for the replicated state to the leader.
+type Propose struct {
+	Seq     uint64
+	Command []byte
+}
+
+// ProposeAck answers a Propose after the command was applied.
+type ProposeAck struct {
+	Seq       uint64
+	NotLeader bool
+	Leader    string
+	// Unknown is true when it is not known whether the command will be applied.
+	Unknown bool
+	Result  []byte
+}
