Name the kind of a message in logs

The line "Message was not sent." named the kind by its number, which only the source explains. Kinds have names now, in a file of their own; TestEachKindHasItsName. A comment on the retry window says what holds.

--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -41,7 +41,7 @@
 		d.RetryRatio = min(d.RetryRatio, l.RetryRatio)
 	}
 	if l.RetryWindow > 0 {
-		// A shorter window has fewer spare retries in the same time, a longer one holds in each part of it.
+		// The ratio and the spare retries hold in each window, so it counts as it is, also if it is longer.
 		d.RetryWindow = l.RetryWindow
 	}
 	if l.SpareRetries > 0 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,43 +7,6 @@
 	"marigoldshunt/internal/fault"
 )
 
-// Kind names the type of a message's payload.
-type Kind uint8
-
-// Kinds of messages.
-const (
-	KindTicket Kind = iota + 1
-	KindCancel
-	KindFinish
-	KindRouterHeartbeat
-	KindSync
-	KindGrant
-	KindRefusal
-	KindRenew
-	KindRenewAck
-	KindPropose
-	KindProposeAck
-	KindRaft
-	KindGrantReturn
-	KindForm
-	KindFormAck
-	KindChunk
-	KindSyncRequest
-	KindLoads
-	KindLeaderAnnouncement
-	KindAdmissionRequest
-	KindAdmissionReply
-	KindAdmissionProgress
-	KindLoadSums
-	KindCatalog
-	KindCatalogRequest
-	KindCatalogCheck
-	KindCatalogState
-	// KindCompressedRenewAck is a RenewAck that Compress has compressed.
-	KindCompressedRenewAck
-	KindFragment
-)
-
 // Envelope carries one message between two hosts.
 type Envelope struct {
 	Kind Kind
