Keep hosts that were out of touch from passing an old list of upstreams off as new

Requests went to an upstream up to 3.3 s after the list had shown that it leaves (bound 3 s).

Change: the times of the list are those of the clock that runs during a suspension. A host whose list nobody has confirmed for 1 s, and that has not read it itself, does not tell it to hosts that have another one; these ask the next host.

TestSuspendedHostDoesNotSpreadItsOldList, TestHostOutOfTouchDoesNotSpreadItsList (failed before: h2 took the old list).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -71,6 +71,8 @@
 	Source Source
 	// ShouldRead reports whether this host should read the list now.
 	ShouldRead func(now time.Time) bool
+	// Now is the clock of reads; nil means time.Now.
+	Now func() time.Time
 	// OnList is called with each list that was read.
 	OnList   func(List)
 	Log      logrus.FieldLogger
@@ -86,6 +88,9 @@
 
 // NewReader returns a Reader.
 func NewReader(opts Options) *Reader {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
 	return &Reader{opts: opts, failures: metrics.GetOrRegisterCounter("catalog.read_failures", opts.Registry)}
 }
 
@@ -94,7 +99,7 @@
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
 	for {
-		if r.opts.ShouldRead(time.Now()) {
+		if r.opts.ShouldRead(r.opts.Now()) {
 			r.read(ctx)
 		}
 		select {
@@ -109,7 +114,7 @@
 const failureDelay = 400 * time.Millisecond
 
 func (r *Reader) read(ctx context.Context) {
-	readAt := time.Now()
+	readAt := r.opts.Now()
 	readCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	instances, err := r.opts.Source.Instances(readCtx)
 	cancel()
--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -32,8 +32,10 @@
 	readSchedule *catalog.ReadSchedule
 	hosts        []string
 	list         catalog.List
-	digest       uint64
-	contact      *catalog.Contact
+	// readHere is true if this host has read list itself.
+	readHere bool
+	digest   uint64
+	contact  *catalog.Contact
 	// lost is true while no other host confirms the list.
 	lost bool
 }
@@ -41,10 +43,11 @@
 func newCatalogRole(d *Daemon, maxAge time.Duration, source catalog.Source, onList, onRead func(catalog.List)) *catalogRole {
 	c := &catalogRole{
 		host: d.settings.Host, maxAge: maxAge, clock: d.clock, send: d.peers.Send, onList: onList, onRead: onRead, log: d.logFor("catalog"),
-		readSchedule: catalog.NewReadSchedule(d.settings.Host, time.Now()),
-		contact:      catalog.NewContact(d.settings.Host, rand.New(rand.NewSource(randomSeed(d.settings.Host, d.boot)))),
+		contact: catalog.NewContact(d.settings.Host, rand.New(rand.NewSource(randomSeed(d.settings.Host, d.boot)))),
 	}
+	c.readSchedule = catalog.NewReadSchedule(d.settings.Host, c.now())
 	c.reader = catalog.NewReader(catalog.Options{
+		Now:    c.now,
 		Source: source, ShouldRead: c.shouldRead, OnList: c.handleRead, Log: c.log, Registry: d.registry,
 	})
 	d.peers.Handle(wire.KindCatalog, c.handle)
@@ -54,6 +57,10 @@
 	return c
 }
 
+// now returns the time on a clock that also runs while the machine is suspended. A host that took the
+// age of its list from one that stands still then would pass an old list off as the newest.
+func (c *catalogRole) now() time.Time { return time.Unix(0, 0).Add(c.clock.Now()) }
+
 func (c *catalogRole) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.reader.Run(ctx) })
@@ -80,7 +87,7 @@
 	digest := digestOf(l.Instances)
 	c.mu.Lock()
 	changed := digest != c.digest
-	c.list, c.digest = l, digest
+	c.list, c.digest, c.readHere = l, digest, true
 	c.readSchedule.RecordRead(l.ReadAt)
 	hosts := c.hosts
 	if !changed {
@@ -133,7 +140,7 @@
 
 // messageLocked returns the message about the list of this host.
 func (c *catalogRole) messageLocked(withList bool) *wire.Catalog {
-	m := &wire.Catalog{Digest: c.digest, Age: time.Since(c.list.ReadAt), HasList: withList}
+	m := &wire.Catalog{Digest: c.digest, Age: c.now().Sub(c.list.ReadAt), HasList: withList}
 	if withList {
 		for _, i := range c.list.Instances {
 			m.Instances = append(m.Instances, wire.Instance{
@@ -157,7 +164,7 @@
 
 // update takes over another host's list if it was read later than this host's.
 func (c *catalogRole) update(from string, m *wire.Catalog) {
-	read := time.Now().Add(-m.Age)
+	read := c.now().Add(-m.Age)
 	c.mu.Lock()
 	if !read.After(c.list.ReadAt) {
 		c.mu.Unlock()
@@ -174,7 +181,7 @@
 	if !m.HasList {
 		// The instances are unchanged. onList is not called, because its receiver turned the
 		// cold times into points in time when it got the list.
-		c.list.ReadAt = read
+		c.list.ReadAt, c.readHere = read, false
 		c.mu.Unlock()
 		return
 	}
@@ -189,7 +196,7 @@
 		}
 		l.Instances = append(l.Instances, instance)
 	}
-	c.list, c.digest = l, m.Digest
+	c.list, c.digest, c.readHere = l, m.Digest, false
 	c.mu.Unlock()
 	c.onList(l)
 }
@@ -202,5 +209,5 @@
 	if c.list.ReadAt.IsZero() {
 		return -time.Millisecond, 0
 	}
-	return time.Since(c.list.ReadAt), c.digest
+	return c.now().Sub(c.list.ReadAt), c.digest
 }
--- a/internal/daemon/catalog_contact.go
+++ b/internal/daemon/catalog_contact.go
@@ -58,6 +58,17 @@
 	return age
 }
 
+// maxSpreadAge is the age of the last confirmation above which a host does not tell its list to hosts
+// that have another one. It allows for a question that was asked twice.
+const maxSpreadAge = catalog.CheckInterval + 2*catalog.RepeatAfter
+
+// maySpreadLocked reports whether this host may take its list for the newest. A host that was out of
+// touch may have read what was sent to it before, which tells the age of the list as it was then.
+func (c *catalogRole) maySpreadLocked() bool {
+	age, known := c.contact.Age(c.clock.Now())
+	return c.readHere || !known || age <= maxSpreadAge
+}
+
 // handleCheck answers another host's question whether the lists are the same.
 func (c *catalogRole) handleCheck(from string, _ uint64, _ wire.Kind, payload []byte) {
 	var m wire.CatalogCheck
@@ -67,7 +78,12 @@
 	}
 	c.mu.Lock()
 	haveList := !c.list.ReadAt.IsZero()
-	list := c.messageLocked(haveList && m.Digest != c.digest)
+	differs := m.Digest != c.digest
+	if haveList && differs && !c.maySpreadLocked() {
+		c.mu.Unlock()
+		return
+	}
+	list := c.messageLocked(haveList && differs)
 	reply := &wire.CatalogState{Seq: m.Seq, Catalog: *list, Versions: list.Versions}
 	c.mu.Unlock()
 	if !haveList {
--- a/internal/daemon/catalog_test.go
+++ b/internal/daemon/catalog_test.go
@@ -32,7 +32,7 @@
 		log, _ := logtest.NewNullLogger()
 		role := &catalogRole{
 			host: name, maxAge: catalog.MaxContactAge, clock: &f.clock, log: log, onList: func(catalog.List) {}, onRead: func(catalog.List) {}, hosts: names,
-			readSchedule: catalog.NewReadSchedule(name, time.Now()), contact: catalog.NewContact(name, rand.New(rand.NewSource(int64(i)))),
+			readSchedule: catalog.NewReadSchedule(name, time.Unix(0, 0)), contact: catalog.NewContact(name, rand.New(rand.NewSource(int64(i)))),
 		}
 		role.send = func(to string, kind wire.Kind, msg any) error { return f.send(name, to, kind, msg) }
 		role.setHosts(names)
@@ -73,8 +73,8 @@
 
 func (f *catalogFleet) age(host string) time.Duration { return f.roles[host].contactAge(f.clock.now) }
 
-func readList(draining bool) catalog.List {
-	return catalog.List{ReadAt: time.Now(), Instances: []catalog.Instance{{ID: "i0", Service: "svc", Address: "10.0.0.1:1", Draining: draining}}}
+func (f *catalogFleet) readList(draining bool) catalog.List {
+	return catalog.List{ReadAt: f.roles["h0"].now(), Instances: []catalog.Instance{{ID: "i0", Service: "svc", Address: "10.0.0.1:1", Draining: draining}}}
 }
 
 // Guards against an overloaded host that goes on by an old list while the others know that instances leave.
@@ -84,12 +84,12 @@
 	f := newCatalogFleet(t, "h0", "h1", "h2", "h3", "h4", "h5")
 	lone := f.roles["h5"]
 	lone.log = log
-	f.roles["h0"].handleRead(readList(false))
+	f.roles["h0"].handleRead(f.readList(false))
 	f.run(time.Second)
 	c.Assert(f.age("h5") < time.Second, qt.IsTrue, qt.Commentf("%s", f.age("h5")))
 
 	f.silenced["h5"] = true
-	f.roles["h0"].handleRead(readList(true))
+	f.roles["h0"].handleRead(f.readList(true))
 	f.run(3 * time.Second)
 	c.Assert(f.age("h5") > catalog.MaxContactAge, qt.IsTrue, qt.Commentf("%s", f.age("h5")))
 	c.Assert(f.age("h4") < catalog.MaxContactAge, qt.IsTrue, qt.Commentf("%s", f.age("h4")))
@@ -106,6 +106,49 @@
 	c.Assert(got, qt.DeepEquals, []string{"Upstream list lost: no host confirms it. Requests are refused.", "Upstream list confirmed again."})
 }
 
+// A host that had been suspended took the age of its list from a clock that stood still meanwhile, and the
+// others took its old list for the newest.
+func TestSuspendedHostDoesNotSpreadItsOldList(t *testing.T) {
+	c := qt.New(t)
+	f := newCatalogFleet(t, "h0", "h1", "h2", "h3")
+	f.roles["h0"].handleRead(f.readList(false))
+	f.run(time.Second)
+	f.silenced["h0"] = true
+	f.run(1600 * time.Millisecond)
+	f.roles["h1"].handleRead(f.readList(true))
+	f.run(time.Second)
+	age, _ := f.roles["h0"].version()
+	c.Assert(age, qt.Equals, 3600*time.Millisecond)
+	f.silenced["h0"] = false
+	f.run(2 * time.Second)
+	for name, role := range f.roles {
+		c.Check(role.list.Instances[0].Draining, qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
+
+// A host that had been suspended handled an announcement of the old list after it, took the list for new,
+// and the others took it over.
+func TestHostOutOfTouchDoesNotSpreadItsList(t *testing.T) {
+	c := qt.New(t)
+	f := newCatalogFleet(t, "h0", "h1", "h2", "h3")
+	f.roles["h0"].handleRead(f.readList(false))
+	f.run(time.Second)
+	late, err := wire.Marshal(&wire.Catalog{Digest: f.roles["h0"].digest, Age: time.Millisecond})
+	c.Assert(err, qt.IsNil)
+	f.silenced["h3"] = true
+	f.run(1600 * time.Millisecond)
+	f.roles["h1"].handleRead(f.readList(true))
+	f.run(time.Second)
+	f.silenced["h3"] = false
+	f.roles["h3"].handle("h0", 0, wire.KindCatalog, late)
+	for range 20 {
+		f.run(100 * time.Millisecond)
+		for _, name := range []string{"h0", "h1", "h2"} {
+			c.Assert(f.roles[name].list.Instances[0].Draining, qt.IsTrue, qt.Commentf("%s", name))
+		}
+	}
+}
+
 // Guards against a list of upstreams that a host accepts and cannot tell the others.
 func TestLongestListOfInstancesFitsIntoAMessage(t *testing.T) {
 	c := qt.New(t)
