--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -41,6 +41,9 @@
 	exits          []string
 	restart        bool
 	stopping       bool
+	// beforeStart, unless it is nil, runs once before the next start.
+	beforeStart func()
+	startedAt   time.Time
 }
 
 type fleet struct {
@@ -222,6 +225,12 @@
 // start starts the process of a host with the command of the deploy file, and restarts it after a
 // short delay whenever it ends, as the platform does.
 func (f *fleet) start(h *host) {
+	h.mu.Lock()
+	if h.beforeStart != nil {
+		h.beforeStart()
+		h.beforeStart = nil
+	}
+	h.mu.Unlock()
 	f.writeSettings(h)
 	logFile, err := os.OpenFile(filepath.Join(f.dir, h.name, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -235,7 +244,7 @@
 		couldNotRun("start %s: %v", h.name, err)
 	}
 	h.mu.Lock()
-	h.cmd = cmd
+	h.cmd, h.startedAt = cmd, time.Now()
 	h.mu.Unlock()
 	h.bootstrap = false
 	go func() {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 
 var cases = map[string]func(root string, rec *record, trouble bool) (broken bool){
 	"evacuation": evacuation,
+	"repair":     repair,
 }
 
 func main() {
