--- a/review/standin/repair.go
+++ b/review/standin/repair.go
@@ -35,7 +35,7 @@
 const (
 	// receivingBytes is what a process has read within a few milliseconds if it is receiving an entry of
 	// the log.
-	receivingBytes = 384 << 10
+	receivingBytes = 192 << 10
 	// receivedBytes is what it has read when it has about half of the log.
 	receivedBytes = 14 << 20
 )
@@ -49,7 +49,8 @@
 		if history = append(history, n); len(history) <= span {
 			continue
 		}
-		if n >= receivedBytes && n-history[len(history)-1-span] >= receivingBytes {
+		last := n - history[len(history)-2]
+		if n >= receivedBytes && last > 0 && n-history[len(history)-1-span] >= receivingBytes {
 			f.rec.log("%s receives: %d bytes", h.name, n)
 			return true
 		}
@@ -144,7 +145,10 @@
 	if trouble {
 		f.loseDisk(first)
 		back = first.waitStarted(back)
-		if os.Getenv("KILL") != "0" && f.waitReceiving(first, 5*time.Second) {
+		if os.Getenv("KILL") != "0" {
+			if !f.waitReceiving(first, 5*time.Second) {
+				couldNotRun("%s was not seen to receive the log", first.name)
+			}
 			f.kill(first)
 			back = first.waitStarted(time.Now())
 		}
