--- a/review/standin/evacuation.go
+++ b/review/standin/evacuation.go
@@ -5,11 +5,14 @@
 	"time"
 )
 
+// perZone machines in each of three zones: one of them all is less than the share 0.1 that may freeze.
+const perZone = 4
+
 // evacuation: a machine freezes for 1.4 s, as an order to take a zone back reaches it. The operator
 // sends that order to another machine, which acknowledges it, and then evacuates the zone again, which
 // is acknowledged too. The machine wakes and carries out the first order once more.
 func evacuation(root string, rec *record, trouble bool) (broken bool) {
-	f, r := newFleet(root, rec, []string{"z1", "z2", "z3"}, 2, 134), &runs{}
+	f, r := newFleet(root, rec, []string{"z1", "z2", "z3"}, perZone, 134), &runs{}
 	var servers []*server
 	for i, z := range f.zones {
 		servers = append(servers, f.newServer("plain", z, i, r))
@@ -22,7 +25,8 @@
 	}
 	for trial, end := 0, time.Now().Add(90*time.Second); time.Now().Before(end); trial++ {
 		// The machine that freezes has no disk; the other one is in another zone.
-		frozen, other := f.hosts[1+2*(trial%3)], f.hosts[(2*(trial%3)+3)%6]
+		zone := trial % len(f.zones)
+		frozen, other := f.hosts[perZone*zone+1], f.hosts[(perZone*(zone+1)+1)%len(f.hosts)]
 		if evacuateAgain(f, r, frozen, other, trouble) {
 			return true
 		}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -198,10 +198,10 @@
 	})
 }
 
-func (f *fleet) writeSettings(h *host) {
+func (f *fleet) writeSettings(h *host) error {
 	template, err := os.ReadFile(filepath.Join(f.root, "platform/settings.tmpl"))
 	if err != nil {
-		couldNotRun("the template: %v", err)
+		return fmt.Errorf("the template: %w", err)
 	}
 	text := fill(string(template), f.fields(h))
 	// On real machines 127.0.0.1 is each machine's own.
@@ -211,41 +211,50 @@
 		dir = h.dataDir
 	}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		couldNotRun("%v", err)
+		return err
 	}
 	if err := os.MkdirAll(filepath.Join(f.dir, h.name), 0o755); err != nil {
-		couldNotRun("%v", err)
+		return err
 	}
 	h.settings = filepath.Join(f.dir, h.name, "settings.toml")
-	if err := os.WriteFile(h.settings, []byte(text), 0o644); err != nil {
-		couldNotRun("%v", err)
-	}
+	return os.WriteFile(h.settings, []byte(text), 0o644)
 }
 
 // start starts the process of a host with the command of the deploy file, and restarts it after a
 // short delay whenever it ends, as the platform does.
 func (f *fleet) start(h *host) {
+	if err := f.tryStart(h); err != nil {
+		couldNotRun("start %s: %v", h.name, err)
+	}
+}
+
+// tryStart does nothing once the clean-up has begun.
+func (f *fleet) tryStart(h *host) error {
+	// The lock is held until the process runs, so that the clean-up finds it or it is not started.
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopping {
+		return nil
+	}
 	if h.beforeStart != nil {
 		h.beforeStart()
 		h.beforeStart = nil
 	}
-	h.mu.Unlock()
-	f.writeSettings(h)
+	if err := f.writeSettings(h); err != nil {
+		return err
+	}
 	logFile, err := os.OpenFile(filepath.Join(f.dir, h.name, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		couldNotRun("%v", err)
+		return err
 	}
 	cmd := exec.Command("target/marigoldshuntd", "-settings", h.settings)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = f.root, logFile, logFile
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		couldNotRun("start %s: %v", h.name, err)
+		return err
 	}
-	h.mu.Lock()
 	h.cmd, h.startedAt = cmd, time.Now()
-	h.mu.Unlock()
 	h.bootstrap = false
 	go func() {
 		err := cmd.Wait()
@@ -260,6 +269,7 @@
 		time.Sleep(500 * time.Millisecond)
 		f.start(h)
 	}()
+	return nil
 }
 
 func (h *host) signal(s syscall.Signal) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -30,6 +32,9 @@
 	}
 	rec := newRecord(filepath.Join(os.Args[3], "record.txt"))
 	time.AfterFunc(caseTimeout, func() { couldNotRun("the time is over") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { couldNotRun("%v", <-signals) }()
 	play := cases[os.Args[1]]
 	if play == nil {
 		couldNotRun("no case %q", os.Args[1])
