Let no order of a sender that has left overrule a later one

Operators saw a data centre that they had taken out get requests again: a host that woke from a freeze carried out an order to put it back whose sender had left, had had it done by another host, and had ordered the opposite since.

Cause: each copy of such an order got a new request id and the newest revision that its host knew, so a late copy always won the compare-and-set.

Change: an order without a revision changes nothing and is answered by a redirect to the same host that names the current, confirmed revision. Only a sender that is still there follows it. What was acknowledged after the redirect has raised the revision, and the late copy fails in the log. It needs no clock.

--- a/internal/daemon/edge_fleet.go
+++ b/internal/daemon/edge_fleet.go
@@ -82,20 +82,42 @@
 	return c.Routing.Source, nil
 }
 
-// SetDataCentreOut implements edge.HostAPI. On a revision conflict it tries again with the
-// revision that the error names, since the last change by an operator wins.
-func (e *edgeRole) SetDataCentreOut(ctx context.Context, name string, out bool) error {
-	revision := e.d.controlClient.Config().DataCentres[name].Revision
-	for {
-		change := config.Change{DataCentre: &config.DataCentre{Name: name, Out: out}, IfRevision: revision}
-		_, err := e.d.controlClient.Change(ctx, uuid.NewString(), edgeOperator, []config.Change{change})
-		if f := fault.As(err); f != nil && f.Code == fault.RevisionConflict && ctx.Err() == nil {
-			revision = f.Revision
-			continue
-		}
-		e.logChange("data centre", err, logrus.Fields{"data_centre": name, "out": out})
-		return err
+// OrderDataCentre implements edge.HostAPI.
+func (e *edgeRole) OrderDataCentre(ctx context.Context, o edge.DataCentreOrder) (edge.DataCentreOrderResult, error) {
+	fields := logrus.Fields{"data_centre": o.Name, "out": o.Out}
+	if o.IfRevision == nil {
+		return e.confirmDataCentre(ctx, o, fields)
+	}
+	fields["if_revision"] = *o.IfRevision
+	change := config.Change{DataCentre: &config.DataCentre{Name: o.Name, Out: o.Out}, IfRevision: *o.IfRevision}
+	revision, err := e.d.controlClient.Change(ctx, uuid.NewString(), edgeOperator, []config.Change{change})
+	if f := fault.As(err); f != nil && f.Code == fault.RevisionConflict {
+		e.logUnconfirmedOrder(f.Revision, fields)
+		return edge.DataCentreOrderResult{Revision: f.Revision}, nil
+	}
+	e.logChange("data centre", err, fields)
+	return edge.DataCentreOrderResult{InForce: err == nil, Revision: revision}, err
+}
+
+// confirmDataCentre returns the revision of a data centre that was current after the order arrived.
+func (e *edgeRole) confirmDataCentre(ctx context.Context, o edge.DataCentreOrder, fields logrus.Fields) (edge.DataCentreOrderResult, error) {
+	c, err := e.d.controlClient.ConfirmConfig(ctx)
+	if err != nil {
+		e.logChange("data centre", err, fields)
+		return edge.DataCentreOrderResult{}, err
 	}
+	current := c.DataCentres[o.Name]
+	if current.Out == o.Out {
+		e.logChange("data centre", nil, fields)
+		return edge.DataCentreOrderResult{InForce: true, Revision: current.Revision}, nil
+	}
+	e.logUnconfirmedOrder(current.Revision, fields)
+	return edge.DataCentreOrderResult{Revision: current.Revision}, nil
+}
+
+// logUnconfirmedOrder logs that an order is carried out only if its sender repeats it.
+func (e *edgeRole) logUnconfirmedOrder(revision uint64, fields logrus.Fields) {
+	e.log.WithFields(fields).WithField("revision", revision).Info("Order needs to be repeated with the current revision.")
 }
 
 func (e *edgeRole) logChange(what string, err error, fields logrus.Fields) {
--- a/internal/daemon/edge_test.go
+++ b/internal/daemon/edge_test.go
@@ -283,7 +283,7 @@
 
 	// A data centre that is taken out of service gets no more requests, and callers get a 503
 	// with Retry-After.
-	f.Assert(f.hosts[ips[2]].d.edge.SetDataCentreOut(ctx, "north", true), qt.IsNil)
+	f.orderDataCentre(ips[2], "north", true)
 	f.waitFor("a refusal with Retry-After", func() bool {
 		resp, _, err := f.sendRequest(fmt.Sprintf("%s:%d", ips[2], f.ports[3]), "POST", "/orders/8")
 		return err == nil && resp.StatusCode == 503 && resp.Header.Get("Retry-After") != ""
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,23 @@
 	KeepFor time.Duration
 }
 
+// DataCentreOrder takes a data centre out of service, or puts it back.
+type DataCentreOrder struct {
+	Name string
+	Out  bool
+	// IfRevision is the revision of the data centre that a host told the sender; nil in the first
+	// request of an order.
+	IfRevision *uint64
+}
+
+// DataCentreOrderResult is the result of a DataCentreOrder that did not fail.
+type DataCentreOrderResult struct {
+	// InForce is true once the order is durable. Otherwise the sender repeats it with Revision.
+	InForce bool
+	// Revision is the current revision of the data centre; 0 if it was never ordered out.
+	Revision uint64
+}
+
 // HostAPI is what a host offers to its adapter. Errors are of type *fault.Error.
 type HostAPI interface {
 	// Ready reports whether the host takes requests.
@@ -35,9 +52,12 @@
 	// between the call and its return. It returns NotFound if there is none yet, and
 	// HostIsolated if the host can't confirm which document is in force.
 	DocumentSource(ctx context.Context) ([]byte, error)
-	// SetDataCentreOut takes a data centre out of service, or puts it back. It returns once
-	// the change is durable.
-	SetDataCentreOut(ctx context.Context, dataCentre string, out bool) error
+	// OrderDataCentre carries out an order that names the current revision of the data centre. Any
+	// other order only learns that revision, unless it is in force already: an order without a
+	// revision may have waited in the connection while its sender left and ordered something else,
+	// and only a sender that is still there repeats it. It returns HostIsolated if the host can't
+	// confirm the revision, and any other code when the outcome is unknown.
+	OrderDataCentre(ctx context.Context, o DataCentreOrder) (DataCentreOrderResult, error)
 }
 
 // Adapter translates the formats of one installation.
