Refuse operators' out and back requests without a revision

Cause: found on the way of the stale orders: a request to take an object out or back that names no revision took the one that the host knew when it handled it, so a request that a frozen host carries out late overruled later ones.

Change: such a request is refused with 409 and the current revision.

The test's cases changed with the contract: requests name the revision that was assumed before, and the two without one are expected to be refused. Both new cases failed before (200 for 409).

--- a/internal/admin/actions.go
+++ b/internal/admin/actions.go
@@ -20,11 +20,11 @@
 }
 
 // ServiceStateRequest is the body of the out and back requests. IfRevision is the expected
-// revision of the object; 0 means the revision that the host has. A resend is recognised
-// only if it names the revision of the first request.
+// revision of the object. A request without it is refused with the current revision, because
+// it may be handled after a later one of the same sender.
 type ServiceStateRequest struct {
 	RequestID  string `json:"request_id"`
-	IfRevision uint64 `json:"if_revision,omitempty"`
+	IfRevision uint64 `json:"if_revision"`
 }
 
 // InitRequest is the body of POST /v1/control/init.
@@ -104,9 +104,15 @@
 		if !ok {
 			return fault.New(fault.NotFound, fault.NotRun, "%q is not in the configuration", name)
 		}
-		if r.IfRevision != 0 {
-			change.IfRevision = r.IfRevision
+		if err := checkRequestID(r.RequestID); err != nil {
+			return err
+		}
+		if r.IfRevision == 0 {
+			conflict := fault.New(fault.RevisionConflict, fault.NotRun, "if_revision is required; %q is at revision %d", name, change.IfRevision)
+			conflict.Revision = change.IfRevision
+			return conflict
 		}
+		change.IfRevision = r.IfRevision
 		return s.commit(ctx, r.RequestID, []config.Change{change})
 	}
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -163,11 +163,11 @@
 	for _, test := range []struct{ path, body, call, answer string }{
 		{"/v1/config", `{"request_id":"r1","changes":[{"data_centre":{"name":"nadi","out":false},"if_revision":0}]}`,
 			`change r1 ops [{"data_centre":{"name":"nadi","out":false,"revision":0},"if_revision":0}]`, `{"revision":8}`},
-		{"/v1/data-centres/suva/out", `{"request_id":"r2"}`,
+		{"/v1/data-centres/suva/out", `{"request_id":"r2","if_revision":4}`,
 			`change r2 ops [{"data_centre":{"name":"suva","out":true,"revision":0},"if_revision":4}]`, `{"revision":8}`},
 		{"/v1/data-centres/suva/back", `{"request_id":"r3","if_revision":3}`,
 			`change r3 ops [{"data_centre":{"name":"suva","out":false,"revision":0},"if_revision":3}]`, `{"revision":8}`},
-		{"/v1/upstreams/u%2F1/back", `{"request_id":"r4"}`,
+		{"/v1/upstreams/u%2F1/back", `{"request_id":"r4","if_revision":6}`,
 			`change r4 ops [{"upstream":{"name":"u/1","pool":"p","data_centre":"","address":"","checks_fence":false,` +
 				`"checks_sender":false,"out":false,"revision":0},"if_revision":6}]`, `{"revision":8}`},
 		{"/v1/control/init", `{"hosts":["h1","h2"]}`, `init [h1 h2]`, `{}`},
@@ -216,6 +216,8 @@
 		{"POST /v1/hosts/absent/out", `{"request_id":"r"}`, 404, fault.NotFound},
 		{"POST /v1/hosts/absent/away", `{"request_id":"r"}`, 404, fault.NotFound},
 		{"POST /v1/data-centres/suva/out", `{"request_id":""}`, 400, fault.BadRequest},
+		{"POST /v1/data-centres/suva/out", `{"request_id":"r"}`, 409, fault.RevisionConflict},
+		{"POST /v1/upstreams/u%2F1/back", `{"request_id":"r","if_revision":0}`, 409, fault.RevisionConflict},
 		{"POST /v1/control/init", `{"hosts":[]}`, 400, fault.BadRequest},
 		{"POST /v1/control/replace", `{}`, 400, fault.BadRequest},
 		{"POST /v1/orders", `{"request_id":"r","upstream":"u","kind":"dance","name":"n"}`, 400, fault.BadRequest},
@@ -237,7 +239,7 @@
 	conflict := fault.New(fault.RevisionConflict, fault.NotRun, "the revision is 9").WithRetryAfter(time.Second)
 	conflict.Revision = 9
 	f.err = conflict
-	status, _, body := f.do(c, "POST", "/v1/data-centres/suva/out", "Bearer "+bootstrapCredential, `{"request_id":"r"}`)
+	status, _, body := f.do(c, "POST", "/v1/data-centres/suva/out", "Bearer "+bootstrapCredential, `{"request_id":"r","if_revision":4}`)
 	c.Assert(status, qt.Equals, 409)
 	c.Assert(body, qt.Equals, `{"error":{"code":"revision_conflict","message":"the revision is 9","run_state":"not_run","retry_after_ms":1000,"revision":9}}`)
 	for _, test := range []struct {
