End a stream at the first bytes that are no event of its run

Callers got pieces of streams that no run had made, from upstreams that sent garbage, and streams that ended as complete after them.

Cause: ids that could not be compared counted as later ones, gaps were not looked at (an event far ahead made the sound ones after it look old), and the end of the body was a sound end whatever came before.

A stream that may be resumed goes on elsewhere after its last sound event, any other breaks off. The emulator can send garbage, and one engine of the soak does.

Changed tests: stand-ins that numbered events from 0 begin at 1, as the contract says. Endless garbage (events without id, blank lines) is now refused with 502 where it was passed on until the deadline; endless sound events are tested in its place, and endless lines and data inside an event besides. The stalled stream sends bytes of a sound event, since others end it at once. FuzzEvents checks each event against the grammar and the ids, besides that bytes come unaltered.

--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -50,6 +50,7 @@
 	fs.BoolVar(&opts.Leaving, "leaving", false, "say in answers to routed requests that the upstream is about to stop")
 	fs.StringVar(&opts.CrashPart, "crash-part", "", "hexadecimal id of a prompt part, not the last one, that makes the upstream crash")
 	fs.DurationVar(&opts.CrashDowntime, "crash-down", 500*time.Millisecond, "how long connections are refused after a crash")
+	fs.Float64Var(&opts.GarbageRate, "garbage", 0, "fraction of events of routed streams before which bytes come that are no event")
 	fs.Int64Var(&opts.Seed, "seed", time.Now().UnixNano(), "seed of the random numbers and the instance ID")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("UPSTREAM_EMULATOR")); err != nil {
 		log.WithError(err).Fatal("Failed to parse the flags.")
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -70,8 +70,11 @@
 	CrashPart string
 	// CrashDowntime is how long connections are refused after a crash.
 	CrashDowntime time.Duration
-	Seed          int64
-	Log           *logrus.Logger
+	// GarbageRate is the fraction of events of routed streams before which bytes come that are no
+	// event.
+	GarbageRate float64
+	Seed        int64
+	Log         *logrus.Logger
 }
 
 const (
--- a/internal/emulator/routed.go
+++ b/internal/emulator/routed.go
@@ -116,6 +116,31 @@
 
 // writeEvent writes event n of a routed stream.
 func (e *Emulator) writeEvent(w io.Writer, j *job, n int) error {
+	if _, err := io.WriteString(w, e.garbage(n)); err != nil {
+		return err
+	}
 	_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Token(j.id, n))
 	return err
 }
+
+// garbage returns bytes that are no event of a run, to be sent before event n; mostly none.
+func (e *Emulator) garbage(n int) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opts.GarbageRate == 0 || e.rng.Float64() >= e.opts.GarbageRate {
+		return ""
+	}
+	pieces := []string{
+		strings.Repeat("\xe9", 300) + "\n\n",
+		"data: " + garbageToken + "\n\n",
+		"id:\ndata: " + garbageToken + "\n\n",
+		"id: x\ndata: " + garbageToken + "\n\n",
+		": " + garbageToken + "\ndata: " + garbageToken + "\n\n",
+		fmt.Sprintf("id: %d\ndata: %s\n\n", n+300, garbageToken),
+		"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n" + garbageToken,
+	}
+	return pieces[e.rng.Intn(len(pieces))]
+}
+
+// garbageToken is in no sound event.
+const garbageToken = "GARBAGE"
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -49,6 +49,7 @@
 	HostOverloaded         Code = "host_overloaded"
 	SchedulerLost          Code = "scheduler_lost"
 	UpstreamFailed         Code = "upstream_failed"
+	UpstreamGarbled        Code = "upstream_garbled"
 	UpstreamRefused        Code = "upstream_refused"
 	UpstreamExcluded       Code = "upstream_excluded"
 	StreamCut              Code = "stream_cut"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -119,9 +119,11 @@
 	return err
 }
 
-// reportBrokenConnection has the instance probed if its connection broke during the request.
+// reportBrokenConnection has the instance probed if its connection broke during the request. This
+// host itself closes the connection after garbage, which says nothing of a crash.
 func (q *request) reportBrokenConnection(ctx context.Context, p *dispatch.Placement, err error) {
-	if err != nil && ctx.Err() == nil && fault.As(err).RunState == fault.MayHaveRun && fault.CodeOf(err) != fault.CallerGone {
+	code := fault.CodeOf(err)
+	if err != nil && ctx.Err() == nil && fault.As(err).RunState == fault.MayHaveRun && code != fault.CallerGone && code != fault.UpstreamGarbled {
 		q.server.count("connections_broken")
 		q.server.crashes.connectionBroke(q.broken(), p.Instance)
 	}
--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -240,7 +240,7 @@
 		broken := func(req *receivedRequest) {
 			writeRaw("%s", streamHead)(req)
 			for i := range test.events {
-				writeRaw("%s", eventChunk(i))(req)
+				writeRaw("%s", eventChunk(i+1))(req)
 			}
 			closeConn(req)
 		}
@@ -302,9 +302,9 @@
 		complete       bool
 	}{
 		{"no event", head, 502, true},
-		{"begun event", head + "id: 0\nda", 502, true},
-		{"whole event", head + "id: 0\ndata: piece\n\n", 200, true},
-		{"whole event and a begun one", head + "id: 0\ndata: piece\n\nid: 1\n", 200, false},
+		{"begun event", head + "id: 1\nda", 502, true},
+		{"whole event", head + "id: 1\ndata: piece\n\n", 200, true},
+		{"whole event and a begun one", head + "id: 1\ndata: piece\n\nid: 2\n", 200, false},
 		{"framed", streamHead + streamEnd, 200, true},
 	} {
 		u := newUpstream(t, sequence(writeRaw("%s", test.response), closeConn))
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -43,6 +43,9 @@
 	PromptParts string
 	// LastEventID carries the id of the last event delivered before a stream is resumed.
 	LastEventID string
+	// EventVersion is the name of a line that may come before the id of a stream's event, with the
+	// version of the model weights as a number, in the lower case in which it is written there.
+	EventVersion string
 	// Resumes names the request whose response brought the first event of the stream that the
 	// caller resumes.
 	Resumes string
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -60,12 +61,19 @@
 		}
 		cases = append(cases, testCase{r, "/order/", status})
 	}
+	var events strings.Builder
+	for id := range 100_000 {
+		fmt.Fprintf(&events, "id: %d\ndata: x\n\n", id+1)
+	}
 	refusal := "HTTP/1.1 503 X\r\n" + testHeaderNames().NotRun + ": 1\r\n\r\n"
 	cases = append(cases,
 		testCase{endlesstest.Response{Name: "event line", Start: stream, Repeat: "x"}, "/stream/", 502},
 		testCase{endlesstest.Response{Name: "lines of an event", Start: stream, Repeat: "data: x\n"}, "/stream/", 502},
-		testCase{endlesstest.Response{Name: "events", Start: stream, Repeat: "data: x\n\n"}, "/stream/", 0},
-		testCase{endlesstest.Response{Name: "blank lines", Start: stream, Repeat: "\n"}, "/stream/", 0},
+		testCase{endlesstest.Response{Name: "data lines of an event", Start: stream + "id: 1\n", Repeat: "data: x\n"}, "/stream/", 502},
+		testCase{endlesstest.Response{Name: "data of an event", Start: stream + "id: 1\ndata: ", Repeat: "x"}, "/stream/", 502},
+		testCase{endlesstest.Response{Name: "events", Start: stream + events.String() + "id: 100001\ndata: ", Repeat: "x"}, "/stream/", 0},
+		testCase{endlesstest.Response{Name: "events without id", Start: stream, Repeat: "data: x\n\n"}, "/stream/", 502},
+		testCase{endlesstest.Response{Name: "blank lines", Start: stream, Repeat: "\n"}, "/stream/", 502},
 		testCase{endlesstest.Response{Name: "refusal", Start: refusal, Repeat: "x"}, "/order/", 503},
 		testCase{endlesstest.Response{Name: "without proof", Start: "HTTP/1.1 200 OK\r\n\r\n", Repeat: "x"}, "/order/", 502},
 		testCase{endlesstest.ExtraBytes("hello", 0), "/order/", 200},
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -102,27 +104,45 @@
 	})
 }
 
-// FuzzEvents guards against events that are truncated, merged or altered.
+// soundEvent is an event as eventReader defines it.
+var soundEvent = regexp.MustCompile(`^(version: ?[0-9]+\r?\n)?id: ?([0-9]+)\r?\n(event:[^\n]*\n)*data:[^\n]*\n((data|event):[^\n]*\n)*\r?\n$`)
+
+// FuzzEvents guards against events that are truncated, merged, altered, left out or made by no run.
 func FuzzEvents(f *testing.F) {
-	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
-	f.Add([]byte("id: 1\r\ndata: a\r\n\r\n: comment\n\nid"))
-	f.Add([]byte("\n\n\nid:\n\n"))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), "")
+	f.Add([]byte("id: 1\r\ndata: a\r\n\r\n: comment\n\nid"), "")
+	f.Add([]byte("\n\n\nid:\n\n"), "7")
+	f.Add([]byte("version: 4\nid: 7\nevent: token\ndata: a\ndata:\n\nid: 8\ndata: b\n\nid: 10\ndata: c\n\n"), "7")
+	f.Add([]byte("id: 0\ndata: a\n\n"), "x")
+	f.Fuzz(func(t *testing.T, data []byte, lastEventID string) {
 		c := qt.New(t)
-		br := bufio.NewReaderSize(bytes.NewReader(data), 16)
+		events := newEventReader(bufio.NewReaderSize(bytes.NewReader(data), 16), "version", lastEventID)
 		var all []byte
+		var last int64
 		for {
-			event, err := readEvent(br, func() bool { return true })
-			all = append(all, event...)
+			event, err := events.next(func() bool { return true })
 			if err != nil {
+				c.Assert(event, qt.HasLen, 0)
 				break
 			}
-			c.Assert(bytes.HasSuffix(event, []byte("\n")), qt.IsTrue)
-			inner := bytes.TrimRight(event, "\r\n")
-			c.Assert(bytes.Contains(inner, []byte("\n\n")), qt.IsFalse, qt.Commentf("two events in %q", event))
-			_ = eventID(event)
+			all = append(all, event...)
+			fields := soundEvent.FindSubmatch(event)
+			c.Assert(fields, qt.Not(qt.HasLen), 0, qt.Commentf("%q", event))
+			id, err := strconv.ParseInt(string(fields[2]), 10, 64)
+			c.Assert(err, qt.IsNil)
+			c.Assert(id, qt.Equals, events.last)
+			resumed, err := strconv.ParseInt(lastEventID, 10, 64)
+			switch {
+			case last > 0:
+				c.Assert(id, qt.Equals, last+1)
+			case lastEventID == "":
+				c.Assert(id, qt.Equals, int64(1))
+			case err == nil && resumed >= 0 && !strings.HasPrefix(lastEventID, "+") && !strings.HasPrefix(lastEventID, "-"):
+				c.Assert(id <= resumed+1, qt.IsTrue)
+			}
+			last = id
 		}
-		c.Assert(all, qt.DeepEquals, append([]byte(nil), data...))
+		c.Assert(bytes.HasPrefix(data, all), qt.IsTrue)
 	})
 }
 
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -51,14 +51,15 @@
 		gw.Assert(err, qt.IsNil)
 		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
 		gw.Assert(err, qt.IsNil)
-		events := bufio.NewReader(resp.Body)
+		body := bufio.NewReader(resp.Body)
+		events := newEventReader(body, "", "")
 		for range 2 {
-			_, err := readEvent(events, func() bool { return true })
+			_, err := events.next(func() bool { return true })
 			gw.Assert(err, qt.IsNil)
 			time.Sleep(20 * time.Millisecond) // the pause, longer than one of the gaps
 			received <- struct{}{}
 		}
-		_, err = io.Copy(io.Discard, events)
+		_, err = io.Copy(io.Discard, body)
 		gw.Assert(err, qt.IsNil)
 		late := metrics.GetOrRegisterCounter("gateway.late_streams", gw.server.opts.Registry).Count()
 		gw.Check(late, qt.Equals, want, qt.Commentf("gap %s", gap))
--- a/internal/gateway/slowstream_test.go
+++ b/internal/gateway/slowstream_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -33,14 +34,15 @@
 
 // Guards against a stalled stream that never ends, because its upstream sends a byte now and then.
 func TestStalledStreamThatSendsBytesEnds(t *testing.T) {
-	for _, begin := range []string{streamHead, streamHead + eventChunk(1)} {
+	const bytesOfAnEvent = "6\r\ndata: \r\n" // as often as it comes, it is one long line
+	for _, begin := range []string{streamHead + chunkOf("id: 1\n"), streamHead + eventChunk(1) + chunkOf("id: 2\n")} {
 		ended := make(chan struct{})
 		u := newUpstream(t, func(req *receivedRequest) {
 			defer close(ended)
 			writeRaw("%s", begin)(req)
 			for range 1_000 {
 				time.Sleep(10 * time.Millisecond)
-				if _, err := req.conn.Write([]byte("1\r\nx\r\n")); err != nil {
+				if _, err := req.conn.Write([]byte(bytesOfAnEvent)); err != nil {
 					return
 				}
 			}
@@ -51,7 +53,7 @@
 		}
 		gw := newTestGateway(t, d, u)
 		resp, _, complete := gw.do("POST", "/resume/x", "")
-		if begin == streamHead {
+		if !strings.Contains(begin, eventChunk(1)) {
 			gw.Check(resp.StatusCode, qt.Equals, 504)
 		} else {
 			gw.Check(resp.StatusCode, qt.Equals, 200)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,26 +9,26 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/logsink"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
 // relayStream relays the events of a stream one by one. The response header is written with
 // the first event, so that a stream that breaks before it counts as a request without a
 // response. A resumed stream continues the response that the first instance began.
 func (q *request) relayStream(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
-	br := bufio.NewReader(resp.Body)
+	events := newEventReader(bufio.NewReader(resp.Body), q.server.opts.HeaderNames.EventVersion, q.lastEventID)
 	rc := http.NewResponseController(q.w)
 	room := reservation{budget: &q.server.buffered}
 	defer room.release()
 	for {
 		room.release()
-		event, err := readEvent(br, func() bool { return room.growTo(maxBuffered) })
-		if errors.Is(err, io.EOF) && len(event) == 0 {
+		event, err := events.next(func() bool { return room.growTo(maxBuffered) })
+		if errors.Is(err, io.EOF) {
 			if q.runEvents == 0 && !resp.Framed {
 				// Where the end of the connection ends the stream, a crash before the first event looks
 				// like an empty one.
@@ -41,6 +40,10 @@
 			}
 			return dispatch.Answered, nil
 		}
+		var garbage *garbageError
+		if errors.As(err, &garbage) {
+			return q.garbled(p, garbage)
+		}
 		if err != nil {
 			return q.truncated(ctx, p, err)
 		}
@@ -52,9 +55,7 @@
 		case 2:
 			q.server.crashes.partsAnswered(q.service.Name, q.job.SharedParts)
 		}
-		id := eventID(event)
-		if q.headerWritten && !isAfter(id, q.lastEventID) {
-			// A resumed stream may repeat events that the caller already has.
+		if events.repeated() {
 			continue
 		}
 		if !q.headerWritten {
@@ -68,13 +69,24 @@
 		if err := rc.Flush(); err != nil {
 			return dispatch.Cancelled, fault.Wrap(err, fault.CallerGone, fault.MayHaveRun, "the caller left")
 		}
-		if id != "" {
-			q.lastEventID = id
-		}
+		q.lastEventID = strconv.FormatInt(events.last, 10)
 		q.recordEvent(time.Now())
 	}
 }
 
+// garbled returns the outcome and error of a run that sent garbage. The caller of relayStream closes
+// the connection, which ends the run.
+func (q *request) garbled(p *dispatch.Placement, garbage *garbageError) (dispatch.Outcome, error) {
+	q.server.count("garbled_streams")
+	if !logsink.Drops(q.server.log, logrus.WarnLevel) {
+		q.server.log.WithFields(logrus.Fields{
+			"request": q.id, "instance": p.Instance.ID, "address": p.Instance.Address, "expected_event": garbage.expected,
+			"reason": garbage.reason, "bytes": strconv.Quote(string(garbage.got)),
+		}).Warn("Upstream sent bytes that are no event of the stream.")
+	}
+	return dispatch.Failed, fault.Wrap(garbage, fault.UpstreamGarbled, fault.MayHaveRun, "instance %s sent garbage", p.Instance.ID)
+}
+
 // recordEvent counts the stream as late at the first pause between two events that is longer
 // than the route's EventGap.
 func (q *request) recordEvent(now time.Time) {
@@ -84,50 +96,3 @@
 	}
 	q.lastEventAt = now
 }
-
-// readEvent reads one event, including the empty line that ends it. It returns io.EOF and no
-// bytes at the end of the stream, and io.ErrUnexpectedEOF if the stream ends inside an event.
-// An event of more than freeBufferedBytes is read only if reserve has room for it.
-func readEvent(br *bufio.Reader, reserve func() bool) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := br.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-		case errors.Is(err, io.EOF) && len(event) > 0:
-			return event, io.ErrUnexpectedEOF
-		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return event, nil
-		}
-		if len(event) > freeBufferedBytes && !reserve() {
-			return event, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "no room for an event of more than %d bytes", freeBufferedBytes)
-		}
-		if len(event) > maxEventBytes {
-			return event, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "an event exceeds %d bytes", maxEventBytes)
-		}
-	}
-}
-
-// eventID returns the id of an event, or "" if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(v))
-		}
-	}
-	return ""
-}
-
-// isAfter reports whether the event id comes after last, the id of the last event sent to
-// the caller. It is true if the two can't be compared.
-func isAfter(id, last string) bool {
-	if id == "" || last == "" {
-		return true
-	}
-	a, err := strconv.ParseInt(id, 10, 64)
-	b, err2 := strconv.ParseInt(last, 10, 64)
-	return err != nil || err2 != nil || a > b
-}
--- a/internal/scenario/soak_fleet_test.go
+++ b/internal/scenario/soak_fleet_test.go
@@ -67,6 +67,9 @@
 	disturbedMu        sync.Mutex
 }
 
+// soakGarbageRate is the fraction of events before which one of the engines sends garbage.
+const soakGarbageRate = 0.005
+
 // soakUpstream is an emulator inside the test process, so that its counts survive its
 // crashes.
 type soakUpstream struct {
@@ -132,6 +135,9 @@
 		e := enginemodel.TypicalOptions()
 		e.PromptTokensPerMs, e.ColdTime, e.ColdPerSecond = 100, time.Second, coldCapacityPerSecond
 		opts.Engine = &e
+		if i == 0 {
+			opts.GarbageRate = soakGarbageRate
+		}
 	} else {
 		u.service = "records"
 	}
