Begin a transfer again when its receiver has started anew

Beside it: a node that is opened again in the same process, after a full disk, counted the ids of its transfers from the same base, so a message could be acknowledged under the id of an earlier one without being handed on.

Change: a receiver that does not know a transfer answers 0, and the sender begins again. Ids count on over the nodes of a process. A late answer of 0 only costs chunks that are sent twice.

--- a/internal/control/chunk.go
+++ b/internal/control/chunk.go
@@ -152,11 +152,20 @@
 }
 
 // onAck handles the receiver's count of received chunks. It reports whether the transfer has
-// ended.
+// ended. A receiver that knows nothing of a transfer that it has acknowledged, because it has
+// started anew, counts 0; the transfer then begins again.
 func (c *chunker) onAck(from string, m wire.Chunk, now time.Duration) (done bool) {
 	key := transferKey{from, m.Inner}
 	o := c.out[key]
-	if o == nil || o.id != m.ID || m.Part <= o.acked || m.Part > o.chunkCount {
+	if o == nil || o.id != m.ID {
+		return false
+	}
+	if m.Part == 0 && o.acked > 0 {
+		o.acked, o.next, o.progressAt = 0, 0, now
+		c.sendWindow(key, o)
+		return false
+	}
+	if m.Part <= o.acked || m.Part > o.chunkCount {
 		return false
 	}
 	o.acked, o.progressAt = m.Part, now
@@ -176,6 +185,10 @@
 	key := transferKey{from, m.Inner}
 	in := c.in[key]
 	if in == nil || in.id != m.ID {
+		if m.Part != 0 && (in == nil || in.id < m.ID) {
+			c.acknowledge(from, m, 0)
+			return nil
+		}
 		if m.Part != 0 || m.Parts < 1 || m.Parts > maxChunks || (in == nil && len(c.in) >= maxIncomingTransfers) {
 			return nil
 		}
@@ -191,10 +204,16 @@
 			whole, in.data = in.data, nil
 		}
 	}
-	_ = c.send(from, wire.KindChunk, wire.Chunk{Inner: m.Inner, ID: m.ID, Part: in.next, Ack: true})
+	c.acknowledge(from, m, in.next)
 	return whole
 }
 
+// acknowledge tells the sender of a chunk how many chunks of its transfer have come. A lost
+// acknowledgement is repeated with the next chunk.
+func (c *chunker) acknowledge(to string, m wire.Chunk, received int) {
+	_ = c.send(to, wire.KindChunk, wire.Chunk{Inner: m.Inner, ID: m.ID, Part: received, Ack: true})
+}
+
 // tick resends chunks, drops transfers without progress and starts others in their place.
 func (c *chunker) tick(now time.Duration) {
 	for key, o := range c.out {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -20,6 +20,9 @@
 type NodeOptions struct {
 	Host string
 	Boot uint64
+	// LastTransfer is the LastTransfer of the node that this one replaces in the same boot, 0 if
+	// it is the first one. Two messages in chunks never have the same id.
+	LastTransfer uint64
 	// Storage holds the log. Restored is its content when it was opened.
 	Storage   Storage
 	Restored  raft.Restored
@@ -161,7 +164,7 @@
 		pending:      map[uint64]pendingBatch{},
 		pendingReads: map[uint64][]pendingRenew{},
 	}
-	n.chunks = newChunker(opts.Boot<<20, opts.Transport.Send)
+	n.chunks = newChunker(max(opts.Boot<<20, opts.LastTransfer), opts.Transport.Send)
 	n.now = opts.Clock.Now()
 	n.resetLeadership()
 	if opts.Restored.Snapshot.Index > 0 || len(opts.Restored.Entries) > 0 || opts.Restored.Hard.Term > 0 {
@@ -199,6 +202,10 @@
 	return nil
 }
 
+// LastTransfer returns the id of the last message that the node has sent in chunks. It may be called
+// when Run has ended.
+func (n *Node) LastTransfer() uint64 { return n.chunks.lastID }
+
 // Handle queues a message without blocking. When the queue is full, the message is
 // dropped and its sender repeats it.
 func (n *Node) Handle(from string, boot uint64, kind wire.Kind, payload []byte) {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -30,8 +30,10 @@
 	node atomic.Pointer[control.Node]
 	// failure is why the role last stopped or the data folder could not be opened.
 	failure atomic.Pointer[fault.Error]
-	// walLog is used only by the goroutine of run once that has started.
-	walLog *wal.Log
+	// walLog and lastTransfer, that of the last node, are used only by the goroutine of run once that
+	// has started.
+	walLog       *wal.Log
+	lastTransfer uint64
 }
 
 func (d *Daemon) newControlRole() *controlRole {
@@ -78,7 +80,7 @@
 		return err
 	}
 	node, err := control.NewNode(control.NodeOptions{
-		Host: r.d.settings.Host, Boot: r.d.boot, Storage: walLog, Restored: restored, Transport: r.d.peers,
+		Host: r.d.settings.Host, Boot: r.d.boot, LastTransfer: r.lastTransfer, Storage: walLog, Restored: restored, Transport: r.d.peers,
 		Clock: r.d.clock, Ticks: time.Tick(control.TickInterval),
 		Rand:   rand.New(rand.NewSource(int64(r.d.boot ^ uint64(walLog.ReplicaID())))),
 		Orders: orderSender{r.d.engine}, Log: r.d.logFor("control"), GroupView: r.groupView(),
@@ -165,6 +167,7 @@
 	for r.d.settings.DataFolder != "" && ctx.Err() == nil {
 		if n := r.node.Load(); n != nil {
 			err := n.Run(ctx)
+			r.lastTransfer = n.LastTransfer()
 			if err == nil || ctx.Err() != nil {
 				return nil
 			}
