--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -147,13 +147,13 @@
 // snapshotDue reports whether to take a snapshot. One is due after MinSnapshotEntries entries
 // if the log since the last snapshot is at least as large as that snapshot, which keeps the
 // cost of snapshots in proportion to the log. In any case one is due after maxSnapshotFactor
-// times as many entries or maxLogBytes.
+// times as many entries or MaxLogBytes.
 func (n *Node) snapshotDue() bool {
 	entries := n.applied - n.snapshotIndex
 	switch {
 	case entries == 0:
 		return false
-	case n.logBytes >= maxLogBytes || entries >= maxSnapshotFactor*n.opts.MinSnapshotEntries:
+	case n.logBytes >= n.opts.MaxLogBytes || entries >= maxSnapshotFactor*n.opts.MinSnapshotEntries:
 		return true
 	}
 	return entries >= n.opts.MinSnapshotEntries && n.logBytes >= n.snapshotBytes
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -23,7 +23,7 @@
 	// LastTransfer is the LastTransfer of the node that this one replaces in the same boot, 0 if
 	// it is the first one. Two messages in chunks never have the same id.
 	LastTransfer uint64
-	// Storage holds the log. Restored is its content when it was opened.
+	// Storage holds the log. Restored is its content when it was opened; the node does not keep it.
 	Storage   Storage
 	Restored  raft.Restored
 	Transport Transport
@@ -39,8 +39,11 @@
 	// and whether this host is one of them. If set, the node joins the group automatically;
 	// if nil, operators have to add it.
 	GroupView func() (leader string, known, listed bool)
+	// MaxLogBytes is the size of the entries since the last snapshot that forces the next one; 0 means
+	// DefaultMaxLogBytes.
+	MaxLogBytes int
 	// MinSnapshotEntries is the least number of entries between two snapshots unless the log
-	// grows beyond maxLogBytes; 0 means 4,096. Up to maxSnapshotFactor times as many entries
+	// grows beyond MaxLogBytes; 0 means 4,096. Up to maxSnapshotFactor times as many entries
 	// may lie between two snapshots of a large state, see snapshotDue.
 	MinSnapshotEntries uint64
 	Log                logrus.FieldLogger
@@ -152,6 +155,9 @@
 	if opts.MinSnapshotEntries == 0 {
 		opts.MinSnapshotEntries = defaultMinSnapshotEntries
 	}
+	if opts.MaxLogBytes == 0 {
+		opts.MaxLogBytes = DefaultMaxLogBytes
+	}
 	if opts.spawn == nil {
 		opts.spawn = func(f func()) { go f() }
 	}
@@ -164,6 +170,8 @@
 		pending:      map[uint64]pendingBatch{},
 		pendingReads: map[uint64][]pendingRenew{},
 	}
+	// The log that was read belongs to raft from here on, which drops what snapshots cover.
+	n.opts.Restored = raft.Restored{}
 	n.chunks = newChunker(max(opts.Boot<<20, opts.LastTransfer), opts.Transport.Send)
 	n.now = opts.Clock.Now()
 	n.resetLeadership()
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -79,8 +79,9 @@
 	defaultMinSnapshotEntries = 4_096
 	// maxSnapshotFactor times MinSnapshotEntries is the most entries between two snapshots.
 	maxSnapshotFactor = 16
-	// maxLogBytes forces a snapshot before the entries of large commands fill the disk.
-	maxLogBytes = 32 << 20
+	// DefaultMaxLogBytes forces a snapshot before the entries of large commands fill the disk or the
+	// memory of a host that sets no limit to them.
+	DefaultMaxLogBytes = 32 << 20
 	// maxInlineBytes is the size from which messages are sent in chunks. Below it, the
 	// message and its envelope fit into a frame of 1 MiB.
 	maxInlineBytes = 512 << 10
--- a/internal/control/rules_test.go
+++ b/internal/control/rules_test.go
@@ -222,18 +222,18 @@
 // without bound.
 func TestSnapshotSpacing(t *testing.T) {
 	c := qt.New(t)
-	n := &Node{opts: NodeOptions{MinSnapshotEntries: 10}, snapshotIndex: 100, snapshotBytes: 5_000}
+	n := &Node{opts: NodeOptions{MinSnapshotEntries: 10, MaxLogBytes: DefaultMaxLogBytes}, snapshotIndex: 100, snapshotBytes: 5_000}
 	due := func(entries uint64, logBytes int) bool {
 		n.applied, n.logBytes = n.snapshotIndex+entries, logBytes
 		return n.snapshotDue()
 	}
-	c.Assert(due(0, maxLogBytes), qt.IsFalse)
+	c.Assert(due(0, DefaultMaxLogBytes), qt.IsFalse)
 	c.Assert(due(9, 6_000), qt.IsFalse)
 	c.Assert(due(10, 4_999), qt.IsFalse)
 	c.Assert(due(10, 5_000), qt.IsTrue)
 	c.Assert(due(159, 0), qt.IsFalse)
 	c.Assert(due(160, 0), qt.IsTrue)
-	c.Assert(due(1, maxLogBytes), qt.IsTrue)
+	c.Assert(due(1, DefaultMaxLogBytes), qt.IsTrue)
 }
 
 // A host must stop using a revoked lease before it sends the release to the leader.
--- a/internal/control/simulation.go
+++ b/internal/control/simulation.go
@@ -27,14 +27,34 @@
 	entries  []raft.Entry
 	syncs    uint64
 	failure  error
+	// capacity is the size of the disk in bytes, 0 for no limit.
+	capacity int
+}
+
+// room returns StorageFailed unless the disk has room for some more bytes.
+func (m *memoryStorage) room(size int) error {
+	if m.failure != nil || m.capacity == 0 {
+		return m.failure
+	}
+	for i := range m.entries {
+		size += len(m.entries[i].Data)
+	}
+	if size+len(m.snapshot.Data) > m.capacity {
+		return fault.New(fault.StorageFailed, "", "no space left on device")
+	}
+	return nil
 }
 
 func (m *memoryStorage) ReplicaID() raft.ReplicaID { return m.id }
 func (m *memoryStorage) Syncs() uint64             { return m.syncs }
 
 func (m *memoryStorage) Save(h *raft.HardState, es []raft.Entry) error {
-	if m.failure != nil {
-		return m.failure
+	size := 0
+	for i := range es {
+		size += len(es[i].Data)
+	}
+	if err := m.room(size); err != nil {
+		return err
 	}
 	m.syncs++
 	if h != nil {
@@ -48,8 +68,8 @@
 }
 
 func (m *memoryStorage) SaveSnapshot(s raft.Snapshot) error {
-	if m.failure != nil {
-		return m.failure
+	if err := m.room(len(s.Data)); err != nil {
+		return err
 	}
 	m.syncs++
 	m.snapshot = s
@@ -85,6 +105,7 @@
 	boots           uint64
 	controlHosts    []string
 	snapshotEntries uint64
+	maxLogBytes     int
 	orders          OrderSender
 	// spawn runs functions that may block; nil runs them at once.
 	spawn    func(func())
@@ -151,13 +172,22 @@
 
 func (sim *Simulation) startNode(h string) {
 	sim.boots++
+	sim.openNode(h, sim.boots, 0)
+}
+
+// openNode starts the node of a process, or a later one in the same boot after a storage failure.
+func (sim *Simulation) openNode(h string, boot, lastTransfer uint64) {
+	sim.openNodeWith(h, boot, lastTransfer, sim.disks[h].restored())
+}
+
+func (sim *Simulation) openNodeWith(h string, boot, lastTransfer uint64, restored raft.Restored) {
 	spawn := sim.spawn
 	if spawn == nil {
 		spawn = func(f func()) { f() }
 	}
-	opts := NodeOptions{Host: h, Boot: sim.boots, Storage: sim.disks[h], Restored: sim.disks[h].restored(), Transport: simTransport{sim, h},
+	opts := NodeOptions{Host: h, Boot: boot, LastTransfer: lastTransfer, Storage: sim.disks[h], Restored: restored, Transport: simTransport{sim, h},
 		Clock: sim, WallClock: func() time.Time { return sim.wall.Add(sim.now) }, Rand: rand.New(rand.NewSource(sim.rng.Int63())),
-		Orders: sim.orders, MinSnapshotEntries: sim.snapshotEntries, Log: discardLogger(), spawn: spawn}
+		Orders: sim.orders, MinSnapshotEntries: sim.snapshotEntries, MaxLogBytes: sim.maxLogBytes, Log: discardLogger(), spawn: spawn}
 	if sim.seeds != nil {
 		opts.Seeds = func() []string { return sim.seeds }
 		opts.GroupView = func() (string, bool, bool) {
