Take the bounds of the control group's log from the disk and the memory

Operators saw that long after full disks had room again, changes were refused or stayed unanswered while all processes ran.

Cause: 32 MiB of entries and segments of 16 MiB whatever the disk. The platform's limits.disk_mb was not read.

Failures of the storage are counted (control.storage_failures).

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -66,14 +66,21 @@
 // recordFailure drops the node and records why the role has stopped.
 func (r *controlRole) recordFailure(err error) {
 	r.node.Store(nil)
-	r.failure.Store(fault.As(err))
+	r.setFailure(err)
 	r.d.logFor("control").WithError(err).Error("Control role stopped.")
 	r.d.timeline.Add("control", "storage_failed", "code", string(fault.CodeOf(err)))
 }
 
+// setFailure records a failure for the status of the host and counts it.
+func (r *controlRole) setFailure(err error) {
+	r.failure.Store(fault.As(err))
+	metrics.GetOrRegisterCounter("control.storage_failures", r.d.registry).Inc(1)
+}
+
 func (r *controlRole) open() error {
+	bounds := newLogBounds(r.d.settings)
 	walLog, restored, err := wal.Open(r.d.settings.DataFolder, wal.Options{
-		Host:   r.d.settings.Host,
+		Host: r.d.settings.Host, SegmentBytes: bounds.segment,
 		OnSync: metrics.GetOrRegisterTimer("wal.sync", r.d.registry).Update,
 	})
 	if err != nil {
@@ -83,7 +90,7 @@
 		Host: r.d.settings.Host, Boot: r.d.boot, LastTransfer: r.lastTransfer, Storage: walLog, Restored: restored, Transport: r.d.peers,
 		Clock: r.d.clock, Ticks: time.Tick(control.TickInterval),
 		Rand:   rand.New(rand.NewSource(int64(r.d.boot ^ uint64(walLog.ReplicaID())))),
-		Orders: orderSender{r.d.engine}, Log: r.d.logFor("control"), GroupView: r.groupView(),
+		Orders: orderSender{r.d.engine}, Log: r.d.logFor("control"), GroupView: r.groupView(), MaxLogBytes: bounds.entries,
 		Seeds: func() []string { return controlHosts(r.d.controlSettings.Load()) },
 	})
 	if err != nil {
@@ -180,7 +187,7 @@
 			return nil
 		}
 		if err := r.open(); err != nil {
-			r.failure.Store(fault.As(err))
+			r.setFailure(err)
 			continue
 		}
 		r.d.logFor("control").Info("Control role restarted.")
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -26,6 +26,7 @@
 	maxHeaderBytes      = 1 << 20
 	maxReadTimeout      = 10 * time.Minute
 	maxMemoryMB         = 1 << 20
+	maxDiskMB           = 1 << 30
 )
 
 // namePattern matches names of hosts, data centres and regions. The peer protocol limits
@@ -70,6 +71,7 @@
 	}
 	s.FormGroup = f.FormGroup
 	s.MemoryMB = c.number("memory_mb", f.MemoryMB, 0, maxMemoryMB)
+	s.DiskMB = c.number("disk_mb", int(f.DiskMB), 0, maxDiskMB)
 	s.ControlSeeds = c.seeds(f.ControlSeeds)
 	s.Edge = c.edge(f.Edge)
 	for _, h := range f.ControlHosts {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -93,6 +94,8 @@
 	FormGroup bool
 	// MemoryMB is the memory that the process may use, 0 for no limit.
 	MemoryMB int
+	// DiskMB is the size of the disk of DataFolder, 0 for no limit.
+	DiskMB int
 	// Edge is nil on hosts that serve no routed services.
 	Edge *Edge
 }
@@ -152,6 +155,7 @@
 	ControlSeeds []string  `toml:"control_seeds"`
 	FormGroup    bool      `toml:"form_group"`
 	MemoryMB     int       `toml:"memory_mb"`
+	DiskMB       megabytes `toml:"disk_mb"`
 	Edge         *fileEdge `toml:"edge"`
 }
 
@@ -172,6 +176,20 @@
 // duration is a time with a unit, such as "30s". A number without a unit is refused.
 type duration time.Duration
 
+// megabytes is a size in MB as text; a host without a disk has the empty text.
+type megabytes int
+
+// UnmarshalText parses a size.
+func (m *megabytes) UnmarshalText(b []byte) error {
+	if len(b) == 0 {
+		*m = 0
+		return nil
+	}
+	v, err := strconv.ParseFloat(string(b), 64)
+	*m = megabytes(min(max(v, -1), maxDiskMB+1)) // the check refuses what lies outside
+	return err
+}
+
 // UnmarshalText parses a duration.
 func (d *duration) UnmarshalText(b []byte) error {
 	v, err := time.ParseDuration(string(b))
