--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -150,37 +150,42 @@
 	return nil
 }
 
-// finishRecovery completes what a crash interrupted: it cuts off a torn record after end,
-// writes a missing reset record, and removes temporary files and older snapshots. It syncs
-// the last segment, because a record that was read may have been written but not synced
-// before the process ended.
+// finishRecovery completes what a crash or a full disk interrupted. First it frees room: it removes
+// temporary files and older snapshots. Then it cuts off a torn record after end, writes a missing
+// reset record, and removes the segments that the snapshot covers. It syncs the last segment, because
+// a record that was read may have been written but not synced before the process ended.
 func (l *Log) finishRecovery(files dirListing, end int) error {
-	tail := l.segments[len(l.segments)-1]
-	f, err := l.fs.Append(l.path(tail.number, segmentSuffix))
-	if err != nil {
-		return l.recordFailure(err, "open the last segment")
+	if err := l.removeTempFiles(files.tempFiles); err != nil {
+		return err
 	}
-	l.file, l.size = f, end
-	if err = f.Truncate(int64(end)); err == nil {
-		err = l.sync(f)
+	for _, number := range files.snapshots[:max(len(files.snapshots)-1, 0)] {
+		if err := l.fs.Remove(l.path(number, snapshotSuffix)); err != nil {
+			return l.recordFailure(err, "remove an old snapshot")
+		}
 	}
-	if err != nil {
-		return l.recordFailure(err, "cut the last segment")
+	if err := l.openTail(end); err != nil {
+		return err
 	}
 	if err := l.startAfterSnapshot(); err != nil {
 		return err
 	}
-	for i, number := range files.snapshots {
-		if i < len(files.snapshots)-1 {
-			if err := l.fs.Remove(l.path(number, snapshotSuffix)); err != nil {
-				return l.recordFailure(err, "remove an old snapshot")
-			}
-		}
-	}
-	if err := l.removeTempFiles(files.tempFiles); err != nil {
+	if err := l.recordFailure(l.syncDir(), "sync the directory"); err != nil {
 		return err
 	}
-	return l.recordFailure(l.syncDir(), "sync the directory")
+	return l.TruncateFront(l.snapshot.Index)
+}
+
+// openTail opens the last segment and cuts it after its last intact record.
+func (l *Log) openTail(end int) error {
+	f, err := l.fs.Append(l.path(l.segments[len(l.segments)-1].number, segmentSuffix))
+	if err != nil {
+		return l.recordFailure(err, "open the last segment")
+	}
+	l.file, l.size = f, end
+	if err = f.Truncate(int64(end)); err == nil {
+		err = l.sync(f)
+	}
+	return l.recordFailure(err, "cut the last segment")
 }
 
 func (l *Log) readSnapshot(number uint64) (f snapshotFile, err error) {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -200,6 +200,8 @@
 	}
 	if err != nil {
 		_ = f.Close()
+		// On a full disk its bytes are needed. If it can't be removed now, the next Open removes it.
+		_ = l.fs.Remove(path + tempSuffix)
 		return nil, 0, err
 	}
 	return f, len(frame), nil
