--- a/internal/control/fulldisk_test.go
+++ b/internal/control/fulldisk_test.go
@@ -33,12 +33,18 @@
 	calls    []pendingCall[changeResult]
 }
 
-func newFullDisks(t *testing.T, seed int64) *fullDisks {
-	sim := newSimulation(t, 3000+seed, "h1", "h2", "h3")
+// newFullDisks returns a formed group of control hosts with long logs. Groups of more than three
+// repair themselves: a host whose disk is full for long is replaced, and joins again.
+func newFullDisks(t *testing.T, seed int64, hosts ...string) *fullDisks {
+	sim := newSimulation(t, 3000+seed, hosts...)
 	sim.maxLogBytes = fullDiskLogBytes
-	for _, h := range sim.controlHosts {
+	if len(hosts) > 3 {
+		sim.seeds = hosts[:3]
+	}
+	for _, h := range hosts {
 		sim.disks[h].capacity = fullDiskCapacity
 		sim.startNode(h)
+		sim.startClient(h)
 	}
 	sim.formGroup()
 	sim.startClient("r1")
@@ -93,13 +99,14 @@
 // Guards against changes that stay without an answer long after the last of several full disks has
 // room again, while all processes run.
 func TestChangesAreAcknowledgedAfterDisksWereFullOneAfterAnother(t *testing.T) {
+	groups := [][]string{{"h1", "h2", "h3"}, {"h1", "h2", "h3", "h4", "h5", "h6"}}
 	for seed := range int64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			c := qt.New(t)
-			f := newFullDisks(t, seed)
+			f := newFullDisks(t, seed, groups[seed%2]...)
 			f.storm(8 * time.Second) // the log is longer than the disk by now
 			for range 4 + f.rng.Intn(4) {
-				host := f.controlHosts[f.rng.Intn(3)]
+				host := f.controlHosts[f.rng.Intn(len(f.controlHosts))]
 				if f.rng.Intn(2) == 0 && f.leader() != "" {
 					host = f.leader()
 				}
