Look at the whole name of a field before a line of an event is read

Cause: found on reading the diff: bytes that begin like the version field were read as a line of up to 1 MiB before its name was compared. Change: the first bytes are compared until a name is whole. FuzzEvents and the tests of streams pass.

--- a/internal/gateway/streamevents.go
+++ b/internal/gateway/streamevents.go
@@ -103,25 +103,31 @@
 }
 
 // awaitBegin looks at the first bytes of an event one by one, so that garbage ends the run even if it
-// never fills a line.
+// never fills a line. It returns once they are the name of a field.
 func (r *eventReader) awaitBegin() error {
 	for n := 1; ; n++ {
 		begin, err := r.br.Peek(n)
 		switch {
-		case len(begin) == n && !beginsField(begin, idField) && !beginsField(begin, r.versionField):
+		case len(begin) < n && errors.Is(err, io.EOF):
+			return r.endError(len(begin) > 0)
+		case len(begin) < n:
+			return err
+		case !beginsField(begin, idField) && !beginsField(begin, r.versionField):
 			return r.garbage("the line can't begin an event", begin)
-		case len(begin) == n && (n == len(idField) && bytes.Equal(begin, idField) || n > len(idField)):
+		case bytes.Equal(begin, idField) || bytes.Equal(begin, r.versionField):
 			return nil
-		case errors.Is(err, io.EOF) && len(begin) > 0:
-			return io.ErrUnexpectedEOF
-		case errors.Is(err, io.EOF) && r.last > 0 && r.last < r.resumed:
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
 		}
 	}
 }
 
+// endError returns the error for the end of the run, between two events or inside one.
+func (r *eventReader) endError(insideEvent bool) error {
+	if insideEvent || r.last > 0 && r.last < r.resumed {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
 // beginsField reports whether the first bytes of a line may be those of a field.
 func beginsField(begin, field []byte) bool {
 	n := min(len(begin), len(field))
