--- a/internal/control/fulldisk_test.go
+++ b/internal/control/fulldisk_test.go
@@ -17,7 +17,7 @@
 	// reopenPause is the time between two tries of a host to open its log.
 	reopenPause = 500 * time.Millisecond
 	// fullDiskCapacity is the size of a disk. The log may take an eighth of it.
-	fullDiskCapacity = 16 << 20
+	fullDiskCapacity = 8 << 20
 	fullDiskLogBytes = fullDiskCapacity / 8
 )
 
@@ -76,7 +76,7 @@
 // startDocument starts a change of the routing document that needs several chunks.
 func (f *fullDisks) startDocument() pendingCall[changeResult] {
 	f.version++
-	return f.startChange("r1", fmt.Sprint("v", f.version), routingChange(f.t, f.version, 1_500+f.rng.Intn(500)))
+	return f.startChange("r1", fmt.Sprint("v", f.version), routingChange(f.t, f.version, 1_300+f.rng.Intn(300)))
 }
 
 // storm sends documents while the disk of a host is full.
@@ -104,8 +104,8 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			c := qt.New(t)
 			f := newFullDisks(t, seed, groups[seed%2]...)
-			f.storm(8 * time.Second) // the log is longer than the disk by now
-			for range 4 + f.rng.Intn(4) {
+			f.storm(4 * time.Second) // the log is longer than the disk by now
+			for range 3 + f.rng.Intn(3) {
 				host := f.controlHosts[f.rng.Intn(len(f.controlHosts))]
 				if f.rng.Intn(2) == 0 && f.leader() != "" {
 					host = f.leader()
