Bound the log by a quarter of the memory

Cause: a twelfth (11 MiB of 134 MB) was tighter than what a host without disk_mb needs.

Change: a quarter. Where disk_mb is named (all deployments in force: 64 MB, 8 MiB of entries) nothing changes.

--- a/internal/daemon/logbounds.go
+++ b/internal/daemon/logbounds.go
@@ -14,7 +14,7 @@
 	diskPerLog = 8
 	// memoryPerLog leaves room for the state, its snapshot and the requests. The entries are held in
 	// memory too.
-	memoryPerLog = 12
+	memoryPerLog = 4
 	// segmentsPerLog is the number of segments among which the entries are divided.
 	segmentsPerLog = 2
 	// minLogBytes keeps small limits from forcing a snapshot at every change.
