Wait for the end of a write before a request counts as not sent

Cause: the body of a request above 8 KiB is written beside the wait for its answer. The bytes that the kernel accepted were counted when the write returned, but looked at as soon as the answer failed. A request that an upstream had begun to read, and then answered with garbage, counted as not run: it was refused with that promise, or sent to a second upstream.

Change: the connection is closed first, which ends the write, and its count is waited for.

--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -90,6 +90,7 @@
 		}
 		f.stopContextWatch()
 		c.connPool.closeFailed(ctx, cn, reused, err)
+		<-f.writeResult // a write that was under way ends with the connection, and counts its bytes
 		if cn.bytesSent.Load() > 0 {
 			return nil, fault.Wrap(err, fault.UpstreamFailed, fault.MayHaveRun, "connection to upstream %s ended before its answer", r.Address)
 		}
