Simulate outages of many engines, and the time of hosts and messages

Change: a load names message_delay, rates_delay, handling_time, warm_up and cold_per_second; an outage takes several engines, is noticed late and ends in steps; an account can keep to one host. Requests that wait at the gate of a lost engine are refused, and a caller that leaves before its request was sent counts as not served, as at the real hosts.

--- a/internal/loadplay/fleet.go
+++ b/internal/loadplay/fleet.go
@@ -1,7 +1,9 @@
 package loadplay
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"marigoldshunt/internal/catalog"
@@ -13,8 +15,7 @@
 const engineService = "engines"
 
 // fleet is the policy of the real hosts: each host picks engines with its own dispatcher,
-// and each engine has one gate. Messages between hosts take no time, except that loads are
-// exchanged every exchangeInterval.
+// and each engine has one gate. Loads are exchanged every exchangeInterval.
 type fleet struct {
 	sim       *Simulation
 	hosts     []*dispatch.Dispatcher
@@ -26,6 +27,8 @@
 	// admissionIDs holds the IDs of these attempts at the gates.
 	admissionIDs map[*Attempt]dispatch.AdmissionID
 	seq          uint64
+	// freeAt is, by host, when it can handle the next attempt.
+	freeAt []time.Time
 }
 
 type placedAttempt struct {
@@ -33,6 +36,8 @@
 	job       *dispatch.Job
 	placement *dispatch.Placement
 	engine    int
+	// declined counts the gates that refused the request.
+	declined int
 }
 
 func newFleet(sim *Simulation) Policy {
@@ -44,12 +49,13 @@
 	for i := range sim.load.Hosts {
 		names = append(names, fmt.Sprintf("host-%d", i))
 	}
-	services := []routing.Service{{Name: engineService, Engine: &routing.Engine{Slots: opts.Slots, MemoryTokens: opts.MemoryTokens, TokensPerEvent: opts.TokensPerEvent}}}
+	services := []routing.Service{{Name: engineService, Engine: &routing.Engine{Slots: opts.Slots, MemoryTokens: opts.MemoryTokens, TokensPerEvent: opts.TokensPerEvent},
+		WarmUpTime: sim.load.WarmUpTime, ColdPerSecond: sim.load.ColdPerSecond}}
 	for i, name := range names {
 		d := dispatch.New(dispatch.Options{Host: name, DataCentre: f.dataCentre(i)})
 		d.SetServices(services, sim.load.TokensPerSecond)
 		d.SetHosts(names)
-		f.hosts = append(f.hosts, d)
+		f.hosts, f.freeAt = append(f.hosts, d), append(f.freeAt, simStart)
 	}
 	for i := range sim.load.Engines {
 		f.gates = append(f.gates, dispatch.NewGate(opts.Slots, opts.MemoryTokens, f.speed))
@@ -67,6 +73,19 @@
 
 // HandleAttempt implements Policy.
 func (f *fleet) HandleAttempt(a *Attempt, now time.Time) {
+	free := f.freeAt[a.Host]
+	if free.Before(now) {
+		free = now
+	}
+	f.freeAt[a.Host] = free.Add(f.sim.load.HandlingTime)
+	f.sim.After(f.freeAt[a.Host].Sub(now), func(now time.Time) {
+		if !a.ended {
+			f.rank(a, now)
+		}
+	})
+}
+
+func (f *fleet) rank(a *Attempt, now time.Time) {
 	j := &dispatch.Job{
 		Service: engineService, InputTokens: a.inputTokens(), OutputTokens: a.Output, Objective: a.Kind.Objective,
 		Account: a.Account, Remaining: a.Kind.CallerTimeout - now.Sub(a.At),
@@ -75,42 +94,72 @@
 		j.Parts = append(j.Parts, dispatch.Part(p))
 	}
 	f.hosts[a.Host].RecordDemand(j, now)
-	for declined := 1; ; declined++ {
-		wait, ok := f.requestAdmission(a, j, now)
-		if ok {
-			return
-		}
-		if !j.MayTryAnotherEngine(declined) {
-			f.hosts[a.Host].RecordRefusal(j, now)
-			f.sim.Refuse(a, dispatch.RetryAfter(wait, a.Kind.Objective))
-			return
-		}
-	}
+	f.requestAdmission(&placedAttempt{attempt: a, job: j}, now)
 }
 
-// requestAdmission asks the gate of the engine that the host picks to admit a request. If
-// the gate refuses, ok is false and wait is the expected time until the first event.
-func (f *fleet) requestAdmission(a *Attempt, j *dispatch.Job, now time.Time) (wait time.Duration, ok bool) {
-	placement, err := f.hosts[a.Host].Pick(j, now)
+// requestAdmission asks the gate of the engine that the host picks to admit a request.
+func (f *fleet) requestAdmission(p *placedAttempt, now time.Time) {
+	placement, err := f.hosts[p.attempt.Host].Pick(p.job, now)
 	if err != nil {
-		return exchangeInterval, false
+		f.declined(p, exchangeInterval, now)
+		return
 	}
-	j.Tried = append(j.Tried, placement.Instance.Key())
-	engine := f.engineIndex(placement.Instance)
+	p.job.Tried = append(p.job.Tried, placement.Instance.Key())
+	p.placement, p.engine = placement, f.engineIndex(placement.Instance)
 	f.seq++
-	id := dispatch.AdmissionID{Host: fmt.Sprint(a.Host), Seq: f.seq}
-	reply := f.gates[engine].Request(dispatch.AdmissionRequest{
+	id := dispatch.AdmissionID{Host: fmt.Sprint(p.attempt.Host), Seq: f.seq}
+	f.placed[id], f.admissionIDs[p.attempt] = p, id
+	f.sim.After(f.sim.load.MessageDelay, func(now time.Time) {
+		if f.placed[id] == p {
+			f.requestAtGate(id, p, now)
+		}
+	})
+}
+
+func (f *fleet) requestAtGate(id dispatch.AdmissionID, p *placedAttempt, now time.Time) {
+	a, j := p.attempt, p.job
+	reply := f.gates[p.engine].Request(dispatch.AdmissionRequest{
 		ID: id, Parts: j.Parts, Tokens: j.InputTokens, FirstEventDue: a.At.Add(a.Kind.Objective), Deadline: a.At.Add(a.Kind.CallerTimeout), Rank: j.Rank,
 	}, now)
-	if !reply.Granted && !reply.Queued {
-		placement.Done(dispatch.Refused, now)
-		return reply.Wait, false
-	}
-	f.placed[id], f.admissionIDs[a] = &placedAttempt{a, j, placement, engine}, id
-	if reply.Granted {
+	switch {
+	case reply.Granted:
 		f.send(id)
+	case !reply.Queued:
+		f.replyToHost(id, func(p *placedAttempt, now time.Time) {
+			f.unplace(id, dispatch.Refused, now)
+			f.declined(p, reply.Wait, now)
+		})
+	}
+}
+
+// replyToHost brings the reply of a gate to the host of a request, unless the request ends before.
+func (f *fleet) replyToHost(id dispatch.AdmissionID, handle func(*placedAttempt, time.Time)) {
+	p := f.placed[id]
+	f.sim.After(f.sim.load.MessageDelay, func(now time.Time) {
+		if p != nil && f.placed[id] == p {
+			handle(p, now)
+		}
+	})
+}
+
+// declined asks another gate or refuses the request. wait is the expected time until its first
+// event.
+func (f *fleet) declined(p *placedAttempt, wait time.Duration, now time.Time) {
+	p.declined++
+	if p.job.MayTryAnotherEngine(p.declined) {
+		f.requestAdmission(p, now)
+		return
 	}
-	return 0, true
+	f.hosts[p.attempt.Host].RecordRefusal(p.job, now)
+	f.sim.Refuse(p.attempt, dispatch.RetryAfter(wait, p.attempt.Kind.Objective))
+}
+
+// unplace forgets a request that waited at a gate or was sent.
+func (f *fleet) unplace(id dispatch.AdmissionID, o dispatch.Outcome, now time.Time) {
+	p := f.placed[id]
+	delete(f.admissionIDs, p.attempt)
+	delete(f.placed, id)
+	p.placement.Done(o, now)
 }
 
 func (f *fleet) engineIndex(i catalog.Instance) int {
@@ -123,8 +172,7 @@
 }
 
 func (f *fleet) send(id dispatch.AdmissionID) {
-	p := f.placed[id]
-	f.sim.Send(p.attempt, p.engine)
+	f.replyToHost(id, func(p *placedAttempt, _ time.Time) { f.sim.Send(p.attempt, p.engine) })
 }
 
 // FirstEvent implements Policy.
@@ -140,7 +188,12 @@
 func (f *fleet) Done(a *Attempt, outcome dispatch.Outcome, now time.Time) { f.end(a, outcome, now) }
 
 // Cancelled implements Policy.
-func (f *fleet) Cancelled(a *Attempt, now time.Time) { f.end(a, dispatch.Cancelled, now) }
+func (f *fleet) Cancelled(a *Attempt, now time.Time) {
+	if id, known := f.admissionIDs[a]; known {
+		f.hosts[a.Host].RecordRefusal(f.placed[id].job, now)
+	}
+	f.end(a, dispatch.Cancelled, now)
+}
 
 func (f *fleet) end(a *Attempt, o dispatch.Outcome, now time.Time) {
 	id, known := f.admissionIDs[a]
@@ -148,9 +201,7 @@
 		return
 	}
 	p := f.placed[id]
-	delete(f.admissionIDs, a)
-	delete(f.placed, id)
-	p.placement.Done(o, now)
+	f.unplace(id, o, now)
 	f.gates[p.engine].Done(id, now)
 	f.runGate(p.engine, now)
 }
@@ -162,24 +213,24 @@
 	for _, id := range granted {
 		f.send(id)
 	}
-	f.refuse(refused, now)
+	f.refuse(refused)
 }
 
-func (f *fleet) refuse(ids []dispatch.AdmissionID, now time.Time) {
+// refuse refuses requests that waited at a gate.
+func (f *fleet) refuse(ids []dispatch.AdmissionID) {
 	for _, id := range ids {
-		p := f.placed[id]
-		delete(f.admissionIDs, p.attempt)
-		delete(f.placed, id)
-		p.placement.Done(dispatch.Refused, now)
-		f.hosts[p.attempt.Host].RecordRefusal(p.job, now)
-		f.sim.Refuse(p.attempt, dispatch.RetryAfter(0, p.attempt.Kind.Objective))
+		f.replyToHost(id, func(p *placedAttempt, now time.Time) {
+			f.unplace(id, dispatch.Refused, now)
+			f.hosts[p.attempt.Host].RecordRefusal(p.job, now)
+			f.sim.Refuse(p.attempt, dispatch.RetryAfter(0, p.attempt.Kind.Objective))
+		})
 	}
 }
 
 // ExchangeLoads implements Policy.
 func (f *fleet) ExchangeLoads(now time.Time) {
 	for i, g := range f.gates {
-		f.refuse(g.RefuseLate(now), now)
+		f.refuse(g.RefuseLate(now))
 		f.runGate(i, now)
 		backlog, running := g.Backlog(now)
 		for _, d := range f.hosts {
@@ -190,18 +241,30 @@
 		rates := from.OwnRates(now)
 		for j, to := range f.hosts {
 			if i != j {
-				to.SetPeerRates(fmt.Sprint(i), rates, now)
+				f.sim.After(f.sim.load.RatesDelay, func(now time.Time) { to.SetPeerRates(fmt.Sprint(i), rates, now) })
 			}
 		}
 	}
 }
 
+// waitingAt returns the requests that wait at the gate of an engine, in the order of arrival.
+func (f *fleet) waitingAt(engine int) (ids []dispatch.AdmissionID) {
+	for id, p := range f.placed {
+		if p.engine == engine && !p.attempt.sent {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b dispatch.AdmissionID) int { return cmp.Compare(a.Seq, b.Seq) })
+	return ids
+}
+
 // SetEngines implements Policy.
 func (f *fleet) SetEngines(up []bool, now time.Time) {
 	var list []catalog.Instance
 	opts := f.sim.load.engineOptions()
 	for i := range f.instances {
 		if !up[i] {
+			f.refuse(f.waitingAt(i))
 			f.instances[i].Born++
 			f.gates[i] = dispatch.NewGate(opts.Slots, opts.MemoryTokens, f.speed)
 			continue
--- a/internal/loadplay/load.go
+++ b/internal/loadplay/load.go
@@ -31,11 +31,21 @@
 	MemoryTokens      int     `toml:"memory_tokens"`
 	PromptTokensPerMs float64 `toml:"read_per_ms"`
 	// TokensPerSecond is the contractual throughput of all engines together.
-	TokensPerSecond float64        `toml:"tokens_per_second"`
-	Kinds           []RequestKind  `toml:"kind"`
-	Accounts        []Account      `toml:"account"`
-	Surges          []Surge        `toml:"surge"`
-	EngineOutages   []EngineOutage `toml:"loss"`
+	TokensPerSecond float64 `toml:"tokens_per_second"`
+	// MessageDelay is the time that a message takes between a host and the owner of a gate,
+	// RatesDelay that of the rates which hosts report to each other.
+	MessageDelay time.Duration `toml:"message_delay"`
+	RatesDelay   time.Duration `toml:"rates_delay"`
+	// HandlingTime is the time that a host spends on one attempt before it handles the next.
+	HandlingTime time.Duration `toml:"handling_time"`
+	// WarmUpTime is how long an engine is cold after an outage, ColdPerSecond the number of
+	// requests that a cold engine gets in a second.
+	WarmUpTime    time.Duration  `toml:"warm_up"`
+	ColdPerSecond float64        `toml:"cold_per_second"`
+	Kinds         []RequestKind  `toml:"kind"`
+	Accounts      []Account      `toml:"account"`
+	Surges        []Surge        `toml:"surge"`
+	EngineOutages []EngineOutage `toml:"loss"`
 }
 
 // RequestKind is one kind of request.
@@ -71,6 +81,8 @@
 type Account struct {
 	Name  string  `toml:"name"`
 	Share float64 `toml:"share"`
+	// OneHost is true for an account whose attempts all arrive at one host.
+	OneHost bool `toml:"one_host"`
 }
 
 // Surge multiplies the load of one kind or account, or of all, for a period of time.
@@ -82,12 +94,26 @@
 	Account string        `toml:"account"`
 }
 
-// EngineOutage takes an engine down for a period of time. It comes back as a newly started engine,
-// with an empty cache.
+// EngineOutage takes engines down for a period of time. They come back as newly started engines,
+// with empty caches.
 type EngineOutage struct {
-	At     time.Duration `toml:"at"`
-	For    time.Duration `toml:"for"`
-	Engine int           `toml:"engine"`
+	At  time.Duration `toml:"at"`
+	For time.Duration `toml:"for"`
+	// Engine is the first one, Count the number of engines, 0 for one.
+	Engine int `toml:"engine"`
+	Count  int `toml:"count"`
+	// Stagger is the time from the return of one engine to that of the next. Notice is the time
+	// until the hosts know of the outage.
+	Stagger time.Duration `toml:"stagger"`
+	Notice  time.Duration `toml:"notice"`
+}
+
+// engineCount returns the number of engines of the outage.
+func (o *EngineOutage) engineCount() int { return max(o.Count, 1) }
+
+// returnsAt returns when the n-th engine of the outage comes back.
+func (o *EngineOutage) returnsAt(n int) time.Duration {
+	return o.At + o.For + time.Duration(n)*o.Stagger
 }
 
 // ReadFile reads a load from a TOML file. Unknown keys are an error.
@@ -130,8 +156,8 @@
 		}
 	}
 	for _, s := range l.EngineOutages {
-		if s.Engine < 0 || s.Engine >= l.Engines {
-			return invalid("there is no engine %d to lose", s.Engine)
+		if s.Engine < 0 || s.Engine+s.engineCount() > l.Engines {
+			return invalid("there is no engine %d to lose", s.Engine+s.engineCount()-1)
 		}
 	}
 	return nil
@@ -154,11 +180,12 @@
 	ID      uint64
 	Kind    *RequestKind
 	Account string
-	// Host is where the first attempt arrives.
-	Host   int
-	Parts  []enginemodel.Part
-	Output int
-	At     time.Time
+	// Host is where the first attempt arrives, and with OneHost each further one.
+	Host    int
+	OneHost bool
+	Parts   []enginemodel.Part
+	Output  int
+	At      time.Time
 }
 
 // inputTokens returns the length of the prompt.
@@ -206,10 +233,14 @@
 		if at >= l.Length {
 			return out
 		}
-		out = append(out, &Request{
-			ID: uint64(len(out)), Kind: k, Account: a.Name, Host: rng.Intn(l.Hosts), At: simStart.Add(at),
+		r := &Request{
+			ID: uint64(len(out)), Kind: k, Account: a.Name, Host: rng.Intn(l.Hosts), OneHost: a.OneHost, At: simStart.Add(at),
 			Parts: k.prompt(rng, kind), Output: randomAround(rng, k.OutputTokens),
-		})
+		}
+		if a.OneHost {
+			r.Host = account % l.Hosts
+		}
+		out = append(out, r)
 	}
 }
 
--- a/internal/loadplay/loadplay_test.go
+++ b/internal/loadplay/loadplay_test.go
@@ -123,6 +123,7 @@
 		strings.Replace(string(good), `patience = "4s"`, "", 1),
 		strings.Replace(string(good), "share = 4.0", "share = 0.0", 1),
 		strings.Replace(string(good), "engine = 3", "engine = 12", 1),
+		strings.Replace(string(good), "engine = 3", "engine = 3\ncount = 10", 1),
 		"length = ",
 	} {
 		path := filepath.Join(c.TempDir(), "load.toml")
--- a/internal/loadplay/player.go
+++ b/internal/loadplay/player.go
@@ -58,16 +58,24 @@
 
 // Simulation is the state of one simulated fleet, on which its policy acts.
 type Simulation struct {
-	load     *Load
-	engines  []*enginemodel.Engine
-	up       []bool
-	policy   Policy
-	result   *Result
-	attempts map[uint64]*Attempt
+	load    *Load
+	engines []*enginemodel.Engine
+	// up holds which engines are up, known what the hosts know of it.
+	up, known []bool
+	policy    Policy
+	result    *Result
+	attempts  map[uint64]*Attempt
 	// retrying holds the retries of refused callers, inTransit the requests on their way to
 	// an engine.
 	retrying, inTransit []scheduledAttempt
-	now                 time.Time
+	// delayed holds what happens later, in the order of time.
+	delayed []delayedCall
+	now     time.Time
+}
+
+type delayedCall struct {
+	at   time.Time
+	call func(now time.Time)
 }
 
 // scheduledAttempt is an attempt that continues at a later time.
@@ -81,15 +89,16 @@
 	s := &Simulation{load: l, attempts: map[uint64]*Attempt{}, now: simStart}
 	for range l.Engines {
 		s.engines = append(s.engines, enginemodel.New(l.engineOptions(), simStart))
-		s.up = append(s.up, true)
+		s.up, s.known = append(s.up, true), append(s.known, true)
 	}
 	s.policy = newPolicy(s)
 	s.result = newResult(s.policy.Name(), l)
-	s.policy.SetEngines(s.up, simStart)
+	s.policy.SetEngines(s.known, simStart)
 	requests := l.requests()
 	for end := simStart.Add(l.Length + drainTime); s.now.Before(end); s.now = s.now.Add(tick) {
 		s.applyEngineOutages()
 		s.advance()
+		s.runDelayed()
 		for len(requests) > 0 && !requests[0].At.After(s.now) {
 			s.result.recordArrival(requests[0])
 			s.startAttempt(&Attempt{Request: requests[0], Host: requests[0].Host})
@@ -112,6 +121,30 @@
 	s.policy.HandleAttempt(a, s.now)
 }
 
+// After calls f after a delay, immediately if there is none.
+func (s *Simulation) After(delay time.Duration, f func(now time.Time)) {
+	if delay <= 0 {
+		f(s.now)
+		return
+	}
+	at := s.now.Add(delay)
+	i, _ := slices.BinarySearchFunc(s.delayed, at, func(d delayedCall, at time.Time) int {
+		if d.at.After(at) {
+			return 1
+		}
+		return -1
+	})
+	s.delayed = slices.Insert(s.delayed, i, delayedCall{at, f})
+}
+
+func (s *Simulation) runDelayed() {
+	for len(s.delayed) > 0 && !s.delayed[0].at.After(s.now) {
+		d := s.delayed[0]
+		s.delayed = s.delayed[1:]
+		d.call(s.now)
+	}
+}
+
 // Send sends a request to an engine.
 func (s *Simulation) Send(a *Attempt, engine int) {
 	a.engine, a.sent = engine, true
@@ -127,6 +160,9 @@
 	retryAt := s.now.Add(retryAfter)
 	if a.Retries < a.Kind.MaxRetries && retryAt.Before(a.At.Add(a.Kind.CallerTimeout)) {
 		next := &Attempt{Request: a.Request, Host: (a.Host + 1) % s.load.Hosts, Retries: a.Retries + 1}
+		if a.OneHost {
+			next.Host = a.Host
+		}
 		s.retrying = append(s.retrying, scheduledAttempt{next, retryAt})
 		return
 	}
@@ -238,24 +274,44 @@
 // applyEngineOutages takes engines down and brings them back up.
 func (s *Simulation) applyEngineOutages() {
 	changed := false
-	for _, outage := range s.load.EngineOutages {
-		switch s.now.Sub(simStart) {
-		case outage.At.Round(tick):
-			s.up[outage.Engine], changed = false, true
-			for _, a := range s.requestsAt(outage.Engine) {
-				s.endAttempt(a, dispatch.Failed)
-				s.result.recordFailed(a)
+	for i := range s.load.EngineOutages {
+		o := &s.load.EngineOutages[i]
+		since := s.now.Sub(simStart)
+		for n := range o.engineCount() {
+			engine := o.Engine + n
+			switch since {
+			case o.At.Round(tick):
+				s.takeDown(engine)
+			case o.returnsAt(n).Round(tick):
+				s.bringUp(engine)
+				changed = true
+			}
+			if since == (o.At + o.Notice).Round(tick) {
+				s.known[engine] = s.up[engine]
+				changed = true
 			}
-		case (outage.At + outage.For).Round(tick):
-			s.up[outage.Engine], changed = true, true
-			s.engines[outage.Engine] = enginemodel.New(s.load.engineOptions(), s.now)
 		}
 	}
 	if changed {
-		s.policy.SetEngines(s.up, s.now)
+		s.policy.SetEngines(s.known, s.now)
+	}
+}
+
+func (s *Simulation) takeDown(engine int) {
+	s.up[engine] = false
+	for _, a := range s.requestsAt(engine) {
+		s.endAttempt(a, dispatch.Failed)
+		s.result.recordFailed(a)
 	}
 }
 
+func (s *Simulation) bringUp(engine int) {
+	s.up[engine], s.known[engine] = true, true
+	opts := s.load.engineOptions()
+	opts.ColdTime = s.load.WarmUpTime
+	s.engines[engine] = enginemodel.New(opts, s.now)
+}
+
 // requestsAt returns the requests that were sent to an engine, in the order of their IDs.
 func (s *Simulation) requestsAt(engine int) (list []*Attempt) {
 	for _, a := range s.attempts {
