Count waits and repeated refusals in each second of a window

Cause: UnfairWindows counted a refusal only in the second in which its request arrived, and a request that waited past its objective until its caller left in none. The users' rule counts each second in which a request is refused or waits past its objective, so that the check was weaker than the rule.

Change: refusals count in their own second too, overdue waits in each second.

--- a/internal/loadplay/player.go
+++ b/internal/loadplay/player.go
@@ -221,7 +221,7 @@
 		s.result.recordResponse(a)
 	case enginemodel.Aborted:
 		s.endAttempt(a, dispatch.Failed)
-		s.result.recordFailed(a)
+		s.result.recordFailed(a, s.now)
 	}
 }
 
@@ -267,7 +267,7 @@
 			delete(s.attempts, a.ID)
 			s.policy.Cancelled(a, s.now)
 		}
-		s.result.recordFailed(a)
+		s.result.recordFailed(a, s.now)
 	}
 }
 
@@ -301,7 +301,7 @@
 	s.up[engine] = false
 	for _, a := range s.requestsAt(engine) {
 		s.endAttempt(a, dispatch.Failed)
-		s.result.recordFailed(a)
+		s.result.recordFailed(a, s.now)
 	}
 }
 
@@ -326,7 +326,7 @@
 // finish counts the requests that are still open and collects the totals of the engines.
 func (s *Simulation) finish() {
 	for _, a := range s.attempts {
-		s.result.recordFailed(a)
+		s.result.recordFailed(a, s.now)
 	}
 	for _, r := range s.retrying {
 		s.result.recordRefused(r.attempt)
--- a/internal/loadplay/result.go
+++ b/internal/loadplay/result.go
@@ -21,8 +21,9 @@
 	// servedTokens holds, by account, the tokens of the requests whose responses began in
 	// each second, requestedTokens those of the requests that arrived in it.
 	servedTokens, requestedTokens map[string][]float64
-	// missed counts, by account and second of arrival, the refused attempts and the late
-	// responses. largestRequest is the largest request of each account in tokens.
+	// missed counts, by account and second, the refused attempts, the late responses and the
+	// requests that wait past their objective. An attempt counts in the second in which it is
+	// refused and in that in which its request arrived. largestRequest is the largest request of each account in tokens.
 	missed         map[string][]int
 	largestRequest map[string]float64
 	// earnedWorth is the worth that the requests of each second of arrival earned,
@@ -80,6 +81,7 @@
 	if a.late {
 		earned = a.Kind.LateWorth
 		r.missed[a.Account][secondOf(a.At)]++
+		r.recordWait(a, a.firstEventAt)
 	}
 	r.forTallies(a.Request, func(x *Tally) {
 		x.EarnedWorth += earned
@@ -100,9 +102,26 @@
 func (r *Result) recordRefusedAttempt(a *Attempt, now time.Time) {
 	r.forTallies(a.Request, func(x *Tally) { x.refusalDelays = append(x.refusalDelays, now.Sub(a.startedAt)) })
 	r.missed[a.Account][secondOf(a.At)]++
+	r.missed[a.Account][secondOf(now)]++
 }
 
-func (r *Result) recordFailed(a *Attempt) { r.forTallies(a.Request, func(x *Tally) { x.Failed++ }) }
+// recordWait records that a request waited for its first event until a time.
+func (r *Result) recordWait(a *Attempt, until time.Time) {
+	due := a.At.Add(a.Kind.Objective)
+	if due.After(until) {
+		return
+	}
+	for s := secondOf(due); s <= secondOf(until); s++ {
+		r.missed[a.Account][s]++
+	}
+}
+
+func (r *Result) recordFailed(a *Attempt, now time.Time) {
+	if a.firstEventAt.IsZero() {
+		r.recordWait(a, now)
+	}
+	r.forTallies(a.Request, func(x *Tally) { x.Failed++ })
+}
 
 // EarnedFraction returns EarnedWorth as a fraction of OfferedWorth.
 func (t *Tally) EarnedFraction() float64 { return t.EarnedWorth / max(t.OfferedWorth, 1e-9) }
@@ -164,7 +183,7 @@
 }
 
 // UnfairWindows counts, for all accounts, the windows of six seconds in which the account
-// was treated unfairly. That is the case if some of its requests were refused or late in
+// was treated unfairly. That is the case if some of its requests were refused, late or overdue in
 // every second, and it was served less than half of what it requested or of what the
 // best-served account got, using the smaller of the two in every second. A shortfall of up
 // to three of its largest requests is tolerated.
