Add failing tests of an account that floods and is starved

What callers saw: while a third of the engines was gone, an account that asked for more than all engines serve got a seventh of what another one got.

Cause, as the tests show: a request counts as served from when it is asked until its refusal takes it back, and each host keeps the rate at 0 or above. The tokens of an account that floods and is refused after d therefore count as demand * d / 2 s of service; with 16 hosts, ten times the capacity and 300 ms none of its requests gets the highest rank although it is served nothing.

--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -115,6 +116,49 @@
 	c.Assert(got["unlucky"] >= got["lucky"]*0.8, qt.IsTrue, qt.Commentf("%v", got))
 }
 
+// Guards against an account that loses its rank through requests that are refused late, although
+// it is served less than its share.
+func TestRequestsThatAreRefusedLateDoNotCountAsServed(t *testing.T) {
+	c := qt.New(t)
+	const refusedAfterMs, requestTokens = 300, 2_000
+	hosts := make([]*FairShares, 16)
+	pending := map[int]*FairShares{}
+	for i := range hosts {
+		hosts[i] = newFairShares()
+		hosts[i].configuredCapacity = 20_000
+	}
+	within := 0.0
+	for ms := 0; ms < 10_000; ms += 10 {
+		now := at(ms)
+		if s := pending[ms-refusedAfterMs]; s != nil {
+			s.RecordRefusal("flood", requestTokens, now)
+		}
+		// The flood demands ten times the capacity, the neighbour half of it.
+		s := hosts[ms/10%len(hosts)]
+		s.RecordDemand("neighbour", 100, now)
+		if s.RecordDemand("flood", requestTokens, now) == WithinConfiguredShare && ms >= 4_000 {
+			within += requestTokens
+		}
+		pending[ms] = s
+		if ms%100 == 0 {
+			exchangeRates(hosts, now)
+		}
+	}
+	c.Assert(within >= 6*10_000, qt.IsTrue, qt.Commentf("%.0f tokens in 6 s", within))
+}
+
+// exchangeRates tells each host what the others demand and are served.
+func exchangeRates(hosts []*FairShares, now time.Time) {
+	for i, from := range hosts {
+		rates := from.OwnRates(now)
+		for j, to := range hosts {
+			if i != j {
+				to.SetPeerRates(fmt.Sprint(i), rates, now)
+			}
+		}
+	}
+}
+
 // Guards against a rank in logs that its reader has to look up, and against one that a message of
 // another host puts out of range.
 func TestRankHasAName(t *testing.T) {
--- a/internal/loadplay/fairness_test.go
+++ b/internal/loadplay/fairness_test.go
@@ -31,3 +31,15 @@
 		c.Check(r.UnfairWindows(), qt.Equals, 1, qt.Commentf("%s", name))
 	}
 }
+
+// Guards against an account that floods and gets far less than others while engines are gone.
+func TestFloodedAccountIsNotStarvedWhileEnginesAreGone(t *testing.T) {
+	for seed := range int64(4) {
+		c := qt.New(t)
+		l, err := ReadFile("../../examples/loads/outage-under-flood.toml")
+		c.Assert(err, qt.IsNil)
+		l.Seed = seed + 1
+		r := Simulate(l, newFleet)
+		c.Check(r.UnfairWindows(), qt.Equals, 0, qt.Commentf("seed %d", l.Seed))
+	}
+}
