Count and log successes on stream routes that are no event stream

Whether an answer is checked as a stream depends on the type that the upstream names; an answer that was not checked could not be told from a sound one in logs and metrics. Counter gateway.answers_not_streams and a warning with the instance, the status and the first bytes of the type. Nothing else changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/routing"
 )
 
 // maxSends bounds how many times a request is sent, including retries after an instance
@@ -209,6 +210,9 @@
 // instance ran the request.
 func (q *request) relay(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
 	names := &q.server.opts.HeaderNames
+	if resp.Status < 300 && q.route.Kind == routing.Stream && !isStream(resp) && names.ownResponse(resp.Header) {
+		q.recordNotStream(p, resp)
+	}
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		q.server.opts.Dispatcher.markReplaced(p)
