Close the connection to an upstream after garbage, even if its response has ended

A host closes the connection at the first bytes that are no event of the run. Where the reader had already met the end of the body, the connection went back to the pool instead, and later requests were sent to the same upstream on it. CloseConnection ends it in each case.

--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -68,6 +68,7 @@
 	writeResult      chan error
 	resp             *http.Response
 	bodyEnded        bool
+	connClosed       bool
 }
 
 // Forward sends a request and returns once the header of its response is read. Until Close
@@ -198,11 +199,18 @@
 
 func (r readerFunc) Read(p []byte) (int, error) { return r(p) }
 
+// CloseConnection closes the connection, so that neither the rest of the response nor a later one is
+// read from it. Close must be called all the same.
+func (f *ForwardResponse) CloseConnection() {
+	f.connClosed = true
+	f.conn.Close()
+}
+
 // Close keeps the connection for other requests if the response ended cleanly. Otherwise it
 // closes the connection, which cancels the request at most upstreams.
 func (f *ForwardResponse) Close() {
 	live := f.stopContextWatch()
-	if !live || !f.bodyEnded || !f.Framed || f.resp.Close || !f.requestWritten() {
+	if !live || f.connClosed || !f.bodyEnded || !f.Framed || f.resp.Close || !f.requestWritten() {
 		f.conn.Close()
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -42,7 +42,7 @@
 		}
 		var garbage *garbageError
 		if errors.As(err, &garbage) {
-			return q.garbled(p, garbage)
+			return q.garbled(p, resp, garbage)
 		}
 		if err != nil {
 			return q.truncated(ctx, p, err)
@@ -74,9 +74,10 @@
 	}
 }
 
-// garbled returns the outcome and error of a run that sent garbage. The caller of relayStream closes
-// the connection, which ends the run.
-func (q *request) garbled(p *dispatch.Placement, garbage *garbageError) (dispatch.Outcome, error) {
+// garbled ends a run that sent garbage, and returns its outcome and error. Nothing more is read from
+// the connection, even if the response has ended: what is there can't be trusted.
+func (q *request) garbled(p *dispatch.Placement, resp *engine.ForwardResponse, garbage *garbageError) (dispatch.Outcome, error) {
+	resp.CloseConnection()
 	q.server.count("garbled_streams")
 	if !logsink.Drops(q.server.log, logrus.WarnLevel) {
 		q.server.log.WithFields(logrus.Fields{
