Name the kinds of garbage that an emulator sends

Cause: the emulator spoiled streams with one anonymous list of pieces between sound events. It never spoiled the head of a response (type, status, framing), the connection where a chunk is due, or the data of an event with a sound id, so no test and no soak could send what the users' record may hold.

A garbage response counts as a run of its request.

--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -50,11 +50,16 @@
 	fs.BoolVar(&opts.Leaving, "leaving", false, "say in answers to routed requests that the upstream is about to stop")
 	fs.StringVar(&opts.CrashPart, "crash-part", "", "hexadecimal id of a prompt part, not the last one, that makes the upstream crash")
 	fs.DurationVar(&opts.CrashDowntime, "crash-down", 500*time.Millisecond, "how long connections are refused after a crash")
-	fs.Float64Var(&opts.GarbageRate, "garbage", 0, "fraction of events of routed streams before which bytes come that are no event")
+	fs.Float64Var(&opts.GarbageRate, "garbage", 0, "fraction of events of routed streams at which garbage comes, and of their responses that are garbage as a whole")
+	garbageKinds := fs.String("garbage-kinds", "", "kinds of garbage, separated by commas; empty for all kinds")
 	fs.Int64Var(&opts.Seed, "seed", time.Now().UnixNano(), "seed of the random numbers and the instance ID")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("UPSTREAM_EMULATOR")); err != nil {
 		log.WithError(err).Fatal("Failed to parse the flags.")
 	}
+	var err error
+	if opts.GarbageKinds, err = ParseGarbageKinds(*garbageKinds); err != nil {
+		log.WithError(err).Fatal("Failed to parse the flags.")
+	}
 	opts.Kind = config.PoolKind(*kind)
 	if *engine {
 		model.Slots, model.ColdTime, model.ReportLag = opts.Slots, opts.ColdTime, opts.ReportLag
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -70,11 +70,13 @@
 	CrashPart string
 	// CrashDowntime is how long connections are refused after a crash.
 	CrashDowntime time.Duration
-	// GarbageRate is the fraction of events of routed streams before which bytes come that are no
-	// event.
+	// GarbageRate is the fraction of events of routed streams at which garbage comes, and the
+	// fraction of their responses that are garbage as a whole.
 	GarbageRate float64
-	Seed        int64
-	Log         *logrus.Logger
+	// GarbageKinds are the kinds of garbage; empty means all.
+	GarbageKinds []GarbageKind
+	Seed         int64
+	Log          *logrus.Logger
 }
 
 const (
@@ -98,6 +100,7 @@
 
 	mu                  sync.Mutex
 	rng                 *rand.Rand
+	garbage             garbageSource
 	srv                 *http.Server
 	listener            net.Listener
 	conns               map[net.Conn]struct{}
@@ -156,7 +159,8 @@
 	}
 	e := &Emulator{
 		opts: opts, rng: rand.New(rand.NewSource(opts.Seed)), conns: map[net.Conn]struct{}{},
-		debug: Debug{Requests: map[string]int{}, Keys: map[string]int{}}, cutIDs: map[string]bool{},
+		debug:   Debug{Requests: map[string]int{}, Keys: map[string]int{}, Garbage: map[GarbageKind]int{}},
+		garbage: newGarbageSource(opts.GarbageRate, opts.GarbageKinds), cutIDs: map[string]bool{},
 	}
 	e.log = opts.Log.WithFields(logrus.Fields{"part": "emulator", "name": opts.Name})
 	e.startInstance()
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -172,7 +172,6 @@
 }
 
 func (e *Emulator) streamEngine(w http.ResponseWriter, j *job, events <-chan enginemodel.Event, lastEvent int, cut bool) bool {
-	flush := http.NewResponseController(w).Flush
 	for n := lastEvent + 1; ; n++ {
 		select {
 		case <-j.ctx.Done():
@@ -181,7 +180,7 @@
 			if v.Kind != enginemodel.Produced {
 				return v.Kind == enginemodel.Finished
 			}
-			if cut && n > lastEvent+1 || e.writeEvent(w, j, n) != nil || flush() != nil {
+			if cut && n > lastEvent+1 || e.sendEvent(w, j, n) != nil {
 				return false
 			}
 		}
--- a/internal/emulator/routed.go
+++ b/internal/emulator/routed.go
@@ -88,8 +88,12 @@
 	}
 	complete := false
 	defer func() { e.finish(j, complete) }()
+	if g, ok := e.pickResponseGarbage(); ok {
+		complete = e.sendGarbageResponse(w, r, j, lastEvent, g)
+		return
+	}
 	cut := strings.Contains(string(body), CutTrigger) && e.firstCut(j.id)
-	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Content-Type", eventStreamType)
 	if e.opts.Engine != nil {
 		e.setInstanceHeaders(w, j)
 		if complete = e.serveEngine(w, r, j, lastEvent, cut); !complete {
@@ -101,46 +105,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	e.setInstanceHeaders(w, j)
-	flush := http.NewResponseController(w).Flush
 	start := time.Now()
 	for n := lastEvent + 1; n <= e.opts.TokensPerResponse; n++ {
 		if !j.pause(e.tokenDelay(n-lastEvent)-time.Since(start)) || cut && n > e.opts.TokensPerResponse/2 {
 			panic(http.ErrAbortHandler)
 		}
-		if e.writeEvent(w, j, n) != nil || flush() != nil {
+		if e.sendEvent(w, j, n) != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
 	complete = true
 }
-
-// writeEvent writes event n of a routed stream.
-func (e *Emulator) writeEvent(w io.Writer, j *job, n int) error {
-	if _, err := io.WriteString(w, e.garbage(n)); err != nil {
-		return err
-	}
-	_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Token(j.id, n))
-	return err
-}
-
-// garbage returns bytes that are no event of a run, to be sent before event n; mostly none.
-func (e *Emulator) garbage(n int) string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.opts.GarbageRate == 0 || e.rng.Float64() >= e.opts.GarbageRate {
-		return ""
-	}
-	pieces := []string{
-		strings.Repeat("\xe9", 300) + "\n\n",
-		"data: " + garbageToken + "\n\n",
-		"id:\ndata: " + garbageToken + "\n\n",
-		"id: x\ndata: " + garbageToken + "\n\n",
-		": " + garbageToken + "\ndata: " + garbageToken + "\n\n",
-		fmt.Sprintf("id: %d\ndata: %s\n\n", n+300, garbageToken),
-		"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n" + garbageToken,
-	}
-	return pieces[e.rng.Intn(len(pieces))]
-}
-
-// garbageToken is in no sound event.
-const garbageToken = "GARBAGE"
--- a/internal/emulator/work.go
+++ b/internal/emulator/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -45,6 +46,8 @@
 	TurnedCold      int `json:"turned_cold"`
 	MaxRunning      int `json:"max_running"`
 	MaxQueued       int `json:"max_queued"`
+	// Garbage counts the spoiled events and responses of routed streams by kind.
+	Garbage map[GarbageKind]int `json:"garbage"`
 	// StaleOrders counts orders refused for an old fence, StaleAccepted those accepted in
 	// spite of one by an upstream that does not check it.
 	StaleOrders   int     `json:"stale_orders"`
@@ -60,6 +63,7 @@
 	d.Instance = e.instance
 	d.Orders = append([]Order{}, e.orders...)
 	d.Requests = make(map[string]int, len(e.debug.Requests))
+	d.Garbage = maps.Clone(e.debug.Garbage)
 	for k, v := range e.debug.Requests {
 		d.Requests[k] = v
 	}
