Compare the streams that callers get with what upstreams make, byte by byte

Cause: the callers of the load tool and of the soak read streams line by line with a reader that knows no lone carriage return, skipped every line that was neither id nor data, and checked responses with status 200 only.

Change: each 2xx response of a streaming route, whatever its status and type say, is read as the format of event streams defines it (LF, CR LF and CR alone end a line) and compared byte by byte with the events that an upstream makes for the request, to the last byte of complete streams and of broken ones. What is wrong is told by kind (foreign_bytes, missing_event, repeated_event, complete_before_last_event) in the result, in the report (stream_faults) and, as a faulty response, in the exit code. A broken stream may end inside a sound event, since a host may end while it sends; these are counted apart (partial_events), as are failures that say they are streams (failures_as_streams).

TestRoutedCallerChecksResponses expects the new texts and TestRunRouted short streams too; both check what they checked.

--- a/cmd/marigoldshunt-load/main.go
+++ b/cmd/marigoldshunt-load/main.go
@@ -39,7 +39,7 @@
 		log.WithError(err).Fatal("Failed to write the report.")
 	}
 	if faulty > 0 {
-		log.WithField("faulty", faulty).Error("Some responses were incomplete, belonged to another request or had no typed error body.")
+		log.WithField("faulty", faulty).Error("Some responses were incomplete, held foreign bytes, belonged to another request or had no typed error body.")
 		os.Exit(1)
 	}
 }
--- a/internal/loadgen/routed.go
+++ b/internal/loadgen/routed.go
@@ -1,7 +1,6 @@
 package loadgen
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -60,6 +59,15 @@
 	// caller cancelled the request, Cut that the request failed in another way: the
 	// connection ended before or during the response, or the request timed out.
 	Complete, Cut, CallerCancelled bool
+	// Events is the number of events that came whole, in order and byte for byte as an upstream
+	// makes them.
+	Events int
+	// StreamFault is what is wrong with a stream, empty for nothing; Fault describes it.
+	StreamFault StreamFault
+	// PartialEvent means that the connection ended inside an event that was sound so far.
+	PartialEvent bool
+	// FailureAsStream means that a failure had the content type of an event stream and a body.
+	FailureAsStream bool
 	// Fault describes what is wrong with a response that looks complete but is not, or that
 	// belongs to another request. Such a response is a fault of the fleet.
 	Fault string
@@ -163,12 +171,11 @@
 	if id := resp.Header.Get("X-Request-Id"); id != q.ID && (id != "" || resp.StatusCode != http.StatusServiceUnavailable) {
 		r.recordFault("the answer is that of request %q", id)
 	}
-	if resp.StatusCode != http.StatusOK {
-		_, err := io.Copy(io.Discard, resp.Body)
-		return err
-	}
-	if q.Events > 0 {
+	switch {
+	case q.Events > 0 && resp.StatusCode/100 == 2:
 		return r.checkEvents(resp.Body, q)
+	case resp.StatusCode != http.StatusOK:
+		return r.readFailure(resp)
 	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
@@ -189,33 +196,3 @@
 	}
 	return nil
 }
-
-// checkEvents reads a stream and checks that its events are numbered without gaps.
-func (r *RoutedResult) checkEvents(body io.Reader, q *RoutedRequest) error {
-	sc := bufio.NewScanner(body)
-	events, complete := 0, true
-	for sc.Scan() {
-		line := sc.Text()
-		switch {
-		case strings.HasPrefix(line, "id: "):
-			events++
-			complete = false
-			if line != fmt.Sprint("id: ", events) {
-				r.recordFault("event %q comes in place %d", line, events)
-			}
-		case strings.HasPrefix(line, "data: "):
-			if line != fmt.Sprintf("data: %s/%d ", q.ID, events) {
-				r.recordFault("event %d says %q", events, line)
-			}
-		case line == "":
-			complete = true
-			if events == 1 && r.First.IsZero() {
-				r.First = time.Now()
-			}
-		}
-	}
-	if sc.Err() == nil && (events != q.Events || !complete) {
-		r.recordFault("a stream of %d events looks complete", events)
-	}
-	return sc.Err()
-}
--- a/internal/loadgen/routed_test.go
+++ b/internal/loadgen/routed_test.go
@@ -47,11 +47,12 @@
 		fault  string
 	}{
 		"whole":          {events("q", 1, 2, 3), 3, ""},
-		"short":          {events("q", 1, 2), 3, "a stream of 2 events looks complete"},
-		"gap":            {events("q", 1, 3), 2, `event "id: 3" comes in place 2`},
-		"twice":          {events("q", 1, 1), 2, `event "id: 1" comes in place 2`},
-		"foreign":        {events("other", 1, 2), 2, `event 1 says "data: other/1 "`},
-		"half an event":  {events("q", 1) + "id: 2\n", 2, "a stream of 2 events looks complete"},
+		"short":          {events("q", 1, 2), 3, `complete_before_last_event: 2 of 3 events came, then ""`},
+		"gap":            {events("q", 1, 3), 3, `missing_event: 1 of 3 events came, then "id: 3\ndata: q/3 \n\n"`},
+		"twice":          {events("q", 1, 1), 2, `repeated_event: 1 of 2 events came, then "id: 1\ndata: q/1 \n\n"`},
+		"foreign":        {events("other", 1, 2), 2, `foreign_bytes: 0 of 2 events came, then "id: 1\ndata: other/1 \n\n"`},
+		"one too many":   {events("q", 1, 2), 1, `foreign_bytes: 1 of 1 events came, then "id: 2\ndata: q/2 \n\n"`},
+		"half an event":  {events("q", 1) + "id: 2\n", 2, `complete_before_last_event: 1 of 2 events came, then "id: 2\n"`},
 		"plain":          {`{"id":"q","path":"/p/q","bytes":5}`, 0, ""},
 		"foreign plain":  {`{"id":"q","path":"/p/z","bytes":5}`, 0, `the answer is "{\"id\":\"q\",\"path\":\"/p/z\",\"bytes\":5}"`},
 		"no known form":  {"hello", 0, `the answer is "hello"`},
@@ -98,13 +99,18 @@
 			http.Error(w, "busy", http.StatusServiceUnavailable)
 			return
 		}
+		if n%4 == 3 {
+			fmt.Fprint(w, events(r.Header.Get("X-Request-Id"), 1))
+			return
+		}
 		fmt.Fprint(w, events(r.Header.Get("X-Request-Id"), 1, 2))
 	})
 	opts := RoutedOptions{DiscoveryAddresses: []string{host}, Path: "/p/", Workers: 1, Requests: 12, OutputTokens: 7, TokensPerEvent: 6, OwnTokens: 10, Prefixes: 1}
 	r, err := RunRouted(t.Context(), opts)
 	c.Assert(err, qt.IsNil)
 	c.Assert(r.Status, qt.DeepEquals, map[string]int{"200": 9, "503": 3})
-	c.Assert([]int{r.Requests, r.Complete, r.Faulty, r.Cut}, qt.DeepEquals, []int{12, 9, 0, 0})
+	c.Assert([]int{r.Requests, r.Complete, r.Faulty, r.Cut}, qt.DeepEquals, []int{12, 6, 3, 0})
+	c.Assert(r.StreamFaults, qt.DeepEquals, map[StreamFault]int{EarlyEnd: 3})
 	for _, bad := range []func(opts *RoutedOptions){
 		func(opts *RoutedOptions) { opts.DiscoveryAddresses = nil }, func(opts *RoutedOptions) { opts.Workers = maxWorkers + 1 },
 		func(opts *RoutedOptions) { opts.Requests = 0 }, func(opts *RoutedOptions) { opts.TokensPerEvent = 0 },
--- a/internal/loadgen/routedrun.go
+++ b/internal/loadgen/routedrun.go
@@ -37,11 +37,17 @@
 
 // RoutedReport counts the outcomes of a run.
 type RoutedReport struct {
-	Requests int            `json:"requests"`
-	Complete int            `json:"whole"`
-	Cut      int            `json:"cut"`
-	Faulty   int            `json:"faulty"`
-	Status   map[string]int `json:"status"`
+	Requests int `json:"requests"`
+	Complete int `json:"whole"`
+	Cut      int `json:"cut"`
+	Faulty   int `json:"faulty"`
+	// StreamFaults counts the faulty streams by what is wrong with them.
+	StreamFaults map[StreamFault]int `json:"stream_faults"`
+	// PartialEvents counts the cut streams that ended inside an event, which the end of a host
+	// explains. FailuresAsStreams counts failures with the content type of an event stream.
+	PartialEvents     int            `json:"partial_events"`
+	FailuresAsStreams int            `json:"failures_as_streams"`
+	Status            map[string]int `json:"status"`
 	// FirstMS holds quantiles of the time to the first event, or to the complete response of
 	// a service.
 	FirstMS map[string]float64 `json:"first_ms"`
@@ -71,7 +77,7 @@
 	if err := opts.check(); err != nil {
 		return nil, err
 	}
-	r := &RoutedReport{Status: map[string]int{}, FirstMS: map[string]float64{}}
+	r := &RoutedReport{Status: map[string]int{}, StreamFaults: map[StreamFault]int{}, FirstMS: map[string]float64{}}
 	var mu sync.Mutex
 	g, ctx := errgroup.WithContext(ctx)
 	for w := range opts.Workers {
@@ -114,6 +120,15 @@
 func (r *RoutedReport) add(res RoutedResult) {
 	r.Requests++
 	r.Status[fmt.Sprint(res.Status)]++
+	if res.StreamFault != "" {
+		r.StreamFaults[res.StreamFault]++
+	}
+	if res.PartialEvent {
+		r.PartialEvents++
+	}
+	if res.FailureAsStream {
+		r.FailuresAsStreams++
+	}
 	switch {
 	case res.Fault != "":
 		r.Faulty++
