Log what refused accounts asked and were sent, and what decided their ranks

No line or metric told the share levels, the rates that rank requests, what of "served" is still undecided, or which part of an account's requests is refused before any rank is looked at.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,7 +96,9 @@
 	if callerDisconnected(q.r.Context()) {
 		return fault.New(fault.CallerGone, fault.NotRun, "the caller left before the request was sent")
 	}
-	q.sends++
+	if q.sends++; q.sends == 1 {
+		q.server.loads.send(&q.job)
+	}
 	resp, err := q.server.opts.Forwarder.Forward(ctx, q.forwardRequest(p.Instance))
 	if err != nil {
 		outcome = outcomeOf(ctx, err)
--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -63,8 +63,10 @@
 	// While the connection counts as idle, it may be closed to make room for another one.
 	s.connStateChanged(c, http.StateActive)
 	if action == overload.Offload {
+		s.loads.refuse(q.account, causePassedOn)
 		err = q.passOn(p)
 	} else {
+		s.loads.refuse(q.account, causeRateLimited)
 		err = q.refuse(unread)
 	}
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,6 +123,7 @@
 	// offloader passes requests on while the host is overloaded.
 	offloader *offloader
 	places    places
+	loads     *accountLoads
 	// bodies is the use of MaxBodyMemory, buffered that of MaxBufferedBytes.
 	bodies, buffered budget
 	crashes          *crashTracker
@@ -151,6 +152,7 @@
 	s := &Server{opts: opts, log: opts.Log, crashes: newCrashTracker(opts.CrashStore, opts.Log)}
 	s.streams = newStreamTracker(opts.StreamStore, opts.Log, func() time.Duration { return streamWindow(opts.Dispatcher.hosts()) })
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
+	s.loads = newAccountLoads()
 	s.conns = newConnections(opts.MaxConnections, time.Now)
 	s.limiter.Limiter = overload.New()
 	s.offloader = newOffloader(opts.Offload, offload.NewPicker(rand.New(rand.NewSource(time.Now().UnixNano()))))
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -107,6 +107,7 @@
 		most = reserved
 	}
 	if s.opts.MaxRunning > 0 && running > limit || !s.places.take(account, most) {
+		s.loads.refuse(account, causeNoPlace)
 		return fault.New(fault.HostOverloaded, fault.NotRun, "the host serves %d requests already", running).WithRetryAfter(overloadRetryAfter)
 	}
 	s.limiter.Lock()
@@ -115,6 +116,7 @@
 		return nil
 	}
 	s.places.release(account)
+	s.loads.refuse(account, causeRateLimited)
 	return rateLimited(s.limiter.RateLimit())
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,6 +42,8 @@
 	// event.
 	objectiveDeadline time.Time
 	job               dispatch.Job
+	// rankedAt is when the job got its rank.
+	rankedAt time.Time
 	// cachedFingerprint is nil until fingerprint is first called.
 	cachedFingerprint *wire.Digest
 	// headerWritten is true once a response header was written.
@@ -117,6 +119,7 @@
 	if err := view.Check(q.server.opts.MaxAges); err != nil {
 		return err
 	}
+	takenOver := q.r.Header.Get(offloadVersionHeader) != ""
 	if err := checkOffloadVersion(q.r.Header, view.Table.Document.Version); err != nil {
 		return err
 	}
@@ -133,6 +136,9 @@
 	if err := q.authenticate(view.Table); err != nil {
 		return err
 	}
+	if takenOver {
+		q.server.loads.takeOver(q.account)
+	}
 	if err := q.server.checkLoad(q.account, q.priorityLevel); err != nil {
 		return err
 	}
@@ -156,6 +162,8 @@
 		return err
 	}
 	q.server.opts.Dispatcher.countRequest(&q.job)
+	q.server.loads.rank(&q.job)
+	q.rankedAt = time.Now()
 	return nil
 }
 
@@ -292,6 +300,9 @@
 		q.server.opts.Dispatcher.recordRefusal(&q.job)
 	}
 	failure := fault.As(err)
+	if q.sends == 0 {
+		q.server.loads.refuseRanked(&q.job, refusalCause(failure, &q.gate), time.Since(q.rankedAt))
+	}
 	switch {
 	case q.r.Context().Err() != nil:
 		return fault.New(fault.CallerGone, failure.RunState, "the caller left")
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -58,6 +58,7 @@
 			return c, nil
 		}
 		l.server.count("shed")
+		l.server.loads.refuseConnection()
 		l.refuse(c)
 	}
 }
