--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -95,6 +95,8 @@
 	// are at their engine.
 	waiters  map[uint64]*waiter
 	admitted map[uint64]*Permit
+	// stallsReportedAt is when gates that admit nothing were last logged.
+	stallsReportedAt time.Time
 }
 
 // replyBuffer is the number of replies buffered for a request and its repeats.
@@ -420,8 +422,19 @@
 	a.announce(confirmations)
 	a.mu.Lock()
 	var out []addressedReply
+	lost, stalls, reportStalls := map[catalog.Key][]dispatch.LostRequest{}, map[catalog.Key]dispatch.Stall{}, now.Sub(a.stallsReportedAt) >= stallLogInterval
+	if reportStalls {
+		a.stallsReportedAt = now
+	}
 	for k, g := range a.gates {
-		g.DropLost(now)
+		if dropped := g.DropLost(now); len(dropped) > 0 {
+			lost[k] = dropped
+		}
+		if reportStalls {
+			if s, ok := g.Stalled(stallLogAge, now); ok {
+				stalls[k] = s
+			}
+		}
 		g.RefuseLate(now) // next returns the replies to the refused ones
 		out = append(out, g.next(now)...)
 		if now.Sub(g.lastUsed) > gateIdleTimeout {
@@ -430,5 +443,7 @@
 	}
 	a.dropBypassLimitsLocked(now)
 	a.mu.Unlock()
+	a.logLost(lost)
+	a.logStalls(stalls)
 	a.sendReplies(out)
 }
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -319,13 +319,23 @@
 	return granted, refused
 }
 
-// DropLost drops admitted requests that were not confirmed for admittedTimeout.
-func (g *Gate) DropLost(now time.Time) {
+// LostRequest is an admitted request that a gate has dropped. Reading is true if its first event
+// was still waited for.
+type LostRequest struct {
+	Host    string
+	Tokens  int
+	Reading bool
+}
+
+// DropLost drops admitted requests that were not confirmed for admittedTimeout, and returns them.
+func (g *Gate) DropLost(now time.Time) (dropped []LostRequest) {
 	for id, r := range g.running {
 		if now.Sub(r.confirmedAt) > admittedTimeout {
+			dropped = append(dropped, LostRequest{Host: id.Host, Tokens: r.tokens, Reading: r.reading})
 			g.Done(id, now)
 		}
 	}
+	return dropped
 }
 
 // Backlog returns the prompt tokens in progress and queued, and the number of admitted
