Take the route's word, not the upstream's, for what is a stream

Callers of stream routes got bytes that no run had made, as complete successes: whether an answer was checked as a stream was decided by the Content-Type that the upstream named. Garbage as text/plain, without a type, as Text/Event-Stream or as 206 was passed on unchecked, and its upstream counted as a sound one, so that it kept its part of the requests.

On a stream route a success is now exactly a 200 whose media type is text/event-stream, compared as media types are. Any other success is garbage of the upstream: nothing of it reaches the caller, the connection closes, it counts as a failure of the instance and not as a crash (upstream_garbled, may_have_run), and a stream that may be resumed goes on elsewhere. On other routes an answer labelled as a stream is passed on as it came, like any other. The answer to HEAD is checked by its status and type and has no length but the upstream's own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"marigoldshunt/internal/admission"
@@ -210,9 +209,6 @@
 // instance ran the request.
 func (q *request) relay(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
 	names := &q.server.opts.HeaderNames
-	if resp.Status < 300 && q.route.Kind == routing.Stream && !isStream(resp) && names.ownResponse(resp.Header) {
-		q.recordNotStream(p, resp)
-	}
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		q.server.opts.Dispatcher.markReplaced(p)
@@ -221,8 +217,8 @@
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "instance %s refused the request with %d", p.Instance.ID, resp.Status).WithRetryAfter(shortRetryAfter)
 	case resp.Status < 300 && (!names.proven(resp.Header) || resp.Header.Get("Content-Encoding") != ""):
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "the answer of instance %s is not its own", p.Instance.ID)
-	case resp.Status < 300 && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
-		return q.relayStream(ctx, p, resp)
+	case resp.Status < 300 && q.route.Kind == routing.Stream:
+		return q.relayStreamSuccess(ctx, p, resp)
 	case q.headerWritten:
 		return dispatch.Failed, fault.New(fault.StreamCut, fault.RanAndFailed, "instance %s did not resume the stream but answered with %d", p.Instance.ID, resp.Status)
 	}
@@ -245,13 +241,12 @@
 		}
 	}
 	q.copyHeader(resp)
-	if whole {
-		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		if q.r.Method == http.MethodHead && resp.Length >= 0 {
-			q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
-		}
-	} else if resp.Length >= 0 {
-		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	length := resp.Length
+	if whole && q.r.Method != http.MethodHead {
+		length = int64(len(body))
+	}
+	if length >= 0 {
+		q.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	q.writeHeader(resp.Status)
 	if _, err := q.w.Write(body); err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -42,6 +42,7 @@
 		}
 		var garbage *garbageError
 		if errors.As(err, &garbage) {
+			q.logGarbage(p, garbage)
 			return q.garbled(p, resp, garbage)
 		}
 		if err != nil {
@@ -76,16 +77,20 @@
 
 // garbled ends a run that sent garbage, and returns its outcome and error. Nothing more is read from
 // the connection, even if the response has ended: what is there can't be trusted.
-func (q *request) garbled(p *dispatch.Placement, resp *engine.ForwardResponse, garbage *garbageError) (dispatch.Outcome, error) {
-	resp.CloseConnection()
+func (q *request) garbled(p *dispatch.Placement, resp *engine.ForwardResponse, err error) (dispatch.Outcome, error) {
 	q.server.count("garbled_streams")
-	if !logsink.Drops(q.server.log, logrus.WarnLevel) {
-		q.server.log.WithFields(logrus.Fields{
-			"request": q.id, "instance": p.Instance.ID, "address": p.Instance.Address, "expected_event": garbage.expected,
-			"reason": garbage.reason, "bytes": strconv.Quote(string(garbage.got)),
-		}).Warn("Upstream sent bytes that are no event of the stream.")
+	resp.CloseConnection()
+	return dispatch.Failed, fault.Wrap(err, fault.UpstreamGarbled, fault.MayHaveRun, "instance %s sent garbage", p.Instance.ID)
+}
+
+func (q *request) logGarbage(p *dispatch.Placement, garbage *garbageError) {
+	if logsink.Drops(q.server.log, logrus.WarnLevel) {
+		return
 	}
-	return dispatch.Failed, fault.Wrap(garbage, fault.UpstreamGarbled, fault.MayHaveRun, "instance %s sent garbage", p.Instance.ID)
+	q.server.log.WithFields(logrus.Fields{
+		"request": q.id, "instance": p.Instance.ID, "address": p.Instance.Address, "expected_event": garbage.expected,
+		"reason": garbage.reason, "bytes": strconv.Quote(string(garbage.got)),
+	}).Warn("Upstream sent bytes that are no event of the stream.")
 }
 
 // recordEvent counts the stream as late at the first pause between two events that is longer
--- a/internal/gateway/streamtype.go
+++ b/internal/gateway/streamtype.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strings"
 
@@ -12,6 +14,22 @@
 	"marigoldshunt/internal/logsink"
 )
 
+// errNotStream reports a success on a stream route that is no event stream.
+var errNotStream = errors.New("the answer is no event stream")
+
+// relayStreamSuccess relays a success on a stream route. The route says that the answer is a stream;
+// the type is only what the upstream says of it. So a success of another type or status is garbage.
+func (q *request) relayStreamSuccess(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
+	switch {
+	case !isStream(resp):
+		q.recordNotStream(p, resp)
+		return q.garbled(p, resp, errNotStream)
+	case q.r.Method == http.MethodHead:
+		return q.relayPlain(ctx, p, resp)
+	}
+	return q.relayStream(ctx, p, resp)
+}
+
 // isStream reports whether a response is a successful event stream.
 func isStream(resp *engine.ForwardResponse) bool {
 	return resp.Status == http.StatusOK && eventstream.HasMediaType(resp.Header.Values("Content-Type"))
