Read the lines of an event as the strictest reader does

Callers of event streams take a lone carriage return for the end of a line; the host did not, so that it passed on 'data: a', two carriage returns and more as one line of a sound event, and its callers saw an event without an id after it. Control characters and bytes that are no UTF-8 passed too.

A line is now UTF-8 without control characters below the space other than tabs, and ends with LF or CR LF; anything else is garbage. DEL and the control characters above 127 may stand in JSON and mean nothing to readers of events, so they pass. An id has no zeros before it: a reader compares ids as text. The lines up to the id are read byte by byte, so that garbage in them is noticed at its first byte instead of after up to 1 MiB; a number has at most 19 digits.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -19,3 +19,15 @@
 	mediaType, _, err := mime.ParseMediaType(values[0])
 	return mediaType == MediaType && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
+
+// IsText reports whether a line of an event without its end has no control character of ASCII below
+// the space, other than tabs. Some of these end a line, or hide one, for some readers, and no format
+// of data sends them. Others, from DEL on, may stand in JSON and mean nothing to readers of events.
+func IsText(line []byte) bool {
+	for _, b := range line {
+		if b < ' ' && b != '\t' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -28,3 +28,12 @@
 		qt.Check(t, HasMediaType(test.values), qt.Equals, test.want, qt.Commentf("%q", test.values))
 	}
 }
+
+// Guards against control characters that pass, and against refusing text.
+func TestIsText(t *testing.T) {
+	for b := range 256 {
+		want := b >= ' ' || b == '\t'
+		qt.Check(t, IsText([]byte{'a', byte(b), 'b'}), qt.Equals, want, qt.Commentf("%#x", b))
+	}
+	qt.Check(t, IsText(nil), qt.IsTrue)
+}
--- a/internal/gateway/streamevents.go
+++ b/internal/gateway/streamevents.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"strconv"
+	"unicode/utf8"
 
+	"marigoldshunt/internal/eventstream"
 	"marigoldshunt/internal/fault"
 )
 
@@ -24,6 +26,10 @@
 // decimal numbers that count up by one. A run begins with id 1, or, if the stream is resumed, at any id
 // up to the one after the last event that the caller has: some upstreams repeat events.
 //
+// A line is UTF-8 without control characters other than tabs, and ends with LF or CR LF. Readers of
+// event streams also take a lone CR for the end of a line, so that they would see other events than
+// this host.
+//
 // Everything else was made by no run: the upstream sends garbage, and no later byte of the run can be
 // trusted.
 type eventReader struct {
@@ -88,10 +94,7 @@
 // the caller has, and a garbageError for anything that is no event of the run. An event of more than
 // freeBufferedBytes is read only if reserve has room for it.
 func (r *eventReader) next(reserve func() bool) ([]byte, error) {
-	if err := r.awaitBegin(); err != nil {
-		return nil, err
-	}
-	event, id, err := r.readHead(reserve)
+	event, id, err := r.readHead()
 	if err != nil {
 		return nil, err
 	}
@@ -102,24 +105,6 @@
 	return event, nil
 }
 
-// awaitBegin looks at the first bytes of an event one by one, so that garbage ends the run even if it
-// never fills a line. It returns once they are the name of a field.
-func (r *eventReader) awaitBegin() error {
-	for n := 1; ; n++ {
-		begin, err := r.br.Peek(n)
-		switch {
-		case len(begin) < n && errors.Is(err, io.EOF):
-			return r.endError(len(begin) > 0)
-		case len(begin) < n:
-			return err
-		case !beginsField(begin, idField) && !beginsField(begin, r.versionField):
-			return r.garbage("the line can't begin an event", begin)
-		case bytes.Equal(begin, idField) || bytes.Equal(begin, r.versionField):
-			return nil
-		}
-	}
-}
-
 // endError returns the error for the end of the run, between two events or inside one.
 func (r *eventReader) endError(insideEvent bool) error {
 	if insideEvent || r.last > 0 && r.last < r.resumed {
@@ -128,12 +113,6 @@
 	return io.EOF
 }
 
-// beginsField reports whether the first bytes of a line may be those of a field.
-func beginsField(begin, field []byte) bool {
-	n := min(len(begin), len(field))
-	return n > 0 && bytes.Equal(begin[:n], field[:n])
-}
-
 var (
 	idField    = []byte("id:")
 	dataField  = []byte("data:")
@@ -141,33 +120,78 @@
 )
 
 // readHead reads the lines up to the id, and checks that the id is due.
-func (r *eventReader) readHead(reserve func() bool) (event []byte, id int64, err error) {
-	event, line, err := r.readLine(nil, reserve)
+func (r *eventReader) readHead() (event []byte, id int64, err error) {
+	event, field, id, err := r.readNumber(make([]byte, 0, typicalEventBytes), r.versionField, idField)
 	if err != nil {
 		return nil, 0, err
 	}
-	if version, ok := cutField(line, r.versionField); ok {
-		if _, isNumber := parseEventID(version); !isNumber {
-			return nil, 0, r.garbage("the version is no number", line)
-		}
-		if event, line, err = r.readLine(event, reserve); err != nil {
+	begin := 0
+	if !bytes.Equal(field, idField) {
+		begin = len(event)
+		if event, _, id, err = r.readNumber(event, idField); err != nil {
 			return nil, 0, err
 		}
 	}
-	value, ok := cutField(line, idField)
-	if !ok {
-		return nil, 0, r.garbage("the event has no id", line)
-	}
-	id, ok = parseEventID(value)
-	if !ok {
-		return nil, 0, r.garbage("the id is no number", line)
-	}
 	if !r.due(id) {
-		return nil, 0, r.garbage("another id comes", line)
+		return nil, 0, r.garbage("another id comes", event[begin:])
 	}
 	return event, id, nil
 }
 
+// readNumber reads a line that is one of some fields with a number, and appends it to event. It looks
+// at the bytes one by one, so that garbage ends the run even if it never fills a line.
+func (r *eventReader) readNumber(event []byte, fields ...[]byte) (whole, field []byte, number int64, err error) {
+	begin := len(event)
+	for {
+		b, err := r.br.ReadByte()
+		if errors.Is(err, io.EOF) {
+			return nil, nil, 0, r.endError(len(event) > 0)
+		}
+		if err != nil {
+			return nil, nil, 0, err
+		}
+		event = append(event, b)
+		line := event[begin:]
+		if field = fieldOf(line, fields); field == nil {
+			return nil, nil, 0, r.garbage("the line does not begin an event", line)
+		}
+		if b == '\n' {
+			value, _ := cutField(trimLineEnd(line), field)
+			if number, ok := parseEventID(value); ok && (value[0] != '0' || len(value) == 1) {
+				return event, field, number, nil
+			}
+			return nil, nil, 0, r.garbage("the line has no number that may stand there", line)
+		}
+	}
+}
+
+// fieldOf returns which of some fields a line may be that begins with some bytes, nil if none.
+func fieldOf(begin []byte, fields [][]byte) []byte {
+	for _, field := range fields {
+		if len(field) > 0 && beginsNumber(begin, field) {
+			return field
+		}
+	}
+	return nil
+}
+
+// maxNumberDigits is the number of digits of the largest id.
+const maxNumberDigits = 19
+
+// beginsNumber reports whether a line that begins with some bytes may be a field with a number.
+func beginsNumber(begin, field []byte) bool {
+	n := min(len(begin), len(field))
+	if !bytes.Equal(begin[:n], field[:n]) {
+		return false
+	}
+	value := bytes.TrimPrefix(begin[n:], []byte(" "))
+	end := bytes.TrimLeft(value, "0123456789")
+	if len(value)-len(end) > maxNumberDigits {
+		return false
+	}
+	return len(end) == 0 || string(end) == "\r" || string(end) == "\r\n" || string(end) == "\n"
+}
+
 // due reports whether an id may follow the last one of the run.
 func (r *eventReader) due(id int64) bool {
 	switch {
@@ -215,13 +239,27 @@
 		case len(event) > maxEventBytes:
 			return nil, nil, r.garbage("the event exceeds "+strconv.Itoa(maxEventBytes)+" bytes", event)
 		case err == nil:
-			return event, trimLineEnd(event[begin:]), nil
+			return r.checkLine(event, event[begin:])
+		case !eventstream.IsText(bytes.TrimSuffix(part, []byte("\r"))):
+			return nil, nil, r.garbage("a line has a control character", part)
 		case len(event) > freeBufferedBytes && !reserve():
 			return nil, nil, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "no room for an event of more than %d bytes", freeBufferedBytes)
 		}
 	}
 }
 
+// checkLine checks a whole line of an event.
+func (r *eventReader) checkLine(event, line []byte) (whole, text []byte, err error) {
+	text = trimLineEnd(line)
+	switch {
+	case !eventstream.IsText(text):
+		return nil, nil, r.garbage("a line has a control character", line)
+	case !utf8.Valid(text):
+		return nil, nil, r.garbage("a line is no UTF-8", line)
+	}
+	return event, text, nil
+}
+
 func trimLineEnd(line []byte) []byte {
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 }
