Believe 'not run' only from a refusal

A success that says that the request did not run contradicts itself. The host believed it and sent the request again, an unsafe one too.

--- a/internal/gateway/streamtype.go
+++ b/internal/gateway/streamtype.go
@@ -18,10 +18,11 @@
 var errNotStream = errors.New("the answer is no event stream")
 
 // relayStreamSuccess relays a success on a stream route. The route says that the answer is a stream;
-// the type is only what the upstream says of it. So a success of another type or status is garbage.
+// the type is only what the upstream says of it. So a success of another type or status is garbage, and
+// so is one that says that the request did not run.
 func (q *request) relayStreamSuccess(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
 	switch {
-	case !isStream(resp):
+	case !isStream(resp) || q.server.opts.HeaderNames.notRun(resp.Header):
 		q.recordNotStream(p, resp)
 		return q.garbled(p, resp, errNotStream)
 	case q.r.Method == http.MethodHead:
@@ -45,5 +46,6 @@
 	q.server.log.WithFields(logrus.Fields{
 		"request": q.id, "route": q.route.Name, "instance": p.Instance.ID, "address": p.Instance.Address,
 		"status": resp.Status, "content_type": contentType[:min(len(contentType), maxGarbageLogged)], "framed": resp.Framed, "resumed_after": q.lastEventID,
+		"says_not_run": q.server.opts.HeaderNames.notRun(resp.Header),
 	}).Warn("Upstream answered a request for a stream with a success that is no event stream.")
 }
