Take only event streams as the answer to a request for a stream in pools too

The product's own interface had the same fault as the routed services: an answer to a request for a stream that the upstream didn't label as text/event-stream with status 200 was passed on whole, as complete, and counted as a success of the upstream; and lines that readers split at a lone carriage return, control characters and bytes that are no UTF-8 passed in events. A success must now be a 200 of that media type, or the attempt counts as broken (upstream_garbled, may_have_run), so that the upstream is suspect and the request, being idempotent, is sent elsewhere.

--- a/internal/engine/do.go
+++ b/internal/engine/do.go
@@ -13,21 +13,21 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"marigoldshunt/internal/eventstream"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/wire"
 )
 
 // Headers and values of requests to upstreams and their responses.
 const (
-	headerRequestID        = "X-Request-Id"
-	headerResumeOffset     = "X-Resume-Offset"
-	headerInstanceID       = "X-Instance-Id"
-	headerQueueLength      = "X-Queue-Length"
-	headerNotRun           = "X-Not-Run"
-	headerPrefixDigest     = "X-Prefix-Digest"
-	headerIdempotencyKey   = "Idempotency-Key"
-	contentTypeEventStream = "text/event-stream"
-	userAgent              = "marigoldshunt"
+	headerRequestID      = "X-Request-Id"
+	headerResumeOffset   = "X-Resume-Offset"
+	headerInstanceID     = "X-Instance-Id"
+	headerQueueLength    = "X-Queue-Length"
+	headerNotRun         = "X-Not-Run"
+	headerPrefixDigest   = "X-Prefix-Digest"
+	headerIdempotencyKey = "Idempotency-Key"
+	userAgent            = "marigoldshunt"
 )
 
 // forwardedHeaders are the response headers that are passed on to callers of plain services.
@@ -95,8 +95,8 @@
 	case a.res.Status == fasthttp.StatusServiceUnavailable && a.exchange.header(headerNotRun) == "true":
 		_, _ = a.exchange.readAll(a.client.opts.MaxResponseBytes)
 		a.setOutcome(wire.OutcomeRefused, fault.New(fault.UpstreamRefused, fault.NotRun, "upstream %s refused the request", a.request.Upstream))
-	case a.request.Stream && a.res.Status == fasthttp.StatusOK && bytes.HasPrefix(a.exchange.resp.Header.ContentType(), []byte(contentTypeEventStream)):
-		a.passEvents()
+	case a.request.Stream && a.res.Status < fasthttp.StatusMultipleChoices:
+		a.passStream()
 	default:
 		a.passBuffered()
 	}
@@ -195,6 +195,16 @@
 	return true
 }
 
+// passStream passes on a success in answer to a request for a stream. Whatever the upstream calls it, it
+// must be a stream: nothing else would show that it is incomplete.
+func (a *attempt) passStream() {
+	if a.res.Status != fasthttp.StatusOK || !eventstream.HasMediaType([]string{a.contentType()}) {
+		a.setOutcome(wire.OutcomeBroken, fault.New(fault.UpstreamGarbled, fault.MayHaveRun, "upstream %s answered a request for a stream with status %d and no event stream", a.request.Upstream, a.res.Status))
+		return
+	}
+	a.passEvents()
+}
+
 // passEvents passes on server-sent events one by one up to [DONE]. The response begins with
 // the first event, so that a request whose stream breaks earlier can still be retried.
 func (a *attempt) passEvents() {
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"marigoldshunt/internal/eventstream"
 )
 
 var (
@@ -21,7 +23,8 @@
 }
 
 // next returns the bytes of one event with its final blank line, and the event's first data
-// field. If the stream ends inside an event, the error is io.ErrUnexpectedEOF. Both slices
+// field. If the stream ends inside an event, the error is io.ErrUnexpectedEOF; a line that readers may
+// split otherwise is an error too. Both slices
 // are valid until the next call.
 func (r *eventReader) next() (event, data []byte, err error) {
 	r.buf = r.buf[:0]
@@ -46,7 +49,10 @@
 			}
 			return nil, nil, err
 		}
-		line := bytes.TrimRight(r.buf[lineStart:], "\r\n")
+		line := eventstream.TrimLineEnd(r.buf[lineStart:])
+		if err := eventstream.CheckLine(line); err != nil {
+			return nil, nil, err
+		}
 		if len(line) == 0 {
 			if lineStart == 0 {
 				// Blank lines before an event are skipped.
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -2,8 +2,10 @@
 package eventstream
 
 import (
+	"bytes"
 	"errors"
 	"mime"
+	"unicode/utf8"
 )
 
 // MediaType is the media type of an event stream.
@@ -31,3 +33,26 @@
 	}
 	return true
 }
+
+// Errors of CheckLine.
+var (
+	ErrControlCharacter = errors.New("a line has a control character")
+	ErrNotUTF8          = errors.New("a line is no UTF-8")
+)
+
+// CheckLine checks a whole line of an event without its end.
+func CheckLine(line []byte) error {
+	switch {
+	case !IsText(line):
+		return ErrControlCharacter
+	case !utf8.Valid(line):
+		return ErrNotUTF8
+	}
+	return nil
+}
+
+// TrimLineEnd removes the end of a line, LF or CR LF. A CR that is left is one that only some readers
+// take for an end.
+func TrimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
--- a/internal/gateway/streamevents.go
+++ b/internal/gateway/streamevents.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"strconv"
-	"unicode/utf8"
 
 	"marigoldshunt/internal/eventstream"
 	"marigoldshunt/internal/fault"
@@ -156,7 +155,7 @@
 			return nil, nil, 0, r.garbage("the line does not begin an event", line)
 		}
 		if b == '\n' {
-			value, _ := cutField(trimLineEnd(line), field)
+			value, _ := cutField(eventstream.TrimLineEnd(line), field)
 			if number, ok := parseEventID(value); ok && (value[0] != '0' || len(value) == 1) {
 				return event, field, number, nil
 			}
@@ -239,31 +238,19 @@
 		case len(event) > maxEventBytes:
 			return nil, nil, r.garbage("the event exceeds "+strconv.Itoa(maxEventBytes)+" bytes", event)
 		case err == nil:
-			return r.checkLine(event, event[begin:])
+			line = eventstream.TrimLineEnd(event[begin:])
+			if err := eventstream.CheckLine(line); err != nil {
+				return nil, nil, r.garbage(err.Error(), line)
+			}
+			return event, line, nil
 		case !eventstream.IsText(bytes.TrimSuffix(part, []byte("\r"))):
-			return nil, nil, r.garbage("a line has a control character", part)
+			return nil, nil, r.garbage(eventstream.ErrControlCharacter.Error(), part)
 		case len(event) > freeBufferedBytes && !reserve():
 			return nil, nil, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "no room for an event of more than %d bytes", freeBufferedBytes)
 		}
 	}
 }
 
-// checkLine checks a whole line of an event.
-func (r *eventReader) checkLine(event, line []byte) (whole, text []byte, err error) {
-	text = trimLineEnd(line)
-	switch {
-	case !eventstream.IsText(text):
-		return nil, nil, r.garbage("a line has a control character", line)
-	case !utf8.Valid(text):
-		return nil, nil, r.garbage("a line is no UTF-8", line)
-	}
-	return event, text, nil
-}
-
-func trimLineEnd(line []byte) []byte {
-	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
-}
-
 // cutField returns the value of a field without the space that may follow the colon.
 func cutField(line, field []byte) (value []byte, ok bool) {
 	if len(field) == 0 {
