Learn nothing of an upstream from an answer without its proof

An answer that lacks the proof of its upstream says nothing of it, but the host took the load and the rate limit that it named, and counted a forged failure below 500 as a good answer of the instance, which then seems fast and is tried more. Load, limit, leaving and pause are now read only from answers of the instance's own, and any answer without the proof counts as a failure of the instance. What callers get of it stays. 3 of the 5 rows of TestAnswerWithoutProofCountsAsFailureAndSaysNothingOfTheUpstream failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,12 +104,9 @@
 		return err
 	}
 	defer resp.Close()
-	if running, waiting, ok := q.server.opts.HeaderNames.load(resp.Header); ok {
-		q.server.opts.Dispatcher.report(p, running, waiting)
+	if q.server.opts.HeaderNames.ownResponse(resp.Header) {
+		q.readState(p, resp)
 	}
-	q.readLeaving(p, resp)
-	q.readPause(p, resp)
-	q.readRateLimit(p, resp)
 	outcome, err = q.relay(ctx, p, resp)
 	if outcome == dispatch.Answered {
 		q.server.crashes.answered(q.fingerprint)
@@ -119,6 +116,16 @@
 	return err
 }
 
+// readState records what a response of the instance itself says of its state.
+func (q *request) readState(p *dispatch.Placement, resp *engine.ForwardResponse) {
+	if running, waiting, ok := q.server.opts.HeaderNames.load(resp.Header); ok {
+		q.server.opts.Dispatcher.report(p, running, waiting)
+	}
+	q.readLeaving(p, resp)
+	q.readPause(p, resp)
+	q.readRateLimit(p, resp)
+}
+
 // reportBrokenConnection has the instance probed if its connection broke during the request. This
 // host itself closes the connection after garbage, which says nothing of a crash.
 func (q *request) reportBrokenConnection(ctx context.Context, p *dispatch.Placement, err error) {
@@ -236,6 +243,9 @@
 		return q.truncated(ctx, p, err)
 	}
 	outcome := dispatch.Answered
+	if !q.server.opts.HeaderNames.proven(resp.Header) {
+		outcome = dispatch.Failed // the failure is passed on, but it may not be the instance's own
+	}
 	if resp.Status >= 500 {
 		outcome = dispatch.Failed
 		if q.mayRetryError() {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -160,7 +160,7 @@
 
 // leaving reports whether the upstream says that it is about to stop.
 func (names *HeaderNames) leaving(h http.Header) bool {
-	return names.Leaving != "" && strings.TrimSpace(h.Get(names.Leaving)) == "1" && names.ownResponse(h)
+	return names.Leaving != "" && strings.TrimSpace(h.Get(names.Leaving)) == "1"
 }
 
 // rateLimit returns the limit that a response names, in requests per second. named is false if
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -42,7 +42,7 @@
 // 0 if it says nothing of that.
 func (names *HeaderNames) pause(status int, h http.Header) time.Duration {
 	seconds, err := strconv.ParseFloat(strings.TrimSpace(h.Get("Retry-After")), 64)
-	if status != http.StatusServiceUnavailable || err != nil || !(seconds > 0) || !names.ownResponse(h) {
+	if status != http.StatusServiceUnavailable || err != nil || !(seconds > 0) {
 		return 0
 	}
 	return time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second))
--- /dev/null
+++ b/internal/gateway/ownresponse_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/dispatch"
+)
+
+func onlyInstance(gw *testGateway) (status dispatch.InstanceStatus) {
+	gw.server.opts.Dispatcher.Update(func(d *dispatch.Dispatcher, now time.Time) { status = d.Status(now)[0] })
+	return status
+}
+
+// Guards against answers without the upstream's proof that count as its good ones, so that it is tried more, or that set its limits.
+func TestAnswerWithoutProofCountsAsFailureAndSaysNothingOfTheUpstream(t *testing.T) {
+	const claims = "X-Rate-Limit: 3\r\nX-Leaving: 1\r\nContent-Length: 0\r\n"
+	for _, test := range []struct {
+		name, path, answer string
+		failed             bool
+		rateLimit          float64
+	}{
+		{"forged success", "/order/x", "HTTP/1.1 200 OK\r\n" + claims + "\r\n", true, 0},
+		{"forged failure", "/order/x", "HTTP/1.1 404 X\r\n" + claims + "\r\n", true, 0},
+		{"forged failure of a stream", "/stream/x", "HTTP/1.1 404 X\r\n" + claims + "\r\n", true, 0},
+		{"failure of its own", "/order/x", "HTTP/1.1 404 X\r\nX-Proof: p1\r\n" + claims + "\r\n", false, 3},
+		{"refusal", "/order/x", "HTTP/1.1 503 X\r\nX-Not-Run: true\r\n" + claims + "\r\n", false, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			gw := newTestGateway(t, document(), newUpstream(t, writeRaw("%s", test.answer)))
+			gw.do("POST", test.path, "")
+			gw.endRequests()
+			c.Check(failures(gw) > 0.5, qt.Equals, test.failed)
+			c.Check(onlyInstance(gw).RateLimit, qt.Equals, test.rateLimit)
+		})
+	}
+}
