Pass on no 'not run' status that an upstream doesn't prove

Callers take 408, 421, 429 and 503 for the promise that a request has not run. Of these the host passed on 408, 429 and 503 of an upstream unchanged where the upstream did not say that it had not run the request, so that callers sent an unsafe request again. Such an answer now becomes 502 with may_have_run on routes whose requests may not run twice; elsewhere it is passed on as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -228,12 +228,24 @@
 		return q.relayStreamSuccess(ctx, p, resp)
 	case resp.Status < 300 && names.notRun(resp.Header):
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "instance %s answered with a success that says it did not run the request", p.Instance.ID)
+	case promisesNotRun(resp.Status) && !q.route.AllowsRerun():
+		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "instance %s answered with %d without proof that it did not run the request", p.Instance.ID, resp.Status)
 	case q.headerWritten:
 		return dispatch.Failed, fault.New(fault.StreamCut, fault.RanAndFailed, "instance %s did not resume the stream but answered with %d", p.Instance.ID, resp.Status)
 	}
 	return q.relayPlain(ctx, p, resp)
 }
 
+// promisesNotRun reports whether callers take a status for the promise that a request has not run and
+// never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // relayPlain relays a response that is not a stream.
 func (q *request) relayPlain(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
 	room := reservation{budget: &q.server.buffered}
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -38,7 +38,7 @@
 // processing, or responds.
 func (counter *runCounter) respondRandomly(req *receivedRequest) {
 	counter.mu.Lock()
-	kind, pause := counter.rng.Intn(14), time.Duration(counter.rng.Intn(3))*time.Millisecond
+	kind, pause := counter.rng.Intn(15), time.Duration(counter.rng.Intn(3))*time.Millisecond
 	counter.mu.Unlock()
 	afterRun := func(then ...func(req *receivedRequest)) {
 		counter.record(req)
@@ -76,6 +76,8 @@
 		afterRun(writeRaw("\x00\x01 no answer"), closeConn)
 	case 12:
 		afterRun(writeRaw("%s%s", response, response)) // bytes after the end of the response
+	case 13:
+		afterRun(writeRaw("%s", rawResponse([]int{408, 429, 503}[pause/time.Millisecond], "ran"))) // without saying that it did not run
 	default:
 		afterRun(writeRaw("%s", response))
 	}
--- a/internal/gateway/ownresponse_test.go
+++ b/internal/gateway/ownresponse_test.go
@@ -38,3 +38,19 @@
 		})
 	}
 }
+
+// Guards against passing on a status by which callers take a request for one that has not run, where the upstream doesn't prove that.
+func TestStatusThatPromisesNotRunNeedsProofOfThat(t *testing.T) {
+	for _, test := range []struct {
+		path   string
+		status int
+		want   int
+	}{
+		{"/order/x", 408, 502}, {"/order/x", 429, 502}, {"/order/x", 503, 502}, {"/stream/x", 503, 502},
+		{"/order/x", 404, 404}, {"/order/x", 500, 500}, {"/order/x", 504, 504}, {"/read/x", 429, 429},
+	} {
+		gw := newTestGateway(t, document(), newUpstream(t, writeRaw("%s", rawResponse(test.status, "own words"))))
+		resp, _, _ := gw.do("POST", test.path, "")
+		gw.Check(resp.StatusCode, qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
