--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"marigoldshunt/internal/admission"
@@ -107,12 +106,9 @@
 		return err
 	}
 	defer resp.Close()
-	if running, waiting, ok := q.server.opts.HeaderNames.load(resp.Header); ok {
-		q.server.opts.Dispatcher.report(p, running, waiting)
+	if q.server.opts.HeaderNames.ownResponse(resp.Header) {
+		q.readState(p, resp)
 	}
-	q.readLeaving(p, resp)
-	q.readPause(p, resp)
-	q.readRateLimit(p, resp)
 	outcome, err = q.relay(ctx, p, resp)
 	if outcome == dispatch.Answered {
 		q.server.crashes.answered(q.fingerprint)
@@ -122,6 +118,16 @@
 	return err
 }
 
+// readState records what a response of the instance itself says of its state.
+func (q *request) readState(p *dispatch.Placement, resp *engine.ForwardResponse) {
+	if running, waiting, ok := q.server.opts.HeaderNames.load(resp.Header); ok {
+		q.server.opts.Dispatcher.report(p, running, waiting)
+	}
+	q.readLeaving(p, resp)
+	q.readPause(p, resp)
+	q.readRateLimit(p, resp)
+}
+
 // reportBrokenConnection has the instance probed if its connection broke during the request. This
 // host itself closes the connection after garbage, which says nothing of a crash.
 func (q *request) reportBrokenConnection(ctx context.Context, p *dispatch.Placement, err error) {
@@ -212,25 +218,36 @@
 // instance ran the request.
 func (q *request) relay(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
 	names := &q.server.opts.HeaderNames
-	if resp.Status < 300 && q.route.Kind == routing.Stream && !isStream(resp) && names.ownResponse(resp.Header) {
-		q.recordNotStream(p, resp)
-	}
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		q.server.opts.Dispatcher.markReplaced(p)
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "another instance has the address of %s", p.Instance.ID)
-	case names.notRun(resp.Header):
+	case resp.Status >= 300 && names.notRun(resp.Header):
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "instance %s refused the request with %d", p.Instance.ID, resp.Status).WithRetryAfter(shortRetryAfter)
 	case resp.Status < 300 && (!names.proven(resp.Header) || resp.Header.Get("Content-Encoding") != ""):
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "the answer of instance %s is not its own", p.Instance.ID)
-	case resp.Status < 300 && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
-		return q.relayStream(ctx, p, resp)
+	case resp.Status < 300 && q.route.Kind == routing.Stream:
+		return q.relayStreamSuccess(ctx, p, resp)
+	case resp.Status < 300 && names.notRun(resp.Header):
+		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "instance %s answered with a success that says it did not run the request", p.Instance.ID)
+	case promisesNotRun(resp.Status) && !q.route.AllowsRerun():
+		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "instance %s answered with %d without proof that it did not run the request", p.Instance.ID, resp.Status)
 	case q.headerWritten:
 		return dispatch.Failed, fault.New(fault.StreamCut, fault.RanAndFailed, "instance %s did not resume the stream but answered with %d", p.Instance.ID, resp.Status)
 	}
 	return q.relayPlain(ctx, p, resp)
 }
 
+// promisesNotRun reports whether callers take a status for the promise that a request has not run and
+// never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // relayPlain relays a response that is not a stream.
 func (q *request) relayPlain(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
 	room := reservation{budget: &q.server.buffered}
@@ -240,6 +257,9 @@
 		return q.truncated(ctx, p, err)
 	}
 	outcome := dispatch.Answered
+	if !q.server.opts.HeaderNames.proven(resp.Header) {
+		outcome = dispatch.Failed // the failure is passed on, but it may not be the instance's own
+	}
 	if resp.Status >= 500 {
 		outcome = dispatch.Failed
 		if q.mayRetryError() {
@@ -247,13 +267,12 @@
 		}
 	}
 	q.copyHeader(resp)
-	if whole {
-		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		if q.r.Method == http.MethodHead && resp.Length >= 0 {
-			q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
-		}
-	} else if resp.Length >= 0 {
-		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	length := resp.Length
+	if whole && q.r.Method != http.MethodHead {
+		length = int64(len(body))
+	}
+	if length >= 0 {
+		q.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	q.writeHeader(resp.Status)
 	if _, err := q.w.Write(body); err != nil {
