Blame the fewest prompt parts that explain the crashes

Cause: a quarantined part counted as the likely cause of its crashes, which is tried after 10 s or more, as soon as no other quarantined part was at one of them. And a part that merely ran beside three crashes was refused, although others explained them all.

Change: of the parts with enough marks only those are refused that a greedy search needs to explain all crashes. A part is the likely cause if at least three parts or requests that are not refused already would have to be blamed in its place. Constants, pauses and bounds are as before.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -65,6 +65,8 @@
 	// group has not been told of.
 	disproved  *ownCrashMarks
 	unreported []wire.CrashMark
+	// evidence is nil if the marks have changed since it was made.
+	evidence *crashEvidence
 	// broken holds the requests whose connection broke, by the instance being probed.
 	broken map[catalog.Key][]brokenRequest
 	// host is this host, hosts are those that take turns in trying quarantined parts. trials holds
@@ -183,7 +185,7 @@
 		if len(marks) > 0 {
 			marked++
 		}
-		if partQuarantined(marks) {
+		if partSuspected(marks) && c.evidenceLocked().blamed[fp] {
 			suspects = append(suspects, suspectPart{fingerprint: fp, marks: marks})
 			refusal = fmt.Sprintf("part %x of the prompt has crashed %d upstreams", id, len(marks))
 		}
@@ -245,6 +247,7 @@
 
 func (c *crashTracker) disproveLocked(fp wire.Digest) {
 	for _, m := range c.validMarksLocked(fp) {
+		c.evidence = nil
 		c.disproved.add(fp, m.Upstream, m.At)
 		if c.unreported = append(c.unreported, m); len(c.unreported) == 1 {
 			time.AfterFunc(disproofDelay, c.reportDisproved)
@@ -307,6 +310,7 @@
 // markLocked adds the marks of the requests that broke when an instance crashed to this host's
 // own, and returns them, those of prompt parts first.
 func (c *crashTracker) markLocked(instance string, broken []brokenRequest) (marks []wire.CrashMark) {
+	c.evidence = nil
 	seen := map[wire.Digest]bool{}
 	var requests []wire.CrashMark
 	for _, r := range broken {
@@ -336,6 +340,7 @@
 func (c *crashTracker) setRecorded(list []wire.CrashMark) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.evidence = nil
 	old := c.recorded
 	c.recorded = crashMarks{}
 	for _, m := range list {
--- a/internal/gateway/crashtrial.go
+++ b/internal/gateway/crashtrial.go
@@ -13,9 +13,8 @@
 const (
 	// trialPause is the least time from the last crash of a part until it is tried.
 	trialPause = 2 * time.Second
-	// soleTrialPause takes its place for a part that alone explains one of its crashes, because no
-	// other quarantined part was there. It is then the likely cause.
-	soleTrialPause = 10 * time.Second
+	// likelyTrialPause takes its place for a part that is the likely cause of its crashes.
+	likelyTrialPause = 10 * time.Second
 	// trialGrowth is the ratio of the pause to the time between the first and the last crash of a
 	// part, so that the pauses grow with each trial that fails.
 	trialGrowth = 3
@@ -28,8 +27,8 @@
 	fingerprint wire.Digest
 	// marks are its crashes; there is at least one.
 	marks []wire.CrashMark
-	// sole is true if no other quarantined part was there at one of its crashes.
-	sole bool
+	// likely is true if it is the likely cause of them.
+	likely bool
 }
 
 // lastCrash returns the time of the last crash in Unix milliseconds.
@@ -49,8 +48,8 @@
 		first = min(first, m.At)
 	}
 	pause := trialPause
-	if p.sole {
-		pause = max(soleTrialPause, trialGrowth*time.Duration(last-first)*time.Millisecond)
+	if p.likely {
+		pause = max(likelyTrialPause, trialGrowth*time.Duration(last-first)*time.Millisecond)
 	}
 	return time.UnixMilli(last).Add(pause * time.Duration(marked))
 }
@@ -70,7 +69,7 @@
 	latest := &suspects[0]
 	for i := range suspects {
 		if !now.Before(suspects[i].trialDue(marked)) { // otherwise it makes no difference
-			suspects[i].sole = c.soleLocked(&suspects[i])
+			suspects[i].likely = c.evidenceLocked().likelyCause(suspects[i].fingerprint)
 		}
 		if d := suspects[i].trialDue(marked); d.After(due) {
 			latest, due = &suspects[i], d
@@ -96,43 +95,6 @@
 	return true, due
 }
 
-// soleLocked reports whether a part alone explains one of its crashes, among the quarantined parts.
-func (c *crashTracker) soleLocked(p *suspectPart) bool {
-	explained := map[string]bool{}
-	for other := range c.suspectsLocked() {
-		if other == p.fingerprint {
-			continue
-		}
-		for _, m := range c.validMarksLocked(other) {
-			explained[m.Upstream] = true
-		}
-	}
-	for _, m := range p.marks {
-		if !explained[m.Upstream] {
-			return true
-		}
-	}
-	return false
-}
-
-// suspectsLocked returns the fingerprints with enough marks for the quarantine of a part.
-func (c *crashTracker) suspectsLocked() map[wire.Digest]bool {
-	out := map[wire.Digest]bool{}
-	for _, marks := range []crashMarks{c.recorded, c.own.marks} {
-		for fp := range marks {
-			if !out[fp] && partQuarantined(c.validMarksLocked(fp)) {
-				out[fp] = true
-			}
-		}
-	}
-	return out
-}
-
-// partQuarantined reports whether the marks of a part are enough to refuse it.
-func partQuarantined(marks []wire.CrashMark) bool {
-	return len(marks) >= maxPartCrashes && separateCrashes(marks) >= maxPartCrashes
-}
-
 // SetHosts sets the name of this host and the hosts that take turns in trying quarantined parts.
 func (s *Server) SetHosts(host string, alive []string) {
 	s.crashes.mu.Lock()
