Read the size of the disk as a whole number

Cause: disk_mb was parsed as a floating-point number. "NaN" became a whole number that differs by processor (here the smallest one, refused with a message about a size that nobody wrote), and "64.5" was accepted though no setting needs fractions. Change: strconv.Atoi, so both are refused with their line, as memory_mb is. The cases in TestRefusals failed before and pass.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -176,7 +176,7 @@
 // duration is a time with a unit, such as "30s". A number without a unit is refused.
 type duration time.Duration
 
-// megabytes is a size in MB as text; a host without a disk has the empty text.
+// megabytes is a whole number of MB as text; a host without a disk has the empty text.
 type megabytes int
 
 // UnmarshalText parses a size.
@@ -185,8 +185,8 @@
 		*m = 0
 		return nil
 	}
-	v, err := strconv.ParseFloat(string(b), 64)
-	*m = megabytes(min(max(v, -1), maxDiskMB+1)) // the check refuses what lies outside
+	v, err := strconv.Atoi(string(b))
+	*m = megabytes(v)
 	return err
 }
 
