Check the request id of an operator's change once

serviceStateHandler checks the id before the revision, so that a request without both is told of the id (TestErrorCodes), and commit checked it again. The callers of commit check it now, each once. No answer changes; the cases of both paths are as before.

--- a/internal/admin/actions.go
+++ b/internal/admin/actions.go
@@ -66,13 +66,14 @@
 			return err
 		}
 	}
+	if err := checkRequestID(r.RequestID); err != nil {
+		return err
+	}
 	return s.commit(ctx, r.RequestID, r.Changes)
 }
 
+// commit has the control group change the configuration. The caller has checked the request id.
 func (s *Server) commit(ctx *fasthttp.RequestCtx, requestID string, changes []config.Change) error {
-	if err := checkRequestID(requestID); err != nil {
-		return err
-	}
 	operator := operatorOf(ctx)
 	var revision uint64
 	err := withTimeout(func(c context.Context) (err error) {
