Open simulated nodes and sum simulated entries in one way each

memoryStorage.Save and room summed the sizes of entries by the same loop; dataBytes does. openNodeWith becomes openNode: of its three forms the middle one had one caller outside startNode, which now names the restored state.

--- a/internal/control/fulldisk_test.go
+++ b/internal/control/fulldisk_test.go
@@ -64,7 +64,7 @@
 		case n != nil:
 			f.last[h], f.closedAt[h] = n, f.now
 		case f.now-f.closedAt[h] >= reopenPause && f.disks[h].failure == nil:
-			f.openNode(h, f.last[h].opts.Boot, f.last[h].LastTransfer())
+			f.openNode(h, f.last[h].opts.Boot, f.last[h].LastTransfer(), f.disks[h].restored())
 		}
 	}
 }
--- a/internal/control/logmemory_test.go
+++ b/internal/control/logmemory_test.go
@@ -32,7 +32,7 @@
 	}
 	c.Assert(read, qt.HasLen, 3)
 	sim.boots++
-	sim.openNodeWith(host, sim.boots, 0, restored)
+	sim.openNode(host, sim.boots, 0, restored)
 	restored.Entries = nil
 	sim.startClient(host)
 	sim.nodes[host].opts.MaxLogBytes = 1
--- a/internal/control/simulation.go
+++ b/internal/control/simulation.go
@@ -36,24 +36,24 @@
 	if m.failure != nil || m.capacity == 0 {
 		return m.failure
 	}
-	for i := range m.entries {
-		size += len(m.entries[i].Data)
-	}
-	if size+len(m.snapshot.Data) > m.capacity {
+	if dataBytes(m.entries)+len(m.snapshot.Data)+size > m.capacity {
 		return fault.New(fault.StorageFailed, "", "no space left on device")
 	}
 	return nil
 }
 
+func dataBytes(entries []raft.Entry) (n int) {
+	for i := range entries {
+		n += len(entries[i].Data)
+	}
+	return n
+}
+
 func (m *memoryStorage) ReplicaID() raft.ReplicaID { return m.id }
 func (m *memoryStorage) Syncs() uint64             { return m.syncs }
 
 func (m *memoryStorage) Save(h *raft.HardState, es []raft.Entry) error {
-	size := 0
-	for i := range es {
-		size += len(es[i].Data)
-	}
-	if err := m.room(size); err != nil {
+	if err := m.room(dataBytes(es)); err != nil {
 		return err
 	}
 	m.syncs++
@@ -172,15 +172,11 @@
 
 func (sim *Simulation) startNode(h string) {
 	sim.boots++
-	sim.openNode(h, sim.boots, 0)
+	sim.openNode(h, sim.boots, 0, sim.disks[h].restored())
 }
 
 // openNode starts the node of a process, or a later one in the same boot after a storage failure.
-func (sim *Simulation) openNode(h string, boot, lastTransfer uint64) {
-	sim.openNodeWith(h, boot, lastTransfer, sim.disks[h].restored())
-}
-
-func (sim *Simulation) openNodeWith(h string, boot, lastTransfer uint64, restored raft.Restored) {
+func (sim *Simulation) openNode(h string, boot, lastTransfer uint64, restored raft.Restored) {
 	spawn := sim.spawn
 	if spawn == nil {
 		spawn = func(f func()) { f() }
