Try quarantined whole requests again

Cause: a request that broke with two upstreams was refused for an hour, and only an answer to the same request could have disproved its marks: a circuit breaker that never half-opens. And the refusal of a part told callers to come after 2 s even if the next trial was due after 10 s or more.

Change: a quarantined request is one more suspect beside the parts. One request at a time tries it, after 10 s and then after three times the time since its first crash. The refusal names the suspect that is due last and when, and Retry-After is that time. The check of requests moves to crashcheck.go.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
-	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -13,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldshunt/internal/catalog"
-	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/rendezvous"
 	"marigoldshunt/internal/wire"
 )
@@ -36,8 +34,6 @@
 	disproofDelay = 20 * time.Millisecond
 	// maxBrokenRequests bounds the requests kept for one instance while it is probed.
 	maxBrokenRequests = 256
-	// crashRetryAfter is the Retry-After for quarantined requests.
-	crashRetryAfter = 30 * time.Second
 )
 
 // CrashStore is the fleet-wide record of requests and prompt parts that crashed upstreams.
@@ -69,8 +65,8 @@
 	evidence *crashEvidence
 	// broken holds the requests whose connection broke, by the instance being probed.
 	broken map[catalog.Key][]brokenRequest
-	// host is this host, hosts are those that take turns in trying quarantined parts. trials holds
-	// the times until which this host tries none of the parts that it has just tried.
+	// host is this host, hosts are those that take turns in trying what is quarantined. trials holds
+	// the times until which this host tries nothing of what it has just tried.
 	host   string
 	hosts  rendezvous.Members
 	trials map[wire.Digest]time.Time
@@ -132,80 +128,6 @@
 	return d
 }
 
-// checkCrashes refuses a request that, or a prompt part of which, has crashed too many
-// upstreams. A request by which quarantined parts are tried is sent once.
-func (q *request) checkCrashes() error {
-	if err := q.server.crashes.check(q.fingerprint); err != nil {
-		return err
-	}
-	if q.trial && q.sends == 0 {
-		return nil
-	}
-	trial, err := q.server.crashes.admitParts(q.service.Name, q.job.SharedParts)
-	if err != nil || !trial {
-		return err
-	}
-	if q.sends > 0 {
-		return crashesUpstreams(trialWindow, "a part of the prompt is being tried")
-	}
-	q.trial = true
-	q.server.count("quarantine_trials")
-	return nil
-}
-
-// check refuses a request that has crashed too many upstreams. It calls fingerprint, which
-// hashes the body, only while there are marks.
-func (c *crashTracker) check(fingerprint func() wire.Digest) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.emptyLocked() {
-		return nil
-	}
-	n := len(c.validMarksLocked(fingerprint()))
-	if n < maxCrashes {
-		return nil
-	}
-	return crashesUpstreams(crashRetryAfter, "the request has crashed %d upstreams", n)
-}
-
-// admitParts refuses a request with a prompt part that has crashed too many upstreams, unless the
-// part is tried again by this request.
-func (c *crashTracker) admitParts(service string, sharedParts func() []uint64) (trial bool, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.emptyLocked() {
-		return false, nil
-	}
-	var suspects []suspectPart
-	var refusal string
-	marked := 0
-	for _, id := range sharedParts() {
-		fp := partFingerprint(service, id)
-		marks := c.validMarksLocked(fp)
-		if len(marks) > 0 {
-			marked++
-		}
-		if partSuspected(marks) && c.evidenceLocked().blamed[fp] {
-			suspects = append(suspects, suspectPart{fingerprint: fp, marks: marks})
-			refusal = fmt.Sprintf("part %x of the prompt has crashed %d upstreams", id, len(marks))
-		}
-	}
-	if len(suspects) == 0 {
-		return false, nil
-	}
-	trial, due := c.tryLocked(suspects, marked)
-	if trial {
-		c.log.WithField("service", service).WithField("quarantined_parts", len(suspects)).WithField("cause", refusal).Info("Quarantined prompt parts are tried by one request.")
-		return true, nil
-	}
-	retryAfter := max(due.Sub(c.now()), trialWindow)
-	return false, crashesUpstreams(retryAfter, "%s; it is tried again in %s", refusal, retryAfter.Round(time.Millisecond))
-}
-
-func crashesUpstreams(retryAfter time.Duration, format string, args ...any) error {
-	return fault.New(fault.CrashesUpstreams, fault.NotRun, format, args...).WithRetryAfter(retryAfter)
-}
-
 func (c *crashTracker) emptyLocked() bool { return c.own.len()+len(c.recorded) == 0 }
 
 // validMarksLocked returns the marks of a request or prompt part that are not disproved.
--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -189,12 +189,23 @@
 	}
 }
 
+// admitParts is admit for a request that has no marks of its own.
+func (c *crashTracker) admitParts(service string, sharedParts func() []uint64) (trial bool, err error) {
+	return c.admit(service, fixedFingerprint(wire.Digest{0xff}), sharedParts)
+}
+
 // checkParts is admitParts for tests that only need the refusal.
 func (c *crashTracker) checkParts(service string, sharedParts func() []uint64) error {
 	_, err := c.admitParts(service, sharedParts)
 	return err
 }
 
+// check is admit for a request without prompt parts, for tests that only need the refusal.
+func (c *crashTracker) check(fingerprint func() wire.Digest) error {
+	_, err := c.admit("s", fingerprint, partList())
+	return err
+}
+
 func partList(ids ...uint64) func() []uint64 { return func() []uint64 { return ids } }
 
 // Guards against refusing the other parts of the requests that crash upstreams, and those of
--- a/internal/gateway/crashtrial_test.go
+++ b/internal/gateway/crashtrial_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/rendezvous"
 	"marigoldshunt/internal/wire"
 )
@@ -55,6 +56,50 @@
 	return out
 }
 
+// Guards against a request that stays refused although upstreams that ran it only crashed beside it, and
+// against one that crashes each upstream that it is tried at, more and more often.
+func TestQuarantinedRequestIsTriedAgain(t *testing.T) {
+	c := qt.New(t)
+	const triedWithin = 15 * time.Second
+	bad, sound := fixedFingerprint(wire.Digest{1}), fixedFingerprint(wire.Digest{2})
+	tracker, _, clock := crashingTracker()
+	crash := func(instance string, fp func() wire.Digest) {
+		tracker.own.add(fp(), instance, clock.UnixMilli())
+		*clock = clock.Add(minCrashGap)
+	}
+	for _, fp := range []func() wire.Digest{bad, sound} {
+		crash("a", fp)
+		crash("b", fp)
+		c.Assert(tracker.check(fp), qt.ErrorMatches, `.*the request has crashed 2 upstreams; it is tried again in .*`)
+	}
+	*clock = clock.Add(triedWithin)
+	c.Check(tracker.check(sound), qt.IsNil)
+	c.Check(fault.CodeOf(tracker.check(sound)), qt.Equals, fault.CrashesUpstreams, qt.Commentf("two requests are tried at once"))
+	tracker.answered(sound)
+	c.Check(tracker.check(sound), qt.IsNil)
+	c.Check(tracker.check(sound), qt.IsNil)
+	trials := 0
+	for begun := *clock; clock.Sub(begun) < 5*time.Minute; *clock = clock.Add(100 * time.Millisecond) {
+		if tracker.check(bad) == nil {
+			trials++
+			crash(fmt.Sprint("x", trials), bad)
+		}
+	}
+	c.Check(trials > 0 && trials <= 4, qt.IsTrue, qt.Commentf("%d trials in five minutes", trials))
+}
+
+// Guards against a Retry-After before the time at which the part is tried next.
+func TestRefusalNamesTheTimeOfTheNextTrial(t *testing.T) {
+	c := qt.New(t)
+	tracker, clock := trackerAfter(playedCrash{"a", []uint64{7}}, playedCrash{"b", []uint64{7}}, playedCrash{"c", []uint64{7}})
+	err := tracker.checkParts("s", partList(7))
+	c.Assert(err, qt.ErrorMatches, `.*part 7 of the prompt has crashed 3 upstreams; it is tried again in 10s.*`)
+	*clock = clock.Add(fault.As(err).RetryAfter - time.Millisecond)
+	c.Assert(fault.CodeOf(tracker.checkParts("s", partList(7))), qt.Equals, fault.CrashesUpstreams)
+	*clock = clock.Add(trialWindow)
+	c.Assert(tracker.checkParts("s", partList(7)), qt.IsNil)
+}
+
 // Guards against sending a trial again to another upstream after it broke.
 func TestTrialIsSentOnce(t *testing.T) {
 	broken := sequence(closeConn)
