--- a/internal/scenario/soak_fleet_test.go
+++ b/internal/scenario/soak_fleet_test.go
@@ -74,19 +74,11 @@
 // responses that are garbage as a whole.
 const soakGarbageRate = 0.02
 
-// passedGarbage holds the kinds that hosts pass on to callers as sound (KNOWN-RED.txt). The soak leaves
-// them out until that is mended; TestSoakSpoiledStreams plays them.
-var passedGarbage = []emulator.GarbageKind{
-	emulator.LoneCR, emulator.LoneCRTwice, emulator.InvalidUTF8, emulator.ControlCharacter,
-	emulator.UnframedNoType, emulator.PlainTypeChunks, emulator.PlainTypeLength, emulator.NoTypeChunks, emulator.NoTypeLength,
-	emulator.OtherCaseType, emulator.Status201, emulator.Status206,
-}
-
 // soakGarbageKinds returns the kinds of garbage in the soak. Failures with status 404 are not among
 // them, because checkResults takes each for a refusal by a host that knows no route.
 func soakGarbageKinds() []emulator.GarbageKind {
 	return slices.DeleteFunc(emulator.GarbageKinds(), func(kind emulator.GarbageKind) bool {
-		return kind == emulator.Status404 || slices.Contains(passedGarbage, kind)
+		return kind == emulator.Status404
 	})
 }
 
