Compare what passes of a stream with an independent reader of event streams

FuzzEvents read back what eventReader passed by a regular expression of the host's own idea of a line. It now also has a reader that follows the format (CR, LF and CR LF end lines, fields, an event ends at an empty line) see exactly the events with the ids that the host counted, and nothing open at the end.

--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -114,10 +114,15 @@
 	f.Add([]byte("\n\n\nid:\n\n"), "7")
 	f.Add([]byte("version: 4\nid: 7\nevent: token\ndata: a\ndata:\n\nid: 8\ndata: b\n\nid: 10\ndata: c\n\n"), "7")
 	f.Add([]byte("id: 0\ndata: a\n\n"), "x")
+	f.Add([]byte("id: 1\ndata: a\r\rdata: b\n\nid: 2\ndata: c\n\n"), "")
+	f.Add([]byte("id: 1\ndata: a\r\r\n\r\nid: 2\ndata: c\n\n"), "")
+	f.Add([]byte("\ufeffid: 1\ndata: \x00\u2028\n\n"), "")
+	f.Add([]byte("id: 01\nevent: \xff\ndata: a\n\n"), "")
 	f.Fuzz(func(t *testing.T, data []byte, lastEventID string) {
 		c := qt.New(t)
 		events := newEventReader(bufio.NewReaderSize(bytes.NewReader(data), 16), "version", lastEventID)
 		var all []byte
+		var ids [][]string
 		var last int64
 		for {
 			event, err := events.next(func() bool { return true })
@@ -141,8 +146,15 @@
 				c.Assert(id <= resumed+1, qt.IsTrue)
 			}
 			last = id
+			ids = append(ids, []string{strconv.FormatInt(id, 10)})
 		}
 		c.Assert(bytes.HasPrefix(data, all), qt.IsTrue)
+		seen := readStrictly(all)
+		c.Assert(seen.ids, qt.DeepEquals, ids)
+		c.Assert(seen.open, qt.IsFalse)
+		for _, name := range seen.unknown {
+			c.Assert(name, qt.Equals, "version")
+		}
 	})
 }
 
