Pass on no encoded body, of a failure either

Requests go to upstreams without an accepted encoding of the host's own, and an encoded body is not the upstream's (the installation's pages say so). The host refused it in successes only.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -222,7 +222,7 @@
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "another instance has the address of %s", p.Instance.ID)
 	case resp.Status >= 300 && names.notRun(resp.Header):
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "instance %s refused the request with %d", p.Instance.ID, resp.Status).WithRetryAfter(shortRetryAfter)
-	case resp.Status < 300 && (!names.proven(resp.Header) || resp.Header.Get("Content-Encoding") != ""):
+	case resp.Status < 300 && !names.proven(resp.Header), resp.Header.Get("Content-Encoding") != "":
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "the answer of instance %s is not its own", p.Instance.ID)
 	case resp.Status < 300 && q.route.Kind == routing.Stream:
 		return q.relayStreamSuccess(ctx, p, resp)
--- a/internal/gateway/ownresponse_test.go
+++ b/internal/gateway/ownresponse_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -54,3 +55,18 @@
 		gw.Check(resp.StatusCode, qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
+
+// Guards against passing on an encoded body, which is not the upstream's own, because the answer reports a failure.
+func TestEncodedAnswersAreNotPassedOn(t *testing.T) {
+	for _, status := range []int{200, 302, 404, 500} {
+		for _, path := range []string{"/order/x", "/stream/x"} {
+			answer := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: text/event-stream\r\nContent-Encoding: gzip\r\nX-Proof: p1\r\nContent-Length: 7\r\n\r\nforeign", status)
+			gw := newTestGateway(t, document(), newUpstream(t, writeRaw("%s", answer)))
+			resp, body, _ := gw.do("POST", path, "")
+			gw.Check(resp.StatusCode, qt.Equals, 502, qt.Commentf("%d %s", status, path))
+			gw.Check(body, qt.Contains, `"run_state":"may_have_run"`)
+			gw.endRequests()
+			gw.Check(failures(gw) > 0.5, qt.IsTrue)
+		}
+	}
+}
