Ignore counts that no upstream can have

A pool's upstream names its running and waiting requests and the tokens of an answer. Any number was believed: the tokens of one garbled answer would have charged its account for ever, and sums of counts could overflow.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -148,7 +148,7 @@
 // queueLength returns the queue length in the response header, -1 if there is none.
 func (x *exchange) queueLength() int {
 	n, err := strconv.Atoi(x.header(headerQueueLength))
-	if err != nil || n < 0 {
+	if err != nil || !isPlausible(n, maxReportedRequests) {
 		return -1
 	}
 	return n
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -20,6 +20,12 @@
 	Completion int `json:"completion_tokens"`
 }
 
+// maxUsageTokens bounds the tokens that one response may report.
+const maxUsageTokens = 1 << 24
+
+// isPlausible reports whether a count that an upstream names is one that it can have.
+func isPlausible(count, limit int) bool { return count >= 0 && count <= limit }
+
 // parseUsage returns the usage object of a chat response or event.
 func parseUsage(b []byte) (usage, bool) {
 	if !bytes.Contains(b, []byte(`"usage"`)) {
@@ -28,7 +34,7 @@
 	var v struct {
 		Usage *usage `json:"usage"`
 	}
-	if json.Unmarshal(b, &v) != nil || v.Usage == nil || v.Usage.Prompt < 0 || v.Usage.Completion < 0 {
+	if json.Unmarshal(b, &v) != nil || v.Usage == nil || !isPlausible(v.Usage.Prompt, maxUsageTokens) || !isPlausible(v.Usage.Completion, maxUsageTokens) {
 		return usage{}, false
 	}
 	return *v.Usage, true
--- a/internal/engine/side.go
+++ b/internal/engine/side.go
@@ -17,6 +17,9 @@
 // noReport is the result for a response that is not a load report.
 var noReport = LoadReport{Running: -1, Queued: -1}
 
+// maxReportedRequests bounds the running and the waiting requests that an upstream may report.
+const maxReportedRequests = 1 << 20
+
 // FetchLoad requests the load report of an upstream. A response that is not a load report,
 // such as 404 from a plain service, shows that the upstream is reachable; the report then
 // has counts of -1. A missing response is an error, and so is 503, with which an upstream
@@ -30,7 +33,7 @@
 		return LoadReport{}, fault.New(fault.UpstreamFailed, "", "GET %s/load: status %d", address, status)
 	}
 	var l LoadReport
-	if status != fasthttp.StatusOK || json.Unmarshal(body, &l) != nil || l.Running < 0 || l.Queued < 0 {
+	if status != fasthttp.StatusOK || json.Unmarshal(body, &l) != nil || !isPlausible(l.Running, maxReportedRequests) || !isPlausible(l.Queued, maxReportedRequests) {
 		return noReport, nil
 	}
 	return l, nil
