--- a/internal/engine/streamanswers_test.go
+++ b/internal/engine/streamanswers_test.go
@@ -19,8 +19,7 @@
 	return text + "0\r\n\r\n"
 }
 
-// Guards against foreign bytes that reach the caller of a stream as a complete answer because of the status or type that the
-// upstream names, or because its lines end where callers see an end and the host does not.
+// Guards against foreign bytes that reach the caller of a stream by their label, status or lines.
 func TestStreamRequestTakesOnlySoundEventStreams(t *testing.T) {
 	const (
 		eventType = "Content-Type: text/event-stream\r\n"
--- a/internal/gateway/streamanswers_test.go
+++ b/internal/gateway/streamanswers_test.go
@@ -118,8 +118,7 @@
 	return failed
 }
 
-// Guards against foreign bytes that reach the caller because the upstream didn't label them as a stream, because its status or a
-// line isn't what the host's check expects, and against an upstream that sends them and counts as a sound one.
+// Guards against foreign bytes that reach the caller by their label, status or lines, and against counting their upstream as sound.
 func TestAnswersThatAreNoSoundStreamDoNotReachTheCaller(t *testing.T) {
 	for _, test := range badAnswers {
 		t.Run(test.name, func(t *testing.T) {
