Spoil all responses where a play spoils whole ones

Cause: the play of spoiled streams ends when each kind was sent ten times. Kinds that spoil a whole response were sent with 0.3 of the responses of one engine, and hosts that detect them ask that engine rarely, so the play waited for these kinds.

Change: an engine that spoils whole responses spoils all of them.

--- a/internal/emulator/garbage.go
+++ b/internal/emulator/garbage.go
@@ -189,6 +189,11 @@
 	return all
 }
 
+// IsResponse reports whether a kind spoils a whole response, and not one event.
+func (k GarbageKind) IsResponse() bool {
+	return slices.ContainsFunc(responseGarbages, func(g responseGarbage) bool { return g.kind == k })
+}
+
 // ParseGarbageKinds parses kinds that are separated by commas. An empty text means all kinds.
 func ParseGarbageKinds(text string) ([]GarbageKind, error) {
 	if text == "" {
--- a/internal/emulator/garbage_test.go
+++ b/internal/emulator/garbage_test.go
@@ -102,6 +102,7 @@
 	for _, kind := range all {
 		s := newGarbageSource(1, []GarbageKind{kind})
 		c.Check(len(s.events)+len(s.responses), qt.Equals, 1, qt.Commentf("%s", kind))
+		c.Check(kind.IsResponse(), qt.Equals, len(s.responses) == 1, qt.Commentf("%s", kind))
 	}
 	some, err := ParseGarbageKinds("lone-cr, status-206")
 	c.Check(err, qt.IsNil)
--- a/internal/scenario/soak_spoiled_test.go
+++ b/internal/scenario/soak_spoiled_test.go
@@ -18,7 +18,7 @@
 	// spoiledCallers is the number of clients for each kind of garbage.
 	spoiledCallers = 2
 	// spoiledRate is the fraction of events at which garbage comes, so that most streams are
-	// spoiled, at different events, and the fraction of responses that are garbage as a whole.
+	// spoiled, at different events. All responses are garbage where it spoils whole ones.
 	spoiledRate = 0.3
 	// minSpoiled is the number of spoiled events or responses that each kind must have had.
 	minSpoiled = 10
@@ -63,7 +63,11 @@
 // kind has a service of its own, so that the kinds are played at the same time and told apart.
 func spoiledUpstreams() (list []soakUpstreamSpec) {
 	for i, kind := range emulator.GarbageKinds() {
-		for j, rate := range []float64{spoiledRate, 0} {
+		rate := spoiledRate
+		if kind.IsResponse() {
+			rate = 1
+		}
+		for j, rate := range []float64{rate, 0} {
 			e := enginemodel.TypicalOptions()
 			e.PromptTokensPerMs = 100
 			list = append(list, soakUpstreamSpec{fmt.Sprint(kind, "-", j), string(kind), emulator.Options{
