Show operators what is quarantined, since when and by which crashes

Cause: nothing but the refusals of callers told what a host refused; a crash mark names a fingerprint only. Change: a host remembers which part or request a fingerprint with marks is, when a request with it breaks or is asked of it. It logs "Requests are quarantined." at the first refusal, with the part, the instances that crashed and the next trial, and "Requests are no longer quarantined."; /v1/status lists the quarantine, the gauge edge.quarantined counts it, and "marigoldshuntctl quarantine list" merges the lists of all hosts. docs/OPERATIONS.md says where to look.

Pools are left out: their schedulers keep a quarantine of their own.

Tests: TestQuarantineIsListedAndLogged, TestQuarantinedRequestIsListed and TestQuarantineList; what they call did not exist before.

--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -1,6 +1,10 @@
 package admin
 
-import "marigoldshunt/internal/dispatch"
+import (
+	"time"
+
+	"marigoldshunt/internal/dispatch"
+)
 
 // Status is the status of a host as marigoldshuntctl reads it. A daemon may add fields
 // to the JSON object. Boot identifies the run of the daemon: its start time in Unix
@@ -83,6 +87,29 @@
 	// the first list.
 	ListAgeMS int64                     `json:"list_age_ms"`
 	Instances []dispatch.InstanceStatus `json:"instances"`
+	// Quarantined is what the host refuses because it crashed upstreams, the oldest first.
+	Quarantined []QuarantineStatus `json:"quarantined,omitempty"`
+}
+
+// QuarantineStatus describes a quarantined request or prompt part.
+type QuarantineStatus struct {
+	// Fingerprint is its name in POST /v1/quarantine/lift.
+	Fingerprint string `json:"fingerprint"`
+	Service     string `json:"service"`
+	// PromptPart is the hexadecimal id of the part, empty for a whole request.
+	PromptPart string `json:"prompt_part,omitempty"`
+	// Since is the time of the crash that was one too many, NextTrial when a request may try it at
+	// the earliest.
+	Since     time.Time `json:"since"`
+	NextTrial time.Time `json:"next_trial"`
+	// Crashes are those that count, the oldest first.
+	Crashes []CrashStatus `json:"crashes"`
+}
+
+// CrashStatus is the crash of an instance.
+type CrashStatus struct {
+	Instance string    `json:"instance"`
+	At       time.Time `json:"at"`
 }
 
 // HostStatus is the liveness of a host. Boot is as in Status.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -135,7 +135,7 @@
 			a.controlCommand(), a.configCommand(), a.contractCommand(),
 			a.serviceStateCommand(dataCentreTarget), a.serviceStateCommand(hostTarget), a.serviceStateCommand(upstreamTarget),
 			a.routingCommand(), a.instancesCommand(), a.explainCommand(),
-			a.orderCommand(), a.statusCommand(), a.timelineCommand(), a.metricsCommand(),
+			a.orderCommand(), a.quarantineCommand(), a.statusCommand(), a.timelineCommand(), a.metricsCommand(),
 			a.hashCommand(), a.versionCommand(),
 		},
 	}
--- a/internal/daemon/edge_status.go
+++ b/internal/daemon/edge_status.go
@@ -5,6 +5,7 @@
 
 	"marigoldshunt/internal/admin"
 	"marigoldshunt/internal/dispatch"
+	"marigoldshunt/internal/gateway"
 )
 
 // status returns the state of the routed services for operators, nil without an edge.
@@ -18,6 +19,19 @@
 		out.Version = t.Document.Version
 	}
 	e.dispatcher.Update(func(d *dispatch.Dispatcher, now time.Time) { out.Instances = d.Status(now) })
+	for _, q := range e.gateway.Quarantined() {
+		out.Quarantined = append(out.Quarantined, quarantineStatus(q))
+	}
+	return out
+}
+
+func quarantineStatus(q gateway.Quarantined) admin.QuarantineStatus {
+	out := admin.QuarantineStatus{
+		Fingerprint: q.Fingerprint.String(), Service: q.Service, PromptPart: q.Part, Since: q.Since.UTC(), NextTrial: q.NextTrial.UTC(),
+	}
+	for _, crash := range q.Crashes {
+		out.Crashes = append(out.Crashes, admin.CrashStatus{Instance: crash.Instance, At: crash.At.UTC()})
+	}
 	return out
 }
 
@@ -41,6 +55,7 @@
 	m := readMemory()
 	out["process.memory_bytes"], out["process.live_bytes"] = float64(m.totalBytes), float64(m.liveBytes)
 	out["process.goroutines"] = float64(m.goroutines)
+	out["edge.quarantined"] = float64(len(status.Quarantined))
 	for _, i := range status.Instances {
 		out["edge.instances_"+i.State]++
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -56,6 +56,9 @@
 	// own are the crash marks that this host set, recorded those that the control group has.
 	own      *ownCrashMarks
 	recorded crashMarks
+	// names holds what this host knows of fingerprints with marks, logged those whose quarantine is in the log.
+	names  map[wire.Digest]markedName
+	logged map[wire.Digest]bool
 	// disproved are the marks of requests and parts that an upstream answered afterwards: a
 	// request that crashes upstreams is never answered. unreported are those that the control
 	// group has not been told of.
@@ -92,7 +95,7 @@
 func newCrashTracker(store CrashStore, log logrus.FieldLogger) *crashTracker {
 	return &crashTracker{
 		store: store, log: log, dial: probeDial, now: time.Now, own: newOwnCrashMarks(), recorded: crashMarks{}, disproved: newOwnCrashMarks(),
-		broken: map[catalog.Key][]brokenRequest{}, hosts: rendezvous.NewMembers("", nil), trials: map[wire.Digest]time.Time{},
+		names: map[wire.Digest]markedName{}, logged: map[wire.Digest]bool{}, broken: map[catalog.Key][]brokenRequest{}, hosts: rendezvous.NewMembers("", nil), trials: map[wire.Digest]time.Time{},
 	}
 }
 
@@ -233,9 +236,16 @@
 // own, and returns them, those of prompt parts first.
 func (c *crashTracker) markLocked(instance string, broken []brokenRequest) (marks []wire.CrashMark) {
 	c.evidence = nil
+	if len(c.names) > maxNames {
+		c.forgetNamesLocked()
+	}
 	seen := map[wire.Digest]bool{}
 	var requests []wire.CrashMark
 	for _, r := range broken {
+		c.names[r.fingerprint] = markedName{service: r.service, whole: true}
+		for _, id := range r.sharedParts {
+			c.names[partFingerprint(r.service, id)] = markedName{service: r.service, part: id}
+		}
 		for _, m := range r.crashMarks(instance, c.now()) {
 			switch {
 			case seen[m.Fingerprint]:
@@ -275,4 +285,5 @@
 			}
 		}
 	}
+	c.forgetNamesLocked()
 }
--- a/internal/gateway/crashcheck.go
+++ b/internal/gateway/crashcheck.go
@@ -37,11 +37,13 @@
 	suspects, marked := c.suspectsLocked(service, sharedParts())
 	fp := fingerprint()
 	if marks := c.validMarksLocked(fp); len(marks) >= maxCrashes {
+		c.names[fp] = markedName{service: service, whole: true}
 		suspects = append(suspects, suspect{fingerprint: fp, marks: marks, whole: true, likely: true})
 	}
 	if len(suspects) == 0 {
 		return false, nil
 	}
+	c.logQuarantinedLocked(service, suspects)
 	trial, latest, due := c.tryLocked(suspects, marked)
 	if trial {
 		c.log.WithField("service", service).WithField("quarantined", len(suspects)).WithField("cause", latest.cause()).Info("The quarantine is tried by one request.")
@@ -58,6 +60,7 @@
 		marks := c.validMarksLocked(fp)
 		if len(marks) > 0 {
 			marked++
+			c.names[fp] = markedName{service: service, part: id}
 		}
 		if partSuspected(marks) && c.evidenceLocked().blamed[fp] {
 			suspects = append(suspects, suspect{fingerprint: fp, part: id, marks: marks, likely: c.evidenceLocked().likelyCause(fp)})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -2,6 +2,7 @@
 package wire
 
 import (
+	"encoding/hex"
 	"time"
 
 	"marigoldshunt/internal/fault"
@@ -38,6 +39,19 @@
 // Digest identifies a request body or a prompt prefix.
 type Digest [16]byte
 
+// String returns the digest in hexadecimal digits.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// ParseDigest parses what String returns.
+func ParseDigest(text string) (d Digest, err error) {
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(d) {
+		return d, fault.New(fault.BadRequest, fault.NotRun, "%q is not a digest of %d hexadecimal digits", text, 2*len(d))
+	}
+	copy(d[:], data)
+	return d, nil
+}
+
 // Ticket asks the pool scheduler for an upstream slot.
 type Ticket struct {
 	ID         TicketID
