Let operators lift a quarantine

Cause: a part or request stayed refused until a trial was answered or its marks expired, even if its upstreams had been repaired. Change: "marigoldshuntctl quarantine lift FINGERPRINT" (POST /v1/quarantine/lift) has the control group drop the crash marks of the fingerprint, by the same command that drops disproved ones, so all hosts drop theirs. It fails with not_found if the asked host knows of none, and is recorded as an operator's action. The quarantine of pools is not lifted: a pool's scheduler keeps its own marks.

Tests: TestLiftedQuarantineReachesAllHosts, TestQuarantineLift and cases of TestActions, TestErrorCodes and TestAuthentication; what they call did not exist before. TestActions counts one action more.

--- a/internal/admin/actions.go
+++ b/internal/admin/actions.go
@@ -8,6 +8,7 @@
 
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/wire"
 )
 
 // maxRequestIDBytes is the length of the longest request ID that the replicated state accepts.
@@ -37,6 +38,11 @@
 	Host string `json:"host"`
 }
 
+// LiftRequest is the body of POST /v1/quarantine/lift.
+type LiftRequest struct {
+	Fingerprint string `json:"fingerprint"`
+}
+
 // OrderRequest is the body of POST /v1/orders.
 type OrderRequest struct {
 	RequestID string `json:"request_id"`
@@ -150,6 +156,23 @@
 	return reply(ctx, struct{}{})
 }
 
+func (s *Server) quarantineLift(ctx *fasthttp.RequestCtx) error {
+	var r LiftRequest
+	if err := decode(ctx, &r); err != nil {
+		return err
+	}
+	fingerprint, err := wire.ParseDigest(r.Fingerprint)
+	if err != nil {
+		return err
+	}
+	err = withTimeout(func(c context.Context) error { return s.opts.OperatorActions.LiftQuarantine(c, fingerprint) })
+	s.record(ctx, "quarantine_lift", err, "fingerprint", r.Fingerprint)
+	if err != nil {
+		return err
+	}
+	return reply(ctx, struct{}{})
+}
+
 func (s *Server) order(ctx *fasthttp.RequestCtx) error {
 	var r OrderRequest
 	if err := decode(ctx, &r); err != nil {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,7 @@
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/hlc"
 	"marigoldshunt/internal/timeline"
+	"marigoldshunt/internal/wire"
 )
 
 // OperatorActions is the part of the daemon that carries out requests of operators. Its
@@ -31,6 +32,9 @@
 	// Order commits an order to an upstream. A resend with the same operator and request
 	// ID returns the current state of the first order.
 	Order(ctx context.Context, requestID, operator string, order Order) (OrderResponse, error)
+	// LiftQuarantine lets all hosts admit a quarantined request or prompt part again. It fails with
+	// NotFound if it has no crash marks.
+	LiftQuarantine(ctx context.Context, fingerprint wire.Digest) error
 	// Status returns a Status or a value with the same JSON structure.
 	Status() any
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -24,6 +24,7 @@
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/hlc"
 	"marigoldshunt/internal/timeline"
+	"marigoldshunt/internal/wire"
 )
 
 const (
@@ -67,6 +68,9 @@
 func (f *fakeActions) Order(_ context.Context, id, operator string, o Order) (OrderResponse, error) {
 	return OrderResponse{Fence: 5, Status: "pending"}, f.call("order %s %s %v", id, operator, o)
 }
+func (f *fakeActions) LiftQuarantine(_ context.Context, fingerprint wire.Digest) error {
+	return f.call("lift %s", fingerprint)
+}
 func (f *fakeActions) Status() any { return Status{Host: "h1"} }
 
 type fixture struct {
@@ -123,7 +127,7 @@
 	f := startServer(c)
 	requests := []string{
 		"GET /metrics", "GET /v1/status", "GET /v1/timeline", "GET /v1/config", "POST /v1/config",
-		"POST /v1/control/init", "POST /v1/control/replace", "POST /v1/orders",
+		"POST /v1/control/init", "POST /v1/control/replace", "POST /v1/orders", "POST /v1/quarantine/lift",
 		"POST /v1/data-centres/suva/out", "POST /v1/hosts/h1/back", "POST /v1/upstreams/u1/out",
 		"GET /absent", "GET //healthz", "GET /healthz/../metrics", "GET /metrics/../healthz",
 	}
@@ -172,6 +176,7 @@
 				`"checks_sender":false,"out":false,"revision":0},"if_revision":6}]`, `{"revision":8}`},
 		{"/v1/control/init", `{"hosts":["h1","h2"]}`, `init [h1 h2]`, `{}`},
 		{"/v1/control/replace", `{"host":"h2"}`, `replace h2`, `{}`},
+		{"/v1/quarantine/lift", `{"fingerprint":"0102030405060708090a0b0c0d0e0f10"}`, `lift 0102030405060708090a0b0c0d0e0f10`, `{}`},
 		{"/v1/orders", `{"request_id":"r5","upstream":"u","kind":"drain"}`, `order r5 ops {u drain }`, `{"fence":5,"status":"pending"}`},
 	} {
 		f.calls = nil
@@ -188,8 +193,8 @@
 	c.Assert(events.Events[0].Fields, qt.DeepEquals, map[string]string{"operator": "ops", "request_id": "r1", "result": "ok"})
 	_, _, body = f.do(c, "GET", fmt.Sprintf("/v1/timeline?since=%d", events.UpTo), "Bearer "+operatorCredential, "")
 	c.Assert(json.Unmarshal([]byte(body), &events), qt.IsNil)
-	c.Assert(events.Events, qt.HasLen, 5)
-	c.Assert(events.UpTo > events.Events[4].HLC, qt.IsTrue)
+	c.Assert(events.Events, qt.HasLen, 6)
+	c.Assert(events.UpTo > events.Events[5].HLC, qt.IsTrue)
 	status, _, body := f.do(c, "GET", "/metrics", "Bearer "+operatorCredential, "")
 	c.Assert(status, qt.Equals, 200)
 	c.Assert(body, qt.Contains, `"empty":{"value":null}`)
@@ -220,6 +225,9 @@
 		{"POST /v1/upstreams/u%2F1/back", `{"request_id":"r","if_revision":0}`, 409, fault.RevisionConflict},
 		{"POST /v1/control/init", `{"hosts":[]}`, 400, fault.BadRequest},
 		{"POST /v1/control/replace", `{}`, 400, fault.BadRequest},
+		{"POST /v1/quarantine/lift", `{}`, 400, fault.BadRequest},
+		{"POST /v1/quarantine/lift", `{"fingerprint":"01020304"}`, 400, fault.BadRequest},
+		{"POST /v1/quarantine/lift", `{"fingerprint":"0102030405060708090a0b0c0d0e0fzz"}`, 400, fault.BadRequest},
 		{"POST /v1/orders", `{"request_id":"r","upstream":"u","kind":"dance","name":"n"}`, 400, fault.BadRequest},
 		{"POST /v1/orders", `{"request_id":"r","upstream":"u","kind":"load_model"}`, 400, fault.BadRequest},
 		{"GET /v1/timeline?since=-1", "", 400, fault.BadRequest},
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -64,6 +64,8 @@
 		return s.controlInit, fasthttp.MethodPost
 	case "/v1/control/replace":
 		return s.controlReplace, fasthttp.MethodPost
+	case "/v1/quarantine/lift":
+		return s.quarantineLift, fasthttp.MethodPost
 	case "/v1/orders":
 		return s.order, fasthttp.MethodPost
 	}
--- a/internal/control/clientcommands.go
+++ b/internal/control/clientcommands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/fault"
@@ -63,6 +64,17 @@
 	}
 }
 
+// LiftQuarantine removes the crash marks of a request or prompt part, so that all hosts admit it again. It fails with
+// NotFound if this host knows of none.
+func (c *Client) LiftQuarantine(ctx context.Context, fingerprint wire.Digest) error {
+	marks := slices.DeleteFunc(c.CrashMarks(), func(m state.CrashMark) bool { return m.Fingerprint != fingerprint })
+	if len(marks) == 0 {
+		return fault.New(fault.NotFound, fault.NotRun, "nothing with the fingerprint %s has crashed an upstream", fingerprint)
+	}
+	_, err := c.proposeAndWait(ctx, state.Command{CrashMarks: &state.CrashMarkChange{Disproved: marks}})
+	return err
+}
+
 // ChangeStreams records where streams began, and asks where others did.
 func (c *Client) ChangeStreams(ctx context.Context, change *wire.StreamChange) (*wire.StreamAnswer, error) {
 	r, err := c.proposeAndWait(ctx, state.StreamCommand(change))
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -310,3 +310,25 @@
 	c.Assert(reported, qt.HasLen, 1)
 	c.Assert(reported[0].Fingerprint, qt.Equals, wire.Digest{8})
 }
+
+// Guards against a lifted quarantine that stays on other hosts, and against one that lifts nothing without an error.
+func TestLiftedQuarantineReachesAllHosts(t *testing.T) {
+	c := qt.New(t)
+	sim := newFormedSimulation(t, 13, 1, "r1", "r2")
+	marks := []state.CrashMark{
+		{Pool: "p0", Fingerprint: wire.Digest{7}, Upstream: "u1"}, {Pool: "p0", Fingerprint: wire.Digest{7}, Upstream: "u2"},
+		{Pool: "p0", Fingerprint: wire.Digest{8}, Upstream: "u1"},
+	}
+	waitForCall(sim, startCall(sim.clients["r1"], func(ctx context.Context) error {
+		sim.clients["r1"].ChangeCrashMarks(ctx, marks, nil)
+		return nil
+	}))
+	sim.run(time.Second)
+	lift := func(ctx context.Context) error { return sim.clients["r1"].LiftQuarantine(ctx, wire.Digest{7}) }
+	c.Assert(waitForCall(sim, startCall(sim.clients["r1"], lift)), qt.IsNil)
+	sim.run(time.Second)
+	left := sim.clients["r2"].CrashMarks()
+	c.Assert(left, qt.HasLen, 1)
+	c.Check(left[0].Fingerprint, qt.Equals, wire.Digest{8})
+	c.Check(fault.CodeOf(lift(t.Context())), qt.Equals, fault.NotFound)
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -27,6 +27,7 @@
 	"marigoldshunt/internal/hlc"
 	"marigoldshunt/internal/state"
 	"marigoldshunt/internal/timeline"
+	"marigoldshunt/internal/wire"
 )
 
 const testCredential = "operator-credential"
@@ -64,6 +65,7 @@
 	mu      sync.Mutex
 	status  admin.Status
 	inits   []string
+	lifted  []wire.Digest
 	initErr error
 	// polled is called for every status request.
 	polled func()
@@ -92,6 +94,14 @@
 	return admin.OrderResponse{Fence: 7, Status: "pending", Message: o.Kind + " " + o.Upstream + " " + o.Name}, nil
 }
 
+func (h *testHost) LiftQuarantine(_ context.Context, fingerprint wire.Digest) error {
+	if fingerprint == (wire.Digest{}) {
+		return fault.New(fault.NotFound, fault.NotRun, "no crash marks")
+	}
+	h.lifted = append(h.lifted, fingerprint)
+	return nil
+}
+
 func (h *testHost) Status() any {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -13,7 +13,7 @@
 )
 
 func (a *app) quarantineCommand() *ffcli.Command {
-	return a.group("quarantine", "Show what is refused because it crashed upstreams", a.quarantineList())
+	return a.group("quarantine", "Show or lift what is refused because it crashed upstreams", a.quarantineList(), a.quarantineLift())
 }
 
 func (a *app) quarantineList() *ffcli.Command {
@@ -36,6 +36,25 @@
 	}
 }
 
+func (a *app) quarantineLift() *ffcli.Command {
+	fs := a.flags("lift")
+	return &ffcli.Command{
+		Name: "lift", ShortUsage: "marigoldshuntctl quarantine lift FINGERPRINT [flags]",
+		ShortHelp: "Let all hosts admit a quarantined request or prompt part again", FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			names, c, err := a.argsAndClient(fs, args, "FINGERPRINT")
+			if err != nil {
+				return err
+			}
+			var answer struct{}
+			if err := c.post(ctx, "/v1/quarantine/lift", admin.LiftRequest{Fingerprint: names[0]}, &answer, retryIfNotRun); err != nil {
+				return err
+			}
+			return a.show(answer, "", [][]string{{"The quarantine is lifted."}})
+		},
+	}
+}
+
 // quarantineOf returns what at least one host refuses. Hosts know the same crashes but for a moment, so that the
 // first answer about each stands for all.
 func quarantineOf(answers []hostAnswer[admin.Status]) []admin.QuarantineStatus {
--- a/internal/ctl/quarantine_test.go
+++ b/internal/ctl/quarantine_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"marigoldshunt/internal/admin"
+	"marigoldshunt/internal/wire"
 )
 
 // Guards against a list that leaves out, or names twice, what hosts refuse.
@@ -28,3 +29,18 @@
 0a           s        a1           2030-01-02T03:04:06Z  2030-01-02T03:05:05Z  3        i1 i2 i3
 `)
 }
+
+// Guards against lifting another quarantine than the named one, and against success where there is none.
+func TestQuarantineLift(t *testing.T) {
+	c := qt.New(t)
+	h := startHost(c, newGroup(), "a")
+	fingerprint := wire.Digest{1, 15: 2}
+	code, o := run(context.Background(), h.address, "quarantine", "lift", fingerprint.String())
+	c.Assert(code, qt.Equals, ExitOK, qt.Commentf("%s", o.err.String()))
+	c.Assert(h.lifted, qt.DeepEquals, []wire.Digest{fingerprint})
+	code, _ = run(context.Background(), h.address, "quarantine", "lift", wire.Digest{}.String())
+	c.Assert(code, qt.Equals, ExitNotFound)
+	code, _ = run(context.Background(), h.address, "quarantine", "lift", "01")
+	c.Assert(code, qt.Equals, ExitInvalid)
+	c.Assert(h.lifted, qt.HasLen, 1)
+}
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -54,6 +54,11 @@
 	return admin.OrderResponse{Fence: r.Fence, Status: string(r.Status), Message: r.Message}, err
 }
 
+// LiftQuarantine implements admin.OperatorActions.
+func (a operatorActions) LiftQuarantine(ctx context.Context, fingerprint wire.Digest) error {
+	return a.d.controlClient.LiftQuarantine(ctx, fingerprint)
+}
+
 // Status implements admin.OperatorActions.
 func (a operatorActions) Status() any { return a.d.status() }
 
