--- a/internal/daemon/crashpart_test.go
+++ b/internal/daemon/crashpart_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"marigoldshunt/internal/admin"
 	"marigoldshunt/internal/emulator"
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/routing"
+	"marigoldshunt/internal/wire"
 )
 
 // Guards against hosts that go on sending requests with a prompt part that crashed upstreams
@@ -64,4 +67,19 @@
 		soundIsServed(ip)
 	}
 	f.Check(f.emulator.Debug().Crashes, qt.Equals, crashes)
+	// An operator sees the part at each host and lifts the quarantine at one.
+	quarantined := func(ip string) []admin.QuarantineStatus { return f.hosts[ip].d.edge.status().Quarantined }
+	for _, ip := range ips {
+		f.Assert(quarantined(ip), qt.HasLen, 1, qt.Commentf(ip))
+		f.Check(quarantined(ip)[0].PromptPart, qt.Equals, "bad")
+	}
+	fingerprint, err := wire.ParseDigest(quarantined(ips[0])[0].Fingerprint)
+	f.Assert(err, qt.IsNil)
+	liftCtx, cancelLift := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancelLift()
+	f.Assert(operatorActions{f.hosts[ips[1]].d}.LiftQuarantine(liftCtx, fingerprint), qt.IsNil)
+	f.waitFor("no host refuses the part", func() bool {
+		return !slices.ContainsFunc(ips, func(ip string) bool { return len(quarantined(ip)) > 0 })
+	})
+	f.Check(refused(ips[2]), qt.IsFalse)
 }
