--- /dev/null
+++ b/internal/dispatch/gatelost_test.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against an engine that gets next to nothing for many seconds because the end of one prompt was lost.
+func TestLostProgressDoesNotHoldAGateForSeconds(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGate()
+	c.Assert(g.Request(newAdmissionRequest(1, 4_000, 0, 800, WithinConfiguredShare), at(0)).Granted, qt.IsTrue)
+	for ms := 100; ms < 3_000; ms += 100 {
+		g.DropLost(at(ms))
+		g.RefuseLate(at(ms))
+		g.AdmitWaiting(at(ms))
+	}
+	c.Assert(g.Request(newAdmissionRequest(2, 100, 3_000, 800, WithinConfiguredShare), at(3_000)).Granted, qt.IsTrue)
+}
+
+// Guards against a confirmation that says that a prompt was read, and that the gate doesn't believe.
+func TestConfirmationThatAPromptWasReadOpensTheGate(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGate()
+	c.Assert(g.Request(newAdmissionRequest(1, 4_000, 0, 800, WithinConfiguredShare), at(0)).Granted, qt.IsTrue)
+	g.Adopt(newAdmissionRequest(1, 4_000, 0, 800, WithinConfiguredShare), true, at(150))
+	c.Assert(g.Request(newAdmissionRequest(2, 4_000, 150, 800, WithinConfiguredShare), at(150)).Granted, qt.IsTrue)
+}
+
+// Guards against an engine that stopped answering and therefore looks like one that has read everything.
+func TestSilentEngineDoesNotLookIdle(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGate()
+	c.Assert(g.Request(newAdmissionRequest(1, 4_000, 0, 800, WithinConfiguredShare), at(0)).Granted, qt.IsTrue)
+	tokens, _ := g.Backlog(at(1_200))
+	c.Assert(tokens >= 4_000, qt.IsTrue, qt.Commentf("a backlog of %d tokens", tokens))
+	r := g.Request(newAdmissionRequest(2, 100, 1_200, 800, WithinConfiguredShare), at(1_200))
+	c.Assert(r.Queued || r.Granted, qt.IsFalse)
+}
+
+// Guards against speeds that are measured with prompts in progress which the engine has read long ago.
+func TestLostProgressDoesNotMakeAnEngineLookFaster(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGate()
+	before := g.speed.PerMs()
+	c.Assert(g.Request(newAdmissionRequest(1, 3_900, 0, 800, WithinConfiguredShare), at(0)).Granted, qt.IsTrue)
+	now := 0
+	for seq := uint64(2); seq < 60; seq++ {
+		g.Request(newAdmissionRequest(seq, 100, now, 800, WithinConfiguredShare), at(now))
+		now += 10
+		g.FirstEvent(AdmissionID{"h", seq}, at(now))
+	}
+	c.Assert(g.speed.PerMs() < 1.25*before, qt.IsTrue, qt.Commentf("%v tokens/ms, %v before", g.speed.PerMs(), before))
+}
