Believe a confirmation that says that a prompt was read

Cause: a gate that knew the request ignored what its confirmation said about the prompt, so that a lost message about the first event held it. What a gate does about lost messages is moved to a file of its own.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -43,9 +43,6 @@
 	maxReadingTokens = 4_000
 	// maxWaiting bounds the queue of one gate.
 	maxWaiting = 1_024
-	// admittedTimeout is the time without a confirmation after which an admitted request is
-	// dropped, in case its host has died or its messages were lost.
-	admittedTimeout = 15 * time.Second
 )
 
 // maxWaitFraction is the largest expected wait of an accepted prompt, as a fraction of the
@@ -225,22 +222,6 @@
 	g.cache.markUsed(r.Parts, now)
 }
 
-// ConfirmInterval is how often a host has to confirm its admitted requests with Adopt. Two
-// confirmations fit into admittedTimeout.
-const ConfirmInterval = 7 * time.Second
-
-// Adopt adds a request that was admitted without this gate, or confirms one that still runs.
-func (g *Gate) Adopt(r AdmissionRequest, read bool, now time.Time) {
-	if known := g.running[r.ID]; known != nil {
-		known.confirmedAt = now
-		return
-	}
-	g.admit(r, g.tokensToRead(r, now), now)
-	if read {
-		g.finishReading(g.running[r.ID], now)
-	}
-}
-
 // FirstEvent records that the engine has read the prompt of a request.
 func (g *Gate) FirstEvent(id AdmissionID, now time.Time) {
 	r := g.running[id]
@@ -319,25 +300,6 @@
 	return granted, refused
 }
 
-// LostRequest is an admitted request that a gate has dropped. Reading is true if its first event
-// was still waited for.
-type LostRequest struct {
-	Host    string
-	Tokens  int
-	Reading bool
-}
-
-// DropLost drops admitted requests that were not confirmed for admittedTimeout, and returns them.
-func (g *Gate) DropLost(now time.Time) (dropped []LostRequest) {
-	for id, r := range g.running {
-		if now.Sub(r.confirmedAt) > admittedTimeout {
-			dropped = append(dropped, LostRequest{Host: id.Host, Tokens: r.tokens, Reading: r.reading})
-			g.Done(id, now)
-		}
-	}
-	return dropped
-}
-
 // Backlog returns the prompt tokens in progress and queued, and the number of admitted
 // requests. The wait for the rate limit counts as the tokens that the engine reads in it, so
 // that other upstreams are preferred.
--- /dev/null
+++ b/internal/dispatch/gatelost.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import "time"
+
+// Hosts tell a gate once that a prompt was read and that a request ended, and such a message can be
+// lost. What this file does ends the state that it leaves.
+
+// admittedTimeout is the time without a confirmation after which an admitted request is dropped, in
+// case its host has died or its messages were lost.
+const admittedTimeout = 15 * time.Second
+
+// ConfirmInterval is how often a host has to confirm its admitted requests with Adopt. Two
+// confirmations fit into admittedTimeout.
+const ConfirmInterval = 7 * time.Second
+
+// Adopt adds a request that was admitted without this gate, or confirms one that still runs.
+func (g *Gate) Adopt(r AdmissionRequest, read bool, now time.Time) {
+	if known := g.running[r.ID]; known != nil {
+		known.confirmedAt = now
+		if read && known.reading {
+			// The message about its first event was lost, so that when it came isn't known.
+			g.finishReading(known, now)
+		}
+		return
+	}
+	g.admit(r, g.tokensToRead(r, now), now)
+	if read {
+		g.finishReading(g.running[r.ID], now)
+	}
+}
+
+// LostRequest is an admitted request that a gate has dropped. Reading is true if its first event
+// was still waited for.
+type LostRequest struct {
+	Host    string
+	Tokens  int
+	Reading bool
+}
+
+// DropLost drops admitted requests that were not confirmed for admittedTimeout, and returns them.
+func (g *Gate) DropLost(now time.Time) (dropped []LostRequest) {
+	for id, r := range g.running {
+		if now.Sub(r.confirmedAt) > admittedTimeout {
+			dropped = append(dropped, LostRequest{Host: id.Host, Tokens: r.tokens, Reading: r.reading})
+			g.Done(id, now)
+		}
+	}
+	return dropped
+}
