Confirm requests without a first event every 0.5 s, and drop them after 1.5 s

Cause: the message that a prompt was read, or that its request ended, is sent once. After its loss the gate waited for 15 s. Change: until its first event a request is confirmed every 0.5 s, and a gate drops it after 1.5 s without a confirmation. Tests: TestLostProgressDoesNotHoldAGateForSeconds failed before and passes. TestLongPromptHoldsItsGateWhileItsHostConfirmsIt is new and fails with confirmations each 7 s. TestGateThatStandsStillIsLogged looked for the line about the gate after 2 s and for the dropped request after 20 s. The state now ends after 1.5 s, so that it looks for them after 1 s and after 2 s, which is stricter.

--- a/internal/admission/handover.go
+++ b/internal/admission/handover.go
@@ -43,12 +43,20 @@
 	return list
 }
 
+// confirmInterval is how often the owner is told that the request still runs.
+func (p *Permit) confirmInterval() time.Duration {
+	if p.read {
+		return dispatch.ConfirmInterval
+	}
+	return dispatch.UnreadConfirmInterval
+}
+
 // confirmationsLocked returns the messages by which the owners keep counting the admitted
 // requests of this host. Without them an owner can't tell a long stream from a request whose
 // host has died. They leave out the prompt, which the owner knows.
 func (a *Admission) confirmationsLocked(now time.Time) (list []handover) {
 	for _, p := range a.admitted {
-		if now.Sub(p.announcedAt) < dispatch.ConfirmInterval {
+		if now.Sub(p.announcedAt) < p.confirmInterval() {
 			continue
 		}
 		p.announcedAt = now
--- a/internal/dispatch/gatelost.go
+++ b/internal/dispatch/gatelost.go
@@ -13,6 +13,15 @@
 // confirmations fit into admittedTimeout.
 const ConfirmInterval = 7 * time.Second
 
+// unreadTimeout takes the place of admittedTimeout, and UnreadConfirmInterval that of
+// ConfirmInterval, until the first event of a request. They are shorter because an unread prompt keeps
+// others from the engine. Most prompts are read sooner than their first confirmation is due, so that
+// short times cost few messages.
+const (
+	unreadTimeout         = 1500 * time.Millisecond
+	UnreadConfirmInterval = 500 * time.Millisecond
+)
+
 // Adopt adds a request that was admitted without this gate, or confirms one that still runs.
 func (g *Gate) Adopt(r AdmissionRequest, read bool, now time.Time) {
 	if known := g.running[r.ID]; known != nil {
@@ -37,10 +46,18 @@
 	Reading bool
 }
 
-// DropLost drops admitted requests that were not confirmed for admittedTimeout, and returns them.
+// timeout is the time without a confirmation after which the request is dropped.
+func (r *admittedRequest) timeout() time.Duration {
+	if r.reading {
+		return unreadTimeout
+	}
+	return admittedTimeout
+}
+
+// DropLost drops admitted requests that were not confirmed in time, and returns them.
 func (g *Gate) DropLost(now time.Time) (dropped []LostRequest) {
 	for id, r := range g.running {
-		if now.Sub(r.confirmedAt) > admittedTimeout {
+		if now.Sub(r.confirmedAt) > r.timeout() {
 			dropped = append(dropped, LostRequest{Host: id.Host, Tokens: r.tokens, Reading: r.reading})
 			g.Done(id, now)
 		}
--- a/internal/sweep/dispatch.go
+++ b/internal/sweep/dispatch.go
@@ -33,8 +33,6 @@
 	// configuredShare is the configured capacity as a fraction of the demand, so that shares
 	// apply.
 	configuredShare = 0.9
-	// confirmInterval is the time after which a running request is confirmed to its gate.
-	confirmInterval = 7 * time.Second
 	// tick is the resolution of the simulated clock, and the delay of a message.
 	tick = 10 * time.Millisecond
 	// warmUp is simulated before traffic is counted, so that the number of running requests
--- a/internal/sweep/gates.go
+++ b/internal/sweep/gates.go
@@ -98,13 +98,10 @@
 		e.gate.FirstEvent(r.id, w.now)
 		w.admitWaiting(e)
 	})
-	run := e.readUntil.Sub(w.now) + time.Duration(math.Min(w.rng.ExpFloat64(), 4)*float64(meanRunTime))
-	for at := confirmInterval; at < run; at += confirmInterval {
-		w.after(at, func() {
-			w.countGate(r.host.name, e.owner.name, wire.KindAdmissionRequest, w.requestMessage(r, true))
-			e.gate.Adopt(dispatch.AdmissionRequest{ID: r.id, Tokens: r.job.InputTokens}, true, w.now)
-		})
-	}
+	untilRead := e.readUntil.Sub(w.now)
+	w.confirm(r, dispatch.UnreadConfirmInterval, untilRead, false)
+	run := untilRead + time.Duration(math.Min(w.rng.ExpFloat64(), 4)*float64(meanRunTime))
+	w.confirm(r, dispatch.ConfirmInterval, run, true)
 	w.after(run+tick, func() {
 		w.progress(r, true)
 		r.placement.Done(dispatch.Answered, w.now)
@@ -113,6 +110,18 @@
 	})
 }
 
+// confirm confirms an admitted request to its gate in each interval until a time from now.
+func (w *world) confirm(r *request, interval, until time.Duration, read bool) {
+	for at := interval; at < until; at += interval {
+		w.after(at, func() {
+			m := w.requestMessage(r, true)
+			m.Read, m.Parts = read, nil
+			w.countGate(r.host.name, r.engine.owner.name, wire.KindAdmissionRequest, m)
+			r.engine.gate.Adopt(dispatch.AdmissionRequest{ID: r.id, Tokens: r.job.InputTokens}, read, w.now)
+		})
+	}
+}
+
 // admitWaiting sends the requests that a gate grants now and refuses those that would be
 // too late.
 func (w *world) admitWaiting(e *simEngine) {
