Count how late an engine is as wait and as backlog

Cause: the estimate of unread tokens goes to zero while an engine doesn't answer, so that a silent engine looked like the best one. Change: how much longer than estimated the oldest prompt in progress takes is added to the expected wait and to the backlog.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -66,7 +66,9 @@
 	readingTokens int
 	// readingSince is when the engine began to read the prompts in progress.
 	readingSince time.Time
-	waiting      []waitingRequest
+	// oldestAt is when the oldest prompt in progress was admitted.
+	oldestAt time.Time
+	waiting  []waitingRequest
 	// rateLimit is the rate of requests that the upstream takes from all hosts.
 	rateLimit RateLimit
 	// OnRefusal is called with each refused request and what decided, unless it is nil.
@@ -165,9 +167,10 @@
 }
 
 // firstEventIn estimates the time until the first event of a request with a number of queued
-// requests, and of unread tokens, before it. The rate limit passes while the engine reads.
+// requests, and of unread tokens, before it. The rate limit passes while the engine reads. An engine
+// that is late may go on being late.
 func (g *Gate) firstEventIn(requestsAhead, tokensAhead, tokens int, now time.Time) time.Duration {
-	return max(g.speed.readTime(tokensAhead), g.rateLimit.Wait(requestsAhead, now)) + g.speed.readTime(tokens)
+	return max(g.speed.readTime(tokensAhead), g.rateLimit.Wait(requestsAhead, now)) + g.speed.readTime(tokens) + g.overdue(now)
 }
 
 // queuedAhead returns the number of queued requests that are admitted before a request, and
@@ -214,7 +217,7 @@
 
 func (g *Gate) admit(r AdmissionRequest, tokens int, now time.Time) {
 	if g.readingTokens == 0 {
-		g.readingSince = now
+		g.readingSince, g.oldestAt = now, now
 	}
 	g.rateLimit.Take(now)
 	g.readingTokens += tokens
@@ -236,6 +239,7 @@
 	r.reading = false
 	g.readingTokens -= r.tokens
 	g.readingSince = now
+	g.findOldest()
 }
 
 // Done ends a request, admitted or waiting.
@@ -301,10 +305,10 @@
 }
 
 // Backlog returns the prompt tokens in progress and queued, and the number of admitted
-// requests. The wait for the rate limit counts as the tokens that the engine reads in it, so
-// that other upstreams are preferred.
+// requests. The wait for the rate limit, and how late the engine is, count as the tokens that it reads
+// in that time, so that other upstreams are preferred.
 func (g *Gate) Backlog(now time.Time) (tokens, running int) {
-	tokens = g.unreadTokens(now)
+	tokens = g.unreadTokens(now) + g.speed.tokensIn(g.overdue(now))
 	for _, w := range g.waiting {
 		tokens += w.tokens
 	}
--- a/internal/dispatch/gatelost.go
+++ b/internal/dispatch/gatelost.go
@@ -38,6 +38,28 @@
 	}
 }
 
+// overdueMargin is how late an engine may be without counting as late, as its speed is an estimate.
+const overdueMargin = 100 * time.Millisecond
+
+// overdue returns how much longer than estimated the engine has been reading the oldest prompt in
+// progress. Without it, an engine that has stopped answering would look as if it had read everything.
+func (g *Gate) overdue(now time.Time) time.Duration {
+	if g.readingTokens == 0 {
+		return 0
+	}
+	return max(now.Sub(g.oldestAt)-g.speed.readTime(g.readingTokens)-overdueMargin, 0)
+}
+
+// findOldest sets oldestAt after a prompt has been read.
+func (g *Gate) findOldest() {
+	first := true
+	for _, r := range g.running {
+		if r.reading && (first || r.at.Before(g.oldestAt)) {
+			g.oldestAt, first = r.at, false
+		}
+	}
+}
+
 // LostRequest is an admitted request that a gate has dropped. Reading is true if its first event
 // was still waited for.
 type LostRequest struct {
--- a/internal/dispatch/gatelost_test.go
+++ b/internal/dispatch/gatelost_test.go
@@ -39,6 +39,19 @@
 	c.Assert(r.Queued || r.Granted, qt.IsFalse)
 }
 
+// Guards against an engine that still counts as late after it has read the prompt that was late.
+func TestEngineIsNoLongerLateOnceItHasReadItsOldestPrompt(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGate()
+	c.Assert(g.Request(newAdmissionRequest(1, 1_000, 0, 4_000, WithinConfiguredShare), at(0)).Granted, qt.IsTrue)
+	c.Assert(g.Request(newAdmissionRequest(2, 1_000, 900, 4_000, WithinConfiguredShare), at(900)).Granted, qt.IsTrue)
+	late, _ := g.Backlog(at(1_000))
+	c.Assert(late > 30_000, qt.IsTrue, qt.Commentf("a backlog of %d tokens", late))
+	g.FirstEvent(AdmissionID{"h", 1}, at(1_000))
+	tokens, _ := g.Backlog(at(1_000))
+	c.Assert(tokens, qt.Equals, 1_000)
+}
+
 // Guards against speeds that are measured with prompts in progress which the engine has read long ago.
 func TestLostProgressDoesNotMakeAnEngineLookFaster(t *testing.T) {
 	c := qt.New(t)
