Keep upstreams without an engine out of what gates expect of prompts

Cause: such an upstream has a gate while it names a rate limit. It reads no prompt, and its requests have no first event that a host reports, so that a long request would have made it look late. Tests: TestUpstreamWithoutAnEngineIsNotLate is new and failed before.

--- a/internal/admission/handover.go
+++ b/internal/admission/handover.go
@@ -45,7 +45,7 @@
 
 // confirmInterval is how often the owner is told that the request still runs.
 func (p *Permit) confirmInterval() time.Duration {
-	if p.read {
+	if p.read || !dispatch.HasEngine(p.request.Slots, p.request.MemoryTokens) {
 		return dispatch.ConfirmInterval
 	}
 	return dispatch.UnreadConfirmInterval
--- a/internal/dispatch/gatelost.go
+++ b/internal/dispatch/gatelost.go
@@ -14,7 +14,7 @@
 const ConfirmInterval = 7 * time.Second
 
 // unreadTimeout takes the place of admittedTimeout, and UnreadConfirmInterval that of
-// ConfirmInterval, until the first event of a request. They are shorter because an unread prompt keeps
+// ConfirmInterval, until the first event of a request to an engine. They are shorter because an unread prompt keeps
 // others from the engine. Most prompts are read sooner than their first confirmation is due, so that
 // short times cost few messages.
 const (
@@ -22,6 +22,9 @@
 	UnreadConfirmInterval = 500 * time.Millisecond
 )
 
+// HasEngine reports whether the upstream of a gate with a number of slots and a memory is an engine.
+func HasEngine(slots, memory int) bool { return slots > 0 || memory > 0 }
+
 // Adopt adds a request that was admitted without this gate, or confirms one that still runs.
 func (g *Gate) Adopt(r AdmissionRequest, read bool, now time.Time) {
 	if known := g.running[r.ID]; known != nil {
@@ -43,8 +46,9 @@
 
 // overdue returns how much longer than estimated the engine has been reading the oldest prompt in
 // progress. Without it, an engine that has stopped answering would look as if it had read everything.
+// An upstream without an engine reads no prompts: its answers take their time.
 func (g *Gate) overdue(now time.Time) time.Duration {
-	if g.readingTokens == 0 {
+	if g.readingTokens == 0 || !HasEngine(g.slots, g.cache.maxTokens) {
 		return 0
 	}
 	return max(now.Sub(g.oldestAt)-g.speed.readTime(g.readingTokens)-overdueMargin, 0)
@@ -68,9 +72,9 @@
 	Reading bool
 }
 
-// timeout is the time without a confirmation after which the request is dropped.
-func (r *admittedRequest) timeout() time.Duration {
-	if r.reading {
+// timeout is the time without a confirmation after which a request is dropped.
+func (g *Gate) timeout(r *admittedRequest) time.Duration {
+	if r.reading && HasEngine(g.slots, g.cache.maxTokens) {
 		return unreadTimeout
 	}
 	return admittedTimeout
@@ -79,7 +83,7 @@
 // DropLost drops admitted requests that were not confirmed in time, and returns them.
 func (g *Gate) DropLost(now time.Time) (dropped []LostRequest) {
 	for id, r := range g.running {
-		if now.Sub(r.confirmedAt) > r.timeout() {
+		if now.Sub(r.confirmedAt) > g.timeout(r) {
 			dropped = append(dropped, LostRequest{Host: id.Host, Tokens: r.tokens, Reading: r.reading})
 			g.Done(id, now)
 		}
--- a/internal/dispatch/gatelost_test.go
+++ b/internal/dispatch/gatelost_test.go
@@ -52,6 +52,16 @@
 	c.Assert(tokens, qt.Equals, 1_000)
 }
 
+// Guards against an upstream without an engine that counts as late while it works on a long request.
+func TestUpstreamWithoutAnEngineIsNotLate(t *testing.T) {
+	c := qt.New(t)
+	g := NewGate(0, 0, NewSpeedEstimator())
+	g.SetRateLimit(100, at(0))
+	c.Assert(g.Request(newAdmissionRequest(1, 1, 100, 800, WithinConfiguredShare), at(100)).Granted, qt.IsTrue)
+	c.Assert(g.DropLost(at(2_000)), qt.HasLen, 0)
+	c.Assert(g.Request(newAdmissionRequest(2, 1, 2_000, 800, WithinConfiguredShare), at(2_000)).Granted, qt.IsTrue)
+}
+
 // Guards against speeds that are measured with prompts in progress which the engine has read long ago.
 func TestLostProgressDoesNotMakeAnEngineLookFaster(t *testing.T) {
 	c := qt.New(t)
