Have a gate that moves to another host forget its requests

Cause: hosts tell the new owner of a gate of their requests, and only this one of their ends. If the gate came back, it still held those that had ended meanwhile. Change: the old owner forgets the requests of a gate that leaves it. What it knows of the cache and of the rate limit stays. Tests: TestGateThatReturnsForgetsRequestsThatEndedMeanwhile failed before and passes.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -121,7 +121,9 @@
 func (a *Admission) SetHosts(hosts []string) {
 	members := rendezvous.NewMembers(a.opts.Host, hosts)
 	a.mu.Lock()
+	owned := a.ownedGatesLocked()
 	a.hosts = members
+	a.forgetLeavingLocked(owned)
 	handovers := a.handoversLocked()
 	a.mu.Unlock()
 	a.announce(handovers)
--- a/internal/admission/handover.go
+++ b/internal/admission/handover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/dispatch"
 	"marigoldshunt/internal/wire"
 )
@@ -26,6 +27,27 @@
 	request *wire.AdmissionRequest
 }
 
+// ownedGatesLocked returns the gates that belong to this host by its list of hosts.
+func (a *Admission) ownedGatesLocked() (owned []catalog.Key) {
+	for k := range a.gates {
+		if a.ownerLocked(k) == a.opts.Host {
+			owned = append(owned, k)
+		}
+	}
+	return owned
+}
+
+// forgetLeavingLocked empties those gates that now belong to another host, which all hosts tell of
+// their requests. Only gates that leave are emptied: a host that knows the new list sooner may have told
+// this one already of the requests of a gate that comes.
+func (a *Admission) forgetLeavingLocked(owned []catalog.Key) {
+	for _, k := range owned {
+		if a.ownerLocked(k) != a.opts.Host {
+			a.gates[k].Forget()
+		}
+	}
+}
+
 // handoversLocked updates the owner of each admitted request whose gate has a new one, and
 // returns the messages that tell the new owners about these requests. An owner that did not
 // know of them would send more to a busy engine.
--- a/internal/dispatch/gatelost.go
+++ b/internal/dispatch/gatelost.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// Forget drops all requests, admitted and waiting. It is for a gate that belongs to another host from
+// now on: this one isn't told of their ends any more.
+func (g *Gate) Forget() {
+	clear(g.running)
+	g.readingTokens, g.waiting = 0, nil
+}
+
 // LostRequest is an admitted request that a gate has dropped. Reading is true if its first event
 // was still waited for.
 type LostRequest struct {
