Count a request once that its host sent without the grant

Cause: a host sends without a reply when the owner of the gate doesn't answer. If the request waited at the gate, a confirmation admitted it a second time, and its turn in the queue a third: it held the gate after its prompt was read. Change: a confirmation takes the request out of the queue. Tests: TestAdoptedRequestWaitsNoLonger is new and failed before (4,000 tokens were left).

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -258,6 +258,10 @@
 		delete(g.running, id)
 		return
 	}
+	g.stopWaiting(id)
+}
+
+func (g *Gate) stopWaiting(id AdmissionID) {
 	for i, w := range g.waiting {
 		if w.ID == id {
 			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
--- a/internal/dispatch/gatelost.go
+++ b/internal/dispatch/gatelost.go
@@ -35,6 +35,8 @@
 		}
 		return
 	}
+	// Its host may have sent a waiting request without the grant.
+	g.stopWaiting(r.ID)
 	g.admit(r, g.tokensToRead(r, now), now)
 	if read {
 		g.finishReading(g.running[r.ID], now)
--- a/internal/dispatch/gatelost_test.go
+++ b/internal/dispatch/gatelost_test.go
@@ -52,6 +52,20 @@
 	c.Assert(tokens, qt.Equals, 1_000)
 }
 
+// Guards against a request that its host sent without the grant, and that then counts twice because it still waits.
+func TestAdoptedRequestWaitsNoLonger(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGate()
+	c.Assert(g.Request(newAdmissionRequest(1, 4_000, 0, 800, WithinConfiguredShare), at(0)).Granted, qt.IsTrue)
+	c.Assert(g.Request(newAdmissionRequest(2, 4_000, 0, 800, WithinConfiguredShare), at(0)).Queued, qt.IsTrue)
+	g.Adopt(newAdmissionRequest(2, 4_000, 0, 800, WithinConfiguredShare), false, at(50))
+	g.FirstEvent(AdmissionID{"h", 1}, at(100))
+	g.AdmitWaiting(at(100))
+	g.FirstEvent(AdmissionID{"h", 2}, at(200))
+	tokens, running := g.Backlog(at(200))
+	c.Assert([]int{tokens, running, g.readingTokens}, qt.DeepEquals, []int{0, 2, 0})
+}
+
 // Guards against an upstream without an engine that counts as late while it works on a long request.
 func TestUpstreamWithoutAnEngineIsNotLate(t *testing.T) {
 	c := qt.New(t)
