Don't take a repeated report of a gate for a new one

Cause: each interval a host passes the load sums that it has to its dispatcher, received again or not. Each time the report of a gate counted as new: what this host had sent to the engine since was forgotten, and a lost report was used for 8 intervals and 2 s. Change: only a report that was received since replaces the last one, so that an old one ends after 2 s.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -85,11 +85,14 @@
 	ReceivedAt time.Time
 }
 
-// SetGate sets the load of an engine that the owner of its gate reported.
+// SetGate sets the load of an engine that the owner of its gate reported. The caller repeats what it
+// received last: that does not renew a report, nor include what was sent since.
 func (d *Dispatcher) SetGate(k catalog.Key, g GateLoad, now time.Time) {
-	if x := d.instances[k]; x != nil {
-		x.gate, x.sentSinceReport = gateView{g, now}, 0
+	x := d.instances[k]
+	if x == nil || !g.ReceivedAt.IsZero() && !g.ReceivedAt.After(x.gate.ReceivedAt) {
+		return
 	}
+	x.gate, x.sentSinceReport = gateView{g, now}, 0
 }
 
 // SetPeerRates sets what the callers of the other hosts of a data centre demand and are
