--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -43,9 +43,6 @@
 	maxReadingTokens = 4_000
 	// maxWaiting bounds the queue of one gate.
 	maxWaiting = 1_024
-	// admittedTimeout is the time without a confirmation after which an admitted request is
-	// dropped, in case its host has died or its messages were lost.
-	admittedTimeout = 15 * time.Second
 )
 
 // maxWaitFraction is the largest expected wait of an accepted prompt, as a fraction of the
@@ -69,7 +66,11 @@
 	readingTokens int
 	// readingSince is when the engine began to read the prompts in progress.
 	readingSince time.Time
-	waiting      []waitingRequest
+	// tokensRead sums the prompts whose first events were reported when they came.
+	tokensRead int
+	// oldestAt is when the oldest prompt in progress was admitted.
+	oldestAt time.Time
+	waiting  []waitingRequest
 	// rateLimit is the rate of requests that the upstream takes from all hosts.
 	rateLimit RateLimit
 	// OnRefusal is called with each refused request and what decided, unless it is nil.
@@ -85,6 +86,8 @@
 	// tokensToFirstEvent estimates, at admission, the prompt tokens that the engine reads
 	// until this request's first event, its own included.
 	tokensToFirstEvent int
+	// tokensReadBefore is what the gate's tokensRead was at admission.
+	tokensReadBefore int
 }
 
 type waitingRequest struct {
@@ -168,9 +171,10 @@
 }
 
 // firstEventIn estimates the time until the first event of a request with a number of queued
-// requests, and of unread tokens, before it. The rate limit passes while the engine reads.
+// requests, and of unread tokens, before it. The rate limit passes while the engine reads. An engine
+// that is late may go on being late.
 func (g *Gate) firstEventIn(requestsAhead, tokensAhead, tokens int, now time.Time) time.Duration {
-	return max(g.speed.readTime(tokensAhead), g.rateLimit.Wait(requestsAhead, now)) + g.speed.readTime(tokens)
+	return max(g.speed.readTime(tokensAhead), g.rateLimit.Wait(requestsAhead, now)) + g.speed.readTime(tokens) + g.overdue(now)
 }
 
 // queuedAhead returns the number of queued requests that are admitted before a request, and
@@ -217,37 +221,24 @@
 
 func (g *Gate) admit(r AdmissionRequest, tokens int, now time.Time) {
 	if g.readingTokens == 0 {
-		g.readingSince = now
+		g.readingSince, g.oldestAt = now, now
 	}
 	g.rateLimit.Take(now)
 	g.readingTokens += tokens
-	g.running[r.ID] = &admittedRequest{tokens: tokens, reading: true, at: now, confirmedAt: now, tokensToFirstEvent: g.unreadTokens(now)}
+	g.running[r.ID] = &admittedRequest{tokens: tokens, reading: true, at: now, confirmedAt: now, tokensToFirstEvent: g.unreadTokens(now), tokensReadBefore: g.tokensRead}
 	g.cache.markUsed(r.Parts, now)
 }
 
-// ConfirmInterval is how often a host has to confirm its admitted requests with Adopt. Two
-// confirmations fit into admittedTimeout.
-const ConfirmInterval = 7 * time.Second
-
-// Adopt adds a request that was admitted without this gate, or confirms one that still runs.
-func (g *Gate) Adopt(r AdmissionRequest, read bool, now time.Time) {
-	if known := g.running[r.ID]; known != nil {
-		known.confirmedAt = now
-		return
-	}
-	g.admit(r, g.tokensToRead(r, now), now)
-	if read {
-		g.finishReading(g.running[r.ID], now)
-	}
-}
-
 // FirstEvent records that the engine has read the prompt of a request.
 func (g *Gate) FirstEvent(id AdmissionID, now time.Time) {
 	r := g.running[id]
 	if r == nil || !r.reading {
 		return
 	}
-	g.speed.addSample(r.tokensToFirstEvent, now.Sub(r.at))
+	g.tokensRead += r.tokens
+	// A prompt that was to be read before this one, and of which nothing was heard, may have been read
+	// before this one was admitted. It doesn't count.
+	g.speed.addSample(min(r.tokensToFirstEvent, g.tokensRead-r.tokensReadBefore), now.Sub(r.at))
 	g.finishReading(r, now)
 }
 
@@ -255,6 +246,7 @@
 	r.reading = false
 	g.readingTokens -= r.tokens
 	g.readingSince = now
+	g.findOldest()
 }
 
 // Done ends a request, admitted or waiting.
@@ -266,6 +258,10 @@
 		delete(g.running, id)
 		return
 	}
+	g.stopWaiting(id)
+}
+
+func (g *Gate) stopWaiting(id AdmissionID) {
 	for i, w := range g.waiting {
 		if w.ID == id {
 			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
@@ -319,30 +315,11 @@
 	return granted, refused
 }
 
-// LostRequest is an admitted request that a gate has dropped. Reading is true if its first event
-// was still waited for.
-type LostRequest struct {
-	Host    string
-	Tokens  int
-	Reading bool
-}
-
-// DropLost drops admitted requests that were not confirmed for admittedTimeout, and returns them.
-func (g *Gate) DropLost(now time.Time) (dropped []LostRequest) {
-	for id, r := range g.running {
-		if now.Sub(r.confirmedAt) > admittedTimeout {
-			dropped = append(dropped, LostRequest{Host: id.Host, Tokens: r.tokens, Reading: r.reading})
-			g.Done(id, now)
-		}
-	}
-	return dropped
-}
-
 // Backlog returns the prompt tokens in progress and queued, and the number of admitted
-// requests. The wait for the rate limit counts as the tokens that the engine reads in it, so
-// that other upstreams are preferred.
+// requests. The wait for the rate limit, and how late the engine is, count as the tokens that it reads
+// in that time, so that other upstreams are preferred.
 func (g *Gate) Backlog(now time.Time) (tokens, running int) {
-	tokens = g.unreadTokens(now)
+	tokens = g.unreadTokens(now) + g.speed.tokensIn(g.overdue(now))
 	for _, w := range g.waiting {
 		tokens += w.tokens
 	}
