Take a resumed run for sound after the event with the largest number

A caller that named as its last event got 502 upstream_garbled, and the upstream counted as failing: the number after it overflowed, so that no event of the run could be due. A caller could so make each upstream look like one that sends garbage.

The comparison now takes one off the id, which is above 0. The row of TestResumedRunGoesOnAfterTheLastEvent failed before: "event - was due: another id comes".

--- a/internal/gateway/streamevents.go
+++ b/internal/gateway/streamevents.go
@@ -199,7 +199,7 @@
 	case r.resumed == unknownEventID:
 		return id > 0
 	}
-	return id > 0 && id <= r.resumed+1
+	return id > 0 && id-1 <= r.resumed
 }
 
 // readFields reads the lines after the id up to the empty line.
--- a/internal/gateway/streamgarbage_test.go
+++ b/internal/gateway/streamgarbage_test.go
@@ -153,6 +153,7 @@
 		{"ends before the last event", "7", []int64{1, 2, 3}, nil, false},
 		{"leaves out one of the repeated events", "7", []int64{5, 7, 8}, nil, false},
 		{"a new run leaves the first event out", "", []int64{2, 3}, nil, false},
+		{"the last event has the largest number", "9223372036854775807", []int64{9223372036854775807}, nil, true},
 		{"the last event is no number", "x", []int64{8, 9}, []int64{8, 9}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
