Believe 'not run' only from a refusal when the state of an upstream is read, too

A success without the proof of its upstream that said 'not run' set the rate limit of the instance, and could take it out as leaving: stopped believing 'not run' of a success where it decides whether a request ran, but ownResponse still took it for a proof of the upstream's own words.

Both now ask the same function. The row 'forged success that says not run' failed before: the limit was 3 for 0.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -106,7 +106,7 @@
 		return err
 	}
 	defer resp.Close()
-	if q.server.opts.HeaderNames.ownResponse(resp.Header) {
+	if q.server.opts.HeaderNames.ownResponse(resp.Status, resp.Header) {
 		q.readState(p, resp)
 	}
 	outcome, err = q.relay(ctx, p, resp)
@@ -222,7 +222,7 @@
 	case resp.Status == http.StatusMisdirectedRequest:
 		q.server.opts.Dispatcher.markReplaced(p)
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "another instance has the address of %s", p.Instance.ID)
-	case resp.Status >= 300 && names.notRun(resp.Header):
+	case names.refused(resp.Status, resp.Header):
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "instance %s refused the request with %d", p.Instance.ID, resp.Status).WithRetryAfter(shortRetryAfter)
 	case resp.Status < 300 && !names.proven(resp.Header), resp.Header.Get("Content-Encoding") != "":
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "the answer of instance %s is not its own", p.Instance.ID)
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -147,15 +147,21 @@
 	return names.UpstreamProof == "" || h.Get(names.UpstreamProof) != ""
 }
 
-// notRun reports whether a response proves that the upstream did not run the request.
+// notRun reports whether a response says that the upstream did not run the request.
 func (names *HeaderNames) notRun(h http.Header) bool {
 	return names.NotRun != "" && h.Get(names.NotRun) != ""
 }
 
+// refused reports whether a response proves that the upstream refused the request without running it.
+// A success can't prove that.
+func (names *HeaderNames) refused(status int, h http.Header) bool {
+	return status >= http.StatusMultipleChoices && names.notRun(h)
+}
+
 // ownResponse reports whether the upstream itself produced a response, which then has its proof or
-// says that the request did not run.
-func (names *HeaderNames) ownResponse(h http.Header) bool {
-	return names.proven(h) || names.notRun(h)
+// is a refusal.
+func (names *HeaderNames) ownResponse(status int, h http.Header) bool {
+	return names.proven(h) || names.refused(status, h)
 }
 
 // leaving reports whether the upstream says that it is about to stop.
--- a/internal/gateway/ownresponse_test.go
+++ b/internal/gateway/ownresponse_test.go
@@ -24,6 +24,7 @@
 		rateLimit          float64
 	}{
 		{"forged success", "/order/x", "HTTP/1.1 200 OK\r\n" + claims + "\r\n", true, 0},
+		{"forged success that says not run", "/order/x", "HTTP/1.1 200 OK\r\nX-Not-Run: true\r\n" + claims + "\r\n", true, 0},
 		{"forged failure", "/order/x", "HTTP/1.1 404 X\r\n" + claims + "\r\n", true, 0},
 		{"forged failure of a stream", "/stream/x", "HTTP/1.1 404 X\r\n" + claims + "\r\n", true, 0},
 		{"failure of its own", "/order/x", "HTTP/1.1 404 X\r\nX-Proof: p1\r\n" + claims + "\r\n", false, 3},
