Take no proof or type that callers don't see

An upstream that named the field of its proof in Connection had its success passed on without the proof, as a complete one: the proof was read from the response as it came, and then removed with the fields that concern only the connection. The same held for the type of an event stream.

Both count now only if they reach the caller. TestFieldsNamedInConnectionProveNothing failed before: 200 for 502 in all four rows.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -71,10 +72,8 @@
 // withoutHopByHop returns a copy of h without hop-by-hop fields.
 func withoutHopByHop(h http.Header) http.Header {
 	out := h.Clone()
-	for _, field := range h.Values("Connection") {
-		for _, name := range strings.Split(field, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
+	for _, name := range connectionOptions(h) {
+		out.Del(name)
 	}
 	for _, name := range hopByHopHeaders {
 		out.Del(name)
@@ -82,6 +81,22 @@
 	return out
 }
 
+// connectionOptions returns the names of the fields that concern only the connection, as h says.
+func connectionOptions(h http.Header) (names []string) {
+	for _, field := range h.Values("Connection") {
+		for _, name := range strings.Split(field, ",") {
+			names = append(names, strings.TrimSpace(name))
+		}
+	}
+	return names
+}
+
+// endToEnd reports whether a field of h reaches the other end, which it doesn't if the field Connection
+// names it.
+func endToEnd(h http.Header, name string) bool {
+	return !slices.ContainsFunc(connectionOptions(h), func(option string) bool { return strings.EqualFold(option, name) })
+}
+
 // upstreamHeader returns the request header for upstreams, without the fields that differ
 // between attempts.
 func (names *HeaderNames) upstreamHeader(h http.Header, account string) http.Header {
@@ -142,9 +157,10 @@
 	return max(input, 0), max(output, 0)
 }
 
-// proven reports whether a response has the proof of its upstream, if upstreams give one.
+// proven reports whether a response has the proof of its upstream, and callers will see it, if upstreams
+// give one.
 func (names *HeaderNames) proven(h http.Header) bool {
-	return names.UpstreamProof == "" || h.Get(names.UpstreamProof) != ""
+	return names.UpstreamProof == "" || h.Get(names.UpstreamProof) != "" && endToEnd(h, names.UpstreamProof)
 }
 
 // notRun reports whether a response says that the upstream did not run the request.
--- a/internal/gateway/ownresponse_test.go
+++ b/internal/gateway/ownresponse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +72,20 @@
 		}
 	}
 }
+
+// Guards against a field that the upstream names in Connection, so that it does not reach the caller, and that is taken for proof or type.
+func TestFieldsNamedInConnectionProveNothing(t *testing.T) {
+	for _, test := range []struct{ path, named, answer string }{
+		{"/order/x", "X-Proof", rawResponse(200, "done")},
+		{"/order/x", "keep-alive, x-proof", rawResponse(200, "done")},
+		{"/stream/x", "X-Proof", soundAnswer(200, eventType)},
+		{"/stream/x", "Content-Type", soundAnswer(200, eventType)},
+	} {
+		answer := strings.Replace(test.answer, "X-Proof", "Connection: keep-alive\r\nConnection: "+test.named+"\r\nX-Proof", 1)
+		gw := newTestGateway(t, document(), newUpstream(t, writeRaw("%s", answer)))
+		resp, _, _ := gw.do("POST", test.path, "")
+		gw.Check(resp.StatusCode, qt.Equals, 502, qt.Commentf("%s %s", test.path, test.named))
+		gw.endRequests()
+		gw.Check(failures(gw) > 0.5, qt.IsTrue)
+	}
+}
--- a/internal/gateway/streamtype.go
+++ b/internal/gateway/streamtype.go
@@ -31,9 +31,10 @@
 	return q.relayStream(ctx, p, resp)
 }
 
-// isStream reports whether a response is a successful event stream.
+// isStream reports whether a response is a successful event stream, for callers too.
 func isStream(resp *engine.ForwardResponse) bool {
-	return resp.Status == http.StatusOK && eventstream.HasMediaType(resp.Header.Values("Content-Type"))
+	const contentType = "Content-Type"
+	return resp.Status == http.StatusOK && eventstream.HasMediaType(resp.Header.Values(contentType)) && endToEnd(resp.Header, contentType)
 }
 
 // recordNotStream counts and logs a success on a stream route that is not an event stream.
