Look at all values of Content-Encoding

A response with two fields Content-Encoding, the first of them empty, was passed on with its encoded body: only the first was looked at. TestEncodedAnswersAreNotPassedOn now sends both fields; before, it failed with 200 for 502 and no failure of the instance.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -224,7 +225,7 @@
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "another instance has the address of %s", p.Instance.ID)
 	case names.refused(resp.Status, resp.Header):
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "instance %s refused the request with %d", p.Instance.ID, resp.Status).WithRetryAfter(shortRetryAfter)
-	case resp.Status < 300 && !names.proven(resp.Header), resp.Header.Get("Content-Encoding") != "":
+	case resp.Status < 300 && !names.proven(resp.Header), encoded(resp.Header):
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "the answer of instance %s is not its own", p.Instance.ID)
 	case resp.Status < 300 && q.route.Kind == routing.Stream:
 		return q.relayStreamSuccess(ctx, p, resp)
@@ -238,6 +239,11 @@
 	return q.relayPlain(ctx, p, resp)
 }
 
+// encoded reports whether a response names an encoding of its body.
+func encoded(h http.Header) bool {
+	return slices.ContainsFunc(h.Values("Content-Encoding"), func(value string) bool { return value != "" })
+}
+
 // promisesNotRun reports whether callers take a status for the promise that a request has not run and
 // never will.
 func promisesNotRun(status int) bool {
--- a/internal/gateway/ownresponse_test.go
+++ b/internal/gateway/ownresponse_test.go
@@ -62,7 +62,7 @@
 func TestEncodedAnswersAreNotPassedOn(t *testing.T) {
 	for _, status := range []int{200, 302, 404, 500} {
 		for _, path := range []string{"/order/x", "/stream/x"} {
-			answer := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: text/event-stream\r\nContent-Encoding: gzip\r\nX-Proof: p1\r\nContent-Length: 7\r\n\r\nforeign", status)
+			answer := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: text/event-stream\r\nContent-Encoding:\r\nContent-Encoding: gzip\r\nX-Proof: p1\r\nContent-Length: 7\r\n\r\nforeign", status)
 			gw := newTestGateway(t, document(), newUpstream(t, writeRaw("%s", answer)))
 			resp, body, _ := gw.do("POST", path, "")
 			gw.Check(resp.StatusCode, qt.Equals, 502, qt.Commentf("%d %s", status, path))
