Count no answer that came whole as a broken connection

An answer without the proof of its upstream, with an encoding, with a status that promises 'not run' without saying so, or a success that says 'not run' counted in connections_broken, and had the instance probed: if that was gone or restarted soon after, the request and its prompt parts were marked as ones that may have crashed it. Garbage on stream routes was left out already, by its code.

Only an answer that breaks off, or none at all, is now reported. TestWholeAnswersBreakNoConnection failed before in its four rows (1 for 0); its last part, that an answer that breaks off is counted, passed and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -115,7 +115,9 @@
 		q.server.crashes.answered(q.fingerprint)
 		q.server.crashes.partsAnswered(q.service.Name, q.job.SharedParts)
 	}
-	q.reportBrokenConnection(ctx, p, err)
+	if fault.CodeOf(err) == fault.StreamCut {
+		q.reportBrokenConnection(ctx, p, err) // other failures are of answers that came whole
+	}
 	return err
 }
 
@@ -129,11 +131,9 @@
 	q.readRateLimit(p, resp)
 }
 
-// reportBrokenConnection has the instance probed if its connection broke during the request. This
-// host itself closes the connection after garbage, which says nothing of a crash.
+// reportBrokenConnection has the instance probed if its connection broke during the request.
 func (q *request) reportBrokenConnection(ctx context.Context, p *dispatch.Placement, err error) {
-	code := fault.CodeOf(err)
-	if err != nil && ctx.Err() == nil && fault.As(err).RunState == fault.MayHaveRun && code != fault.CallerGone && code != fault.UpstreamGarbled {
+	if err != nil && ctx.Err() == nil && fault.As(err).RunState == fault.MayHaveRun && fault.CodeOf(err) != fault.CallerGone {
 		q.server.count("connections_broken")
 		q.server.crashes.connectionBroke(q.broken(), p.Instance)
 	}
--- a/internal/gateway/ownresponse_test.go
+++ b/internal/gateway/ownresponse_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"marigoldshunt/internal/dispatch"
 )
@@ -89,3 +90,25 @@
 		gw.Check(failures(gw) > 0.5, qt.IsTrue)
 	}
 }
+
+// Guards against an answer that came whole and that counts as a broken connection, and so as a crash of the upstream by the request.
+func TestWholeAnswersBreakNoConnection(t *testing.T) {
+	for name, answer := range map[string]string{
+		"without proof":        "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n",
+		"encoded":              "HTTP/1.1 404 X\r\nX-Proof: p1\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n\r\n",
+		"promise":              rawResponse(503, "ran"),
+		"success that did not": "HTTP/1.1 200 X\r\nX-Proof: p1\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+	} {
+		registry := metrics.NewRegistry()
+		gw := newTestGatewayWith(t, document(), func(o *Options) { o.Registry = registry }, newUpstream(t, writeRaw("%s", answer)))
+		resp, _, _ := gw.do("POST", "/order/x", "")
+		gw.Check(resp.StatusCode, qt.Equals, 502)
+		gw.endRequests()
+		gw.Check(metrics.GetOrRegisterCounter("gateway.connections_broken", registry).Count(), qt.Equals, int64(0), qt.Commentf(name))
+	}
+	registry := metrics.NewRegistry()
+	gw := newTestGatewayWith(t, document(), func(o *Options) { o.Registry = registry }, newUpstream(t, sequence(writeRaw("HTTP/1.1 200 X\r\nX-Proof: p1\r\nContent-Length: 9\r\n\r\npart"), closeConn)))
+	gw.do("POST", "/order/x", "")
+	gw.endRequests()
+	gw.Check(metrics.GetOrRegisterCounter("gateway.connections_broken", registry).Count(), qt.Equals, int64(1))
+}
