Pass on no failure that its upstream doesn't prove

A redirect, a 4xx or a 5xx without the proof of its upstream was passed on as it came. Callers can't tell such a failure from the host's own: after a 404 or a 400 they don't try again, and a 429 or 503 on a route whose requests may run twice is the host's promise that nothing ran. Successes without proof were refused already; what decided was again the status that the sender named.

Now all answers without proof that don't say "not run" are failures of the instance: 502 with may_have_run, or another instance where the request may run twice.

TestFailuresWithoutProofAreNotPassedOn failed before in 24 of its 28 rows; the other four are 429 and 503 on routes whose requests may run once.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -225,7 +225,7 @@
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "another instance has the address of %s", p.Instance.ID)
 	case names.refused(resp.Status, resp.Header):
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "instance %s refused the request with %d", p.Instance.ID, resp.Status).WithRetryAfter(shortRetryAfter)
-	case resp.Status < 300 && !names.proven(resp.Header), encoded(resp.Header):
+	case !names.proven(resp.Header), encoded(resp.Header):
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "the answer of instance %s is not its own", p.Instance.ID)
 	case resp.Status < 300 && q.route.Kind == routing.Stream:
 		return q.relayStreamSuccess(ctx, p, resp)
@@ -263,9 +263,6 @@
 		return q.truncated(ctx, p, err)
 	}
 	outcome := dispatch.Answered
-	if !q.server.opts.HeaderNames.proven(resp.Header) {
-		outcome = dispatch.Failed // the failure is passed on, but it may not be the instance's own
-	}
 	if resp.Status >= 500 {
 		outcome = dispatch.Failed
 		if q.mayRetryError() {
--- a/internal/gateway/ownresponse_test.go
+++ b/internal/gateway/ownresponse_test.go
@@ -112,3 +112,18 @@
 	gw.endRequests()
 	gw.Check(metrics.GetOrRegisterCounter("gateway.connections_broken", registry).Count(), qt.Equals, int64(1))
 }
+
+// Guards against passing on a failure that the upstream didn't make: callers would take it for the host's word, and not try again after a 4xx.
+func TestFailuresWithoutProofAreNotPassedOn(t *testing.T) {
+	for _, status := range []int{301, 400, 401, 404, 429, 500, 503} {
+		for path, sends := range map[string]int{"/order/x": 1, "/stream/x": 1, "/read/x": 2, "/resume/x": 2} {
+			answer := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: 7\r\n\r\nforeign", status)
+			u, other := newUpstream(t, writeRaw("%s", answer)), newUpstream(t, writeRaw("%s", answer))
+			gw := newTestGateway(t, document(), u, other)
+			resp, body, _ := gw.do("POST", path, "x")
+			gw.Check(resp.StatusCode, qt.Equals, 502, qt.Commentf("%d %s", status, path))
+			gw.Check(body, qt.Contains, `"run_state":"may_have_run"`)
+			gw.Check(len(u.requests())+len(other.requests()), qt.Equals, sends)
+		}
+	}
+}
