Tell bytes in the place of a chunk from a connection that broke

Raw bytes where the size of a chunk was due ended an answer as stream_cut and counted in connections_broken: the instance was probed, and the request and its prompt parts were marked as ones that may have crashed it if it was gone or restarted soon after. That is garbage of the upstream, which marks nothing, and the log said 'broke off' for it.

Only errors of the connection count as a broken one now; the others end as upstream_garbled. TestBytesInPlaceOfAChunkAreGarbage failed before in seven of its eight rows (in the eighth the byte is no begin of an event): 1 broken connection for 0, and no upstream_garbled.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -297,13 +298,24 @@
 	return !q.headerWritten && q.route.AllowsRerun() && q.sends < q.route.Attempts && q.sends < maxSends && time.Until(q.deadline) > q.route.Objective/4
 }
 
-// truncated returns the outcome and error of an attempt whose response broke off.
+// truncated returns the outcome and error of an attempt whose response ended early: its connection
+// broke, or bytes came that are no part of a response.
 func (q *request) truncated(ctx context.Context, p *dispatch.Placement, err error) (dispatch.Outcome, error) {
-	outcome := dispatch.Failed
-	if ctx.Err() != nil {
-		outcome = dispatch.Cancelled
+	switch {
+	case ctx.Err() != nil:
+		return dispatch.Cancelled, fault.Wrap(err, fault.StreamCut, fault.MayHaveRun, "the answer of instance %s broke off", p.Instance.ID)
+	case connectionBroke(err):
+		return dispatch.Failed, fault.Wrap(err, fault.StreamCut, fault.MayHaveRun, "the answer of instance %s broke off", p.Instance.ID)
 	}
-	return outcome, fault.Wrap(err, fault.StreamCut, fault.MayHaveRun, "the answer of instance %s broke off", p.Instance.ID)
+	return dispatch.Failed, fault.Wrap(err, fault.UpstreamGarbled, fault.MayHaveRun, "instance %s sent garbage", p.Instance.ID)
+}
+
+// connectionBroke reports whether the error of a read is one of the connection, or of this host. All
+// others are of a body that can't be read in chunks.
+func connectionBroke(err error) bool {
+	var ofConnection net.Error
+	var ofHost *fault.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &ofConnection) || errors.As(err, &ofHost)
 }
 
 // copyHeader copies the header of an upstream's response without hop-by-hop fields. A nil
--- a/internal/gateway/ownresponse_test.go
+++ b/internal/gateway/ownresponse_test.go
@@ -142,3 +142,25 @@
 		gw.Check(len(u.requests())+len(other.requests()), qt.Equals, 3)
 	}
 }
+
+// Guards against bytes in the place of a chunk that count as a crash of the upstream by the request.
+func TestBytesInPlaceOfAChunkAreGarbage(t *testing.T) {
+	const lineLimit = 4 << 10 // of a line with the size of a chunk
+	for name, raw := range map[string]string{
+		"long line":      strings.Repeat("\xe9", lineLimit) + "\r\n",
+		"no size":        "foreign\r\n",
+		"size too large": strings.Repeat("f", 17) + "\r\n",
+		"no line end":    "1\r\nab\r\n",
+	} {
+		for path, head := range map[string]string{"/stream/x": streamHead + eventChunk(1), "/order/x": answerHead(200, plainType)} {
+			registry := metrics.NewRegistry()
+			gw := newTestGatewayWith(t, document(), func(o *Options) { o.Registry = registry }, newUpstream(t, writeRaw("%s", head+raw)))
+			_, _, complete := gw.do("POST", path, "")
+			gw.endRequests()
+			gw.Check(complete && path == "/stream/x", qt.IsFalse)
+			gw.Check(failures(gw) > 0.5, qt.IsTrue)
+			gw.Check(metrics.GetOrRegisterCounter("gateway.connections_broken", registry).Count(), qt.Equals, int64(0), qt.Commentf("%s %s", name, path))
+			gw.Check(metrics.GetOrRegisterCounter("gateway.failed.upstream_garbled", registry).Count(), qt.Equals, int64(1), qt.Commentf("%s %s", name, path))
+		}
+	}
+}
