--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -106,7 +108,7 @@
 		return err
 	}
 	defer resp.Close()
-	if q.server.opts.HeaderNames.ownResponse(resp.Header) {
+	if q.server.opts.HeaderNames.ownResponse(resp.Status, resp.Header) {
 		q.readState(p, resp)
 	}
 	outcome, err = q.relay(ctx, p, resp)
@@ -114,7 +116,9 @@
 		q.server.crashes.answered(q.fingerprint)
 		q.server.crashes.partsAnswered(q.service.Name, q.job.SharedParts)
 	}
-	q.reportBrokenConnection(ctx, p, err)
+	if fault.CodeOf(err) == fault.StreamCut {
+		q.reportBrokenConnection(ctx, p, err) // other failures are of answers that came whole
+	}
 	return err
 }
 
@@ -128,11 +132,9 @@
 	q.readRateLimit(p, resp)
 }
 
-// reportBrokenConnection has the instance probed if its connection broke during the request. This
-// host itself closes the connection after garbage, which says nothing of a crash.
+// reportBrokenConnection has the instance probed if its connection broke during the request.
 func (q *request) reportBrokenConnection(ctx context.Context, p *dispatch.Placement, err error) {
-	code := fault.CodeOf(err)
-	if err != nil && ctx.Err() == nil && fault.As(err).RunState == fault.MayHaveRun && code != fault.CallerGone && code != fault.UpstreamGarbled {
+	if err != nil && ctx.Err() == nil && fault.As(err).RunState == fault.MayHaveRun && fault.CodeOf(err) != fault.CallerGone {
 		q.server.count("connections_broken")
 		q.server.crashes.connectionBroke(q.broken(), p.Instance)
 	}
@@ -219,12 +221,12 @@
 func (q *request) relay(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
 	names := &q.server.opts.HeaderNames
 	switch {
-	case resp.Status == http.StatusMisdirectedRequest:
+	case resp.Status == http.StatusMisdirectedRequest && names.refused(resp.Status, resp.Header):
 		q.server.opts.Dispatcher.markReplaced(p)
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "another instance has the address of %s", p.Instance.ID)
-	case resp.Status >= 300 && names.notRun(resp.Header):
+	case names.refused(resp.Status, resp.Header):
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "instance %s refused the request with %d", p.Instance.ID, resp.Status).WithRetryAfter(shortRetryAfter)
-	case resp.Status < 300 && !names.proven(resp.Header), resp.Header.Get("Content-Encoding") != "":
+	case !names.proven(resp.Header), encoded(resp.Header):
 		return dispatch.Failed, fault.New(fault.UpstreamFailed, fault.MayHaveRun, "the answer of instance %s is not its own", p.Instance.ID)
 	case resp.Status < 300 && q.route.Kind == routing.Stream:
 		return q.relayStreamSuccess(ctx, p, resp)
@@ -238,6 +240,11 @@
 	return q.relayPlain(ctx, p, resp)
 }
 
+// encoded reports whether a response names an encoding of its body.
+func encoded(h http.Header) bool {
+	return slices.ContainsFunc(h.Values("Content-Encoding"), func(value string) bool { return value != "" })
+}
+
 // promisesNotRun reports whether callers take a status for the promise that a request has not run and
 // never will.
 func promisesNotRun(status int) bool {
@@ -257,9 +264,6 @@
 		return q.truncated(ctx, p, err)
 	}
 	outcome := dispatch.Answered
-	if !q.server.opts.HeaderNames.proven(resp.Header) {
-		outcome = dispatch.Failed // the failure is passed on, but it may not be the instance's own
-	}
 	if resp.Status >= 500 {
 		outcome = dispatch.Failed
 		if q.mayRetryError() {
@@ -294,13 +298,24 @@
 	return !q.headerWritten && q.route.AllowsRerun() && q.sends < q.route.Attempts && q.sends < maxSends && time.Until(q.deadline) > q.route.Objective/4
 }
 
-// truncated returns the outcome and error of an attempt whose response broke off.
+// truncated returns the outcome and error of an attempt whose response ended early: its connection
+// broke, or bytes came that are no part of a response.
 func (q *request) truncated(ctx context.Context, p *dispatch.Placement, err error) (dispatch.Outcome, error) {
-	outcome := dispatch.Failed
-	if ctx.Err() != nil {
-		outcome = dispatch.Cancelled
+	switch {
+	case ctx.Err() != nil:
+		return dispatch.Cancelled, fault.Wrap(err, fault.StreamCut, fault.MayHaveRun, "the answer of instance %s broke off", p.Instance.ID)
+	case connectionBroke(err):
+		return dispatch.Failed, fault.Wrap(err, fault.StreamCut, fault.MayHaveRun, "the answer of instance %s broke off", p.Instance.ID)
 	}
-	return outcome, fault.Wrap(err, fault.StreamCut, fault.MayHaveRun, "the answer of instance %s broke off", p.Instance.ID)
+	return dispatch.Failed, fault.Wrap(err, fault.UpstreamGarbled, fault.MayHaveRun, "instance %s sent garbage", p.Instance.ID)
+}
+
+// connectionBroke reports whether the error of a read is one of the connection, or of this host. All
+// others are of a body that can't be read in chunks.
+func connectionBroke(err error) bool {
+	var ofConnection net.Error
+	var ofHost *fault.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &ofConnection) || errors.As(err, &ofHost)
 }
 
 // copyHeader copies the header of an upstream's response without hop-by-hop fields. A nil
--- a/internal/gateway/ownresponse_test.go
+++ b/internal/gateway/ownresponse_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"marigoldshunt/internal/dispatch"
 )
@@ -24,6 +26,7 @@
 		rateLimit          float64
 	}{
 		{"forged success", "/order/x", "HTTP/1.1 200 OK\r\n" + claims + "\r\n", true, 0},
+		{"forged success that says not run", "/order/x", "HTTP/1.1 200 OK\r\nX-Not-Run: true\r\n" + claims + "\r\n", true, 0},
 		{"forged failure", "/order/x", "HTTP/1.1 404 X\r\n" + claims + "\r\n", true, 0},
 		{"forged failure of a stream", "/stream/x", "HTTP/1.1 404 X\r\n" + claims + "\r\n", true, 0},
 		{"failure of its own", "/order/x", "HTTP/1.1 404 X\r\nX-Proof: p1\r\n" + claims + "\r\n", false, 3},
@@ -47,8 +50,8 @@
 		status int
 		want   int
 	}{
-		{"/order/x", 408, 502}, {"/order/x", 429, 502}, {"/order/x", 503, 502}, {"/stream/x", 503, 502},
-		{"/order/x", 404, 404}, {"/order/x", 500, 500}, {"/order/x", 504, 504}, {"/read/x", 429, 429},
+		{"/order/x", 408, 502}, {"/order/x", 421, 502}, {"/order/x", 429, 502}, {"/order/x", 503, 502}, {"/stream/x", 503, 502},
+		{"/order/x", 404, 404}, {"/order/x", 500, 500}, {"/order/x", 504, 504}, {"/read/x", 429, 429}, {"/read/x", 421, 421},
 	} {
 		gw := newTestGateway(t, document(), newUpstream(t, writeRaw("%s", rawResponse(test.status, "own words"))))
 		resp, _, _ := gw.do("POST", test.path, "")
@@ -60,7 +63,7 @@
 func TestEncodedAnswersAreNotPassedOn(t *testing.T) {
 	for _, status := range []int{200, 302, 404, 500} {
 		for _, path := range []string{"/order/x", "/stream/x"} {
-			answer := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: text/event-stream\r\nContent-Encoding: gzip\r\nX-Proof: p1\r\nContent-Length: 7\r\n\r\nforeign", status)
+			answer := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: text/event-stream\r\nContent-Encoding:\r\nContent-Encoding: gzip\r\nX-Proof: p1\r\nContent-Length: 7\r\n\r\nforeign", status)
 			gw := newTestGateway(t, document(), newUpstream(t, writeRaw("%s", answer)))
 			resp, body, _ := gw.do("POST", path, "")
 			gw.Check(resp.StatusCode, qt.Equals, 502, qt.Commentf("%d %s", status, path))
@@ -70,3 +73,94 @@
 		}
 	}
 }
+
+// Guards against a field that the upstream names in Connection, so that it does not reach the caller, and that is taken for proof or type.
+func TestFieldsNamedInConnectionProveNothing(t *testing.T) {
+	for _, test := range []struct{ path, named, answer string }{
+		{"/order/x", "X-Proof", rawResponse(200, "done")},
+		{"/order/x", "keep-alive, x-proof", rawResponse(200, "done")},
+		{"/stream/x", "X-Proof", soundAnswer(200, eventType)},
+		{"/stream/x", "Content-Type", soundAnswer(200, eventType)},
+	} {
+		answer := strings.Replace(test.answer, "X-Proof", "Connection: keep-alive\r\nConnection: "+test.named+"\r\nX-Proof", 1)
+		gw := newTestGateway(t, document(), newUpstream(t, writeRaw("%s", answer)))
+		resp, _, _ := gw.do("POST", test.path, "")
+		gw.Check(resp.StatusCode, qt.Equals, 502, qt.Commentf("%s %s", test.path, test.named))
+		gw.endRequests()
+		gw.Check(failures(gw) > 0.5, qt.IsTrue)
+	}
+}
+
+// Guards against an answer that came whole and that counts as a broken connection, and so as a crash of the upstream by the request.
+func TestWholeAnswersBreakNoConnection(t *testing.T) {
+	for name, answer := range map[string]string{
+		"without proof":        "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n",
+		"encoded":              "HTTP/1.1 404 X\r\nX-Proof: p1\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n\r\n",
+		"promise":              rawResponse(503, "ran"),
+		"success that did not": "HTTP/1.1 200 X\r\nX-Proof: p1\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+	} {
+		registry := metrics.NewRegistry()
+		gw := newTestGatewayWith(t, document(), func(o *Options) { o.Registry = registry }, newUpstream(t, writeRaw("%s", answer)))
+		resp, _, _ := gw.do("POST", "/order/x", "")
+		gw.Check(resp.StatusCode, qt.Equals, 502)
+		gw.endRequests()
+		gw.Check(metrics.GetOrRegisterCounter("gateway.connections_broken", registry).Count(), qt.Equals, int64(0), qt.Commentf(name))
+	}
+	registry := metrics.NewRegistry()
+	gw := newTestGatewayWith(t, document(), func(o *Options) { o.Registry = registry }, newUpstream(t, sequence(writeRaw("HTTP/1.1 200 X\r\nX-Proof: p1\r\nContent-Length: 9\r\n\r\npart"), closeConn)))
+	gw.do("POST", "/order/x", "")
+	gw.endRequests()
+	gw.Check(metrics.GetOrRegisterCounter("gateway.connections_broken", registry).Count(), qt.Equals, int64(1))
+}
+
+// Guards against passing on a failure that the upstream didn't make: callers would take it for the host's word, and not try again after a 4xx.
+func TestFailuresWithoutProofAreNotPassedOn(t *testing.T) {
+	for _, status := range []int{301, 400, 401, 404, 429, 500, 503} {
+		for path, sends := range map[string]int{"/order/x": 1, "/stream/x": 1, "/read/x": 2, "/resume/x": 2} {
+			answer := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: 7\r\n\r\nforeign", status)
+			u, other := newUpstream(t, writeRaw("%s", answer)), newUpstream(t, writeRaw("%s", answer))
+			gw := newTestGateway(t, document(), u, other)
+			resp, body, _ := gw.do("POST", path, "x")
+			gw.Check(resp.StatusCode, qt.Equals, 502, qt.Commentf("%d %s", status, path))
+			gw.Check(body, qt.Contains, `"run_state":"may_have_run"`)
+			gw.Check(len(u.requests())+len(other.requests()), qt.Equals, sends)
+		}
+	}
+}
+
+// Guards against a 421 that doesn't say "not run" and is believed: an unsafe request would run twice, and its upstream get no more requests.
+func TestMisdirectedWithoutNotRunMayHaveRun(t *testing.T) {
+	for _, answer := range []string{rawResponse(421, "ran"), "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"} {
+		u, other := newUpstream(t, writeRaw("%s", answer)), newUpstream(t, writeRaw("%s", answer))
+		gw := newTestGateway(t, document(), u, other)
+		resp, body, _ := gw.do("POST", "/order/x", "x")
+		gw.Check(resp.StatusCode, qt.Equals, 502)
+		gw.Check(body, qt.Contains, `"run_state":"may_have_run"`)
+		gw.Check(len(u.requests())+len(other.requests()), qt.Equals, 1)
+		gw.do("POST", "/order/x", "x")
+		gw.do("POST", "/order/x", "x")
+		gw.Check(len(u.requests())+len(other.requests()), qt.Equals, 3)
+	}
+}
+
+// Guards against bytes in the place of a chunk that count as a crash of the upstream by the request.
+func TestBytesInPlaceOfAChunkAreGarbage(t *testing.T) {
+	const lineLimit = 4 << 10 // of a line with the size of a chunk
+	for name, raw := range map[string]string{
+		"long line":      strings.Repeat("\xe9", lineLimit) + "\r\n",
+		"no size":        "foreign\r\n",
+		"size too large": strings.Repeat("f", 17) + "\r\n",
+		"no line end":    "1\r\nab\r\n",
+	} {
+		for path, head := range map[string]string{"/stream/x": streamHead + eventChunk(1), "/order/x": answerHead(200, plainType)} {
+			registry := metrics.NewRegistry()
+			gw := newTestGatewayWith(t, document(), func(o *Options) { o.Registry = registry }, newUpstream(t, writeRaw("%s", head+raw)))
+			_, _, complete := gw.do("POST", path, "")
+			gw.endRequests()
+			gw.Check(complete && path == "/stream/x", qt.IsFalse)
+			gw.Check(failures(gw) > 0.5, qt.IsTrue)
+			gw.Check(metrics.GetOrRegisterCounter("gateway.connections_broken", registry).Count(), qt.Equals, int64(0), qt.Commentf("%s %s", name, path))
+			gw.Check(metrics.GetOrRegisterCounter("gateway.failed.upstream_garbled", registry).Count(), qt.Equals, int64(1), qt.Commentf("%s %s", name, path))
+		}
+	}
+}
