Believe 421 by its status again

The contract of upstreams says more: one that is named in the header for the expected instance and is another one answers 421 and has not run the request, and 421 is a refusal by its status alone. Such an upstream's caller would have got 502, and its address more requests. The tests are those of before.

--- a/internal/emulator/routed.go
+++ b/internal/emulator/routed.go
@@ -21,7 +21,6 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if want := r.Header.Get("X-Instance-Id"); want != "" && want != e.Instance() {
 			w.Header().Set("X-Instance-Id", e.Instance())
-			w.Header().Set("X-Not-Run", "true")
 			http.Error(w, "another instance has this address", http.StatusMisdirectedRequest)
 			return
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -221,7 +221,7 @@
 func (q *request) relay(ctx context.Context, p *dispatch.Placement, resp *engine.ForwardResponse) (dispatch.Outcome, error) {
 	names := &q.server.opts.HeaderNames
 	switch {
-	case resp.Status == http.StatusMisdirectedRequest && names.refused(resp.Status, resp.Header):
+	case resp.Status == http.StatusMisdirectedRequest:
 		q.server.opts.Dispatcher.markReplaced(p)
 		return dispatch.Refused, fault.New(fault.UpstreamRefused, fault.NotRun, "another instance has the address of %s", p.Instance.ID)
 	case names.refused(resp.Status, resp.Header):
