Pause between the connections that an overloaded host accepts

Cause: while connections always wait, Accept never waits, so that a goroutine can always run, and the scheduler of Go looks for network events only when none can, or every ten milliseconds from a thread of its own. Timers, by which the limiter measures how late the host is, are looked at before every turn. Connects to other hosts therefore took more than their 300 ms at a measured lag of 0 to 80 ms, and what was to be passed on was refused.

Change: after eight connections an overloaded host pauses for a millisecond, so that the run queue empties.

--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -26,6 +26,10 @@
 	// connection limit. As many may be ending.
 	refusingDivisor = 16
 	maxRefusing     = 256
+	// acceptBatch and acceptPause bound the rate at which an overloaded host accepts connections, far
+	// above what it can serve.
+	acceptBatch = 8
+	acceptPause = time.Millisecond
 )
 
 // shedResponse is a 503, which guarantees that the request was not run.
@@ -39,17 +43,21 @@
 type shedListener struct {
 	net.Listener
 	server *Server
+	// accepted counts the connections since the last pause.
+	accepted int
+	pause    func()
 	// buf receives the requests that are refused by Accept itself.
 	buf []byte
 }
 
 func newShedListener(ln net.Listener, s *Server) *shedListener {
-	return &shedListener{Listener: ln, server: s, buf: make([]byte, refuseReadBytes)}
+	return &shedListener{Listener: ln, server: s, pause: func() { time.Sleep(acceptPause) }, buf: make([]byte, refuseReadBytes)}
 }
 
 // Accept implements net.Listener.
 func (l *shedListener) Accept() (net.Conn, error) {
 	for {
+		l.pauseInAFlood()
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -63,6 +71,19 @@
 	}
 }
 
+// pauseInAFlood pauses after acceptBatch connections while the host is overloaded. Where connections
+// always wait, Accept never does, and the scheduler looks for network events only if no goroutine can run: all
+// other connections would wait for hundreds of milliseconds, which timers don't show.
+func (l *shedListener) pauseInAFlood() {
+	if l.accepted++; l.accepted < acceptBatch {
+		return
+	}
+	l.accepted = 0
+	if l.server.Busy() {
+		l.pause()
+	}
+}
+
 // refuse responds to the first request of a connection without parsing it. On a host that is
 // short of CPU time the request has arrived already, and no goroutine or buffer is held for
 // it. The number of connections that wait for their request is bounded; above it they are
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -101,3 +101,21 @@
 	}
 	return false
 }
+
+// Guards against a flood of connections that keeps the host from reading any other one, because the
+// scheduler looks for network events only between goroutines that can run.
+func TestAcceptingAFloodPauses(t *testing.T) {
+	gw := newTestGatewayWith(t, document(), quiet)
+	l := newShedListener(nil, gw.server)
+	pauses := 0
+	l.pause = func() { pauses++ }
+	for range 10 * acceptBatch {
+		l.pauseInAFlood()
+	}
+	gw.Assert(pauses, qt.Equals, 0)
+	gw.overload()
+	for range 10 * acceptBatch {
+		l.pauseInAFlood()
+	}
+	gw.Assert(pauses, qt.Equals, 10)
+}
