Don't avoid all other hosts when this one is too late to reach any

Cause: a connect to another host that takes more than 300 ms has the host avoided for 2 s. On a flooded host connects time out by the dozen because of its own lack of CPU time; after one burst all other hosts were avoided, nothing was passed on for 2 s, and the next burst did the same. Of 700 to 1,100 requests a second that the limiter let pass on, 500 to 1,000 found no host. The log counts them as passed on, since it counts the decision.

Change: a connect that times out marks the host late, apart from one that fails. If fewer than half of the hosts are not late, all are chosen from.

--- a/internal/gateway/offloadconns.go
+++ b/internal/gateway/offloadconns.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -91,7 +93,11 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.picker.Done(host)
-		o.picker.Failed(host, time.Now())
+		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+			o.picker.Late(host, time.Now())
+		} else {
+			o.picker.Failed(host, time.Now())
+		}
 		o.open--
 		return nil
 	}
--- a/internal/offload/offload.go
+++ b/internal/offload/offload.go
@@ -8,6 +8,7 @@
 package offload
 
 import (
+	"maps"
 	"math/rand"
 	"slices"
 	"time"
@@ -23,23 +24,22 @@
 	hosts  []string
 	// running counts the requests that each host has been passed and not completed.
 	running map[string]int
-	// avoidedUntil is set for hosts that could not be reached.
-	avoidedUntil map[string]time.Time
+	// avoidedUntil is set for hosts that could not be reached, lateUntil for those that were not reached
+	// in time.
+	avoidedUntil, lateUntil map[string]time.Time
 }
 
 // NewPicker returns a Picker without hosts.
 func NewPicker(random *rand.Rand) *Picker {
-	return &Picker{random: random, running: map[string]int{}, avoidedUntil: map[string]time.Time{}}
+	return &Picker{random: random, running: map[string]int{}, avoidedUntil: map[string]time.Time{}, lateUntil: map[string]time.Time{}}
 }
 
 // SetHosts replaces the hosts to choose from.
 func (p *Picker) SetHosts(hosts []string) {
 	p.hosts = slices.Clone(hosts)
-	for host := range p.avoidedUntil {
-		if !slices.Contains(hosts, host) {
-			delete(p.avoidedUntil, host)
-		}
-	}
+	gone := func(host string, _ time.Time) bool { return !slices.Contains(hosts, host) }
+	maps.DeleteFunc(p.avoidedUntil, gone)
+	maps.DeleteFunc(p.lateUntil, gone)
 }
 
 // Pick chooses a host and counts a running request there; ok is false if there is none. Of two
@@ -63,14 +63,23 @@
 	return host, true
 }
 
-// usable returns the hosts that are not avoided.
+// usable returns the hosts that are not avoided. If fewer than half were reached in time, it returns the
+// late ones too: it is then more likely this host that is too busy to reach any in time.
 func (p *Picker) usable(now time.Time) []string {
-	if len(p.avoidedUntil) == 0 {
-		return p.hosts
+	reached := without(p.hosts, p.avoidedUntil, now)
+	if inTime := without(reached, p.lateUntil, now); 2*len(inTime) >= len(reached) {
+		return inTime
+	}
+	return reached
+}
+
+// without returns the hosts that are not avoided.
+func without(hosts []string, avoidedUntil map[string]time.Time, now time.Time) (out []string) {
+	if len(avoidedUntil) == 0 {
+		return hosts
 	}
-	var out []string
-	for _, host := range p.hosts {
-		if until, avoided := p.avoidedUntil[host]; !avoided || !now.Before(until) {
+	for _, host := range hosts {
+		if until, avoided := avoidedUntil[host]; !avoided || !now.Before(until) {
 			out = append(out, host)
 		}
 	}
@@ -92,5 +101,12 @@
 	}
 }
 
+// Late avoids a host for a while, because a connect to it took too long.
+func (p *Picker) Late(host string, now time.Time) {
+	if slices.Contains(p.hosts, host) {
+		p.lateUntil[host] = now.Add(avoidTime)
+	}
+}
+
 // Any reports whether there are hosts to choose from.
 func (p *Picker) Any() bool { return len(p.hosts) > 0 }
--- a/internal/offload/offload_test.go
+++ b/internal/offload/offload_test.go
@@ -90,3 +90,31 @@
 	c.Assert(host, qt.Equals, "c")
 	c.Assert(p.avoidedUntil, qt.HasLen, 0)
 }
+
+// Guards against a host that passes nothing on for seconds, because its own lack of CPU time made it late
+// at all others, and against requests to a silent host among others that respond.
+func TestHostThatIsLateItselfAvoidsNoOthers(t *testing.T) {
+	c := qt.New(t)
+	p := NewPicker(rand.New(rand.NewSource(1)))
+	p.SetHosts(hostNames(10))
+	for i, host := range hostNames(10) {
+		p.Late(host, start)
+		counts := map[string]int{}
+		for range 1_000 {
+			picked, ok := p.Pick(start)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%d are late", i+1))
+			counts[picked]++
+			p.Done(picked)
+		}
+		if i < 5 {
+			c.Check(counts[host], qt.Equals, 0)
+			continue
+		}
+		c.Check(counts, qt.HasLen, 10, qt.Commentf("%d are late", i+1))
+	}
+	p.Failed("h0", start)
+	for range 1_000 {
+		picked, _ := p.Pick(start)
+		c.Check(picked, qt.Not(qt.Equals), "h0")
+	}
+}
