Look at the account of a connection before it is refused

Cause: above a lag of 80 ms a host refused a random part of the new connections, down to nineteen of twenty, those of other accounts and those whose requests it could pass on among them. Connections that it took were refused after they were read, which takes longer.

Change: of the connections that are drawn the host looks at the request without consuming it, and refuses it only if the limiter would refuse its account now, or if its head has not arrived. The refusal counts towards the rate of the account.

TestFloodOfOneAccountRefusesNoConnectionOfAnother failed before (503 for an account that sent three requests).

--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -14,6 +14,7 @@
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/logsink"
 	"marigoldshunt/internal/overload"
+	"marigoldshunt/internal/routing"
 )
 
 // earlyReadBytes is the size of one read of the rest of a refused request.
@@ -52,7 +53,7 @@
 	if q == nil {
 		return false, nil
 	}
-	mayOffload = mayOffload && q.route != nil && h.headBytes+h.bodyBytes+maxOffloadVersionBytes <= offloadRequestBytes
+	mayOffload = mayOffload && q.route != nil && h.mayOffload()
 	crowded := s.places.held(q.account) > crowdedRunning
 	s.limiter.Lock()
 	action := s.limiter.DecideEarly(q.account, mayOffload, crowded, q.arrived)
@@ -83,21 +84,32 @@
 // itself.
 func (s *Server) newEarlyRequest(c *headerConn, h *requestHead) *earlyRequest {
 	view := s.opts.View()
-	if view.Leaving || view.Check(s.opts.MaxAges) != nil {
-		return nil
-	}
-	a := view.Table.Account(string(h.credential))
+	a, route := s.accountAndRoute(&view, h)
 	if a == nil {
 		return nil
 	}
-	q := &earlyRequest{server: s, caller: c, head: h, view: view, account: a.Name, arrived: time.Now()}
-	path, _, _ := bytes.Cut(h.target, []byte("?"))
-	if q.route = view.Table.Route(string(h.host), string(path)); q.route != nil {
-		q.deadline = s.offloadDeadline(h, q.route, q.arrived)
+	q := &earlyRequest{server: s, caller: c, head: h, view: view, route: route, account: a.Name, arrived: time.Now()}
+	if route != nil {
+		q.deadline = s.offloadDeadline(h, route, q.arrived)
 	}
 	return q
 }
 
+// accountAndRoute returns the account of a request and its route, if it has one. The account is nil if a
+// host with a valid configuration has to look at the request itself.
+func (s *Server) accountAndRoute(view *View, h *requestHead) (*routing.Account, *routing.Route) {
+	if view.Leaving || view.Check(s.opts.MaxAges) != nil {
+		return nil, nil
+	}
+	path, _, _ := bytes.Cut(h.target, []byte("?"))
+	return view.Table.Account(string(h.credential)), view.Table.Route(string(h.host), string(path))
+}
+
+// mayOffload reports whether the request is small enough to be passed on to another host.
+func (h *requestHead) mayOffload() bool {
+	return h.headBytes+h.bodyBytes+maxOffloadVersionBytes <= offloadRequestBytes
+}
+
 // refuse refuses the request and reads the unread rest of it.
 func (q *earlyRequest) refuse(unread int) error {
 	s := q.server
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,11 +170,13 @@
 }
 
 // Serve accepts connections on ln until Shutdown or Close.
-func (s *Server) Serve(ln net.Listener) error { return s.serve(ln, s.offloadOrRefuseEarly) }
+func (s *Server) Serve(ln net.Listener) error {
+	return s.serve(newShedListener(ln, s, true), s.offloadOrRefuseEarly)
+}
 
 func (s *Server) serve(ln net.Listener, handleEarly earlyHandler) error {
 	context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
-	err := s.http.Serve(headerListener{newShedListener(ln, s), s.headerTimeout, handleEarly})
+	err := s.http.Serve(headerListener{ln, s.headerTimeout, handleEarly})
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Err() != nil {
 		return nil
 	}
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -308,5 +308,5 @@
 // ServeOffloaded accepts the requests that other hosts pass on, until Shutdown or Close. It never
 // passes them on again.
 func (s *Server) ServeOffloaded(ln net.Listener) error {
-	return s.serve(ln, s.refuseEarly)
+	return s.serve(newShedListener(ln, s, false), s.refuseEarly)
 }
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -43,6 +43,8 @@
 type shedListener struct {
 	net.Listener
 	server *Server
+	// offloads is true if requests may be passed on to other hosts.
+	offloads bool
 	// accepted counts the connections since the last pause.
 	accepted int
 	pause    func()
@@ -50,8 +52,8 @@
 	buf []byte
 }
 
-func newShedListener(ln net.Listener, s *Server) *shedListener {
-	return &shedListener{Listener: ln, server: s, pause: func() { time.Sleep(acceptPause) }, buf: make([]byte, refuseReadBytes)}
+func newShedListener(ln net.Listener, s *Server, offloads bool) *shedListener {
+	return &shedListener{Listener: ln, server: s, offloads: offloads, pause: func() { time.Sleep(acceptPause) }, buf: make([]byte, refuseReadBytes)}
 }
 
 // Accept implements net.Listener.
@@ -62,11 +64,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if !l.server.shed() && l.server.conns.makeRoom() {
-			return c, nil
+		if !l.refuses(c) {
+			if l.server.conns.makeRoom() {
+				return c, nil
+			}
+			l.server.loads.refuseConnection()
 		}
 		l.server.count("shed")
-		l.server.loads.refuseConnection()
 		l.refuse(c)
 	}
 }
@@ -84,6 +88,47 @@
 	}
 }
 
+// refuses reports whether to refuse a new connection. It looks at the request first, if its head has
+// arrived, and spares it if its account may still be served or passed on. That takes little more time than
+// to refuse any connection.
+func (l *shedListener) refuses(c net.Conn) bool {
+	s := l.server
+	if !s.shed() {
+		return false
+	}
+	account, mayOffload := l.look(c)
+	if account == "" {
+		s.loads.refuseConnection()
+		return true
+	}
+	s.limiter.Lock()
+	refused := s.limiter.RefusesAtOnce(account, mayOffload, time.Now())
+	s.limiter.Unlock()
+	if refused {
+		s.loads.refuse(account, causeRateLimited)
+	}
+	return refused
+}
+
+// look returns the account of the request that has arrived on a connection, empty if it is not known,
+// and whether the request may be passed on. It consumes nothing.
+func (l *shedListener) look(c net.Conn) (account string, mayOffload bool) {
+	raw, ok := rawConn(c)
+	if !ok {
+		return "", false
+	}
+	h, ok := l.server.opts.HeaderNames.parseHead(l.buf[:netopt.Peek(raw, l.buf)])
+	if !ok {
+		return "", false
+	}
+	view := l.server.opts.View()
+	a, route := l.server.accountAndRoute(&view, &h)
+	if a == nil {
+		return "", false
+	}
+	return a.Name, l.offloads && route != nil && h.mayOffload() && l.server.offloader.usable()
+}
+
 // refuse responds to the first request of a connection without parsing it. On a host that is
 // short of CPU time the request has arrived already, and no goroutine or buffer is held for
 // it. The number of connections that wait for their request is bounded; above it they are
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -57,7 +57,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	gw.Assert(err, qt.IsNil)
 	defer ln.Close()
-	shed := newShedListener(ln, gw.server)
+	shed := newShedListener(ln, gw.server, true)
 	const bodyBytes = 20_000
 	for _, test := range []struct {
 		name string
@@ -102,11 +102,50 @@
 	return false
 }
 
+// settledListener accepts connections once their requests have arrived, as a busy host does.
+type settledListener struct{ net.Listener }
+
+func (l settledListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		hasUnreadWithin(c, testTimeout)
+	}
+	return c, err
+}
+
+// Guards against a flood of one account for which the new connections of all others are refused.
+func TestFloodOfOneAccountRefusesNoConnectionOfAnother(t *testing.T) {
+	gw := newTestGatewayWith(t, accountsDocument(), quiet, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))))
+	gw.overload()
+	gw.server.limiter.Lock()
+	for gw.server.limiter.Admit("hot", time.Now().Add(time.Hour)) {
+	}
+	gw.server.limiter.Unlock()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gw.Assert(err, qt.IsNil)
+	go func() { _ = gw.server.Serve(settledListener{ln}) }()
+	call := func(key string) (*http.Response, string) {
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		gw.Assert(err, qt.IsNil)
+		defer nc.Close()
+		return exchange(gw.C, nc, bufio.NewReader(nc), rawRequest("POST", key, "r1", "", strings.Repeat("b", 9_000)))
+	}
+	for range 3 {
+		resp, body := call("k2")
+		gw.Check(resp.StatusCode, qt.Equals, 200)
+		gw.Check(body, qt.Equals, "ok")
+		resp, body = call("k1")
+		gw.Check(resp.StatusCode, qt.Equals, 503)
+		gw.Check(resp.Header.Get("Retry-After"), qt.Equals, "0.400")
+		gw.Check(body, qt.Equals, shedBody)
+	}
+}
+
 // Guards against a flood of connections that keeps the host from reading any other one, because the
 // scheduler looks for network events only between goroutines that can run.
 func TestAcceptingAFloodPauses(t *testing.T) {
 	gw := newTestGatewayWith(t, document(), quiet)
-	l := newShedListener(nil, gw.server)
+	l := newShedListener(nil, gw.server, false)
 	pauses := 0
 	l.pause = func() { pauses++ }
 	for range 10 * acceptBatch {
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -65,6 +65,21 @@
 	return open && err == nil, unread
 }
 
+// Peek copies bytes that have arrived without consuming them, and without waiting. It returns 0 if there
+// are none or the connection has ended.
+func Peek(c syscall.RawConn, p []byte) int {
+	n := 0
+	err := c.Control(func(fd uintptr) {
+		if read, _, err := syscall.Recvfrom(int(fd), p, syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err == nil {
+			n = read
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
+
 // ReadAvailable reads bytes that have arrived, without waiting. It returns 0 if there are
 // none or the connection has ended.
 func ReadAvailable(c syscall.RawConn, p []byte) int {
--- a/internal/netopt/netopt_test.go
+++ b/internal/netopt/netopt_test.go
@@ -65,3 +65,29 @@
 	c.Assert(n, qt.Equals, 1)
 	waitFor([2]bool{false, false})
 }
+
+// Guards against a look at what has arrived that consumes it or waits.
+func TestPeekConsumesNothing(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	dialled, err := net.Dial("tcp", ln.Addr().String())
+	c.Assert(err, qt.IsNil)
+	accepted, err := ln.Accept()
+	c.Assert(err, qt.IsNil)
+	defer accepted.Close()
+	raw, err := accepted.(*net.TCPConn).SyscallConn()
+	c.Assert(err, qt.IsNil)
+	p := make([]byte, 8)
+	c.Assert(Peek(raw, p), qt.Equals, 0)
+	_, err = dialled.Write([]byte("request"))
+	c.Assert(err, qt.IsNil)
+	for end := time.Now().Add(10 * time.Second); Peek(raw, p) == 0; time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	c.Assert(string(p[:Peek(raw, p)]), qt.Equals, "request")
+	c.Assert(string(p[:ReadAvailable(raw, p)]), qt.Equals, "request")
+	c.Assert(dialled.Close(), qt.IsNil)
+	c.Assert(Peek(raw, p), qt.Equals, 0)
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -254,21 +254,52 @@
 		return Serve
 	}
 	a := l.refilled(name, now)
+	action := l.decide(a, mayOffload, crowded)
+	l.record(a, action, now)
+	return action
+}
+
+// RefusesAtOnce reports whether DecideEarly would refuse a request, and then records it. It records
+// nothing else: a request that is not refused at once is decided about when it is read.
+func (l *Limiter) RefusesAtOnce(name string, mayOffload bool, now time.Time) bool {
+	if math.IsInf(l.limit, 1) {
+		return false
+	}
+	a := l.refilled(name, now)
+	if l.decide(a, mayOffload, false) != Refuse {
+		return false
+	}
+	l.record(a, Refuse, now)
+	return true
+}
+
+// decide decides about a request of an account.
+func (l *Limiter) decide(a *account, mayOffload, crowded bool) Action {
 	aboveLimit := crowded || a.rate > l.limit || a.tokens < 1
-	if !aboveLimit || !mayOffload && a.tokens >= 1 {
+	switch {
+	case !aboveLimit || !mayOffload && a.tokens >= 1:
 		return Serve
-	}
-	a.rate += 1 / rateTimeConstant.Seconds()
-	if !mayOffload || a.tokens < offloadCost {
-		l.refusedAt = now
+	case !mayOffload || a.tokens < offloadCost:
 		return Refuse
 	}
-	a.tokens -= offloadCost
-	a.acceptedRate += offloadCost / rateTimeConstant.Seconds()
-	l.offloadedAt = now
 	return Offload
 }
 
+// record records a request unless it is served: Admit does that.
+func (l *Limiter) record(a *account, action Action, now time.Time) {
+	switch action {
+	case Serve:
+		return
+	case Refuse:
+		l.refusedAt = now
+	case Offload:
+		a.tokens -= offloadCost
+		a.acceptedRate += offloadCost / rateTimeConstant.Seconds()
+		l.offloadedAt = now
+	}
+	a.rate += 1 / rateTimeConstant.Seconds()
+}
+
 // refilled returns the rates and the token bucket of an account as they are now.
 func (l *Limiter) refilled(name string, now time.Time) *account {
 	a := l.accounts[name]
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -415,3 +415,40 @@
 	observe(0, 3*time.Second)
 	qt.Check(t, l.Shed(0.9), qt.IsFalse)
 }
+
+// Guards against refusing at once what the host would have passed on or served, and against a flood
+// whose refusals don't count towards the rate of its account.
+func TestOnlyWhatWouldBeRefusedIsRefusedAtOnce(t *testing.T) {
+	for _, mayOffload := range []bool{false, true} {
+		l, now := New(), start
+		qt.Assert(t, l.RefusesAtOnce("hot", mayOffload, now), qt.IsFalse)
+		// As a flood has left them; a moderate lag keeps the limit.
+		l.limit, l.lag = 20, (calmLag+overloadLag)/2
+		actions, atOnce := map[Action]int{}, 0
+		const seconds = 10
+		for ms := range seconds * 1_000 {
+			now = now.Add(time.Millisecond)
+			if ms%20 == 0 {
+				l.Observe((calmLag+overloadLag)/2, now)
+			}
+			qt.Assert(t, l.RefusesAtOnce("small", mayOffload, now), qt.IsFalse)
+			if l.RefusesAtOnce("hot", mayOffload, now) {
+				atOnce++
+				continue
+			}
+			action := l.DecideEarly("hot", mayOffload, false, now)
+			qt.Assert(t, action, qt.Not(qt.Equals), Refuse)
+			if actions[action]++; action == Serve {
+				qt.Assert(t, l.Admit("hot", now), qt.IsTrue)
+			}
+		}
+		want, accepted := 20.0*seconds, float64(actions[Serve])
+		if mayOffload {
+			want, accepted = 20.0*seconds/offloadCost, float64(actions[Offload])
+		}
+		comment := qt.Commentf("may be passed on: %v, %v, %d at once", mayOffload, actions, atOnce)
+		qt.Check(t, math.Abs(accepted-want) <= want/10, qt.IsTrue, comment)
+		rate, _ := l.highestRates(now)
+		qt.Check(t, rate > 900, qt.IsTrue, comment)
+	}
+}
