Count the time that a request has waited before it is passed on

Cause: a host that passes a request on looked at its caller's socket before it connected to the other host, which takes up to 1.2 s, and the other host counted the whole time of the caller anew. It then sent requests on whose callers had left.

Change: the socket is looked at after the connect, right before the write, and the head names how long the request has waited since it was read (Offload-Waited-Ms, between hosts only). The other host counts the deadline and the objective from before that. What it waited before it was read is not known and not counted. The test of the bytes that are sent expects the new field; its digits depend on the machine, and it checks that there are five.

--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -107,7 +107,7 @@
 
 // mayOffload reports whether the request is small enough to be passed on to another host.
 func (h *requestHead) mayOffload() bool {
-	return h.headBytes+h.bodyBytes+maxOffloadVersionBytes <= offloadRequestBytes
+	return h.headBytes+h.bodyBytes+maxOffloadFieldBytes <= offloadRequestBytes
 }
 
 // refuse refuses the request and reads the unread rest of it.
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -49,8 +49,13 @@
 	// offloadVersionHeader names the routing document of the host that passes a request on. It is
 	// between hosts only and not forwarded.
 	offloadVersionHeader = "Offload-Document-Version"
-	// maxOffloadVersionBytes bounds the header field.
-	maxOffloadVersionBytes = len(offloadVersionHeader) + len(": 18446744073709551615\r\n")
+	// offloadWaitedHeader is how long the request has waited at that host, in ms and with
+	// offloadWaitedDigits digits. The caller's own time counts from before that.
+	offloadWaitedHeader = "Offload-Waited-Ms"
+	offloadWaitedDigits = 5
+	maxOffloadWaited    = 99_999 * time.Millisecond
+	// maxOffloadFieldBytes bounds both header fields.
+	maxOffloadFieldBytes = len(offloadVersionHeader) + len(": 18446744073709551615\r\n") + len(offloadWaitedHeader) + len(": 00000\r\n")
 )
 
 var (
@@ -73,6 +78,8 @@
 	route    *routing.Route
 	account  string
 	arrived  time.Time
+	// waitedAt is the position of the digits of offloadWaitedHeader in the copy of the request.
+	waitedAt int
 	// responded is true once bytes of a response were written to the caller.
 	responded bool
 }
@@ -113,28 +120,50 @@
 func (q *earlyRequest) readAndSend(p []byte) (*hostConn, error) {
 	buf := offloadRequestBuffers.Get().(*[offloadRequestBytes]byte)
 	defer offloadRequestBuffers.Put(buf)
-	n := q.copyWithVersion(buf[:], p)
+	n := q.copyWithOwnFields(buf[:], p)
 	request := buf[:n+q.head.headBytes+q.head.bodyBytes-len(p)]
 	if err := q.readRest(request[n:]); err != nil {
 		return nil, errEndConnection
 	}
-	if !q.callerConnected() {
-		return nil, errEndConnection
-	}
 	return q.send(request)
 }
 
-// copyWithVersion copies the beginning p of the request and adds the version of the routing document
-// that this host knows to its head. It returns the size of the copy.
-func (q *earlyRequest) copyWithVersion(buf, p []byte) int {
+// copyWithOwnFields copies the beginning p of the request and adds the fields between hosts to its head: the
+// version of the routing document that this host knows, and room for the time that the request has waited.
+// It returns the size of the copy.
+func (q *earlyRequest) copyWithOwnFields(buf, p []byte) int {
 	lineEnd := bytes.Index(p, crlf) + len(crlf)
 	n := copy(buf, p[:lineEnd])
-	field := append(buf[n:n], offloadVersionHeader+": "...)
-	field = append(strconv.AppendUint(field, q.view.Table.Document.Version, 10), crlf...)
-	n += len(field)
+	fields := append(buf[n:n], offloadVersionHeader+": "...)
+	fields = strconv.AppendUint(fields, q.view.Table.Document.Version, 10)
+	fields = append(append(fields, crlf...), offloadWaitedHeader+": "...)
+	q.waitedAt = n + len(fields)
+	fields = append(fields, "00000\r\n"...)
+	n += len(fields)
 	return n + copy(buf[n:], p[lineEnd:])
 }
 
+// setWaited writes how long the request has waited into its copy.
+func (q *earlyRequest) setWaited(request []byte, waited time.Duration) {
+	digits := request[q.waitedAt : q.waitedAt+offloadWaitedDigits]
+	left := min(waited, maxOffloadWaited).Milliseconds()
+	for i := len(digits) - 1; i >= 0; i-- {
+		digits[i] = byte('0' + left%10)
+		left /= 10
+	}
+}
+
+// takeOffloadWaited returns how long a request had waited at the host that passed it on, and removes the
+// field from the header.
+func takeOffloadWaited(h http.Header) time.Duration {
+	ms, err := parseNumber(h.Get(offloadWaitedHeader))
+	h.Del(offloadWaitedHeader)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // checkOffloadVersion refuses a request that was passed on by a host that knows a newer routing
 // document: its callers would see an older one in force again.
 func checkOffloadVersion(h http.Header, own uint64) error {
@@ -170,6 +199,12 @@
 		if hc == nil {
 			break
 		}
+		// Connecting may have taken a while.
+		if !q.callerConnected() {
+			o.release(hc, true, false)
+			return nil, errEndConnection
+		}
+		q.setWaited(request, time.Since(q.arrived))
 		_ = hc.SetDeadline(q.deadline) // fails only if it is already closed, and then so does the write
 		n, err := hc.Write(request)
 		if err == nil {
--- a/internal/gateway/offload_test.go
+++ b/internal/gateway/offload_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +21,9 @@
 	"marigoldshunt/internal/routing"
 )
 
+// waitedDigits matches the time that a request has waited, which depends on the machine.
+var waitedDigits = regexp.MustCompile(`(Offload-Waited-Ms: )[0-9]{5}`)
+
 // offloadPair is a gateway that the account with the credential k1 floods, and the one to which it
 // passes requests on.
 type offloadPair struct {
@@ -324,7 +328,7 @@
 			resp, body := exchange(gw.C, nc, bufio.NewReader(nc), request)
 			gw.Assert(resp.StatusCode, qt.Equals, test.status)
 			gw.Assert(body, qt.Contains, test.body)
-			gw.Assert(<-received, qt.Equals, strings.Replace(request, "\r\n", "\r\nOffload-Document-Version: 1\r\n", 1))
+			gw.Assert(waitedDigits.ReplaceAllString(<-received, "${1}00000"), qt.Equals, strings.Replace(request, "\r\n", "\r\nOffload-Document-Version: 1\r\nOffload-Waited-Ms: 00000\r\n", 1))
 			gw.Assert(u.requests(), qt.HasLen, 0)
 			gw.Assert(received, qt.HasLen, 0)
 			gw.waitForOpenToHosts(0)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -120,6 +120,7 @@
 		return err
 	}
 	takenOver := q.r.Header.Get(offloadVersionHeader) != ""
+	waited := takeOffloadWaited(q.r.Header)
 	if err := checkOffloadVersion(q.r.Header, view.Table.Document.Version); err != nil {
 		return err
 	}
@@ -144,7 +145,7 @@
 	}
 	q.hasPlace = true
 	q.service = view.Table.Service(q.route.Pick(q.server.randomFraction()))
-	q.setDeadline(q.arrived)
+	q.setDeadline(q.arrived.Add(-waited))
 	if err := q.readBody(view.Table.Document.Limits); err != nil {
 		return err
 	}
