--- a/internal/gateway/cost_test.go
+++ b/internal/gateway/cost_test.go
@@ -160,6 +160,19 @@
 	})
 	measure("refused_request_on_new_connection", "new", func(b *testing.B) *testGateway { return newLimitedGateway(b, u, quiet) })
 	measure("refused_request", "kept", func(b *testing.B) *testGateway { return newLimitedGateway(b, u, quiet) })
+	isolated := func(b *testing.B) *testGateway {
+		gw := newLimitedGateway(b, u, quiet)
+		gw.setView(func(v *View) { v.Age = time.Minute })
+		return gw
+	}
+	measure("refused_by_isolated_host", "kept", isolated)
+	measure("refused_by_isolated_host_on_new_connection", "new", isolated)
+	leaving := func(b *testing.B) *testGateway {
+		gw := newLimitedGateway(b, u, quiet)
+		gw.setView(func(v *View) { v.Leaving = true })
+		return gw
+	}
+	measure("refused_by_leaving_host", "new", leaving)
 	passing := func(b *testing.B) *testGateway {
 		gw := newTestGatewayWith(b, accountsDocument(), offloadTo(address), u)
 		gw.server.SetOffloadHosts([]string{"h2"})
--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -114,6 +114,7 @@
 func (q *earlyRequest) refuse(unread int) error {
 	s := q.server
 	s.count("failed." + string(fault.HostOverloaded))
+	s.count("refused_early." + string(fault.HostOverloaded))
 	if !logsink.Drops(s.log, logrus.InfoLevel) {
 		q.logFailure(rateLimited(s.AccountRateLimit()))
 	}
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -101,6 +101,9 @@
 		return q.fail(err)
 	}
 	q.server.count("offloaded")
+	if q.view.Leaving {
+		q.server.count("offloaded_leaving")
+	}
 	q.log(hc)
 	whole, keep, err := q.copyResponse(hc)
 	// A response that breaks off may be one that the upstream broke off.
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -50,7 +50,7 @@
 }
 
 func (s *Server) logLag(lag time.Duration) *logrus.Entry {
-	return s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithFields(s.Connections().LogFields())
+	return s.log.WithField("lag_ms", lag.Milliseconds()).WithField("running", s.Running()).WithFields(s.Connections().LogFields()).WithFields(s.shedFields())
 }
 
 // Each level of priority below the highest may use levelReservePercent less of a host's
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -9,6 +9,9 @@
 	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
 	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/netopt"
 )
@@ -69,8 +72,10 @@
 				return c, nil
 			}
 			l.server.loads.refuseConnection()
+			l.server.count("shed_no_room")
 		}
 		l.server.count("shed")
+		l.observe(c)
 		l.refuse(c)
 	}
 }
@@ -110,6 +115,39 @@
 	return refused
 }
 
+// observe counts what became of a connection that is refused until it was accepted.
+func (l *shedListener) observe(c net.Conn) {
+	if l.server.opts.View().Leaving {
+		l.server.count("shed_leaving")
+	}
+	raw, ok := rawConn(c)
+	if !ok {
+		return
+	}
+	received, err := netopt.LastReceived(raw)
+	if err != nil {
+		return
+	}
+	l.server.shedWaited().Update(received.Ago)
+	if received.Ended {
+		l.server.count("shed_abandoned")
+	}
+}
+
+// shedFields returns what became of the refused connections since the start, as fields of a log line.
+func (s *Server) shedFields() logrus.Fields {
+	fields := logrus.Fields{"shed_waited_ms": time.Duration(s.shedWaited().Mean()).Milliseconds()}
+	for _, name := range []string{"shed", "shed_abandoned", "shed_leaving", "shed_evicted", "shed_unread"} {
+		fields[name] = metrics.GetOrRegisterCounter("gateway."+name, s.opts.Registry).Count()
+	}
+	return fields
+}
+
+// shedWaited is how long refused connections had waited to be accepted.
+func (s *Server) shedWaited() metrics.Timer {
+	return metrics.GetOrRegisterTimer("gateway.shed_waited", s.opts.Registry)
+}
+
 // look returns the account of the request that has arrived on a connection, empty if it is not known,
 // and whether the request may be passed on. It consumes nothing.
 func (l *shedListener) look(c net.Conn) (account string, mayOffload bool) {
@@ -187,6 +225,7 @@
 	s.awaited.Lock()
 	defer s.awaited.Unlock()
 	if int64(s.awaited.Len()) >= most {
+		s.count("shed_evicted")
 		first := s.awaited.Remove(s.awaited.Front()).(net.Conn)
 		_ = first.SetReadDeadline(pastDeadline) // fails only if it is already closed
 	}
