--- a/internal/gateway/earlyrefusal_test.go
+++ b/internal/gateway/earlyrefusal_test.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/routing"
 )
 
@@ -193,3 +194,38 @@
 	got := gw.sendRaw(request[:len(request)-1])
 	gw.Assert(strings.Count(got, "HTTP/1.1"), qt.Equals, 1, qt.Commentf("%s", got))
 }
+
+// Guards against an overloaded host that parses every request only to refuse it, once it leaves or may serve nobody.
+func TestHostThatLeavesOrMayNotServeRefusesFromTheFirstBytes(t *testing.T) {
+	isolated := failureBody(fault.HostIsolated, fault.NotRun)
+	for _, tc := range []struct {
+		name, key, body string
+		change          func(v *View)
+		closes          bool
+	}{
+		{"leaving", "k1", failureBody(fault.HostLeaving, fault.NotRun), func(v *View) { v.Leaving = true }, true},
+		{"old configuration", "k1", isolated, func(v *View) { v.Age = time.Minute }, false},
+		{"old configuration, other account", "k2", isolated, func(v *View) { v.Age = time.Minute }, false},
+		{"unconfirmed list", "", isolated, func(v *View) { v.ListContactAge = time.Minute }, false},
+		{"no document", "k1", isolated, func(v *View) { v.Table = nil }, false},
+		{"no document, leaving", "k1", isolated, func(v *View) { v.Table, v.Leaving = nil, true }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newUpstream(t, writeRaw("%s", rawResponse(200, "ok")))
+			gw := newLimitedGateway(t, u, quiet)
+			gw.setView(tc.change)
+			nc, err := net.Dial("tcp", gw.address)
+			gw.Assert(err, qt.IsNil)
+			defer nc.Close()
+			resp, body := exchange(gw.C, nc, bufio.NewReader(nc), rawRequest("POST", tc.key, "r1", "", strings.Repeat("b", 9_000)))
+			gw.Check(resp.StatusCode, qt.Equals, 503)
+			gw.Check(body, qt.Equals, tc.body)
+			gw.Check(resp.Header.Get("Retry-After"), qt.Equals, "0.100")
+			gw.Check(resp.Header.Get("X-Request-Id"), qt.Equals, "r1")
+			gw.Check(resp.Close, qt.Equals, tc.closes)
+			early := gw.counted("refused_early.host_leaving") + gw.counted("refused_early.host_isolated")
+			gw.Check(early, qt.Equals, int64(1))
+			gw.Check(u.requests(), qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -13,6 +13,9 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
+
+	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/netopt"
 )
 
 // Guards against callers that are cut off without a refusal because others connect to an
@@ -113,34 +116,110 @@
 	return c, err
 }
 
-// Guards against a flood of one account for which the new connections of all others are refused.
-func TestFloodOfOneAccountRefusesNoConnectionOfAnother(t *testing.T) {
-	gw := newTestGatewayWith(t, accountsDocument(), quiet, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))))
+// newFloodedGateway returns an overloaded gateway that the account with the credential k1 floods, and its address.
+func newFloodedGateway(t *testing.T, u *upstream) (gw *testGateway, address string) {
+	gw = newTestGatewayWith(t, accountsDocument(), quiet, u)
 	gw.overload()
 	gw.server.limiter.Lock()
+	defer gw.server.limiter.Unlock()
 	for gw.server.limiter.Admit("hot", time.Now().Add(time.Hour)) {
 	}
-	gw.server.limiter.Unlock()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	gw.Assert(err, qt.IsNil)
 	go func() { _ = gw.server.Serve(settledListener{ln}) }()
-	call := func(key string) (*http.Response, string) {
-		nc, err := net.Dial("tcp", ln.Addr().String())
-		gw.Assert(err, qt.IsNil)
-		defer nc.Close()
-		return exchange(gw.C, nc, bufio.NewReader(nc), rawRequest("POST", key, "r1", "", strings.Repeat("b", 9_000)))
-	}
+	return gw, ln.Addr().String()
+}
+
+// callAnew sends a request on a new connection.
+func (gw *testGateway) callAnew(address, key string) (*http.Response, string) {
+	nc, err := net.Dial("tcp", address)
+	gw.Assert(err, qt.IsNil)
+	defer nc.Close()
+	return exchange(gw.C, nc, bufio.NewReader(nc), rawRequest("POST", key, "r1", "", strings.Repeat("b", 9_000)))
+}
+
+// Guards against a flood of one account for which the new connections of all others are refused.
+func TestFloodOfOneAccountRefusesNoConnectionOfAnother(t *testing.T) {
+	gw, address := newFloodedGateway(t, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))))
 	for range 3 {
-		resp, body := call("k2")
+		resp, body := gw.callAnew(address, "k2")
 		gw.Check(resp.StatusCode, qt.Equals, 200)
 		gw.Check(body, qt.Equals, "ok")
-		resp, body = call("k1")
+		resp, body = gw.callAnew(address, "k1")
 		gw.Check(resp.StatusCode, qt.Equals, 503)
 		gw.Check(resp.Header.Get("Retry-After"), qt.Equals, "0.400")
 		gw.Check(body, qt.Equals, shedBody)
 	}
 }
 
+// Guards against a leaving host that refuses the connections of all accounts because one floods it.
+func TestLeavingHostRefusesOnlyTheConnectionsOfItsFlood(t *testing.T) {
+	gw, address := newFloodedGateway(t, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))))
+	gw.setView(func(v *View) { v.Leaving = true })
+	for range 3 {
+		resp, body := gw.callAnew(address, "k2")
+		gw.Check(resp.StatusCode, qt.Equals, 200)
+		gw.Check(body, qt.Equals, "ok")
+		gw.Check(resp.Close, qt.IsTrue)
+		resp, body = gw.callAnew(address, "k1")
+		gw.Check(resp.StatusCode, qt.Equals, 503)
+		gw.Check(resp.Header.Get("Retry-After"), qt.Equals, "0.100")
+		gw.Check(body, qt.Equals, failureBody(fault.HostLeaving, fault.NotRun))
+		gw.Check(resp.Close, qt.IsTrue)
+	}
+}
+
+// unwrittenConn fails a test if the host responds on it.
+type unwrittenConn struct {
+	*net.TCPConn
+	t *testing.T
+}
+
+func (c unwrittenConn) Write([]byte) (int, error) {
+	c.t.Error("the host responded to a caller that had left")
+	return 0, net.ErrClosed
+}
+
+// Guards against a flooded host that spends its processor time on connections whose callers have given up in its queue.
+func TestConnectionThatItsCallerHasGivenUpGetsNoResponse(t *testing.T) {
+	gw := newTestGatewayWith(t, document(), quiet)
+	gw.overload()
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	gw.Assert(err, qt.IsNil)
+	ln := chanListener{Listener: tcp, conns: make(chan net.Conn)}
+	t.Cleanup(func() { close(ln.conns) })
+	go func() { _ = gw.server.Serve(ln) }()
+	for range 20 {
+		caller, err := net.Dial("tcp", tcp.Addr().String())
+		gw.Assert(err, qt.IsNil)
+		_, err = io.WriteString(caller, "GET /read/x HTTP/1.1\r\nHost: h\r\n\r\n")
+		gw.Assert(err, qt.IsNil)
+		gw.Assert(caller.Close(), qt.IsNil)
+		c, err := tcp.Accept()
+		gw.Assert(err, qt.IsNil)
+		gw.Assert(endedWithin(c, testTimeout), qt.IsTrue)
+		ln.conns <- unwrittenConn{c.(*net.TCPConn), t}
+	}
+	last, err := net.Dial("tcp", tcp.Addr().String())
+	gw.Assert(err, qt.IsNil)
+	defer last.Close()
+	c, err := tcp.Accept()
+	gw.Assert(err, qt.IsNil)
+	ln.conns <- c // the listener takes it once it is done with the one before
+	gw.Check(gw.counted("shed_abandoned"), qt.Equals, int64(20))
+	gw.Check(gw.counted("shed_unread"), qt.Equals, int64(0))
+}
+
+func endedWithin(c net.Conn, timeout time.Duration) bool {
+	raw, ok := rawConn(c)
+	for end := time.Now().Add(timeout); ok && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if received, err := netopt.LastReceived(raw); err == nil && received.Ended {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against a flood of connections that keeps the host from reading any other one, because the
 // scheduler looks for network events only between goroutines that can run.
 func TestAcceptingAFloodPauses(t *testing.T) {
