--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -50,25 +50,16 @@
 		return false, nil
 	}
 	q := s.newEarlyRequest(c, &h)
-	if q == nil {
-		return false, nil
-	}
-	mayOffload = mayOffload && q.route != nil && h.mayOffload()
-	crowded := s.places.held(q.account) > crowdedRunning
-	s.limiter.Lock()
-	action := s.limiter.DecideEarly(q.account, mayOffload, crowded, q.arrived)
-	s.limiter.Unlock()
+	action, refusal := q.decide(mayOffload)
 	if action == overload.Serve {
 		return false, nil
 	}
 	// While the connection counts as idle, it may be closed to make room for another one.
 	s.connStateChanged(c, http.StateActive)
 	if action == overload.Offload {
-		s.loads.refuse(q.account, causePassedOn)
 		err = q.passOn(p)
 	} else {
-		s.loads.refuse(q.account, causeRateLimited)
-		err = q.refuse(unread)
+		err = q.refuse(refusal, unread)
 	}
 	if err != nil {
 		// After any other error the HTTP server would respond to what it takes for a request.
@@ -80,29 +71,49 @@
 	return true, c.SetReadDeadline(time.Time{})
 }
 
-// newEarlyRequest returns nil for a request that a host with a valid configuration has to look at
-// itself.
 func (s *Server) newEarlyRequest(c *headerConn, h *requestHead) *earlyRequest {
-	view := s.opts.View()
-	a, route := s.accountAndRoute(&view, h)
-	if a == nil {
-		return nil
+	q := &earlyRequest{server: s, caller: c, head: h, view: s.opts.View(), arrived: time.Now()}
+	if q.isolated = q.view.Check(s.opts.MaxAges) != nil; q.isolated {
+		return q
+	}
+	a, route := q.view.accountAndRoute(h)
+	if a != nil {
+		q.account = a.Name
 	}
-	q := &earlyRequest{server: s, caller: c, head: h, view: view, route: route, account: a.Name, arrived: time.Now()}
-	if route != nil {
+	if q.route = route; route != nil {
 		q.deadline = s.offloadDeadline(h, route, q.arrived)
 	}
 	return q
 }
 
-// accountAndRoute returns the account of a request and its route, if it has one. The account is nil if a
-// host with a valid configuration has to look at the request itself.
-func (s *Server) accountAndRoute(view *View, h *requestHead) (*routing.Account, *routing.Route) {
-	if view.Leaving || view.Check(s.opts.MaxAges) != nil {
-		return nil, nil
+// decide returns what becomes of the request, and the refusal if it is refused.
+func (q *earlyRequest) decide(mayOffload bool) (overload.Action, *earlyRefusal) {
+	s := q.server
+	switch {
+	case q.isolated:
+		return overload.Refuse, isolatedRefusal
+	case q.account == "" || q.view.Leaving:
+		return overload.Serve, nil
+	}
+	mayOffload = mayOffload && q.route != nil && q.head.mayOffload()
+	crowded := s.places.held(q.account) > crowdedRunning
+	s.limiter.Lock()
+	action := s.limiter.DecideEarly(q.account, mayOffload, crowded, q.arrived)
+	s.limiter.Unlock()
+	switch action {
+	case overload.Offload:
+		s.loads.refuse(q.account, causePassedOn)
+	case overload.Refuse:
+		s.loads.refuse(q.account, causeRateLimited)
+		return action, overloadedRefusal
 	}
+	return action, nil
+}
+
+// accountAndRoute returns the account of a request, nil if it is not known, and its route, if it has one.
+func (v *View) accountAndRoute(h *requestHead) (*routing.Account, *routing.Route) {
 	path, _, _ := bytes.Cut(h.target, []byte("?"))
-	return view.Table.Account(string(h.credential)), view.Table.Route(string(h.host), string(path))
+	return v.Table.Account(string(h.credential)), v.Table.Route(string(h.host), string(path))
 }
 
 // mayOffload reports whether the request is small enough to be passed on to another host.
@@ -110,40 +121,83 @@
 	return h.headBytes+h.bodyBytes+maxOffloadFieldBytes <= offloadRequestBytes
 }
 
+// earlyRefusal is a response that refuses requests early. Its texts are made once, because a flooded host sends it
+// thousands of times a second.
+type earlyRefusal struct {
+	// head lacks the fields of one request and the empty line.
+	head, body string
+	// counters are the names of the counters of these refusals.
+	counters [2]string
+	// failure is the failure of a request that is refused, for its log line.
+	failure func(q *earlyRequest) *fault.Error
+}
+
+func newEarlyRefusal(code fault.Code, retryAfter time.Duration, failure func(q *earlyRequest) *fault.Error) *earlyRefusal {
+	body := failureBody(code, fault.NotRun)
+	return &earlyRefusal{
+		head: failureHead(http.StatusServiceUnavailable, retryAfter, len(body)), body: body,
+		counters: [2]string{"failed." + string(code), "refused_early." + string(code)}, failure: failure,
+	}
+}
+
+// The refusals of a host that is overloaded, and of one that may serve nobody.
+var (
+	overloadedRefusal = newEarlyRefusal(fault.HostOverloaded, overloadRetryAfter, func(q *earlyRequest) *fault.Error {
+		return rateLimited(q.server.AccountRateLimit())
+	})
+	isolatedRefusal = newEarlyRefusal(fault.HostIsolated, shortRetryAfter, func(q *earlyRequest) *fault.Error {
+		return fault.As(q.view.Check(q.server.opts.MaxAges))
+	})
+)
+
 // refuse refuses the request and reads the unread rest of it.
-func (q *earlyRequest) refuse(unread int) error {
-	s := q.server
-	s.count("failed." + string(fault.HostOverloaded))
-	s.count("refused_early." + string(fault.HostOverloaded))
-	if !logsink.Drops(s.log, logrus.InfoLevel) {
-		q.logFailure(rateLimited(s.AccountRateLimit()))
+func (q *earlyRequest) refuse(refusal *earlyRefusal, unread int) error {
+	for _, name := range refusal.counters {
+		q.server.count(name)
+	}
+	if !logsink.Drops(q.server.log, logrus.InfoLevel) {
+		q.logFailure(refusal.failure(q))
+	}
+	if err := q.answer(refusal.head, refusal.body); err != nil {
+		return err
 	}
-	if err := s.answerEarly(q.caller, q.head, overloadedHead, shedBody); err != nil || unread == 0 {
+	if err := q.server.skipBody(q.caller, unread); err != nil {
 		return err
 	}
-	return s.skipBody(q.caller, unread)
+	return q.endIfLeaving()
+}
+
+// endIfLeaving ends the connection after a response that has announced it.
+func (q *earlyRequest) endIfLeaving() error {
+	if q.view.Leaving {
+		return errEndConnection
+	}
+	return nil
 }
 
-// answerEarly writes a response. head lacks the request's id and the empty line.
-func (s *Server) answerEarly(c *headerConn, h *requestHead, head, body string) error {
-	response := append(make([]byte, 0, len(head)+len(h.id)+typicalEventBytes), head...)
-	if name := s.opts.HeaderNames.RequestID; name != "" && len(h.id) > 0 {
-		response = append(append(append(append(response, name...), ": "...), h.id...), crlf...)
+// connectionClose announces the end of the connection.
+const connectionClose = "Connection: close\r\n"
+
+// answer writes a response of this host. head lacks the fields of this request and the empty line.
+func (q *earlyRequest) answer(head, body string) error {
+	response := append(make([]byte, 0, len(head)+len(q.head.id)+typicalEventBytes), head...)
+	if name := q.server.opts.HeaderNames.RequestID; name != "" && len(q.head.id) > 0 {
+		response = append(append(append(append(response, name...), ": "...), q.head.id...), crlf...)
+	}
+	if q.view.Leaving {
+		response = append(response, connectionClose...)
 	}
 	response = append(append(response, crlf...), body...)
-	if err := c.SetWriteDeadline(time.Now().Add(writeGrace)); err != nil {
+	if err := q.caller.SetWriteDeadline(time.Now().Add(writeGrace)); err != nil {
 		return err
 	}
-	if _, err := c.Write(response); err != nil {
+	if _, err := q.caller.Write(response); err != nil {
 		return err
 	}
-	return c.SetWriteDeadline(time.Time{})
+	return q.caller.SetWriteDeadline(time.Time{})
 }
 
-// overloadedHead is the head of the refusals of an overloaded host.
-var overloadedHead = failureHead(http.StatusServiceUnavailable, overloadRetryAfter, len(shedBody))
-
-// failureHead returns the head that writeFailure would write, without a request's id.
+// failureHead returns the head that writeFailure would write, without the fields of one request.
 func failureHead(status int, retryAfter time.Duration, bodyBytes int) string {
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status, http.StatusText(status))
 	if retryAfter > 0 && status == http.StatusServiceUnavailable {
@@ -154,6 +208,9 @@
 
 // skipBody reads the n bytes that follow on the connection.
 func (s *Server) skipBody(c *headerConn, n int) error {
+	if n == 0 {
+		return nil
+	}
 	if err := c.SetReadDeadline(time.Now().Add(s.opts.ReadHeaderTimeout)); err != nil {
 		return err
 	}
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -75,9 +75,12 @@
 	// deadline is when the other host must have responded.
 	deadline time.Time
 	view     View
+	// isolated is true if the host must not serve any request; the route and the account are then not looked up.
+	isolated bool
 	route    *routing.Route
-	account  string
-	arrived  time.Time
+	// account is empty if the HTTP server has to look at the request.
+	account string
+	arrived time.Time
 	// waitedAt is the position of the digits of offloadWaitedHeader in the copy of the request.
 	waitedAt int
 	// responded is true once bytes of a response were written to the caller.
@@ -326,7 +329,10 @@
 		return errEndConnection
 	}
 	body := failureBody(e.Code, e.RunState)
-	return q.server.answerEarly(q.caller, q.head, failureHead(statusOf(e), e.RetryAfter, len(body)), body)
+	if err := q.answer(failureHead(statusOf(e), e.RetryAfter, len(body)), body); err != nil {
+		return err
+	}
+	return q.endIfLeaving()
 }
 
 func (q *earlyRequest) logFailure(e *fault.Error) {
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -160,7 +160,10 @@
 		return "", false
 	}
 	view := l.server.opts.View()
-	a, route := l.server.accountAndRoute(&view, &h)
+	if view.Leaving || view.Check(l.server.opts.MaxAges) != nil {
+		return "", false
+	}
+	a, route := view.accountAndRoute(&h)
 	if a == nil {
 		return "", false
 	}
