--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -92,7 +92,7 @@
 	switch {
 	case q.isolated:
 		return overload.Refuse, isolatedRefusal
-	case q.account == "" || q.view.Leaving:
+	case q.account == "":
 		return overload.Serve, nil
 	}
 	mayOffload = mayOffload && q.route != nil && q.head.mayOffload()
@@ -105,6 +105,9 @@
 		s.loads.refuse(q.account, causePassedOn)
 	case overload.Refuse:
 		s.loads.refuse(q.account, causeRateLimited)
+		if q.view.Leaving {
+			return action, leavingRefusal
+		}
 		return action, overloadedRefusal
 	}
 	return action, nil
@@ -140,11 +143,14 @@
 	}
 }
 
-// The refusals of a host that is overloaded, and of one that may serve nobody.
+// The refusals of a host that is overloaded, of one that is overloaded and leaves, and of one that may serve nobody.
 var (
 	overloadedRefusal = newEarlyRefusal(fault.HostOverloaded, overloadRetryAfter, func(q *earlyRequest) *fault.Error {
 		return rateLimited(q.server.AccountRateLimit())
 	})
+	leavingRefusal = newEarlyRefusal(fault.HostLeaving, shortRetryAfter, func(*earlyRequest) *fault.Error {
+		return leavingFailure()
+	})
 	isolatedRefusal = newEarlyRefusal(fault.HostIsolated, shortRetryAfter, func(q *earlyRequest) *fault.Error {
 		return fault.As(q.view.Check(q.server.opts.MaxAges))
 	})
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -236,6 +237,9 @@
 	if err := q.caller.SetWriteDeadline(q.deadline.Add(writeGrace)); err != nil {
 		return false, false, errEndConnection
 	}
+	if q.view.Leaving && !framing.closes {
+		part, headBytes = announceClose(part), headBytes+len(connectionClose)
+	}
 	for begin := headBytes; ; begin = 0 {
 		bodyBytes, err := framing.consume(part[begin:])
 		if err != nil {
@@ -248,7 +252,7 @@
 		}
 		if framing.ended() {
 			// Bytes after the response belong to no request.
-			return !framing.closes, !framing.closes && end == len(part), nil
+			return !framing.closes && !q.view.Leaving, !framing.closes && end == len(part), nil
 		}
 		n, err := q.readPart(hc, buf[:])
 		if err != nil {
@@ -258,6 +262,12 @@
 	}
 }
 
+// announceClose returns a response whose beginning is p with the announcement that the connection ends after it.
+func announceClose(p []byte) []byte {
+	lineEnd := bytes.Index(p, crlf) + len(crlf)
+	return slices.Concat(p[:lineEnd], []byte(connectionClose), p[lineEnd:])
+}
+
 // readResponseHead reads until the head of the response is complete, into buf or a larger buffer.
 // part is what was read, and headBytes the size of the head in it.
 func (q *earlyRequest) readResponseHead(hc *hostConn, buf []byte) (framing responseFraming, part []byte, headBytes int, err error) {
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -125,6 +125,12 @@
 	return fault.New(fault.HostOverloaded, fault.NotRun, "each account may send %.0f requests per second to this host now", limit).WithRetryAfter(overloadRetryAfter)
 }
 
+// leavingFailure is the failure of a request that an overloaded host refuses while it leaves. Another host can take it
+// at once.
+func leavingFailure() *fault.Error {
+	return fault.New(fault.HostLeaving, fault.NotRun, "the host leaves and has no time for the request").WithRetryAfter(shortRetryAfter)
+}
+
 // Busy reports whether the host is, or recently was, short of CPU time.
 func (s *Server) Busy() bool {
 	s.limiter.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -141,6 +141,9 @@
 		q.server.loads.takeOver(q.account)
 	}
 	if err := q.server.checkLoad(q.account, q.priorityLevel); err != nil {
+		if view.Leaving {
+			return leavingFailure()
+		}
 		return err
 	}
 	q.hasPlace = true
