--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -5,14 +5,12 @@
 	"errors"
 	"io"
 	"net"
-	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/netopt"
 )
 
@@ -35,11 +33,17 @@
 	acceptPause = time.Millisecond
 )
 
-// shedResponse is a 503, which guarantees that the request was not run.
-var shedResponse = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\nRetry-After: " +
-	fault.FormatRetryAfter(overloadRetryAfter) + "\r\nContent-Length: " + strconv.Itoa(len(shedBody)) + "\r\n\r\n" + shedBody
+// The responses to the first request of a connection that is refused, by a host that stays and one that leaves. A
+// 503 guarantees that the request was not run.
+var (
+	shedResponse        = overloadedRefusal.onNewConnection()
+	leavingShedResponse = leavingRefusal.onNewConnection()
+)
 
-var shedBody = failureBody(fault.HostOverloaded, fault.NotRun)
+// onNewConnection returns the whole refusal of a request that was not parsed, after which the connection ends.
+func (r *earlyRefusal) onNewConnection() string {
+	return r.head + connectionClose + "\r\n" + r.body
+}
 
 // shedListener refuses new connections at the connection limit, and a fraction of them while
 // the host is overloaded. That takes a tenth of the time of a refusal that parses the request.
@@ -160,7 +164,7 @@
 		return "", false
 	}
 	view := l.server.opts.View()
-	if view.Leaving || view.Check(l.server.opts.MaxAges) != nil {
+	if view.Check(l.server.opts.MaxAges) != nil {
 		return "", false
 	}
 	a, route := view.accountAndRoute(&h)
@@ -179,7 +183,7 @@
 	if raw, ok := rawConn(c); ok {
 		n = netopt.ReadAvailable(raw, l.buf)
 		if n > 0 && l.server.readAvailableRest(raw, l.buf, n) {
-			respondRefusal(c, l.buf)
+			l.server.respondRefusal(c, l.buf)
 			return
 		}
 	}
@@ -191,7 +195,7 @@
 			l.server.refuseConn(c, n > 0)
 		}()
 	case n > 0:
-		respondRefusal(c, l.buf)
+		l.server.respondRefusal(c, l.buf)
 	default:
 		l.server.count("shed_unread")
 		_ = c.Close() // no error matters on a connection without an exchange
@@ -266,7 +270,7 @@
 		raw, ok := rawConn(c)
 		whole = ok && s.readAvailableRest(raw, buf, n)
 	}
-	if !writeRefusal(c, buf) || whole || closeWrite(c) != nil {
+	if !s.writeRefusal(c, buf) || whole || closeWrite(c) != nil {
 		return
 	}
 	for {
@@ -286,16 +290,20 @@
 }
 
 // respondRefusal responds to a request that was read, and closes the connection.
-func respondRefusal(c net.Conn, buf []byte) {
+func (s *Server) respondRefusal(c net.Conn, buf []byte) {
 	defer c.Close()
-	writeRefusal(c, buf)
+	s.writeRefusal(c, buf)
 }
 
 // writeRefusal responds to a request of which the beginning was read, and reads what else has
 // arrived, because unread bytes would make Close reset the connection. The response fits into
 // the socket buffer, so writing it does not wait.
-func writeRefusal(c net.Conn, buf []byte) bool {
-	if _, err := io.WriteString(c, shedResponse); err != nil {
+func (s *Server) writeRefusal(c net.Conn, buf []byte) bool {
+	response := shedResponse
+	if s.opts.View().Leaving {
+		response = leavingShedResponse
+	}
+	if _, err := io.WriteString(c, response); err != nil {
 		return false
 	}
 	raw, ok := rawConn(c)
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -18,6 +18,9 @@
 	"marigoldshunt/internal/netopt"
 )
 
+// shedBody is the body of the refusals of an overloaded host.
+var shedBody = failureBody(fault.HostOverloaded, fault.NotRun)
+
 // Guards against callers that are cut off without a refusal because others connect to an
 // overloaded host and send nothing.
 func TestSilentConnectionsKeepNoRefusalFromOthers(t *testing.T) {
