--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -170,12 +170,15 @@
 	if err := q.server.skipBody(q.caller, unread); err != nil {
 		return err
 	}
-	return q.endIfLeaving()
+	return q.endIfClosing()
 }
 
-// endIfLeaving ends the connection after a response that has announced it.
-func (q *earlyRequest) endIfLeaving() error {
-	if q.view.Leaving {
+// closing reports whether the connection ends after the response, because the host leaves or stops.
+func (q *earlyRequest) closing() bool { return q.view.Leaving || q.server.stopping.Err() != nil }
+
+// endIfClosing ends the connection after a response that has announced it.
+func (q *earlyRequest) endIfClosing() error {
+	if q.closing() {
 		return errEndConnection
 	}
 	return nil
@@ -190,7 +193,7 @@
 	if name := q.server.opts.HeaderNames.RequestID; name != "" && len(q.head.id) > 0 {
 		response = append(append(append(append(response, name...), ": "...), q.head.id...), crlf...)
 	}
-	if q.view.Leaving {
+	if q.closing() {
 		response = append(response, connectionClose...)
 	}
 	response = append(append(response, crlf...), body...)
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -206,10 +206,9 @@
 		if hc == nil {
 			break
 		}
-		// Connecting may have taken a while.
-		if !q.callerConnected() {
+		if err := q.checkSend(); err != nil {
 			o.release(hc, true, false)
-			return nil, errEndConnection
+			return nil, err
 		}
 		q.setWaited(request, time.Since(q.arrived))
 		_ = hc.SetDeadline(q.deadline) // fails only if it is already closed, and then so does the write
@@ -225,6 +224,14 @@
 	return nil, fault.New(fault.HostOverloaded, fault.NotRun, "no other host took the request").WithRetryAfter(overloadRetryAfter)
 }
 
+// checkSend checks whether the request may still be sent: reading it and connecting may have taken a while.
+func (q *earlyRequest) checkSend() error {
+	if !q.callerConnected() {
+		return errEndConnection
+	}
+	return q.server.checkStop(q.deadline)
+}
+
 // copyResponse copies the response from a host to the caller. whole is false if the connection to
 // the caller must be closed after it, keep is true if the one to the host can be used again.
 func (q *earlyRequest) copyResponse(hc *hostConn) (whole, keep bool, err error) {
@@ -237,7 +244,8 @@
 	if err := q.caller.SetWriteDeadline(q.deadline.Add(writeGrace)); err != nil {
 		return false, false, errEndConnection
 	}
-	if q.view.Leaving && !framing.closes {
+	closing := q.closing()
+	if closing && !framing.closes {
 		part, headBytes = announceClose(part), headBytes+len(connectionClose)
 	}
 	for begin := headBytes; ; begin = 0 {
@@ -252,7 +260,7 @@
 		}
 		if framing.ended() {
 			// Bytes after the response belong to no request.
-			return !framing.closes && !q.view.Leaving, !framing.closes && end == len(part), nil
+			return !framing.closes && !closing, !framing.closes && end == len(part), nil
 		}
 		n, err := q.readPart(hc, buf[:])
 		if err != nil {
@@ -342,7 +350,7 @@
 	if err := q.answer(failureHead(statusOf(e), e.RetryAfter, len(body)), body); err != nil {
 		return err
 	}
-	return q.endIfLeaving()
+	return q.endIfClosing()
 }
 
 func (q *earlyRequest) logFailure(e *fault.Error) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -174,11 +174,19 @@
 // checkStop refuses a request that was read during a shutdown and may last longer than that. Another
 // host can run it; here it would be cut.
 func (q *request) checkStop() error {
-	abortAt := q.server.abortAt.Load()
-	if abortAt == nil || !q.deadline.After(*abortAt) {
+	err := q.server.checkStop(q.deadline)
+	if err != nil {
+		q.w.Header().Set("Connection", "close")
+	}
+	return err
+}
+
+// checkStop returns HostLeaving during a shutdown that aborts what lasts until deadline.
+func (s *Server) checkStop(deadline time.Time) error {
+	abortAt := s.abortAt.Load()
+	if abortAt == nil || !deadline.After(*abortAt) {
 		return nil
 	}
-	q.w.Header().Set("Connection", "close")
 	return fault.New(fault.HostLeaving, fault.NotRun, "the host stops before the deadline of the request").WithRetryAfter(shortRetryAfter)
 }
 
