--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -71,6 +71,12 @@
 		if err != nil {
 			return nil, err
 		}
+		received := l.received(c)
+		if received.Ended {
+			l.server.count("shed_abandoned")
+			_ = c.Close() // nobody waits for a response
+			continue
+		}
 		if !l.refuses(c) {
 			if l.server.conns.makeRoom() {
 				return c, nil
@@ -78,12 +84,31 @@
 			l.server.loads.refuseConnection()
 			l.server.count("shed_no_room")
 		}
-		l.server.count("shed")
-		l.observe(c)
+		l.countRefused(received)
 		l.refuse(c)
 	}
 }
 
+// received returns what a connection received until it was accepted. On an overloaded host many callers give up
+// before that. It returns the zero value on another host, and if it is not known.
+func (l *shedListener) received(c net.Conn) netopt.Received {
+	raw, ok := rawConn(c)
+	if !ok || !l.server.Busy() {
+		return netopt.Received{}
+	}
+	received, _ := netopt.LastReceived(raw) // it fails only if the connection is already closed
+	return received
+}
+
+// countRefused counts a connection that is refused.
+func (l *shedListener) countRefused(received netopt.Received) {
+	l.server.count("shed")
+	l.server.shedWaited().Update(received.Ago)
+	if l.server.opts.View().Leaving {
+		l.server.count("shed_leaving")
+	}
+}
+
 // pauseInAFlood pauses after acceptBatch connections while the host is overloaded. Where connections
 // always wait, Accept never does, and the scheduler looks for network events only if no goroutine can run: all
 // other connections would wait for hundreds of milliseconds, which timers don't show.
@@ -119,25 +144,6 @@
 	return refused
 }
 
-// observe counts what became of a connection that is refused until it was accepted.
-func (l *shedListener) observe(c net.Conn) {
-	if l.server.opts.View().Leaving {
-		l.server.count("shed_leaving")
-	}
-	raw, ok := rawConn(c)
-	if !ok {
-		return
-	}
-	received, err := netopt.LastReceived(raw)
-	if err != nil {
-		return
-	}
-	l.server.shedWaited().Update(received.Ago)
-	if received.Ended {
-		l.server.count("shed_abandoned")
-	}
-}
-
 // shedFields returns what became of the refused connections since the start, as fields of a log line.
 func (s *Server) shedFields() logrus.Fields {
 	fields := logrus.Fields{"shed_waited_ms": time.Duration(s.shedWaited().Mean()).Milliseconds()}
