--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -75,9 +76,12 @@
 	// deadline is when the other host must have responded.
 	deadline time.Time
 	view     View
+	// isolated is true if the host must not serve any request; the route and the account are then not looked up.
+	isolated bool
 	route    *routing.Route
-	account  string
-	arrived  time.Time
+	// account is empty if the HTTP server has to look at the request.
+	account string
+	arrived time.Time
 	// waitedAt is the position of the digits of offloadWaitedHeader in the copy of the request.
 	waitedAt int
 	// responded is true once bytes of a response were written to the caller.
@@ -101,6 +105,9 @@
 		return q.fail(err)
 	}
 	q.server.count("offloaded")
+	if q.view.Leaving {
+		q.server.count("offloaded_leaving")
+	}
 	q.log(hc)
 	whole, keep, err := q.copyResponse(hc)
 	// A response that breaks off may be one that the upstream broke off.
@@ -199,10 +206,9 @@
 		if hc == nil {
 			break
 		}
-		// Connecting may have taken a while.
-		if !q.callerConnected() {
+		if err := q.checkSend(); err != nil {
 			o.release(hc, true, false)
-			return nil, errEndConnection
+			return nil, err
 		}
 		q.setWaited(request, time.Since(q.arrived))
 		_ = hc.SetDeadline(q.deadline) // fails only if it is already closed, and then so does the write
@@ -218,6 +224,14 @@
 	return nil, fault.New(fault.HostOverloaded, fault.NotRun, "no other host took the request").WithRetryAfter(overloadRetryAfter)
 }
 
+// checkSend checks whether the request may still be sent: reading it and connecting may have taken a while.
+func (q *earlyRequest) checkSend() error {
+	if !q.callerConnected() {
+		return errEndConnection
+	}
+	return q.server.checkStop(q.deadline)
+}
+
 // copyResponse copies the response from a host to the caller. whole is false if the connection to
 // the caller must be closed after it, keep is true if the one to the host can be used again.
 func (q *earlyRequest) copyResponse(hc *hostConn) (whole, keep bool, err error) {
@@ -230,6 +244,10 @@
 	if err := q.caller.SetWriteDeadline(q.deadline.Add(writeGrace)); err != nil {
 		return false, false, errEndConnection
 	}
+	closing := q.closing()
+	if closing && !framing.closes {
+		part, headBytes = announceClose(part), headBytes+len(connectionClose)
+	}
 	for begin := headBytes; ; begin = 0 {
 		bodyBytes, err := framing.consume(part[begin:])
 		if err != nil {
@@ -242,7 +260,7 @@
 		}
 		if framing.ended() {
 			// Bytes after the response belong to no request.
-			return !framing.closes, !framing.closes && end == len(part), nil
+			return !framing.closes && !closing, !framing.closes && end == len(part), nil
 		}
 		n, err := q.readPart(hc, buf[:])
 		if err != nil {
@@ -252,6 +270,12 @@
 	}
 }
 
+// announceClose returns a response whose beginning is p with the announcement that the connection ends after it.
+func announceClose(p []byte) []byte {
+	lineEnd := bytes.Index(p, crlf) + len(crlf)
+	return slices.Concat(p[:lineEnd], []byte(connectionClose), p[lineEnd:])
+}
+
 // readResponseHead reads until the head of the response is complete, into buf or a larger buffer.
 // part is what was read, and headBytes the size of the head in it.
 func (q *earlyRequest) readResponseHead(hc *hostConn, buf []byte) (framing responseFraming, part []byte, headBytes int, err error) {
@@ -323,7 +347,10 @@
 		return errEndConnection
 	}
 	body := failureBody(e.Code, e.RunState)
-	return q.server.answerEarly(q.caller, q.head, failureHead(statusOf(e), e.RetryAfter, len(body)), body)
+	if err := q.answer(failureHead(statusOf(e), e.RetryAfter, len(body)), body); err != nil {
+		return err
+	}
+	return q.endIfClosing()
 }
 
 func (q *earlyRequest) logFailure(e *fault.Error) {
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -5,11 +5,12 @@
 	"errors"
 	"io"
 	"net"
-	"strconv"
 	"syscall"
 	"time"
 
-	"marigoldshunt/internal/fault"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
 	"marigoldshunt/internal/netopt"
 )
 
@@ -32,11 +33,17 @@
 	acceptPause = time.Millisecond
 )
 
-// shedResponse is a 503, which guarantees that the request was not run.
-var shedResponse = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\nRetry-After: " +
-	fault.FormatRetryAfter(overloadRetryAfter) + "\r\nContent-Length: " + strconv.Itoa(len(shedBody)) + "\r\n\r\n" + shedBody
+// The responses to the first request of a connection that is refused, by a host that stays and one that leaves. A
+// 503 guarantees that the request was not run.
+var (
+	shedResponse        = overloadedRefusal.onNewConnection()
+	leavingShedResponse = leavingRefusal.onNewConnection()
+)
 
-var shedBody = failureBody(fault.HostOverloaded, fault.NotRun)
+// onNewConnection returns the whole refusal of a request that was not parsed, after which the connection ends.
+func (r *earlyRefusal) onNewConnection() string {
+	return r.head + connectionClose + "\r\n" + r.body
+}
 
 // shedListener refuses new connections at the connection limit, and a fraction of them while
 // the host is overloaded. That takes a tenth of the time of a refusal that parses the request.
@@ -64,17 +71,44 @@
 		if err != nil {
 			return nil, err
 		}
+		received := l.received(c)
+		if received.Ended {
+			l.server.count("shed_abandoned")
+			_ = c.Close() // nobody waits for a response
+			continue
+		}
 		if !l.refuses(c) {
 			if l.server.conns.makeRoom() {
 				return c, nil
 			}
 			l.server.loads.refuseConnection()
+			l.server.count("shed_no_room")
 		}
-		l.server.count("shed")
+		l.countRefused(received)
 		l.refuse(c)
 	}
 }
 
+// received returns what a connection received until it was accepted. On an overloaded host many callers give up
+// before that. It returns the zero value on another host, and if it is not known.
+func (l *shedListener) received(c net.Conn) netopt.Received {
+	raw, ok := rawConn(c)
+	if !ok || !l.server.Busy() {
+		return netopt.Received{}
+	}
+	received, _ := netopt.LastReceived(raw) // it fails only if the connection is already closed
+	return received
+}
+
+// countRefused counts a connection that is refused.
+func (l *shedListener) countRefused(received netopt.Received) {
+	l.server.count("shed")
+	l.server.shedWaited().Update(received.Ago)
+	if l.server.opts.View().Leaving {
+		l.server.count("shed_leaving")
+	}
+}
+
 // pauseInAFlood pauses after acceptBatch connections while the host is overloaded. Where connections
 // always wait, Accept never does, and the scheduler looks for network events only if no goroutine can run: all
 // other connections would wait for hundreds of milliseconds, which timers don't show.
@@ -110,6 +144,20 @@
 	return refused
 }
 
+// shedFields returns what became of the refused connections since the start, as fields of a log line.
+func (s *Server) shedFields() logrus.Fields {
+	fields := logrus.Fields{"shed_waited_ms": time.Duration(s.shedWaited().Mean()).Milliseconds()}
+	for _, name := range []string{"shed", "shed_abandoned", "shed_leaving", "shed_evicted", "shed_unread"} {
+		fields[name] = metrics.GetOrRegisterCounter("gateway."+name, s.opts.Registry).Count()
+	}
+	return fields
+}
+
+// shedWaited is how long refused connections had waited to be accepted.
+func (s *Server) shedWaited() metrics.Timer {
+	return metrics.GetOrRegisterTimer("gateway.shed_waited", s.opts.Registry)
+}
+
 // look returns the account of the request that has arrived on a connection, empty if it is not known,
 // and whether the request may be passed on. It consumes nothing.
 func (l *shedListener) look(c net.Conn) (account string, mayOffload bool) {
@@ -122,7 +170,10 @@
 		return "", false
 	}
 	view := l.server.opts.View()
-	a, route := l.server.accountAndRoute(&view, &h)
+	if view.Check(l.server.opts.MaxAges) != nil {
+		return "", false
+	}
+	a, route := view.accountAndRoute(&h)
 	if a == nil {
 		return "", false
 	}
@@ -138,7 +189,7 @@
 	if raw, ok := rawConn(c); ok {
 		n = netopt.ReadAvailable(raw, l.buf)
 		if n > 0 && l.server.readAvailableRest(raw, l.buf, n) {
-			respondRefusal(c, l.buf)
+			l.server.respondRefusal(c, l.buf)
 			return
 		}
 	}
@@ -150,7 +201,7 @@
 			l.server.refuseConn(c, n > 0)
 		}()
 	case n > 0:
-		respondRefusal(c, l.buf)
+		l.server.respondRefusal(c, l.buf)
 	default:
 		l.server.count("shed_unread")
 		_ = c.Close() // no error matters on a connection without an exchange
@@ -187,6 +238,7 @@
 	s.awaited.Lock()
 	defer s.awaited.Unlock()
 	if int64(s.awaited.Len()) >= most {
+		s.count("shed_evicted")
 		first := s.awaited.Remove(s.awaited.Front()).(net.Conn)
 		_ = first.SetReadDeadline(pastDeadline) // fails only if it is already closed
 	}
@@ -224,7 +276,7 @@
 		raw, ok := rawConn(c)
 		whole = ok && s.readAvailableRest(raw, buf, n)
 	}
-	if !writeRefusal(c, buf) || whole || closeWrite(c) != nil {
+	if !s.writeRefusal(c, buf) || whole || closeWrite(c) != nil {
 		return
 	}
 	for {
@@ -244,16 +296,20 @@
 }
 
 // respondRefusal responds to a request that was read, and closes the connection.
-func respondRefusal(c net.Conn, buf []byte) {
+func (s *Server) respondRefusal(c net.Conn, buf []byte) {
 	defer c.Close()
-	writeRefusal(c, buf)
+	s.writeRefusal(c, buf)
 }
 
 // writeRefusal responds to a request of which the beginning was read, and reads what else has
 // arrived, because unread bytes would make Close reset the connection. The response fits into
 // the socket buffer, so writing it does not wait.
-func writeRefusal(c net.Conn, buf []byte) bool {
-	if _, err := io.WriteString(c, shedResponse); err != nil {
+func (s *Server) writeRefusal(c net.Conn, buf []byte) bool {
+	response := shedResponse
+	if s.opts.View().Leaving {
+		response = leavingShedResponse
+	}
+	if _, err := io.WriteString(c, response); err != nil {
 		return false
 	}
 	raw, ok := rawConn(c)
