--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -199,7 +199,12 @@
 	g.Go(func() error { return e.reportLoads(ctx) })
 	g.Go(func() error { e.gateway.WatchLag(ctx); return nil })
 	g.Go(func() error { return e.logControlReachability(ctx) })
-	g.Go(func() error { return runEvery(ctx, gateway.AccountReportInterval, e.gateway.ReportAccounts) })
+	g.Go(func() error {
+		return runEvery(ctx, gateway.ReportInterval, func(now time.Time) {
+			e.gateway.ReportAccounts(now)
+			e.gateway.ReportStreams(now)
+		})
+	})
 	g.Go(func() error {
 		return runEvery(ctx, idleCheckInterval, e.gateway.CloseIdle)
 	})
--- a/internal/gateway/accountload.go
+++ b/internal/gateway/accountload.go
@@ -188,8 +188,8 @@
 	return n
 }
 
-// AccountReportInterval is the interval at which ReportAccounts is called.
-const AccountReportInterval = time.Second
+// ReportInterval is the interval at which ReportAccounts and ReportStreams are called.
+const ReportInterval = time.Second
 
 // ReportAccounts logs what accounts demanded and were served since the last call, with what decided
 // the ranks of their requests, for a few accounts and only if requests were refused.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,6 +128,7 @@
 	bodies, buffered budget
 	crashes          *crashTracker
 	streams          *streamTracker
+	streamCounts     *streamCounts
 	running          atomic.Int64
 	// stopping ends with the call of stop, when Shutdown begins.
 	stopping context.Context
@@ -152,7 +153,7 @@
 	s := &Server{opts: opts, log: opts.Log, crashes: newCrashTracker(opts.CrashStore, opts.Log)}
 	s.streams = newStreamTracker(opts.StreamStore, opts.Log, func() time.Duration { return streamWindow(opts.Dispatcher.hosts()) })
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
-	s.loads = newAccountLoads()
+	s.loads, s.streamCounts = newAccountLoads(), newStreamCounts()
 	s.conns = newConnections(opts.MaxConnections, time.Now)
 	s.limiter.Limiter = overload.New()
 	s.offloader = newOffloader(opts.Offload, offload.NewPicker(rand.New(rand.NewSource(time.Now().UnixNano()))))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -90,6 +90,7 @@
 		err = q.serve()
 	}
 	s.observeSince("answer", q.arrived)
+	q.countStream(err)
 	if err != nil {
 		q.writeFailure(fault.As(err))
 		return
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -55,6 +55,9 @@
 	if q.lastEventID != "" {
 		fields["last_event"], fields["resumes"] = q.lastEventID, q.resumes
 	}
+	if q.job.Origin != nil {
+		fields["begun_at_version"] = q.job.Origin.Version
+	}
 	q.addDecision(fields)
 	q.gate.AddFields(fields, time.Now())
 	return fields
