--- a/internal/loadplay/fleet.go
+++ b/internal/loadplay/fleet.go
@@ -60,7 +60,7 @@
 	for i := range sim.load.Engines {
 		f.gates = append(f.gates, dispatch.NewGate(opts.Slots, opts.MemoryTokens, f.speed))
 		f.instances = append(f.instances, catalog.Instance{
-			ID: fmt.Sprintf("engine-%d", i), Service: engineService, DataCentre: f.dataCentre(i), Slots: opts.Slots, Born: 1,
+			ID: fmt.Sprintf("engine-%d", i), Service: engineService, DataCentre: f.dataCentre(i), Slots: opts.Slots, Born: 1, Version: sim.load.versionOf(i),
 		})
 	}
 	return f
@@ -88,7 +88,7 @@
 func (f *fleet) rank(a *Attempt, now time.Time) {
 	j := &dispatch.Job{
 		Service: engineService, InputTokens: a.inputTokens(), OutputTokens: a.Output, Objective: a.Kind.Objective,
-		Account: a.Account, Remaining: a.Kind.CallerTimeout - now.Sub(a.At),
+		Account: a.Account, Remaining: a.Kind.CallerTimeout - now.Sub(a.At), Origin: a.Origin,
 	}
 	for _, p := range a.Parts {
 		j.Parts = append(j.Parts, dispatch.Part(p))
@@ -118,8 +118,12 @@
 
 func (f *fleet) requestAtGate(id dispatch.AdmissionID, p *placedAttempt, now time.Time) {
 	a, j := p.attempt, p.job
+	firstEventDue := a.At.Add(a.Kind.Objective)
+	if a.Origin != nil {
+		firstEventDue = a.startedAt.Add(a.Kind.Objective)
+	}
 	reply := f.gates[p.engine].Request(dispatch.AdmissionRequest{
-		ID: id, Parts: j.Parts, Tokens: j.InputTokens, FirstEventDue: a.At.Add(a.Kind.Objective), Deadline: a.At.Add(a.Kind.CallerTimeout), Rank: j.Rank,
+		ID: id, Parts: j.Parts, Tokens: j.InputTokens, FirstEventDue: firstEventDue, Deadline: a.At.Add(a.Kind.CallerTimeout), Rank: j.Rank,
 	}, now)
 	switch {
 	case reply.Granted:
--- a/internal/loadplay/load.go
+++ b/internal/loadplay/load.go
@@ -26,6 +26,9 @@
 	Hosts       int `toml:"hosts"`
 	DataCentres int `toml:"data_centres"`
 	Engines     int `toml:"engines"`
+	// Versions is the number of software versions of the engines, 0 for one. A stream goes on only at
+	// the version that began it.
+	Versions int `toml:"versions"`
 	// MemoryTokens and PromptTokensPerMs depend on the type of engine; 0 selects the values
 	// of enginemodel.TypicalOptions.
 	MemoryTokens      int     `toml:"memory_tokens"`
@@ -46,6 +49,7 @@
 	Accounts      []Account      `toml:"account"`
 	Surges        []Surge        `toml:"surge"`
 	EngineOutages []EngineOutage `toml:"loss"`
+	HostOutages   []HostOutage   `toml:"host_outage"`
 }
 
 // RequestKind is one kind of request.
@@ -108,6 +112,33 @@
 	Notice  time.Duration `toml:"notice"`
 }
 
+// HostOutage takes hosts down at once for a period of time. Callers then resume the streams that had
+// begun there, and send their other requests again.
+type HostOutage struct {
+	At  time.Duration `toml:"at"`
+	For time.Duration `toml:"for"`
+	// Hosts is the number of hosts, 0 for all.
+	Hosts int `toml:"hosts"`
+}
+
+// returnsAt returns when the hosts are back.
+func (o *HostOutage) returnsAt() time.Duration { return o.At + o.For }
+
+func (o *HostOutage) hostCount(l *Load) int {
+	if o.Hosts == 0 {
+		return l.Hosts
+	}
+	return min(o.Hosts, l.Hosts)
+}
+
+// upAgainAt returns when callers of the lost hosts find one that is up.
+func (o *HostOutage) upAgainAt(l *Load) time.Duration {
+	if o.hostCount(l) < l.Hosts {
+		return o.At
+	}
+	return o.returnsAt()
+}
+
 // engineCount returns the number of engines of the outage.
 func (o *EngineOutage) engineCount() int { return max(o.Count, 1) }
 
--- a/internal/loadplay/player.go
+++ b/internal/loadplay/player.go
@@ -46,6 +46,10 @@
 	Host int
 	// Retries is the number of earlier attempts.
 	Retries int
+	// Origin is where the stream began that this attempt resumes, nil unless it resumes one. outage is
+	// the outage of the hosts that had broken it.
+	Origin *dispatch.Origin
+	outage int
 	// startedAt is when this attempt began.
 	startedAt    time.Time
 	engine       int
@@ -63,6 +67,7 @@
 	// up holds which engines are up, known what the hosts know of it.
 	up, known []bool
 	policy    Policy
+	newPolicy func(*Simulation) Policy
 	result    *Result
 	attempts  map[uint64]*Attempt
 	// retrying holds the retries of refused callers, inTransit the requests on their way to
@@ -70,7 +75,10 @@
 	retrying, inTransit []scheduledAttempt
 	// delayed holds what happens later, in the order of time.
 	delayed []delayedCall
-	now     time.Time
+	// hostsDown is the number of hosts, from the first, that are down until hostsBackAt.
+	hostsDown   int
+	hostsBackAt time.Time
+	now         time.Time
 }
 
 type delayedCall struct {
@@ -86,7 +94,7 @@
 
 // Simulate simulates a load with one policy.
 func Simulate(l *Load, newPolicy func(*Simulation) Policy) *Result {
-	s := &Simulation{load: l, attempts: map[uint64]*Attempt{}, now: simStart}
+	s := &Simulation{load: l, attempts: map[uint64]*Attempt{}, now: simStart, newPolicy: newPolicy}
 	for range l.Engines {
 		s.engines = append(s.engines, enginemodel.New(l.engineOptions(), simStart))
 		s.up, s.known = append(s.up, true), append(s.known, true)
@@ -97,6 +105,7 @@
 	requests := l.requests()
 	for end := simStart.Add(l.Length + drainTime); s.now.Before(end); s.now = s.now.Add(tick) {
 		s.applyEngineOutages()
+		s.applyHostOutages()
 		s.advance()
 		s.runDelayed()
 		for len(requests) > 0 && !requests[0].At.After(s.now) {
@@ -116,6 +125,10 @@
 }
 
 func (s *Simulation) startAttempt(a *Attempt) {
+	if a.Host < s.hostsDown {
+		s.retryElsewhere(a)
+		return
+	}
 	s.attempts[a.ID] = a
 	a.startedAt = s.now
 	s.policy.HandleAttempt(a, s.now)
@@ -159,7 +172,7 @@
 	s.result.recordRefusedAttempt(a, s.now)
 	retryAt := s.now.Add(retryAfter)
 	if a.Retries < a.Kind.MaxRetries && retryAt.Before(a.At.Add(a.Kind.CallerTimeout)) {
-		next := &Attempt{Request: a.Request, Host: (a.Host + 1) % s.load.Hosts, Retries: a.Retries + 1}
+		next := &Attempt{Request: a.Request, Host: (a.Host + 1) % s.load.Hosts, Retries: a.Retries + 1, Origin: a.Origin, outage: a.outage}
 		if a.OneHost {
 			next.Host = a.Host
 		}
@@ -213,6 +226,7 @@
 			a.firstEventAt, a.lastEventAt = v.At, v.At
 			a.late = v.At.Sub(a.At) > a.Kind.Objective
 			s.policy.FirstEvent(a, s.now)
+			s.result.recordBegin(a)
 		}
 		a.late = a.late || v.At.Sub(a.lastEventAt) > a.Kind.EventGap
 		a.lastEventAt = v.At
--- a/internal/loadplay/result.go
+++ b/internal/loadplay/result.go
@@ -29,6 +29,8 @@
 	// earnedWorth is the worth that the requests of each second of arrival earned,
 	// offeredWorth the worth that they could earn.
 	earnedWorth, offeredWorth []float64
+	// HostOutages has an element for each of the load's.
+	HostOutages []HostOutageResult
 }
 
 // Tally counts the outcomes of requests.
@@ -48,6 +50,7 @@
 		Policy: policy, load: l, ByKind: map[string]*Tally{}, servedTokens: map[string][]float64{}, requestedTokens: map[string][]float64{},
 		missed: map[string][]int{}, largestRequest: map[string]float64{},
 		earnedWorth: make([]float64, seconds), offeredWorth: make([]float64, seconds),
+		HostOutages: make([]HostOutageResult, len(l.HostOutages)),
 	}
 	for _, k := range l.Kinds {
 		r.ByKind[k.Name] = &Tally{}
@@ -71,6 +74,9 @@
 func (r *Result) recordArrival(q *Request) {
 	r.forTallies(q, func(t *Tally) { t.Requests++; t.OfferedWorth += q.Kind.Worth })
 	r.offeredWorth[secondOf(q.At)] += q.Kind.Worth
+	if o := r.outageBefore(q); o != nil {
+		o.New.Asked++
+	}
 	tokens := float64(q.inputTokens() + q.Output)
 	r.requestedTokens[q.Account][secondOf(q.At)] += tokens
 	r.largestRequest[q.Account] = max(r.largestRequest[q.Account], tokens)
