--- /dev/null
+++ b/internal/dispatch/resumed_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/routing"
+)
+
+// busyEngines is one host in front of two busy engines of each of two versions.
+type busyEngines struct {
+	host  *Dispatcher
+	gates map[catalog.Key]*Gate
+	seq   uint64
+}
+
+func newBusyEngines() *busyEngines {
+	e := &busyEngines{host: New(Options{Host: "h", DataCentre: "dc"}), gates: map[catalog.Key]*Gate{}}
+	e.host.SetServices([]routing.Service{{Name: "svc", Engine: &routing.Engine{Slots: 64, MemoryTokens: 200_000}}}, 10_000)
+	var list []catalog.Instance
+	for i := range 4 {
+		x := catalog.Instance{ID: fmt.Sprint("i", i), Service: "svc", DataCentre: "dc", Version: fmt.Sprint("v", i%2), Born: 1}
+		list = append(list, x)
+		e.gates[x.Key()] = newTestGate()
+		e.gates[x.Key()].Request(AdmissionRequest{ID: AdmissionID{"other", 1}, Tokens: 5_000, FirstEventDue: at(800), Deadline: at(4_000)}, at(0))
+	}
+	e.host.SetInstances(list, at(0))
+	return e
+}
+
+// admits reports whether an engine's gate accepts a job that arrives now. The host asks as many as it does for a caller.
+func (e *busyEngines) admits(j *Job, now time.Time) bool {
+	j.Service, j.InputTokens, j.OutputTokens, j.Objective, j.Remaining = "svc", 500, 20, 800*time.Millisecond, 4*time.Second
+	e.host.RecordDemand(j, now)
+	for declined := 0; declined == 0 || j.MayTryAnotherEngine(declined); declined++ {
+		p, err := e.host.Pick(j, now)
+		if err != nil {
+			return false
+		}
+		j.Tried = append(j.Tried, p.Instance.Key())
+		e.seq++
+		r := e.gates[p.Instance.Key()].Request(AdmissionRequest{ID: AdmissionID{"h", e.seq}, Tokens: 500, FirstEventDue: now.Add(j.Objective), Deadline: now.Add(j.Remaining), Rank: j.Rank}, now)
+		if r.Granted || r.Queued {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against streams that callers can't resume because their account has had its share meanwhile.
+func TestResumedStreamsAreNotRefusedWhereNewOnesBegin(t *testing.T) {
+	c := qt.New(t)
+	e := newBusyEngines()
+	for ms := range 300 {
+		e.host.RecordDemand(&Job{Account: "large", InputTokens: 1_000}, at(ms-300))
+		waiting := &Job{Account: "waiting", InputTokens: 500}
+		e.host.RecordDemand(waiting, at(ms-300))
+		e.host.RecordRefusal(waiting, at(ms-300))
+	}
+	const streams = 12
+	resumed, begun := 0, 0
+	for i := range streams {
+		if e.admits(&Job{Account: fmt.Sprint("small", i)}, at(i)) {
+			begun++
+		}
+		if e.admits(&Job{Account: "large", Origin: &Origin{"svc", "v0"}}, at(i)) {
+			resumed++
+		}
+	}
+	c.Assert(2*resumed >= begun && begun > streams/2, qt.IsTrue, qt.Commentf("of %d each, %d resumed streams go on and %d new ones begin", streams, resumed, begun))
+}
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -186,6 +186,21 @@
 	c.Assert(resp.StatusCode, qt.Equals, 503)
 }
 
+// Guards against a caller that is told to come back with a stream whose version is gone, instead of starting anew.
+func TestResumedStreamOfAVersionThatIsGoneIsNotAskedForAgain(t *testing.T) {
+	c := qt.New(t)
+	f := newVersionFleet(t, "older", "newer")
+	f.list(f.first, "older")
+	f.first.do("POST", "/resume/x", "")
+	f.waitForStream(t, "older")
+	f.list(f.second, "newer")
+	resp, body, _ := f.second.do("POST", "/resume/x", "", "Last-Event-Id: 1", "X-Resumes: r1")
+	c.Check(resp.StatusCode, qt.Equals, 503)
+	c.Check(strings.Contains(body, string(fault.NotRun)), qt.IsTrue, qt.Commentf("%s", body))
+	c.Check(resp.Header.Get("Retry-After"), qt.Equals, "")
+	c.Check(f.newer.requests(), qt.HasLen, 0)
+}
+
 // waitForReport waits until the fleet's record has these versions of the service.
 func (f *versionFleet) waitForReport(t *testing.T, versions ...string) {
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
