--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -181,9 +181,14 @@
 // RecordDemand records the tokens that a request demands for its account and sets the rank
 // of the job. It does nothing for requests without prompt tokens.
 func (d *Dispatcher) RecordDemand(j *Job, now time.Time) {
-	if j.InputTokens > 0 {
-		j.Rank, j.Ranked = d.shares.RecordDemand(j.Account, j.tokenCost(), now), true
+	if j.InputTokens == 0 {
+		return
+	}
+	record := d.shares.RecordDemand
+	if j.Origin != nil {
+		record = d.shares.RecordResumedDemand
 	}
+	j.Rank, j.Ranked = record(j.Account, j.tokenCost(), now), true
 }
 
 // RecordRefusal records that no engine received the request, so that its tokens do not
--- a/internal/dispatch/resumed_test.go
+++ b/internal/dispatch/resumed_test.go
@@ -73,3 +73,21 @@
 	}
 	c.Assert(2*resumed >= begun && begun > streams/2, qt.IsTrue, qt.Commentf("of %d each, %d resumed streams go on and %d new ones begin", streams, resumed, begun))
 }
+
+// Guards against an account that is served far more than others because it resumes streams.
+func TestResumedStreamsRankLikeNewOnesBeyondTwiceTheShare(t *testing.T) {
+	c := qt.New(t)
+	e := newBusyEngines()
+	resumed := func() *Job { return &Job{Account: "resuming", InputTokens: 1_000, Origin: &Origin{"svc", "v0"}} }
+	for ms := range 300 {
+		e.host.RecordDemand(resumed(), at(ms-300))
+		for i := range 4 {
+			waiting := &Job{Account: fmt.Sprint("waiting", i), InputTokens: 1_000}
+			e.host.RecordDemand(waiting, at(ms-300))
+			e.host.RecordRefusal(waiting, at(ms-300))
+		}
+	}
+	j := resumed()
+	e.host.RecordDemand(j, at(0))
+	c.Assert(j.Rank, qt.Equals, BeyondShare)
+}
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -25,7 +25,7 @@
 	// WithinConfiguredShare is for accounts that demand no more than their share of the
 	// configured capacity, or were served less than that share. It is also for accounts
 	// that demand no more than their share of the current capacity and were served less
-	// than half of their demand.
+	// than half of their demand, and for streams that callers resume.
 	WithinConfiguredShare Rank = iota
 	// WithinCurrentShare is for accounts that were served less than their share of the
 	// current capacity, which is higher while prompts are found in caches.
@@ -127,6 +127,21 @@
 	return BeyondShare
 }
 
+// resumedShareFactor times its share of the current capacity is what an account may be served before
+// its resumed streams rank like new ones, so that nobody gets much more by resuming than others do.
+const resumedShareFactor = 2
+
+// RecordResumedDemand is RecordDemand for a stream that the caller resumes. It was within its account's
+// share when it began, and what its caller has of it is lost if it can't go on. It therefore ranks
+// highest, within bounds.
+func (s *FairShares) RecordResumedDemand(account string, tokens float64, now time.Time) Rank {
+	rank := s.RecordDemand(account, tokens, now)
+	if _, served := s.rates(account, now); served < s.levels[WithinCurrentShare]*resumedShareFactor {
+		return WithinConfiguredShare
+	}
+	return rank
+}
+
 // starvedFraction is the fraction of its demand below which an account that demands no more
 // than its share of the current capacity ranks as WithinConfiguredShare.
 const starvedFraction = 0.5
