--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -222,7 +222,8 @@
 }
 
 // Pick selects an instance and counts the job there until Done. It returns a QueueFull
-// error with a delay when no instance can take the job now.
+// error with a delay when no instance can take the job now, and StreamVersionGone without one when
+// none will.
 func (d *Dispatcher) Pick(j *Job, now time.Time) (*Placement, error) {
 	s := d.services[j.Service]
 	if s == nil {
@@ -230,6 +231,9 @@
 	}
 	preferred := d.affinityInstance(s, j, now)
 	best, cost := d.best(s, j, preferred, now)
+	if best == nil && d.versionGone(s, j, now) {
+		return nil, fault.New(fault.StreamVersionGone, fault.NotRun, "no instance of service %q has version %q any more, where the stream began", s.Name, j.Origin.Version)
+	}
 	if best == nil {
 		return nil, fault.New(fault.QueueFull, fault.NotRun, "no instance of service %q can take the request now", j.Service).WithRetryAfter(d.nextInstanceIn(s, now))
 	}
@@ -265,6 +269,16 @@
 	return max(wait, noInstanceRetryAfter)
 }
 
+// versionGone reports whether no instance is left, or only such that leave for good, of the version at
+// which the stream began that a job continues. An empty list says nothing about versions.
+func (d *Dispatcher) versionGone(s *routing.Service, j *Job, now time.Time) bool {
+	all := d.byService[s.Name]
+	return j.Origin != nil && len(all) > 0 && !slices.ContainsFunc(all, func(x *instance) bool {
+		reason := d.exclusion(x, now)
+		return j.mayContinueAt(x) && reason != Draining && reason != Replaced
+	})
+}
+
 // best returns the eligible instance with the lowest cost, and the cost in ms.
 func (d *Dispatcher) best(s *routing.Service, j *Job, preferred *instance, now time.Time) (*instance, float64) {
 	var best *instance
--- a/internal/dispatch/resumed_test.go
+++ b/internal/dispatch/resumed_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"marigoldshunt/internal/catalog"
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/routing"
 )
 
@@ -91,3 +92,25 @@
 	e.host.RecordDemand(j, at(0))
 	c.Assert(j.Rank, qt.Equals, BeyondShare)
 }
+
+// Guards against a stream that is given up although its version comes back, or asked for again although it doesn't.
+func TestVersionOfAStreamIsGoneOnceNoInstanceKeepsIt(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(old *catalog.Instance, d *Dispatcher)
+		code   fault.Code
+	}{
+		{"other version", func(old *catalog.Instance, _ *Dispatcher) { old.Version = "v1" }, fault.StreamVersionGone},
+		{"draining", func(old *catalog.Instance, _ *Dispatcher) { old.Draining = true }, fault.StreamVersionGone},
+		{"data centre out of service", func(_ *catalog.Instance, d *Dispatcher) { d.SetDataCentresOut(map[string]bool{"dc": true}) }, fault.QueueFull},
+	} {
+		c := qt.New(t)
+		d := newBusyEngines().host
+		old := catalog.Instance{ID: "old", Service: "svc", DataCentre: "dc", Version: "v0", Born: 1}
+		test.change(&old, d)
+		d.SetInstances([]catalog.Instance{old, {ID: "new", Service: "svc", DataCentre: "dc", Version: "v1", Born: 1}}, at(0))
+		_, err := d.Pick(&Job{Service: "svc", Origin: &Origin{"svc", "v0"}}, at(0))
+		c.Check(fault.CodeOf(err), qt.Equals, test.code, qt.Commentf("%s", test.name))
+		c.Check(fault.As(err).RetryAfter == 0, qt.Equals, test.code == fault.StreamVersionGone, qt.Commentf("%s", test.name))
+	}
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -54,6 +54,7 @@
 	UpstreamExcluded       Code = "upstream_excluded"
 	StreamCut              Code = "stream_cut"
 	StreamOriginUnknown    Code = "stream_origin_unknown"
+	StreamVersionGone      Code = "stream_version_gone"
 	CallerGone             Code = "caller_gone"
 	IdempotencyKeyRequired Code = "key_required"
 	IdempotencyKeyInvalid  Code = "key_invalid"
