--- a/cmd/marigoldshunt-load/main.go
+++ b/cmd/marigoldshunt-load/main.go
@@ -40,6 +40,12 @@
 	}
 	if faulty > 0 {
 		log.WithField("faulty", faulty).Error("Some responses were incomplete, held foreign bytes, belonged to another request or had no typed error body.")
+	}
+	if r, ok := report.(*loadgen.RoutedReport); ok && r.Streams.ResumedTooRarely() {
+		log.WithFields(logrus.Fields{"resumed": r.Streams.Total.Resumed, "new": r.Streams.Total.New}).Error("Far fewer of the resumed streams went on than of the new ones began.")
+		faulty++
+	}
+	if faulty > 0 {
 		os.Exit(1)
 	}
 }
@@ -76,6 +82,7 @@
 	fs.IntVar(&opts.SharedTokens, "shared-tokens", 2000, "tokens of the shared beginning of a prompt")
 	fs.IntVar(&opts.OwnTokens, "own-tokens", 500, "tokens of the rest of a prompt")
 	fs.IntVar(&opts.Prefixes, "groups", 4, "number of different shared prefixes")
+	fs.IntVar(&opts.Tries, "tries", 0, "requests to begin a stream, and to resume it after each broken connection; 0 makes one and resumes nothing")
 	fs.Int64Var(&opts.Seed, "seed", 1, "seed of the random numbers")
 	if err := ff.Parse(fs, args[1:], ff.WithEnvVarPrefix("MARIGOLDSHUNT_LOAD")); err != nil {
 		return nil, 0, fault.Wrap(err, fault.InvalidSettings, "", "flags")
--- a/internal/loadgen/routed.go
+++ b/internal/loadgen/routed.go
@@ -8,8 +8,10 @@
 	"io"
 	"math/rand"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"marigoldshunt/internal/fault"
@@ -45,12 +47,19 @@
 	// must be that of a plain service.
 	Parts, Usage string
 	Events       int
+	// LastEvent is the number of the last event that the caller has of a stream that it resumes, 0
+	// for a new one. Resumes is the ID of the request that brought the first event.
+	LastEvent int
+	Resumes   string
 }
 
 // RoutedResult is the outcome of one request at the caller.
 type RoutedResult struct {
 	ID, Address string
 	Sent, Ended time.Time
+	// Written is when the last byte of the request was written to its connection; zero if there was
+	// no connection, or if it ended before.
+	Written time.Time
 	// First is when the first event, or the complete response of a service, had arrived; zero
 	// without one.
 	First  time.Time
@@ -59,8 +68,13 @@
 	// caller cancelled the request, Cut that the request failed in another way: the
 	// connection ended before or during the response, or the request timed out.
 	Complete, Cut, CallerCancelled bool
+	// TimedOut means that the request was cut because the caller waits no longer.
+	TimedOut bool
+	// FailureCode is the code in the body of a failure, RetryAfter its header.
+	FailureCode string
+	RetryAfter  time.Duration
 	// Events is the number of events that came whole, in order and byte for byte as an upstream
-	// makes them.
+	// makes them; those before a resumed stream count.
 	Events int
 	// StreamFault is what is wrong with a stream, empty for nothing; Fault describes it.
 	StreamFault StreamFault
@@ -127,7 +141,13 @@
 // Send sends a request to a host and checks the response.
 func (c *RoutedCaller) Send(ctx context.Context, address string, q RoutedRequest) RoutedResult {
 	r := RoutedResult{ID: q.ID, Address: address, Sent: time.Now()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+q.Path, strings.NewReader(strings.Repeat("x", q.BodyBytes)))
+	var written atomic.Pointer[time.Time]
+	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if at := time.Now(); info.Err == nil {
+			written.Store(&at)
+		}
+	}}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+address+q.Path, strings.NewReader(strings.Repeat("x", q.BodyBytes)))
 	if err != nil {
 		r.Fault = err.Error()
 		return r
@@ -146,6 +166,10 @@
 		req.Header.Set("X-Prompt-Parts", q.Parts)
 		req.Header.Set("X-Token-Usage", q.Usage)
 	}
+	if q.LastEvent > 0 {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(q.LastEvent))
+		req.Header.Set("X-Resumes", q.Resumes)
+	}
 	resp, err := c.HTTP.Do(req)
 	if err == nil {
 		r.Status = resp.StatusCode
@@ -153,11 +177,21 @@
 		resp.Body.Close()
 	}
 	r.Ended = time.Now()
+	if at := written.Load(); at != nil {
+		r.Written = *at
+	}
 	r.CallerCancelled = errors.Is(ctx.Err(), context.Canceled)
 	r.Complete, r.Cut = err == nil, err != nil && !r.CallerCancelled
+	r.TimedOut = r.Cut && errors.Is(ctx.Err(), context.DeadlineExceeded)
 	return r
 }
 
+// Unanswered reports whether the request reached a connection that ended without any answer or
+// refusal while the caller still waited.
+func (r *RoutedResult) Unanswered() bool {
+	return r.Cut && r.Status == 0 && !r.TimedOut && !r.Written.IsZero()
+}
+
 // recordFault records the first fault of a response.
 func (r *RoutedResult) recordFault(format string, args ...any) {
 	if r.Fault == "" {
--- a/internal/loadgen/routedrun.go
+++ b/internal/loadgen/routedrun.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -32,7 +35,10 @@
 	// those of a plain service.
 	SharedTokens, OwnTokens, Prefixes int
 	OutputTokens, TokensPerEvent      int
-	Seed                              int64
+	// Tries is the number of requests that a caller makes at most to begin a stream, and as many for each
+	// time that it resumes the stream after a broken connection. With 0 it makes one and resumes nothing.
+	Tries int
+	Seed  int64
 }
 
 // RoutedReport counts the outcomes of a run.
@@ -51,6 +57,8 @@
 	// FirstMS holds quantiles of the time to the first event, or to the complete response of
 	// a service.
 	FirstMS map[string]float64 `json:"first_ms"`
+	// Streams compares resumed streams with new ones, and counts requests without an answer, by second.
+	Streams *StreamShares `json:"streams"`
 	// Example describes the fault of one faulty response.
 	Example    string `json:"example,omitempty"`
 	firstTimes []time.Duration
@@ -62,6 +70,8 @@
 		return fault.New(fault.InvalidSettings, "", "no hosts given")
 	case opts.Workers <= 0 || opts.Workers > maxWorkers || opts.Requests <= 0:
 		return fault.New(fault.InvalidSettings, "", "workers must be from 1 to %d, and requests positive", maxWorkers)
+	case opts.Tries < 0 || opts.Tries > 0 && opts.OutputTokens <= 0:
+		return fault.New(fault.InvalidSettings, "", "tries must not be negative, and only streams are resumed")
 	case opts.OutputTokens > 0 && (opts.TokensPerEvent <= 0 || opts.OwnTokens <= 0 || opts.Prefixes <= 0):
 		return fault.New(fault.InvalidSettings, "", "generations need tokens per event, own tokens and groups")
 	}
@@ -77,8 +87,22 @@
 	if err := opts.check(); err != nil {
 		return nil, err
 	}
-	r := &RoutedReport{Status: map[string]int{}, StreamFaults: map[StreamFault]int{}, FirstMS: map[string]float64{}}
+	r := &RoutedReport{Status: map[string]int{}, StreamFaults: map[StreamFault]int{}, FirstMS: map[string]float64{}, Streams: NewStreamShares()}
 	var mu sync.Mutex
+	started := time.Now()
+	record := func(t StreamTry) {
+		atStop := t.Unanswered() && refusesConnections(t.Address)
+		mu.Lock()
+		defer mu.Unlock()
+		r.add(t.RoutedResult)
+		sent := t.Sent.Sub(started)
+		if opts.OutputTokens > 0 {
+			r.Streams.Add(t, sent)
+		}
+		if t.Unanswered() {
+			r.Streams.AddUnanswered(sent, atStop)
+		}
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	for w := range opts.Workers {
 		g.Go(func() error {
@@ -88,15 +112,18 @@
 			}
 			defer c.HTTP.CloseIdleConnections()
 			for n := range opts.Requests {
+				q := opts.request(c.Random, fmt.Sprintf("w%d-%d", w, n))
+				if opts.Tries > 0 {
+					c.FollowStream(ctx, q, opts.Tries, opts.Timeout, record)
+					continue
+				}
 				if err := c.Discover(ctx); err != nil {
 					return err
 				}
 				reqCtx, cancel := context.WithTimeout(ctx, opts.Timeout)
-				res := c.Send(reqCtx, c.Address(), opts.request(c.Random, fmt.Sprintf("w%d-%d", w, n)))
+				res := c.Send(reqCtx, c.Address(), q)
 				cancel()
-				mu.Lock()
-				r.add(res)
-				mu.Unlock()
+				record(StreamTry{RoutedResult: res, Last: true})
 			}
 			return nil
 		})
@@ -106,6 +133,18 @@
 	return r, err
 }
 
+// stopCheckTimeout bounds the connection that shows whether a host is stopping.
+const stopCheckTimeout = 200 * time.Millisecond
+
+// refusesConnections reports whether nothing listens at an address, as at a host that is stopping.
+func refusesConnections(address string) bool {
+	c, err := net.DialTimeout("tcp", address, stopCheckTimeout)
+	if err == nil {
+		_ = c.Close() // nothing was sent
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // request generates one request at random.
 func (opts *RoutedOptions) request(rng *rand.Rand, id string) RoutedRequest {
 	q := RoutedRequest{ID: id, Path: opts.Path + id, Credential: opts.Credential, BodyBytes: opts.BodyBytes, Timeout: opts.Timeout}
--- a/internal/loadgen/streamcheck.go
+++ b/internal/loadgen/streamcheck.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"mime"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -29,6 +31,9 @@
 // maxBytesShown is the number of wrong bytes that the description of a fault shows.
 const maxBytesShown = 64
 
+// maxFailureBytes is the length up to which the body of a failure is parsed.
+const maxFailureBytes = 4 << 10
+
 // streamCheck compares the stream of one request, byte by byte, with the events that upstreams make
 // for it.
 type streamCheck struct {
@@ -84,7 +89,8 @@
 // the connection ends inside the response.
 func (r *RoutedResult) checkEvents(body io.Reader, q *RoutedRequest) error {
 	events := newEventStream(body)
-	check := &streamCheck{id: q.ID, events: q.Events}
+	check := &streamCheck{id: q.ID, events: q.Events, received: q.LastEvent}
+	r.Events = q.LastEvent
 	for r.StreamFault == "" {
 		v, err := events.next()
 		switch {
@@ -100,7 +106,7 @@
 		default:
 			r.recordStreamFault(check.event(v), check, v.raw)
 		}
-		if check.received > 0 && r.First.IsZero() {
+		if check.received > q.LastEvent && r.First.IsZero() {
 			r.First = time.Now()
 		}
 		r.Events = check.received
@@ -120,7 +126,22 @@
 
 // readFailure reads the body of a failure, which is no stream, whatever its content type says.
 func (r *RoutedResult) readFailure(resp *http.Response) error {
-	n, err := io.Copy(io.Discard, resp.Body)
+	start, err := io.ReadAll(io.LimitReader(resp.Body, maxFailureBytes))
+	n := int64(len(start))
+	if err == nil {
+		var rest int64
+		rest, err = io.Copy(io.Discard, resp.Body)
+		n += rest
+	}
+	var body struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal(start, &body) // what an upstream answers has no code
+	r.FailureCode = body.Error.Code
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64) // 0 for no number
+	r.RetryAfter = time.Duration(seconds * float64(time.Second))
 	mediaType, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type")) // empty if it is malformed
 	r.FailureAsStream = n > 0 && mediaType == "text/event-stream"
 	return err
