--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -1,10 +1,15 @@
 package emulator
 
 import (
+	"context"
 	"flag"
+	"math/rand"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -13,6 +18,7 @@
 
 	"marigoldshunt/internal/config"
 	"marigoldshunt/internal/enginemodel"
+	"marigoldshunt/internal/fault"
 )
 
 // Main runs the command upstream-emulator until a signal stops it. It exits the process
@@ -52,6 +58,9 @@
 	fs.DurationVar(&opts.CrashDowntime, "crash-down", 500*time.Millisecond, "how long connections are refused after a crash")
 	fs.Float64Var(&opts.GarbageRate, "garbage", 0, "fraction of events of routed streams at which garbage comes, and of their responses that are garbage as a whole")
 	garbageKinds := fs.String("garbage-kinds", "", "kinds of garbage, separated by commas; empty for all kinds")
+	instances := fs.String("instances", "", "numbers of instances by software version, as v1=3,v2=3, that listen on free ports and are listed at the address; empty for one instance")
+	churn := fs.Duration("churn", 0, "interval at which one of -instances crashes, or leaves and is replaced; 0 for never")
+	fs.DurationVar(&opts.LeaveTime, "leave-time", time.Second, "how long a leaving one of -instances serves requests at least")
 	fs.Int64Var(&opts.Seed, "seed", time.Now().UnixNano(), "seed of the random numbers and the instance ID")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("UPSTREAM_EMULATOR")); err != nil {
 		log.WithError(err).Fatal("Failed to parse the flags.")
@@ -72,6 +81,12 @@
 	if err != nil {
 		log.WithError(err).Fatal("Failed to listen.")
 	}
+	if *instances != "" {
+		if err := runGroup(opts, *instances, *churn, ln); err != nil {
+			log.WithError(err).Fatal("Stopped.")
+		}
+		return
+	}
 	e := New(opts)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
@@ -84,3 +99,44 @@
 		log.WithError(err).Fatal("Stopped.")
 	}
 }
+
+// runGroup runs a group of instances and serves their list on ln until a signal comes.
+func runGroup(opts Options, instances string, churn time.Duration, ln net.Listener) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	host, _, err := net.SplitHostPort(ln.Addr().String())
+	if err != nil {
+		return err
+	}
+	g := NewGroup(opts, host)
+	defer g.Close()
+	if err := g.startAll(instances); err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/instances", &g.List)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	go func() { _ = srv.Serve(ln) }() // ends with the process
+	if churn > 0 {
+		return g.Churn(ctx, churn, rand.New(rand.NewSource(opts.Seed)))
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// startAll starts instances as VERSION=NUMBER lists them, separated by commas.
+func (g *Group) startAll(instances string) error {
+	for item := range strings.SplitSeq(instances, ",") {
+		version, number, _ := strings.Cut(item, "=")
+		n, err := strconv.Atoi(number)
+		if err != nil || n <= 0 {
+			return fault.New(fault.InvalidSettings, "", "instances %q must be VERSION=NUMBER", item)
+		}
+		for range n {
+			if err := g.Start(version); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -63,8 +63,10 @@
 	RateLimit float64
 	// Version is the software version in the list of instances.
 	Version string
-	// Leaving makes answers to routed requests say that the upstream is about to stop.
+	// Leaving makes the upstream leave from its start on, as Leave does.
 	Leaving bool
+	// LeaveTime is how long a leaving instance of a Group serves requests at least.
+	LeaveTime time.Duration
 	// CrashPart is the hexadecimal id of a prompt part that makes the upstream crash, unless it
 	// is the last part of its prompt.
 	CrashPart string
@@ -116,6 +118,7 @@
 	shownAt        time.Time
 	boots          int
 	instance       string
+	leaving        bool
 	instanceCtx    context.Context
 	cancelInstance context.CancelFunc
 	coldSince      time.Time
@@ -159,8 +162,8 @@
 	}
 	e := &Emulator{
 		opts: opts, rng: rand.New(rand.NewSource(opts.Seed)), conns: map[net.Conn]struct{}{},
-		debug:   Debug{Requests: map[string]int{}, Keys: map[string]int{}, Garbage: map[GarbageKind]int{}},
-		garbage: newGarbageSource(opts.GarbageRate, opts.GarbageKinds), cutIDs: map[string]bool{},
+		debug:   Debug{Requests: map[string]int{}, ResumedStreams: map[string]int{}, Keys: map[string]int{}, Garbage: map[GarbageKind]int{}},
+		garbage: newGarbageSource(opts.GarbageRate, opts.GarbageKinds), cutIDs: map[string]bool{}, leaving: opts.Leaving,
 	}
 	e.log = opts.Log.WithFields(logrus.Fields{"part": "emulator", "name": opts.Name})
 	e.startInstance()
@@ -335,6 +338,28 @@
 	e.refuseRequestsUntil = time.Now().Add(d)
 }
 
+// Leave makes answers to routed requests and lists say that the upstream is about to stop.
+func (e *Emulator) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// busy reports whether a request is running or waiting.
+func (e *Emulator) busy() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running+e.queued > 0
+}
+
+// coldForLocked returns how much longer the instance stays cold.
+func (e *Emulator) coldForLocked() time.Duration {
+	if e.opts.ColdTime <= 0 {
+		return 0
+	}
+	return max(e.opts.ColdTime-time.Since(e.coldSince), 0)
+}
+
 // Instance returns the current instance ID.
 func (e *Emulator) Instance() string {
 	e.mu.Lock()
--- a/internal/emulator/routed.go
+++ b/internal/emulator/routed.go
@@ -27,7 +27,7 @@
 		if id := r.Header.Get("X-Request-Id"); id != "" {
 			w.Header().Set("X-Request-Id", id)
 		}
-		if e.opts.Leaving {
+		if e.isLeaving() {
 			w.Header().Set("X-Leaving", "1")
 		}
 		if e.opts.RateLimit > 0 {
@@ -39,6 +39,12 @@
 	})
 }
 
+func (e *Emulator) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
 // hasCrashPart reports whether the prompt of a request has the part on which the upstream crashes.
 func (e *Emulator) hasCrashPart(r *http.Request) bool {
 	parts := strings.Split(r.Header.Get("X-Prompt-Parts"), ",")
@@ -63,15 +69,7 @@
 
 // handleInstances serves a list of instances that holds only this upstream.
 func (e *Emulator) handleInstances(w http.ResponseWriter, r *http.Request) {
-	cold := int64(0)
-	if e.opts.ColdTime > 0 {
-		e.mu.Lock()
-		cold = max((e.opts.ColdTime - time.Since(e.coldSince)).Milliseconds(), 0)
-		e.mu.Unlock()
-	}
-	writeJSON(w, catalog.Entries{Instances: []catalog.Entry{{
-		ID: e.Instance(), Service: e.opts.Service, Version: e.opts.Version, DataCentre: e.opts.DataCentre, Address: r.Host, Slots: e.opts.Slots, ColdForMS: cold,
-	}}})
+	writeJSON(w, catalog.Entries{Instances: []catalog.Entry{e.entry(r.Host)}})
 }
 
 // handleRoutedStream streams the numbered events after the one in Last-Event-Id.
--- a/internal/emulator/work.go
+++ b/internal/emulator/work.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/http"
@@ -28,7 +29,10 @@
 	// is not a run.
 	Requests map[string]int `json:"requests"`
 	Keys     map[string]int `json:"keys"`
-	Runs     int            `json:"runs"`
+	// ResumedStreams counts the resumptions of each stream by the id of the request that its caller
+	// names in X-Resumes, or by that of the request itself without one.
+	ResumedStreams map[string]int `json:"resumed_streams"`
+	Runs           int            `json:"runs"`
 	// LastRunMS is when the latest run or resumption began, in Unix milliseconds.
 	LastRunMS int64 `json:"last_run_ms"`
 	// Ended counts the admitted requests whose complete response was written, Refused those
@@ -62,15 +66,8 @@
 	d := e.debug
 	d.Instance = e.instance
 	d.Orders = append([]Order{}, e.orders...)
-	d.Requests = make(map[string]int, len(e.debug.Requests))
-	d.Garbage = maps.Clone(e.debug.Garbage)
-	for k, v := range e.debug.Requests {
-		d.Requests[k] = v
-	}
-	d.Keys = make(map[string]int, len(e.debug.Keys))
-	for k, v := range e.debug.Keys {
-		d.Keys[k] = v
-	}
+	d.Requests, d.Keys = maps.Clone(e.debug.Requests), maps.Clone(e.debug.Keys)
+	d.ResumedStreams, d.Garbage = maps.Clone(e.debug.ResumedStreams), maps.Clone(e.debug.Garbage)
 	return d
 }
 
@@ -139,6 +136,7 @@
 	e.debug.LastRunMS = time.Now().UnixMilli()
 	if resumedAfter > 0 {
 		e.debug.Resumed++
+		countID(e.debug.ResumedStreams, cmp.Or(r.Header.Get("X-Resumes"), r.Header.Get("X-Request-Id")))
 		return
 	}
 	e.debug.Runs++
--- a/internal/scenario/soak_fleet_test.go
+++ b/internal/scenario/soak_fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +17,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/ctl"
 	"marigoldshunt/internal/emulator"
 	"marigoldshunt/internal/enginemodel"
@@ -64,6 +62,7 @@
 	network            *network
 	hosts              []*soakHost
 	upstreams          []*soakUpstream
+	list               emulator.List
 	listServer         *http.Server
 	listAddress        string
 	listDown           atomic.Bool
@@ -86,8 +85,7 @@
 // crashes.
 type soakUpstream struct {
 	*emulator.Emulator
-	service, dataCentre, address string
-	name                         string
+	name string
 }
 
 // soakUpstreamSpec describes an upstream of a soak fleet.
@@ -164,11 +162,11 @@
 }
 
 func (f *soakFleet) addSoakUpstream(i int, spec soakUpstreamSpec) error {
-	u := &soakUpstream{service: spec.service, dataCentre: dataCentreOf(i), name: spec.name}
+	u := &soakUpstream{name: spec.name}
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	opts := spec.options
-	opts.Name, opts.Slots, opts.Log = spec.name, soakSlots, quiet
+	opts.Name, opts.Service, opts.DataCentre, opts.Slots, opts.Log = spec.name, spec.service, dataCentreOf(i), soakSlots, quiet
 	u.Emulator = emulator.New(opts)
 	ln, err := net.Listen("tcp", f.addressPrefix+strconv.Itoa(50+i)+":0")
 	if err != nil {
@@ -178,7 +176,9 @@
 	if err != nil {
 		return err
 	}
-	u.address = relay.Addr().String()
+	if err := f.list.Add(u.Emulator, relay.Addr().String()); err != nil {
+		return err
+	}
 	f.network.relay(u.name, "", ln.Addr().String(), relay)
 	go func() { _ = u.Serve(ln) }() // ends with the emulator
 	f.upstreams = append(f.upstreams, u)
@@ -192,18 +192,12 @@
 		return err
 	}
 	f.listAddress = ln.Addr().String()
-	f.listServer = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	f.listServer = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if f.listDown.Load() {
 			http.Error(w, "not now", http.StatusServiceUnavailable)
 			return
 		}
-		var out catalog.Entries
-		for _, u := range f.upstreams {
-			out.Instances = append(out.Instances, catalog.Entry{
-				ID: u.Instance(), Service: u.service, DataCentre: u.dataCentre, Address: u.address, Slots: soakSlots,
-			})
-		}
-		_ = json.NewEncoder(w).Encode(out) // a reader that disconnected asks again
+		f.list.ServeHTTP(w, r)
 	}), ReadHeaderTimeout: time.Second}
 	go func() { _ = f.listServer.Serve(ln) }()
 	return nil
