--- a/internal/loadgen/routed.go
+++ b/internal/loadgen/routed.go
@@ -60,6 +60,8 @@
 	// Written is when the last byte of the request was written to its connection; zero if there was
 	// no connection, or if it ended before.
 	Written time.Time
+	// KeptConnection means that the connection had served a request before.
+	KeptConnection bool
 	// First is when the first event, or the complete response of a service, had arrived; zero
 	// without one.
 	First  time.Time
@@ -142,11 +144,14 @@
 func (c *RoutedCaller) Send(ctx context.Context, address string, q RoutedRequest) RoutedResult {
 	r := RoutedResult{ID: q.ID, Address: address, Sent: time.Now()}
 	var written atomic.Pointer[time.Time]
-	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
-		if at := time.Now(); info.Err == nil {
-			written.Store(&at)
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { r.KeptConnection = info.Reused },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if at := time.Now(); info.Err == nil {
+				written.Store(&at)
+			}
+		},
+	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+address+q.Path, strings.NewReader(strings.Repeat("x", q.BodyBytes)))
 	if err != nil {
 		r.Fault = err.Error()
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -16,14 +17,21 @@
 	done  chan struct{}
 }
 
+// usualProcs is the number of threads that run Go code in a process.
+const usualProcs = 2
+
 func startProcess(dir, name, program string, args ...string) (*process, error) {
+	return startProcessWith(usualProcs, dir, name, program, args...)
+}
+
+func startProcessWith(procs int, dir, name, program string, args ...string) (*process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
 	p := &process{cmd: exec.Command(program, args...), log: log, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.cmd.Env = append(os.Environ(), childVariable+"=1", "GOMAXPROCS=2")
+	p.cmd.Env = append(os.Environ(), childVariable+"=1", fmt.Sprint("GOMAXPROCS=", procs))
 	if p.input, err = p.cmd.StdinPipe(); err != nil {
 		log.Close()
 		return nil, err
--- a/internal/scenario/soak_callers_test.go
+++ b/internal/scenario/soak_callers_test.go
@@ -31,6 +31,8 @@
 // callers send requests until they are stopped, and keep the results.
 type callers struct {
 	fleet *soakFleet
+	// name is the prefix of the ids of their requests.
+	name string
 	// kinds are the routes to which they send at random.
 	kinds   []string
 	stopped chan struct{}
@@ -41,7 +43,7 @@
 	seq     int
 }
 
-// meanCallerPause is the mean time between two requests of one caller.
+// meanCallerPause is the usual mean time between two requests of one caller.
 const meanCallerPause = 30 * time.Millisecond
 
 func (c *callers) start(n int, seed int64) {
@@ -75,17 +77,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seq++
-	return fmt.Sprintf("%s-%d", strings.ReplaceAll(kind, "/", "_"), c.seq)
+	return fmt.Sprintf("%s%s-%d", c.name, strings.ReplaceAll(kind, "/", "_"), c.seq)
 }
 
 // caller is one client with its own connections.
 type caller struct {
 	loadgen.RoutedCaller
 	callers *callers
+	// meanPause is the mean time between two of its requests.
+	meanPause time.Duration
 }
 
 func (c *callers) newCaller(rng *rand.Rand, t *http.Transport) *caller {
-	client := &caller{callers: c, RoutedCaller: loadgen.RoutedCaller{HostHeader: "soak.example", HTTP: &http.Client{Transport: t}, Random: rng}}
+	client := &caller{callers: c, meanPause: meanCallerPause, RoutedCaller: loadgen.RoutedCaller{HostHeader: "soak.example", HTTP: &http.Client{Transport: t}, Random: rng}}
 	for _, h := range c.fleet.hosts {
 		client.DiscoveryAddresses = append(client.DiscoveryAddresses, c.fleet.address(h.ip, portDiscovery))
 	}
@@ -96,7 +100,7 @@
 	select {
 	case <-c.callers.stopped:
 		return false
-	case <-time.After(time.Duration(c.Random.ExpFloat64() * float64(meanCallerPause))):
+	case <-time.After(time.Duration(c.Random.ExpFloat64() * float64(c.meanPause))):
 		return true
 	}
 }
--- a/internal/scenario/soak_fleet_test.go
+++ b/internal/scenario/soak_fleet_test.go
@@ -49,6 +49,10 @@
 	ip, listenIP, dataCentre string
 	disk                     string
 	process                  *process
+	// procs is the number of threads that run its Go code.
+	procs int
+	// maxConnections bounds its callers' connections, 0 selects the default.
+	maxConnections int
 	// disturbedAt is when a fault last began or ended at this host.
 	disturbedAt time.Time
 	frozen      bool
@@ -130,7 +134,7 @@
 func dataCentreOf(i int) string { return []string{"north", "south"}[i%2] }
 
 func (f *soakFleet) addSoakHost(i int) error {
-	h := &soakHost{ip: f.addressPrefix + strconv.Itoa(1+i), listenIP: f.addressPrefix + strconv.Itoa(101+i), dataCentre: dataCentreOf(i)}
+	h := &soakHost{ip: f.addressPrefix + strconv.Itoa(1+i), listenIP: f.addressPrefix + strconv.Itoa(101+i), dataCentre: dataCentreOf(i), procs: usualProcs}
 	if i < soakControlHosts {
 		h.disk = filepath.Join(f.dir, "disk-"+h.ip)
 	}
@@ -210,6 +214,9 @@
 		h.ip, h.dataCentre, f.address(h.ip, portCaller), f.address(h.ip, portAdmin), f.address(h.ip, portPeer), f.address(h.listenIP, portPeer))
 	fmt.Fprintf(&b, "peer_key = %q\noperator_key_hashes = [%q]\ndata_folder = %q\nform_group = %v\ncontrol_seeds = [\"%s\"]\n",
 		peerKey, hashKey(operatorKey), h.disk, formGroup, strings.Join(seeds, `", "`))
+	if h.maxConnections > 0 {
+		fmt.Fprintf(&b, "caller_limits = { max_connections = %d }\n", h.maxConnections)
+	}
 	fmt.Fprintf(&b, "shutdown_deadline = \"3s\"\n[edge]\ngateway_address = %q\ndiscovery_address = %q\nreadiness_address = %q\nupstream_list = %q\nconfig_max_age = \"3s\"\n",
 		f.address(h.ip, portGateway), f.address(h.ip, portDiscovery), f.address(h.ip, portReadiness), f.listAddress)
 	path := filepath.Join(f.dir, h.ip+".toml")
@@ -234,7 +241,7 @@
 		return err
 	}
 	h.startCount++
-	h.process, err = startProcess(f.dir, h.ip, "marigoldshuntd", "-settings", path)
+	h.process, err = startProcessWith(h.procs, f.dir, h.ip, "marigoldshuntd", "-settings", path)
 	return err
 }
 
--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -55,10 +55,15 @@
 )
 
 func TestSoak(t *testing.T) {
+	forSeeds(t, soakSeeds, func(t *testing.T, seed int64) { newSoak(t, seed, soakHosts, soakUpstreams(), soakDocument).run() })
+}
+
+// forSeeds runs a test with the seeds of the flags, or with fixed ones.
+func forSeeds(t *testing.T, fixed []int64, run func(t *testing.T, seed int64)) {
 	if testing.Short() {
 		t.Skip("the soak starts processes")
 	}
-	seeds := soakSeeds
+	seeds := fixed
 	if *soakSeedCount > 0 {
 		seeds = nil
 		for i := range *soakSeedCount {
@@ -66,7 +71,7 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { newSoak(t, seed, soakHosts, soakUpstreams(), soakDocument).run() })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { run(t, seed) })
 	}
 }
 
