--- a/internal/scenario/soak_fleet_test.go
+++ b/internal/scenario/soak_fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +17,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/ctl"
 	"marigoldshunt/internal/emulator"
 	"marigoldshunt/internal/enginemodel"
@@ -51,6 +49,10 @@
 	ip, listenIP, dataCentre string
 	disk                     string
 	process                  *process
+	// procs is the number of threads that run its Go code.
+	procs int
+	// maxConnections bounds its callers' connections, 0 selects the default.
+	maxConnections int
 	// disturbedAt is when a fault last began or ended at this host.
 	disturbedAt time.Time
 	frozen      bool
@@ -64,6 +66,7 @@
 	network            *network
 	hosts              []*soakHost
 	upstreams          []*soakUpstream
+	list               emulator.List
 	listServer         *http.Server
 	listAddress        string
 	listDown           atomic.Bool
@@ -86,8 +89,7 @@
 // crashes.
 type soakUpstream struct {
 	*emulator.Emulator
-	service, dataCentre, address string
-	name                         string
+	name string
 }
 
 // soakUpstreamSpec describes an upstream of a soak fleet.
@@ -132,7 +134,7 @@
 func dataCentreOf(i int) string { return []string{"north", "south"}[i%2] }
 
 func (f *soakFleet) addSoakHost(i int) error {
-	h := &soakHost{ip: f.addressPrefix + strconv.Itoa(1+i), listenIP: f.addressPrefix + strconv.Itoa(101+i), dataCentre: dataCentreOf(i)}
+	h := &soakHost{ip: f.addressPrefix + strconv.Itoa(1+i), listenIP: f.addressPrefix + strconv.Itoa(101+i), dataCentre: dataCentreOf(i), procs: usualProcs}
 	if i < soakControlHosts {
 		h.disk = filepath.Join(f.dir, "disk-"+h.ip)
 	}
@@ -164,11 +166,11 @@
 }
 
 func (f *soakFleet) addSoakUpstream(i int, spec soakUpstreamSpec) error {
-	u := &soakUpstream{service: spec.service, dataCentre: dataCentreOf(i), name: spec.name}
+	u := &soakUpstream{name: spec.name}
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	opts := spec.options
-	opts.Name, opts.Slots, opts.Log = spec.name, soakSlots, quiet
+	opts.Name, opts.Service, opts.DataCentre, opts.Slots, opts.Log = spec.name, spec.service, dataCentreOf(i), soakSlots, quiet
 	u.Emulator = emulator.New(opts)
 	ln, err := net.Listen("tcp", f.addressPrefix+strconv.Itoa(50+i)+":0")
 	if err != nil {
@@ -178,7 +180,9 @@
 	if err != nil {
 		return err
 	}
-	u.address = relay.Addr().String()
+	if err := f.list.Add(u.Emulator, relay.Addr().String()); err != nil {
+		return err
+	}
 	f.network.relay(u.name, "", ln.Addr().String(), relay)
 	go func() { _ = u.Serve(ln) }() // ends with the emulator
 	f.upstreams = append(f.upstreams, u)
@@ -192,18 +196,12 @@
 		return err
 	}
 	f.listAddress = ln.Addr().String()
-	f.listServer = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	f.listServer = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if f.listDown.Load() {
 			http.Error(w, "not now", http.StatusServiceUnavailable)
 			return
 		}
-		var out catalog.Entries
-		for _, u := range f.upstreams {
-			out.Instances = append(out.Instances, catalog.Entry{
-				ID: u.Instance(), Service: u.service, DataCentre: u.dataCentre, Address: u.address, Slots: soakSlots,
-			})
-		}
-		_ = json.NewEncoder(w).Encode(out) // a reader that disconnected asks again
+		f.list.ServeHTTP(w, r)
 	}), ReadHeaderTimeout: time.Second}
 	go func() { _ = f.listServer.Serve(ln) }()
 	return nil
@@ -216,6 +214,9 @@
 		h.ip, h.dataCentre, f.address(h.ip, portCaller), f.address(h.ip, portAdmin), f.address(h.ip, portPeer), f.address(h.listenIP, portPeer))
 	fmt.Fprintf(&b, "peer_key = %q\noperator_key_hashes = [%q]\ndata_folder = %q\nform_group = %v\ncontrol_seeds = [\"%s\"]\n",
 		peerKey, hashKey(operatorKey), h.disk, formGroup, strings.Join(seeds, `", "`))
+	if h.maxConnections > 0 {
+		fmt.Fprintf(&b, "caller_limits = { max_connections = %d }\n", h.maxConnections)
+	}
 	fmt.Fprintf(&b, "shutdown_deadline = \"3s\"\n[edge]\ngateway_address = %q\ndiscovery_address = %q\nreadiness_address = %q\nupstream_list = %q\nconfig_max_age = \"3s\"\n",
 		f.address(h.ip, portGateway), f.address(h.ip, portDiscovery), f.address(h.ip, portReadiness), f.listAddress)
 	path := filepath.Join(f.dir, h.ip+".toml")
@@ -240,7 +241,7 @@
 		return err
 	}
 	h.startCount++
-	h.process, err = startProcess(f.dir, h.ip, "marigoldshuntd", "-settings", path)
+	h.process, err = startProcessWith(h.procs, f.dir, h.ip, "marigoldshuntd", "-settings", path)
 	return err
 }
 
