--- a/internal/gateway/cost_test.go
+++ b/internal/gateway/cost_test.go
@@ -59,7 +59,7 @@
 		done := make(chan struct{})
 		for i := range costCallers {
 			go func() {
-				callRepeatedly(address, kind == "new", (n+i)/costCallers)
+				callRepeatedly(address, kind, (n+i)/costCallers)
 				done <- struct{}{}
 			}()
 		}
@@ -79,12 +79,14 @@
 	_, _ = io.WriteString(req.conn, streamEnd)
 }
 
-func callRepeatedly(address string, anew bool, n int) {
+// callRepeatedly sends n requests: on a "kept" connection, each on a "new" one, or each on a new one that the caller
+// has "left" before a response.
+func callRepeatedly(address, kind string, n int) {
 	request := "POST /stream/x" + strings.Replace(benchmarkHeader, "asnmgkcuyj8pjbvk9m68", "k1", 1) + strings.Repeat("x", 9_000)
 	var nc net.Conn
 	var br *bufio.Reader
 	for range n {
-		if nc == nil || anew {
+		if nc == nil || kind != "kept" {
 			var err error
 			if nc, err = net.Dial("tcp", address); err != nil {
 				panic(err)
@@ -94,12 +96,16 @@
 		if _, err := io.WriteString(nc, request); err != nil {
 			panic(err)
 		}
+		if kind == "left" {
+			nc.Close()
+			continue
+		}
 		resp, err := http.ReadResponse(br, nil)
 		if err != nil {
 			panic(err)
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
-		if anew {
+		if kind == "new" {
 			nc.Close()
 		}
 	}
@@ -158,6 +164,14 @@
 		gw.overload()
 		return gw
 	})
+	measure("connection_that_its_caller_left", "left", func(b *testing.B) *testGateway {
+		gw := newTestGatewayWith(b, accountsDocument(), quiet, u)
+		gw.overload()
+		b.Cleanup(func() {
+			b.Logf("%d of %d had been left before they were accepted", gw.counted("shed_abandoned"), b.N)
+		})
+		return gw
+	})
 	measure("refused_request_on_new_connection", "new", func(b *testing.B) *testGateway { return newLimitedGateway(b, u, quiet) })
 	measure("refused_request", "kept", func(b *testing.B) *testGateway { return newLimitedGateway(b, u, quiet) })
 	isolated := func(b *testing.B) *testGateway {
