--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -46,8 +46,10 @@
 	Rank    Rank
 	// Ranked is true once RecordDemand has set the rank.
 	Ranked bool
-	// Origin is where the stream began that the job continues, nil unless it continues one.
-	Origin *Origin
+	// Resumed is true for a stream that the caller resumes. Origin is where it began, nil if it can go on
+	// at any instance.
+	Resumed bool
+	Origin  *Origin
 	// Decision is what decided the last Pick.
 	Decision Decision
 }
--- a/internal/dispatch/resumed_test.go
+++ b/internal/dispatch/resumed_test.go
@@ -52,9 +52,9 @@
 	return false
 }
 
-// Guards against streams that callers can't resume because their account has had its share meanwhile.
-func TestResumedStreamsAreNotRefusedWhereNewOnesBegin(t *testing.T) {
-	c := qt.New(t)
+// resumeBesideNewStreams lets callers of an account that has had its share resume streams, and others begin as many
+// new ones. It returns how many go on and how many begin.
+func resumeBesideNewStreams(streams int, origin *Origin) (resumed, begun int) {
 	e := newBusyEngines()
 	for ms := range 300 {
 		e.host.RecordDemand(&Job{Account: "large", InputTokens: 1_000}, at(ms-300))
@@ -62,16 +62,30 @@
 		e.host.RecordDemand(waiting, at(ms-300))
 		e.host.RecordRefusal(waiting, at(ms-300))
 	}
-	const streams = 12
-	resumed, begun := 0, 0
 	for i := range streams {
 		if e.admits(&Job{Account: fmt.Sprint("small", i)}, at(i)) {
 			begun++
 		}
-		if e.admits(&Job{Account: "large", Origin: &Origin{"svc", "v0"}}, at(i)) {
+		if e.admits(&Job{Account: "large", Resumed: true, Origin: origin}, at(i)) {
 			resumed++
 		}
 	}
+	return resumed, begun
+}
+
+// Guards against streams that callers can't resume because their account has had its share meanwhile.
+func TestResumedStreamsAreNotRefusedWhereNewOnesBegin(t *testing.T) {
+	c := qt.New(t)
+	const streams = 12
+	resumed, begun := resumeBesideNewStreams(streams, &Origin{"svc", "v0"})
+	c.Assert(2*resumed >= begun && begun > streams/2, qt.IsTrue, qt.Commentf("of %d each, %d resumed streams go on and %d new ones begin", streams, resumed, begun))
+}
+
+// Guards against the same where a stream can go on at any instance, so that nothing is recorded of it.
+func TestResumedStreamsOfAnyVersionAreNotRefusedWhereNewOnesBegin(t *testing.T) {
+	c := qt.New(t)
+	const streams = 12
+	resumed, begun := resumeBesideNewStreams(streams, nil)
 	c.Assert(2*resumed >= begun && begun > streams/2, qt.IsTrue, qt.Commentf("of %d each, %d resumed streams go on and %d new ones begin", streams, resumed, begun))
 }
 
@@ -79,7 +93,7 @@
 func TestResumedStreamsRankLikeNewOnesBeyondTwiceTheShare(t *testing.T) {
 	c := qt.New(t)
 	e := newBusyEngines()
-	resumed := func() *Job { return &Job{Account: "resuming", InputTokens: 1_000, Origin: &Origin{"svc", "v0"}} }
+	resumed := func() *Job { return &Job{Account: "resuming", InputTokens: 1_000, Resumed: true, Origin: &Origin{"svc", "v0"}} }
 	for ms := range 300 {
 		e.host.RecordDemand(resumed(), at(ms-300))
 		for i := range 4 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -278,7 +278,7 @@
 
 func (q *request) setJob() {
 	names := &q.server.opts.HeaderNames
-	q.job = dispatch.Job{Origin: q.job.Origin, Service: q.service.Name, Objective: q.route.Objective, Account: q.account, Bytes: typicalHeaderBytes + len(q.body)}
+	q.job = dispatch.Job{Origin: q.job.Origin, Resumed: q.route.Resumable && q.resumesStream(), Service: q.service.Name, Objective: q.route.Objective, Account: q.account, Bytes: typicalHeaderBytes + len(q.body)}
 	if q.service.Engine != nil {
 		if q.route.PromptAffinity {
 			q.job.Parts = names.promptParts(q.r.Header)
--- a/internal/gateway/streamcounts.go
+++ b/internal/gateway/streamcounts.go
@@ -51,8 +51,7 @@
 
 // resumesStream reports whether the caller resumes a stream.
 func (q *request) resumesStream() bool {
-	names := &q.server.opts.HeaderNames
-	return q.r.Header.Get(names.LastEventID) != "" && q.r.Header.Get(names.Resumes) != ""
+	return q.r.Header.Get(q.server.opts.HeaderNames.LastEventID) != ""
 }
 
 // countStream counts a request that has ended, with an error or nil, if it is for a resumable stream.
