--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -187,7 +187,7 @@
 		return
 	}
 	record := d.shares.RecordDemand
-	if j.Origin != nil {
+	if j.Resumed {
 		record = d.shares.RecordResumedDemand
 	}
 	j.Rank, j.Ranked = record(j.Account, j.tokenCost(), now), true
--- a/internal/dispatch/resumed_test.go
+++ b/internal/dispatch/resumed_test.go
@@ -93,7 +93,9 @@
 func TestResumedStreamsRankLikeNewOnesBeyondTwiceTheShare(t *testing.T) {
 	c := qt.New(t)
 	e := newBusyEngines()
-	resumed := func() *Job { return &Job{Account: "resuming", InputTokens: 1_000, Resumed: true, Origin: &Origin{"svc", "v0"}} }
+	resumed := func() *Job {
+		return &Job{Account: "resuming", InputTokens: 1_000, Resumed: true, Origin: &Origin{"svc", "v0"}}
+	}
 	for ms := range 300 {
 		e.host.RecordDemand(resumed(), at(ms-300))
 		for i := range 4 {
--- a/internal/loadplay/fleet.go
+++ b/internal/loadplay/fleet.go
@@ -88,7 +88,7 @@
 func (f *fleet) rank(a *Attempt, now time.Time) {
 	j := &dispatch.Job{
 		Service: engineService, InputTokens: a.inputTokens(), OutputTokens: a.Output, Objective: a.Kind.Objective,
-		Account: a.Account, Remaining: a.Kind.CallerTimeout - now.Sub(a.At), Origin: a.Origin,
+		Account: a.Account, Remaining: a.Kind.CallerTimeout - now.Sub(a.At), Resumed: a.Origin != nil, Origin: a.Origin,
 	}
 	for _, p := range a.Parts {
 		j.Parts = append(j.Parts, dispatch.Part(p))
