--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -296,3 +296,27 @@
 	}
 	return retries, requests
 }
+
+// Guards against an upstream of two services that counts for the last one named, so that streams are recorded under the wrong one.
+func TestInstanceListedUnderTwoServicesServesBoth(t *testing.T) {
+	c := qt.New(t)
+	d := New(Options{Host: "h", DataCentre: "dc"})
+	d.SetServices([]routing.Service{{Name: "a"}, {Name: "b"}}, 0)
+	shared := func(service string) catalog.Instance {
+		return catalog.Instance{ID: "i", Service: service, DataCentre: "dc", Born: 1, Slots: 4}
+	}
+	for range 2 {
+		d.SetInstances([]catalog.Instance{shared("a"), shared("b")}, at(0))
+		var placed []*Placement
+		for i, service := range []string{"a", "b"} {
+			p, err := d.Pick(&Job{Service: service, Remaining: time.Second}, at(0))
+			c.Assert(err, qt.IsNil)
+			c.Check(p.Instance.Service, qt.Equals, service)
+			c.Check(p.target.running, qt.Equals, i+1, qt.Commentf("its load is that of both services"))
+			placed = append(placed, p)
+		}
+		for _, p := range placed {
+			p.Done(Answered, at(0))
+		}
+	}
+}
