--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -118,7 +118,7 @@
 	if c.limit <= 0 {
 		return true
 	}
-	hasRoom := len(c.open)-c.closing < c.limit || c.closeLongestIdleLocked()
+	hasRoom := len(c.open)-c.closing < c.limit || c.endLongestIdleLocked(endRoom)
 	return hasRoom && len(c.open) < c.limit+max(c.limit/closingDivisor, minClosing)
 }
 
@@ -160,12 +160,12 @@
 	*st = connState{}
 }
 
-// closeLongestIdleLocked closes the connection that has been idle the longest; ok is false
-// if there is none. The caller at its other end opens a new one for the next request.
+// endLongestIdleLocked ends the connection that has been idle the longest; ok is false if there
+// is none. The caller at its other end opens a new one for the next request.
 //
 // It sets a read deadline that ends the server's wait for a request. Close would also abort
 // a request that the server has just read, on a connection that still counts as idle here.
-func (c *connections) closeLongestIdleLocked() (ok bool) {
+func (c *connections) endLongestIdleLocked(reason connEnd) (ok bool) {
 	e := c.idle.Front()
 	if e == nil {
 		return false
@@ -174,19 +174,19 @@
 	c.open[longest.Conn] = &connState{closing: true}
 	c.closing++
 	if h, ok := longest.Conn.(*headerConn); ok {
-		h.endIdle()
+		h.endWait(reason)
 	} else {
 		_ = longest.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
 	}
 	return true
 }
 
-// closeIdleSince closes the connections that have been idle since before cutoff.
-func (c *connections) closeIdleSince(cutoff time.Time) {
+// endIdleSince ends the connections that have been idle since before cutoff.
+func (c *connections) endIdleSince(cutoff time.Time, reason connEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for e := c.idle.Front(); e != nil && e.Value.(idleConn).since.Before(cutoff); e = c.idle.Front() {
-		c.closeLongestIdleLocked()
+		c.endLongestIdleLocked(reason)
 	}
 }
 
@@ -196,3 +196,15 @@
 	defer c.mu.Unlock()
 	return ConnectionCounts{Open: len(c.open), Unread: c.unread, Idle: c.idle.Len(), Closing: c.closing}
 }
+
+// countUnread returns the number of open connections and that of those with bytes that were not read.
+func (c *connections) countUnread() (open, unread int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if hasUnread(conn) {
+			unread++
+		}
+	}
+	return len(c.open), unread
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,11 +115,14 @@
 
 // Server is the HTTP server for the callers of routed services.
 type Server struct {
-	opts    Options
-	http    *http.Server
-	log     logrus.FieldLogger
-	conns   *connections
-	limiter lockedLimiter
+	opts  Options
+	http  *http.Server
+	log   logrus.FieldLogger
+	conns *connections
+	ends  connectionEnds
+	// countAborted keeps Close from counting connections twice.
+	countAborted sync.Once
+	limiter      lockedLimiter
 	// offloader passes requests on while the host is overloaded.
 	offloader *offloader
 	places    places
@@ -149,7 +152,7 @@
 
 // New returns a Server.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, log: opts.Log, crashes: newCrashTracker(opts.CrashStore, opts.Log)}
+	s := &Server{opts: opts, log: opts.Log, crashes: newCrashTracker(opts.CrashStore, opts.Log), ends: connectionEnds{opts.Registry}}
 	s.streams = newStreamTracker(opts.StreamStore, opts.Log, func() time.Duration { return streamWindow(opts.Dispatcher.hosts()) })
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	s.loads = newAccountLoads()
@@ -176,7 +179,7 @@
 
 func (s *Server) serve(ln net.Listener, handleEarly earlyHandler) error {
 	context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
-	err := s.http.Serve(headerListener{ln, s.headerTimeout, handleEarly})
+	err := s.http.Serve(headerListener{ln, s.headerTimeout, handleEarly, s.ends})
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Err() != nil {
 		return nil
 	}
@@ -196,13 +199,14 @@
 // it closes all connections. The Shutdown of net/http would close connections whose requests
 // it has read and not yet passed to the handler.
 func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.logEnds()
 	if at, ok := ctx.Deadline(); ok {
 		s.abortAt.Store(&at)
 	}
 	s.stop()
 	begun := time.Now()
 	for {
-		s.conns.closeIdleSince(time.Now())
+		s.conns.endIdleSince(time.Now(), endStop)
 		n := s.conns.counts()
 		if n.Open == 0 || n.Open == n.Unread && time.Since(begun) > shutdownUnreadTime {
 			return s.Close()
@@ -214,8 +218,20 @@
 	}
 }
 
+// logEnds logs how many connections were ended since the start, and why.
+func (s *Server) logEnds() {
+	if fields := s.ends.logFields(); len(fields) > 0 {
+		s.log.WithFields(fields).Info("Connections of callers were ended.")
+	}
+}
+
 // Close stops the server and closes all connections at once.
 func (s *Server) Close() error {
+	s.countAborted.Do(func() {
+		open, unread := s.conns.countUnread()
+		s.ends.ended(endAbort).Inc(int64(open))
+		s.ends.unread(endAbort).Inc(int64(unread))
+	})
 	err := s.http.Close()
 	if errors.Is(err, net.ErrClosed) {
 		return nil // Shutdown has closed the listener, and Serve has not returned yet
@@ -228,7 +244,7 @@
 func (s *Server) CloseIdle(now time.Time) {
 	s.offloader.closeIdleSince(now.Add(-offloadIdleTime))
 	if t := s.opts.View().Table; t != nil && t.Document.Limits.IdleTimeout > 0 {
-		s.conns.closeIdleSince(now.Add(-t.Document.Limits.IdleTimeout))
+		s.conns.endIdleSince(now.Add(-t.Document.Limits.IdleTimeout), endIdle)
 	}
 }
 
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -13,13 +15,14 @@
 	net.Listener
 	timeout     func() time.Duration
 	handleEarly earlyHandler
+	ends        connectionEnds
 }
 
 // Accept implements net.Listener.
 func (l headerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if t, ok := c.(*net.TCPConn); ok {
-		return &headerConn{TCPConn: t, timeout: l.timeout, handleEarly: l.handleEarly}, err
+		return &headerConn{TCPConn: t, timeout: l.timeout, handleEarly: l.handleEarly, ends: l.ends}, err
 	}
 	return c, err
 }
@@ -33,6 +36,7 @@
 	*net.TCPConn
 	timeout     func() time.Duration
 	handleEarly earlyHandler
+	ends        connectionEnds
 	state       http.ConnState
 	// bufferBytes is the size of the HTTP server's empty read buffer. A smaller buffer tells
 	// that the beginning of a request has been read already.
@@ -43,27 +47,27 @@
 	// limited is true while the read deadline is that of the header.
 	limited bool
 
-	// mu guards ending, which is true while the wait for another request is being ended, and
-	// orders the changes of the read deadline.
+	// mu guards ending, which is why the wait for another request is being ended, and orders the
+	// changes of the read deadline.
 	mu     sync.Mutex
-	ending bool
+	ending connEnd
 }
 
-// endIdle ends the wait for another request, or prevents it: the HTTP server reports an idle
+// endWait ends the wait for another request, or prevents it: the HTTP server reports an idle
 // connection before it clears the read deadline for that wait.
-func (c *headerConn) endIdle() {
+func (c *headerConn) endWait(reason connEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = true
+	c.ending = reason
 	_ = c.TCPConn.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
 }
 
-// resume keeps a connection that endIdle was called for, because a request has arrived.
+// resume keeps a connection that endWait was called for, because a request has arrived.
 func (c *headerConn) resume() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending {
-		c.ending = false
+	if c.ending != "" {
+		c.ending = ""
 		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails only if the connection is already closed
 	}
 }
@@ -72,7 +76,7 @@
 func (c *headerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending && t.IsZero() {
+	if c.ending != "" && t.IsZero() {
 		return nil
 	}
 	return c.TCPConn.SetReadDeadline(t)
@@ -85,6 +89,9 @@
 	}
 	for {
 		n, err := c.read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			c.countEnd()
+		}
 		atStart := len(p) == c.bufferBytes && (c.state == http.StateNew || c.state == http.StateIdle)
 		if n == 0 || err != nil || !atStart {
 			return n, err
@@ -119,6 +126,16 @@
 	return n, err
 }
 
+// countEnd counts the connection if its wait was ended.
+func (c *headerConn) countEnd() {
+	c.mu.Lock()
+	reason := c.ending
+	c.mu.Unlock()
+	if reason != "" {
+		c.ends.count(reason, hasUnread(c))
+	}
+}
+
 // stateChanged follows the state that the HTTP server reports.
 func (c *headerConn) stateChanged(state http.ConnState) {
 	if state == http.StateClosed {
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -82,7 +82,7 @@
 	return nc
 }
 
-func closeAllIdle(s *Server) { s.conns.closeIdleSince(time.Now().Add(time.Hour)) }
+func closeAllIdle(s *Server) { s.conns.endIdleSince(time.Now().Add(time.Hour), endIdle) }
 
 // Guards against a connection that counts as being closed and stays open, because it was
 // chosen before the HTTP server began to wait for its next request.
