--- a/internal/gateway/connectionends.go
+++ b/internal/gateway/connectionends.go
@@ -1,8 +1,14 @@
 package gateway
 
 import (
+	"io"
+	"net"
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/netopt"
 )
 
 // connEnd is why the host ends a connection that waits for a request; empty if it doesn't.
@@ -21,8 +27,36 @@
 
 var allConnEnds = []connEnd{endIdle, endRoom, endStop, endAbort}
 
-// connectionEnds counts the connections that were ended, by reason, and those of them on which bytes
-// of a request had arrived that were not read.
+// refuses reports whether a request that has arrived on the connection is refused as not run. For the
+// other reasons it is served.
+func (e connEnd) refuses() bool { return e == endRoom }
+
+// refuseAtEnd refuses the request of a connection that ends. The first n bytes of buf are what was read
+// last. The HTTP server would spend more CPU time on it, and a host that needs the room has none to spare.
+func (s *Server) refuseAtEnd(c *net.TCPConn, buf []byte, n int) {
+	s.loads.refuseConnection()
+	raw, ok := rawConn(c)
+	whole := ok && s.readAvailableRest(raw, buf, n)
+	if c.SetDeadline(time.Now().Add(refuseTimeout)) != nil {
+		return
+	}
+	if _, err := io.WriteString(c, shedResponse); err != nil {
+		return
+	}
+	if !whole {
+		_ = c.CloseWrite() // fails only if the connection is already closed, and then so does the read
+		_, _ = io.Copy(io.Discard, c)
+		return
+	}
+	for range maxDrainReads {
+		if netopt.ReadAvailable(raw, buf) == 0 {
+			return
+		}
+	}
+}
+
+// connectionEnds counts the waits for requests that were ended, by reason, and those of them at whose
+// end bytes of a request had arrived.
 type connectionEnds struct{ registry metrics.Registry }
 
 func (e connectionEnds) ended(reason connEnd) metrics.Counter {
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -62,7 +62,8 @@
 	open map[net.Conn]*connState
 	// idle holds the idle connections, the longest idle first.
 	idle *list.List
-	// unread is the number of connections whose first request has not been read yet.
+	// unread is the number of connections whose first request, or one that arrived after the end of
+	// the wait for it, has not been read yet.
 	unread int
 	// closing is the number of idle connections that are being closed.
 	closing int
@@ -146,6 +147,20 @@
 	}
 }
 
+// resume keeps a connection whose wait was ended, because a request has begun to arrive.
+func (c *connections) resume(conn *headerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := c.open[conn]
+	if st == nil {
+		return
+	}
+	c.resetLocked(st)
+	st.unread = true
+	c.unread++
+	conn.resume()
+}
+
 // resetLocked removes a connection from the counts of its old state.
 func (c *connections) resetLocked(st *connState) {
 	if st.idle != nil {
@@ -163,8 +178,9 @@
 // endLongestIdleLocked ends the connection that has been idle the longest; ok is false if there
 // is none. The caller at its other end opens a new one for the next request.
 //
-// It sets a read deadline that ends the server's wait for a request. Close would also abort
-// a request that the server has just read, on a connection that still counts as idle here.
+// It sets a read deadline that ends the server's wait for a request, and the goroutine of the
+// connection looks whether one has arrived (headerConn.readAtEnd). Close would also abort a request
+// that the server has just read, on a connection that still counts as idle here.
 func (c *connections) endLongestIdleLocked(reason connEnd) (ok bool) {
 	e := c.idle.Front()
 	if e == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,7 +179,7 @@
 
 func (s *Server) serve(ln net.Listener, handleEarly earlyHandler) error {
 	context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
-	err := s.http.Serve(headerListener{ln, s.headerTimeout, handleEarly, s.ends})
+	err := s.http.Serve(headerListener{ln, s, handleEarly})
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Err() != nil {
 		return nil
 	}
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -2,27 +2,29 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"marigoldshunt/internal/netopt"
 )
 
-// headerListener accepts connections whose headers are bounded by timeout and whose requests
-// handleEarly may handle.
+// headerListener accepts connections whose headers are bounded by the routing document and whose
+// requests handleEarly may handle.
 type headerListener struct {
 	net.Listener
-	timeout     func() time.Duration
+	server      *Server
 	handleEarly earlyHandler
-	ends        connectionEnds
 }
 
 // Accept implements net.Listener.
 func (l headerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if t, ok := c.(*net.TCPConn); ok {
-		return &headerConn{TCPConn: t, timeout: l.timeout, handleEarly: l.handleEarly, ends: l.ends}, err
+		return &headerConn{TCPConn: t, server: l.server, handleEarly: l.handleEarly}, err
 	}
 	return c, err
 }
@@ -34,9 +36,8 @@
 // open connection only while nothing reads from it.
 type headerConn struct {
 	*net.TCPConn
-	timeout     func() time.Duration
+	server      *Server
 	handleEarly earlyHandler
-	ends        connectionEnds
 	state       http.ConnState
 	// bufferBytes is the size of the HTTP server's empty read buffer. A smaller buffer tells
 	// that the beginning of a request has been read already.
@@ -44,6 +45,8 @@
 	// headerStart is when the first byte of a header was waited for on a new connection, or
 	// read on an idle one; zero if no header is being read.
 	headerStart time.Time
+	// begun is true once bytes of a request were read, until the HTTP server has its header.
+	begun bool
 	// limited is true while the read deadline is that of the header.
 	limited bool
 
@@ -51,6 +54,8 @@
 	// changes of the read deadline.
 	mu     sync.Mutex
 	ending connEnd
+	// readDeadline is what SetReadDeadline was last called with.
+	readDeadline time.Time
 }
 
 // endWait ends the wait for another request, or prevents it: the HTTP server reports an idle
@@ -68,34 +73,50 @@
 	defer c.mu.Unlock()
 	if c.ending != "" {
 		c.ending = ""
-		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails only if the connection is already closed
+		_ = c.TCPConn.SetReadDeadline(c.readDeadline) // fails only if the connection is already closed
 	}
 }
 
-// SetReadDeadline implements net.Conn.
+// endReason returns why the wait for a request is being ended, empty if it isn't.
+func (c *headerConn) endReason() connEnd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
+// SetReadDeadline implements net.Conn. While the wait for a request is being ended, the deadline
+// waits for resume.
 func (c *headerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending != "" && t.IsZero() {
+	c.readDeadline = t
+	if c.ending != "" {
 		return nil
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// Read implements net.Conn. It hands no request to the HTTP server that is handled early.
+// Read implements net.Conn. It hands no request to the HTTP server that is handled early, or refused
+// because the connection ends.
 func (c *headerConn) Read(p []byte) (int, error) {
 	if c.bufferBytes == 0 {
 		c.bufferBytes = len(p)
 	}
 	for {
 		n, err := c.read(p)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-			c.countEnd()
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endReason() != "" {
+			n, err = c.readAtEnd(p)
 		}
-		atStart := len(p) == c.bufferBytes && (c.state == http.StateNew || c.state == http.StateIdle)
-		if n == 0 || err != nil || !atStart {
+		if err != nil {
 			return n, err
 		}
+		atStart := len(p) == c.bufferBytes && (c.state == http.StateNew || c.state == http.StateIdle)
+		if n == 0 {
+			continue // the rest of the head has not arrived yet
+		}
+		if !atStart {
+			return n, nil
+		}
 		handled, err := c.handleEarly(c, p[:n])
 		if err != nil {
 			return 0, err
@@ -106,13 +127,35 @@
 	}
 }
 
+// readAtEnd decides what becomes of a connection whose wait was ended. A read with a past deadline
+// takes nothing, so it looks for a request that has arrived; only without one does the connection
+// end at once. Without an error the connection goes on.
+func (c *headerConn) readAtEnd(p []byte) (n int, err error) {
+	reason := c.endReason()
+	if raw, ok := rawConn(c.TCPConn); ok {
+		n = netopt.ReadAvailable(raw, p)
+	}
+	begun := c.begun || n > 0
+	c.server.ends.count(reason, begun)
+	switch {
+	case !begun:
+		return 0, os.ErrDeadlineExceeded
+	case reason.refuses():
+		c.server.refuseAtEnd(c.TCPConn, p, n)
+		return 0, io.EOF
+	}
+	c.server.conns.resume(c)
+	c.beginHeader(n)
+	return n, nil
+}
+
 // read reads within the limit for headers.
 func (c *headerConn) read(p []byte) (int, error) {
 	if c.state == http.StateNew && c.headerStart.IsZero() {
 		c.headerStart = time.Now()
 	}
 	if !c.headerStart.IsZero() {
-		if timeout := c.timeout(); timeout > 0 {
+		if timeout := c.server.headerTimeout(); timeout > 0 {
 			c.limited = true
 			if err := c.SetReadDeadline(c.headerStart.Add(timeout)); err != nil {
 				return 0, err
@@ -120,19 +163,18 @@
 		}
 	}
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && c.state == http.StateIdle && c.headerStart.IsZero() {
-		c.headerStart = time.Now()
-	}
+	c.beginHeader(n)
 	return n, err
 }
 
-// countEnd counts the connection if its wait was ended.
-func (c *headerConn) countEnd() {
-	c.mu.Lock()
-	reason := c.ending
-	c.mu.Unlock()
-	if reason != "" {
-		c.ends.count(reason, hasUnread(c))
+// beginHeader records that n bytes were read.
+func (c *headerConn) beginHeader(n int) {
+	if n == 0 || c.state != http.StateNew && c.state != http.StateIdle {
+		return
+	}
+	c.begun = true
+	if c.headerStart.IsZero() {
+		c.headerStart = time.Now()
 	}
 }
 
@@ -141,7 +183,7 @@
 	if state == http.StateClosed {
 		return // a read may still be ending
 	}
-	c.state, c.headerStart = state, time.Time{}
+	c.state, c.headerStart, c.begun = state, time.Time{}, false
 	if c.limited {
 		c.limited = false
 		_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is already closed
