--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/netopt"
 	"marigoldshunt/internal/offload"
 	"marigoldshunt/internal/overload"
 	"marigoldshunt/internal/routing"
@@ -137,6 +138,11 @@
 	// abortAt is when Shutdown aborts running requests; nil before Shutdown.
 	abortAt atomic.Pointer[time.Time]
 	stop    context.CancelFunc
+	// listeners holds the listeners that are drained at a stop.
+	listeners struct {
+		sync.Mutex
+		open []*netopt.DrainingListener
+	}
 	// refusing counts the connections that are being refused without parsing a request.
 	refusing atomic.Int64
 	// awaited holds those of them that wait for their request, the longest waiting first.
@@ -177,8 +183,14 @@
 	return s.serve(newShedListener(ln, s, true), s.offloadOrRefuseEarly)
 }
 
-func (s *Server) serve(ln net.Listener, handleEarly earlyHandler) error {
-	context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
+func (s *Server) serve(ln *shedListener, handleEarly earlyHandler) error {
+	if d, ok := netopt.NewDrainingListener(ln.Listener); ok {
+		ln.Listener = d
+		s.addListener(d)
+		context.AfterFunc(s.stopping, d.Drain)
+	} else {
+		context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
+	}
 	err := s.http.Serve(headerListener{ln, s, handleEarly})
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Err() != nil {
 		return nil
@@ -186,6 +198,24 @@
 	return fault.Wrap(err, fault.Internal, "", "serve callers on %s", ln.Addr())
 }
 
+func (s *Server) addListener(l *netopt.DrainingListener) {
+	s.listeners.Lock()
+	defer s.listeners.Unlock()
+	s.listeners.open = append(s.listeners.open, l)
+}
+
+// drained reports whether no connection waits to be accepted any more, after the begin of a stop.
+func (s *Server) drained() bool {
+	s.listeners.Lock()
+	defer s.listeners.Unlock()
+	for _, l := range s.listeners.open {
+		if !l.Drained() {
+			return false
+		}
+	}
+	return true
+}
+
 // Running returns the number of requests being served.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
@@ -195,9 +225,9 @@
 	shutdownUnreadTime = 5 * time.Second
 )
 
-// Shutdown stops accepting connections and waits for running requests until ctx ends; then
-// it closes all connections. The Shutdown of net/http would close connections whose requests
-// it has read and not yet passed to the handler.
+// Shutdown accepts the connections that wait, stops accepting, and waits for running requests until
+// ctx ends; then it closes all connections. The Shutdown of net/http would close connections whose
+// requests it has read and not yet passed to the handler.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer s.logEnds()
 	if at, ok := ctx.Deadline(); ok {
@@ -207,8 +237,9 @@
 	begun := time.Now()
 	for {
 		s.conns.endIdleSince(time.Now(), endStop)
-		n := s.conns.counts()
-		if n.Open == 0 || n.Open == n.Unread && time.Since(begun) > shutdownUnreadTime {
+		n := s.Connections()
+		silent := n.Open == n.Unread && time.Since(begun) > shutdownUnreadTime
+		if s.drained() && n.Refusing == 0 && (n.Open == 0 || silent) {
 			return s.Close()
 		}
 		if !wait.For(ctx, shutdownPollInterval) {
