--- a/internal/gateway/connectionends.go
+++ b/internal/gateway/connectionends.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/netopt"
 )
 
@@ -21,26 +23,28 @@
 	endRoom connEnd = "room"
 	// endStop ends an idle connection because the host stops.
 	endStop connEnd = "stop"
+	// endLate ends a connection on which no request was read when the host is about to end.
+	endLate connEnd = "late"
 	// endAbort closes any connection at once at the end of the host.
 	endAbort connEnd = "abort"
 )
 
-var allConnEnds = []connEnd{endIdle, endRoom, endStop, endAbort}
+var allConnEnds = []connEnd{endIdle, endRoom, endStop, endLate, endAbort}
 
 // refuses reports whether a request that has arrived on the connection is refused as not run. For the
 // other reasons it is served.
-func (e connEnd) refuses() bool { return e == endRoom }
+func (e connEnd) refuses() bool { return e == endRoom || e == endLate }
 
 // refuseAtEnd refuses the request of a connection that ends. The first n bytes of buf are what was read
 // last. The HTTP server would spend more CPU time on it, and a host that needs the room has none to spare.
-func (s *Server) refuseAtEnd(c *net.TCPConn, buf []byte, n int) {
+func (s *Server) refuseAtEnd(c *net.TCPConn, reason connEnd, buf []byte, n int) {
 	s.loads.refuseConnection()
 	raw, ok := rawConn(c)
 	whole := ok && s.readAvailableRest(raw, buf, n)
 	if c.SetDeadline(time.Now().Add(refuseTimeout)) != nil {
 		return
 	}
-	if _, err := io.WriteString(c, shedResponse); err != nil {
+	if _, err := io.WriteString(c, reason.refusal()); err != nil {
 		return
 	}
 	if !whole {
@@ -55,6 +59,20 @@
 	}
 }
 
+// refusal returns the response to a request that is refused for this reason.
+func (e connEnd) refusal() string {
+	if e == endLate {
+		return leavingResponse
+	}
+	return shedResponse
+}
+
+var (
+	leavingBody = failureBody(fault.HostLeaving, fault.NotRun)
+	// leavingResponse is a 503, which guarantees that the request was not run.
+	leavingResponse = failureHead(http.StatusServiceUnavailable, shortRetryAfter, len(leavingBody)) + "Connection: close\r\n\r\n" + leavingBody
+)
+
 // connectionEnds counts the waits for requests that were ended, by reason, and those of them at whose
 // end bytes of a request had arrived.
 type connectionEnds struct{ registry metrics.Registry }
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -186,15 +186,32 @@
 	if e == nil {
 		return false
 	}
-	longest := c.idle.Remove(e).(idleConn)
-	c.open[longest.Conn] = &connState{closing: true}
+	c.endWaitLocked(e.Value.(idleConn).Conn, reason)
+	return true
+}
+
+// endWaitLocked ends the wait for a request on a connection.
+func (c *connections) endWaitLocked(conn net.Conn, reason connEnd) {
+	st := c.open[conn]
+	c.resetLocked(st)
+	st.closing = true
 	c.closing++
-	if h, ok := longest.Conn.(*headerConn); ok {
+	if h, ok := conn.(*headerConn); ok {
 		h.endWait(reason)
 	} else {
-		_ = longest.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
+		_ = conn.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
+	}
+}
+
+// endAllWaits ends all connections on which no request is being served.
+func (c *connections) endAllWaits(reason connEnd) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, st := range c.open {
+		if st.unread || st.closing || st.idle != nil {
+			c.endWaitLocked(conn, reason)
+		}
 	}
-	return true
 }
 
 // endIdleSince ends the connections that have been idle since before cutoff.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,28 +223,50 @@
 	shutdownPollInterval = 10 * time.Millisecond
 	// shutdownUnreadTime is how long connections without a request may stay open at shutdown.
 	shutdownUnreadTime = 5 * time.Second
+	// shutdownLateTime is the time before the end of Shutdown in which requests are refused that
+	// nobody has read.
+	shutdownLateTime = 300 * time.Millisecond
 )
 
 // Shutdown accepts the connections that wait, stops accepting, and waits for running requests until
-// ctx ends; then it closes all connections. The Shutdown of net/http would close connections whose
-// requests it has read and not yet passed to the handler.
+// ctx ends; then it closes all connections. Requests that nobody has read shortly before that are
+// refused. The Shutdown of net/http would close connections whose requests it has read and not yet
+// passed to the handler.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer s.logEnds()
+	lateCtx := ctx
 	if at, ok := ctx.Deadline(); ok {
 		s.abortAt.Store(&at)
+		var cancel context.CancelFunc
+		lateCtx, cancel = context.WithDeadline(ctx, at.Add(-shutdownLateTime))
+		defer cancel()
 	}
 	s.stop()
+	s.waitForCallers(lateCtx)
+	s.conns.endAllWaits(endLate)
+	for s.Connections().Open > 0 || !s.drained() {
+		if !wait.For(ctx, shutdownPollInterval) {
+			s.log.WithField("running", s.Running()).Warn("Running requests were aborted at shutdown.")
+			break
+		}
+		s.conns.endAllWaits(endLate)
+	}
+	return s.Close()
+}
+
+// waitForCallers ends connections while they are idle, until all have ended or only those are left on
+// which no request has arrived for shutdownUnreadTime, or ctx ends.
+func (s *Server) waitForCallers(ctx context.Context) {
 	begun := time.Now()
 	for {
 		s.conns.endIdleSince(time.Now(), endStop)
 		n := s.Connections()
 		silent := n.Open == n.Unread && time.Since(begun) > shutdownUnreadTime
 		if s.drained() && n.Refusing == 0 && (n.Open == 0 || silent) {
-			return s.Close()
+			return
 		}
 		if !wait.For(ctx, shutdownPollInterval) {
-			s.log.WithField("running", s.Running()).Warn("Running requests were aborted at shutdown.")
-			return s.Close()
+			return
 		}
 	}
 }
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -63,6 +63,9 @@
 func (c *headerConn) endWait(reason connEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ending.refuses() {
+		return // a refusal may have begun
+	}
 	c.ending = reason
 	_ = c.TCPConn.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
 }
@@ -141,7 +144,7 @@
 	case !begun:
 		return 0, os.ErrDeadlineExceeded
 	case reason.refuses():
-		c.server.refuseAtEnd(c.TCPConn, p, n)
+		c.server.refuseAtEnd(c.TCPConn, reason, p, n)
 		return 0, io.EOF
 	}
 	c.server.conns.resume(c)
