--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -230,7 +230,12 @@
 	}
 }
 
-// serveHTTP serves one of the edge's ports other than the gateway's until ctx ends.
+// pageDrainTime bounds the wait for running responses when ctx ends. Pages are answered at once, and the
+// process is about to end.
+const pageDrainTime = 200 * time.Millisecond
+
+// serveHTTP serves one of the edge's ports other than the gateway's until ctx ends and running responses
+// have ended.
 func serveHTTP(ctx context.Context, address string, h http.Handler) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -241,8 +246,20 @@
 		Handler: h, ReadHeaderTimeout: httpHeaderTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: httpIdleTimeout,
 		ConnState: limited.stateChanged,
 	}
-	context.AfterFunc(ctx, func() { s.Close() })
-	return ignoreClosed(ctx, s.Serve(limited))
+	drained := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(drained)
+		drainCtx, cancel := context.WithTimeout(context.Background(), pageDrainTime)
+		defer cancel()
+		if s.Shutdown(drainCtx) != nil {
+			_ = s.Close() // the process ends
+		}
+	})
+	err = s.Serve(limited)
+	if !stop() {
+		<-drained
+	}
+	return ignoreClosed(ctx, err)
 }
 
 // Parts of the shutdown deadline.
--- a/internal/daemon/edgehttp_test.go
+++ b/internal/daemon/edgehttp_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -73,3 +74,47 @@
 	_, err = get()
 	c.Assert(err, qt.IsNil)
 }
+
+// Operators and platforms saw pages cut that a stopping host had begun to serve.
+func TestPageThatIsServedAtTheEndOfAHostIsAnswered(t *testing.T) {
+	c := qt.New(t)
+	reserved, err := freeport.Reserve("127.0.0.1", 0)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(reserved.Close(), qt.IsNil) })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	begun, done := make(chan struct{}, 1), make(chan error, 1)
+	go func() {
+		done <- serveHTTP(ctx, reserved.Address(), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			begun <- struct{}{}
+			<-ctx.Done()
+			for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				nc, err := net.Dial("tcp", reserved.Address())
+				if err != nil {
+					break // the server is being stopped
+				}
+				nc.Close()
+			}
+			fmt.Fprint(w, "ok")
+		}))
+	}()
+	page := make(chan string, 1)
+	go func() {
+		var body []byte
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			resp, err := http.Get("http://" + reserved.Address())
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				continue // it does not listen yet
+			}
+			if err == nil {
+				body, _ = io.ReadAll(resp.Body)
+			}
+			break
+		}
+		page <- string(body)
+	}()
+	<-begun
+	cancel()
+	c.Assert(<-page, qt.Equals, "ok")
+	c.Assert(<-done, qt.IsNil)
+}
