--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -62,7 +62,8 @@
 	open map[net.Conn]*connState
 	// idle holds the idle connections, the longest idle first.
 	idle *list.List
-	// unread is the number of connections whose first request has not been read yet.
+	// unread is the number of connections whose first request, or one that arrived after the end of
+	// the wait for it, has not been read yet.
 	unread int
 	// closing is the number of idle connections that are being closed.
 	closing int
@@ -118,7 +119,7 @@
 	if c.limit <= 0 {
 		return true
 	}
-	hasRoom := len(c.open)-c.closing < c.limit || c.closeLongestIdleLocked()
+	hasRoom := len(c.open)-c.closing < c.limit || c.endLongestIdleLocked(endRoom)
 	return hasRoom && len(c.open) < c.limit+max(c.limit/closingDivisor, minClosing)
 }
 
@@ -146,6 +147,20 @@
 	}
 }
 
+// resume keeps a connection whose wait was ended, because a request has begun to arrive.
+func (c *connections) resume(conn *headerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := c.open[conn]
+	if st == nil {
+		return
+	}
+	c.resetLocked(st)
+	st.unread = true
+	c.unread++
+	conn.resume()
+}
+
 // resetLocked removes a connection from the counts of its old state.
 func (c *connections) resetLocked(st *connState) {
 	if st.idle != nil {
@@ -160,33 +175,51 @@
 	*st = connState{}
 }
 
-// closeLongestIdleLocked closes the connection that has been idle the longest; ok is false
-// if there is none. The caller at its other end opens a new one for the next request.
+// endLongestIdleLocked ends the connection that has been idle the longest; ok is false if there
+// is none. The caller at its other end opens a new one for the next request.
 //
-// It sets a read deadline that ends the server's wait for a request. Close would also abort
-// a request that the server has just read, on a connection that still counts as idle here.
-func (c *connections) closeLongestIdleLocked() (ok bool) {
+// It sets a read deadline that ends the server's wait for a request, and the goroutine of the
+// connection looks whether one has arrived (headerConn.readAtEnd). Close would also abort a request
+// that the server has just read, on a connection that still counts as idle here.
+func (c *connections) endLongestIdleLocked(reason connEnd) (ok bool) {
 	e := c.idle.Front()
 	if e == nil {
 		return false
 	}
-	longest := c.idle.Remove(e).(idleConn)
-	c.open[longest.Conn] = &connState{closing: true}
+	c.endWaitLocked(e.Value.(idleConn).Conn, reason)
+	return true
+}
+
+// endWaitLocked ends the wait for a request on a connection.
+func (c *connections) endWaitLocked(conn net.Conn, reason connEnd) {
+	st := c.open[conn]
+	c.resetLocked(st)
+	st.closing = true
 	c.closing++
-	if h, ok := longest.Conn.(*headerConn); ok {
-		h.endIdle()
+	if h, ok := conn.(*headerConn); ok {
+		h.endWait(reason)
 	} else {
-		_ = longest.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
+		_ = conn.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
+	}
+}
+
+// endAllWaits ends all connections on which no request is being served.
+func (c *connections) endAllWaits(reason connEnd) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, st := range c.open {
+		if st.unread || st.closing || st.idle != nil {
+			c.endWaitLocked(conn, reason)
+		}
 	}
-	return true
 }
 
-// closeIdleSince closes the connections that have been idle since before cutoff.
-func (c *connections) closeIdleSince(cutoff time.Time) {
+// endIdleSince ends the connections that have been idle since before cutoff.
+func (c *connections) endIdleSince(cutoff time.Time, reason connEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for e := c.idle.Front(); e != nil && e.Value.(idleConn).since.Before(cutoff); e = c.idle.Front() {
-		c.closeLongestIdleLocked()
+		c.endLongestIdleLocked(reason)
 	}
 }
 
@@ -196,3 +229,15 @@
 	defer c.mu.Unlock()
 	return ConnectionCounts{Open: len(c.open), Unread: c.unread, Idle: c.idle.Len(), Closing: c.closing}
 }
+
+// countUnread returns the number of open connections and that of those with bytes that were not read.
+func (c *connections) countUnread() (open, unread int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if hasUnread(conn) {
+			unread++
+		}
+	}
+	return len(c.open), unread
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"marigoldshunt/internal/admission"
 	"marigoldshunt/internal/engine"
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/netopt"
 	"marigoldshunt/internal/offload"
 	"marigoldshunt/internal/overload"
 	"marigoldshunt/internal/routing"
@@ -115,11 +116,14 @@
 
 // Server is the HTTP server for the callers of routed services.
 type Server struct {
-	opts    Options
-	http    *http.Server
-	log     logrus.FieldLogger
-	conns   *connections
-	limiter lockedLimiter
+	opts  Options
+	http  *http.Server
+	log   logrus.FieldLogger
+	conns *connections
+	ends  connectionEnds
+	// countAborted keeps Close from counting connections twice.
+	countAborted sync.Once
+	limiter      lockedLimiter
 	// offloader passes requests on while the host is overloaded.
 	offloader *offloader
 	places    places
@@ -135,6 +139,11 @@
 	// abortAt is when Shutdown aborts running requests; nil before Shutdown.
 	abortAt atomic.Pointer[time.Time]
 	stop    context.CancelFunc
+	// listeners holds the listeners that are drained at a stop.
+	listeners struct {
+		sync.Mutex
+		open []*netopt.DrainingListener
+	}
 	// refusing counts the connections that are being refused without parsing a request.
 	refusing atomic.Int64
 	// awaited holds those of them that wait for their request, the longest waiting first.
@@ -150,7 +159,7 @@
 
 // New returns a Server.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, log: opts.Log, crashes: newCrashTracker(opts.CrashStore, opts.Log)}
+	s := &Server{opts: opts, log: opts.Log, crashes: newCrashTracker(opts.CrashStore, opts.Log), ends: connectionEnds{opts.Registry}}
 	s.streams = newStreamTracker(opts.StreamStore, opts.Log, func() time.Duration { return streamWindow(opts.Dispatcher.hosts()) })
 	s.random.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	s.loads, s.streamCounts = newAccountLoads(), newStreamCounts()
@@ -175,15 +184,39 @@
 	return s.serve(newShedListener(ln, s, true), s.offloadOrRefuseEarly)
 }
 
-func (s *Server) serve(ln net.Listener, handleEarly earlyHandler) error {
-	context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
-	err := s.http.Serve(headerListener{ln, s.headerTimeout, handleEarly})
+func (s *Server) serve(ln *shedListener, handleEarly earlyHandler) error {
+	if d, ok := netopt.NewDrainingListener(ln.Listener); ok {
+		ln.Listener = d
+		s.addListener(d)
+		context.AfterFunc(s.stopping, d.Drain)
+	} else {
+		context.AfterFunc(s.stopping, func() { _ = ln.Close() }) // it may be closed already
+	}
+	err := s.http.Serve(headerListener{ln, s, handleEarly})
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Err() != nil {
 		return nil
 	}
 	return fault.Wrap(err, fault.Internal, "", "serve callers on %s", ln.Addr())
 }
 
+func (s *Server) addListener(l *netopt.DrainingListener) {
+	s.listeners.Lock()
+	defer s.listeners.Unlock()
+	s.listeners.open = append(s.listeners.open, l)
+}
+
+// drained reports whether no connection waits to be accepted any more, after the begin of a stop.
+func (s *Server) drained() bool {
+	s.listeners.Lock()
+	defer s.listeners.Unlock()
+	for _, l := range s.listeners.open {
+		if !l.Drained() {
+			return false
+		}
+	}
+	return true
+}
+
 // Running returns the number of requests being served.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
@@ -191,32 +224,68 @@
 	shutdownPollInterval = 10 * time.Millisecond
 	// shutdownUnreadTime is how long connections without a request may stay open at shutdown.
 	shutdownUnreadTime = 5 * time.Second
+	// shutdownLateTime is the time before the end of Shutdown in which requests are refused that
+	// nobody has read.
+	shutdownLateTime = 300 * time.Millisecond
 )
 
-// Shutdown stops accepting connections and waits for running requests until ctx ends; then
-// it closes all connections. The Shutdown of net/http would close connections whose requests
-// it has read and not yet passed to the handler.
+// Shutdown accepts the connections that wait, stops accepting, and waits for running requests until
+// ctx ends; then it closes all connections. Requests that nobody has read shortly before that are
+// refused. The Shutdown of net/http would close connections whose requests it has read and not yet
+// passed to the handler.
 func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.logEnds()
+	lateCtx := ctx
 	if at, ok := ctx.Deadline(); ok {
 		s.abortAt.Store(&at)
+		var cancel context.CancelFunc
+		lateCtx, cancel = context.WithDeadline(ctx, at.Add(-shutdownLateTime))
+		defer cancel()
 	}
 	s.stop()
+	s.waitForCallers(lateCtx)
+	s.conns.endAllWaits(endLate)
+	for s.Connections().Open > 0 || !s.drained() {
+		if !wait.For(ctx, shutdownPollInterval) {
+			s.log.WithField("running", s.Running()).Warn("Running requests were aborted at shutdown.")
+			break
+		}
+		s.conns.endAllWaits(endLate)
+	}
+	return s.Close()
+}
+
+// waitForCallers ends connections while they are idle, until all have ended or only those are left on
+// which no request has arrived for shutdownUnreadTime, or ctx ends.
+func (s *Server) waitForCallers(ctx context.Context) {
 	begun := time.Now()
 	for {
-		s.conns.closeIdleSince(time.Now())
-		n := s.conns.counts()
-		if n.Open == 0 || n.Open == n.Unread && time.Since(begun) > shutdownUnreadTime {
-			return s.Close()
+		s.conns.endIdleSince(time.Now(), endStop)
+		n := s.Connections()
+		silent := n.Open == n.Unread && time.Since(begun) > shutdownUnreadTime
+		if s.drained() && n.Refusing == 0 && (n.Open == 0 || silent) {
+			return
 		}
 		if !wait.For(ctx, shutdownPollInterval) {
-			s.log.WithField("running", s.Running()).Warn("Running requests were aborted at shutdown.")
-			return s.Close()
+			return
 		}
 	}
 }
 
+// logEnds logs how many connections were ended since the start, and why.
+func (s *Server) logEnds() {
+	if fields := s.ends.logFields(); len(fields) > 0 {
+		s.log.WithFields(fields).Info("Connections of callers were ended.")
+	}
+}
+
 // Close stops the server and closes all connections at once.
 func (s *Server) Close() error {
+	s.countAborted.Do(func() {
+		open, unread := s.conns.countUnread()
+		s.ends.ended(endAbort).Inc(int64(open))
+		s.ends.unread(endAbort).Inc(int64(unread))
+	})
 	err := s.http.Close()
 	if errors.Is(err, net.ErrClosed) {
 		return nil // Shutdown has closed the listener, and Serve has not returned yet
@@ -229,7 +298,7 @@
 func (s *Server) CloseIdle(now time.Time) {
 	s.offloader.closeIdleSince(now.Add(-offloadIdleTime))
 	if t := s.opts.View().Table; t != nil && t.Document.Limits.IdleTimeout > 0 {
-		s.conns.closeIdleSince(now.Add(-t.Document.Limits.IdleTimeout))
+		s.conns.endIdleSince(now.Add(-t.Document.Limits.IdleTimeout), endIdle)
 	}
 }
 
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -1,17 +1,22 @@
 package gateway
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"marigoldshunt/internal/netopt"
 )
 
-// headerListener accepts connections whose headers are bounded by timeout and whose requests
-// handleEarly may handle.
+// headerListener accepts connections whose headers are bounded by the routing document and whose
+// requests handleEarly may handle.
 type headerListener struct {
 	net.Listener
-	timeout     func() time.Duration
+	server      *Server
 	handleEarly earlyHandler
 }
 
@@ -19,7 +24,7 @@
 func (l headerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if t, ok := c.(*net.TCPConn); ok {
-		return &headerConn{TCPConn: t, timeout: l.timeout, handleEarly: l.handleEarly}, err
+		return &headerConn{TCPConn: t, server: l.server, handleEarly: l.handleEarly}, err
 	}
 	return c, err
 }
@@ -31,7 +36,7 @@
 // open connection only while nothing reads from it.
 type headerConn struct {
 	*net.TCPConn
-	timeout     func() time.Duration
+	server      *Server
 	handleEarly earlyHandler
 	state       http.ConnState
 	// bufferBytes is the size of the HTTP server's empty read buffer. A smaller buffer tells
@@ -40,55 +45,81 @@
 	// headerStart is when the first byte of a header was waited for on a new connection, or
 	// read on an idle one; zero if no header is being read.
 	headerStart time.Time
+	// begun is true once bytes of a request were read, until the HTTP server has its header.
+	begun bool
 	// limited is true while the read deadline is that of the header.
 	limited bool
 
-	// mu guards ending, which is true while the wait for another request is being ended, and
-	// orders the changes of the read deadline.
+	// mu guards ending, which is why the wait for another request is being ended, and orders the
+	// changes of the read deadline.
 	mu     sync.Mutex
-	ending bool
+	ending connEnd
+	// readDeadline is what SetReadDeadline was last called with.
+	readDeadline time.Time
 }
 
-// endIdle ends the wait for another request, or prevents it: the HTTP server reports an idle
+// endWait ends the wait for another request, or prevents it: the HTTP server reports an idle
 // connection before it clears the read deadline for that wait.
-func (c *headerConn) endIdle() {
+func (c *headerConn) endWait(reason connEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = true
+	if c.ending.refuses() {
+		return // a refusal may have begun
+	}
+	c.ending = reason
 	_ = c.TCPConn.SetReadDeadline(pastDeadline) // fails only if the connection is already closed
 }
 
-// resume keeps a connection that endIdle was called for, because a request has arrived.
+// resume keeps a connection that endWait was called for, because a request has arrived.
 func (c *headerConn) resume() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending {
-		c.ending = false
-		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails only if the connection is already closed
+	if c.ending != "" {
+		c.ending = ""
+		_ = c.TCPConn.SetReadDeadline(c.readDeadline) // fails only if the connection is already closed
 	}
 }
 
-// SetReadDeadline implements net.Conn.
+// endReason returns why the wait for a request is being ended, empty if it isn't.
+func (c *headerConn) endReason() connEnd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
+// SetReadDeadline implements net.Conn. While the wait for a request is being ended, the deadline
+// waits for resume.
 func (c *headerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending && t.IsZero() {
+	c.readDeadline = t
+	if c.ending != "" {
 		return nil
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// Read implements net.Conn. It hands no request to the HTTP server that is handled early.
+// Read implements net.Conn. It hands no request to the HTTP server that is handled early, or refused
+// because the connection ends.
 func (c *headerConn) Read(p []byte) (int, error) {
 	if c.bufferBytes == 0 {
 		c.bufferBytes = len(p)
 	}
 	for {
 		n, err := c.read(p)
-		atStart := len(p) == c.bufferBytes && (c.state == http.StateNew || c.state == http.StateIdle)
-		if n == 0 || err != nil || !atStart {
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endReason() != "" {
+			n, err = c.readAtEnd(p)
+		}
+		if err != nil {
 			return n, err
 		}
+		atStart := len(p) == c.bufferBytes && (c.state == http.StateNew || c.state == http.StateIdle)
+		if n == 0 {
+			continue // the rest of the head has not arrived yet
+		}
+		if !atStart {
+			return n, nil
+		}
 		handled, err := c.handleEarly(c, p[:n])
 		if err != nil {
 			return 0, err
@@ -99,13 +130,35 @@
 	}
 }
 
+// readAtEnd decides what becomes of a connection whose wait was ended. A read with a past deadline
+// takes nothing, so it looks for a request that has arrived; only without one does the connection
+// end at once. Without an error the connection goes on.
+func (c *headerConn) readAtEnd(p []byte) (n int, err error) {
+	reason := c.endReason()
+	if raw, ok := rawConn(c.TCPConn); ok {
+		n = netopt.ReadAvailable(raw, p)
+	}
+	begun := c.begun || n > 0
+	c.server.ends.count(reason, begun)
+	switch {
+	case !begun:
+		return 0, os.ErrDeadlineExceeded
+	case reason.refuses():
+		c.server.refuseAtEnd(c.TCPConn, reason, p, n)
+		return 0, io.EOF
+	}
+	c.server.conns.resume(c)
+	c.beginHeader(n)
+	return n, nil
+}
+
 // read reads within the limit for headers.
 func (c *headerConn) read(p []byte) (int, error) {
 	if c.state == http.StateNew && c.headerStart.IsZero() {
 		c.headerStart = time.Now()
 	}
 	if !c.headerStart.IsZero() {
-		if timeout := c.timeout(); timeout > 0 {
+		if timeout := c.server.headerTimeout(); timeout > 0 {
 			c.limited = true
 			if err := c.SetReadDeadline(c.headerStart.Add(timeout)); err != nil {
 				return 0, err
@@ -113,10 +166,19 @@
 		}
 	}
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && c.state == http.StateIdle && c.headerStart.IsZero() {
+	c.beginHeader(n)
+	return n, err
+}
+
+// beginHeader records that n bytes were read.
+func (c *headerConn) beginHeader(n int) {
+	if n == 0 || c.state != http.StateNew && c.state != http.StateIdle {
+		return
+	}
+	c.begun = true
+	if c.headerStart.IsZero() {
 		c.headerStart = time.Now()
 	}
-	return n, err
 }
 
 // stateChanged follows the state that the HTTP server reports.
@@ -124,7 +186,7 @@
 	if state == http.StateClosed {
 		return // a read may still be ending
 	}
-	c.state, c.headerStart = state, time.Time{}
+	c.state, c.headerStart, c.begun = state, time.Time{}, false
 	if c.limited {
 		c.limited = false
 		_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is already closed
