--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -31,9 +31,6 @@
 	// above what it can serve.
 	acceptBatch = 8
 	acceptPause = time.Millisecond
-	// maxWaiting is the number of connections that may wait to be accepted: what an overloaded host accepts
-	// in less time than its callers wait.
-	maxWaiting = 512
 )
 
 // The responses to the first request of a connection that is refused, by a host that stays and one that leaves. A
@@ -63,11 +60,6 @@
 }
 
 func newShedListener(ln net.Listener, s *Server, offloads bool) *shedListener {
-	if tcp, ok := ln.(*net.TCPListener); ok {
-		if err := netopt.SetBacklog(tcp, maxWaiting); err != nil {
-			s.log.WithError(err).Warn("Failed to bound the connections that wait to be accepted.")
-		}
-	}
 	return &shedListener{Listener: ln, server: s, offloads: offloads, pause: func() { time.Sleep(acceptPause) }, buf: make([]byte, refuseReadBytes)}
 }
 
