--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -140,27 +140,18 @@
 // Hosts returns the number of hosts that share fleet-wide limits.
 func (d *Dispatcher) Hosts() int { return d.hosts.Len() }
 
-// SetInstances replaces the list of instances.
+// SetInstances replaces the list of instances. One that is listed under several services is one
+// upstream of all of them.
 func (d *Dispatcher) SetInstances(list []catalog.Instance, now time.Time) {
 	old := d.instances
 	firstList := len(old) == 0
 	d.instances, d.byService = map[catalog.Key]*instance{}, map[string][]*instance{}
 	for _, i := range list {
-		x := old[i.Key()]
+		x := d.instances[i.Key()]
 		if x == nil {
-			x = newInstance(i, now)
-			if s := d.services[i.Service]; s != nil && !firstList && i.ColdFor == 0 {
-				// An instance that is new to this host counts as cold although the list does not
-				// say so, because the list may be older than its start. In the first list all
-				// instances are new, so that list is trusted.
-				x.coldUntil = now.Add(s.WarmUpTime)
-			}
+			x = d.listed(i, old[i.Key()], firstList, now)
+			d.instances[i.Key()] = x
 		}
-		x.Instance = i
-		if until := now.Add(i.ColdFor); i.ColdFor > 0 && until.After(x.coldUntil) {
-			x.coldUntil = until
-		}
-		d.instances[i.Key()] = x
 		d.byService[i.Service] = append(d.byService[i.Service], x)
 	}
 	for _, list := range d.byService {
@@ -168,6 +159,25 @@
 	}
 }
 
+// listed returns the view of a listed instance. before is that of the list before, nil if it is new.
+func (d *Dispatcher) listed(i catalog.Instance, before *instance, firstList bool, now time.Time) *instance {
+	x := before
+	if x == nil {
+		x = newInstance(i, now)
+		if s := d.services[i.Service]; s != nil && !firstList && i.ColdFor == 0 {
+			// An instance that is new to this host counts as cold although the list does not
+			// say so, because the list may be older than its start. In the first list all
+			// instances are new, so that list is trusted.
+			x.coldUntil = now.Add(s.WarmUpTime)
+		}
+	}
+	x.Instance = i
+	if until := now.Add(i.ColdFor); i.ColdFor > 0 && until.After(x.coldUntil) {
+		x.coldUntil = until
+	}
+	return x
+}
+
 // MarkReplaced records that another instance has taken the address of k.
 func (d *Dispatcher) MarkReplaced(k catalog.Key) {
 	if x := d.instances[k]; x != nil {
--- a/internal/dispatch/instance.go
+++ b/internal/dispatch/instance.go
@@ -92,6 +92,7 @@
 // place counts a job at the instance.
 func (x *instance) place(j *Job, preferred bool, now time.Time) *Placement {
 	p := &Placement{target: x, Instance: x.Instance, RateLimit: x.rateLimit, readingTokens: x.uncachedTokens(j, preferred, now)}
+	p.Instance.Service = j.Service // the upstream may serve others too
 	x.running++
 	x.readingTokens += p.readingTokens
 	x.sentSinceReport += p.readingTokens
