--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/netopt"
 )
 
 // Limits for a lingering close, used if the caller may still be sending. Closing a socket
@@ -31,6 +32,10 @@
 // tooManyConnections is the whole response on a connection above the limit.
 var tooManyConnections = rawRefusal(fault.New(fault.QueueFull, fault.NotRun, "too many connections").WithRetryAfter(time.Second))
 
+// connectionEnds is the whole response to a request that had arrived on an idle connection when that
+// was closed.
+var connectionEnds = rawRefusal(fault.New(fault.HostLeaving, fault.NotRun, "the connection ends").WithRetryAfter(time.Second))
+
 // rawRefusal encodes e as an HTTP response that ends its connection.
 func rawRefusal(e *fault.Error) []byte {
 	var resp fasthttp.Response
@@ -140,6 +145,15 @@
 	closeOnce sync.Once
 	// requestUnread is set if the response is sent before the whole request was read.
 	requestUnread bool
+	// idle is true while the HTTP server waits for another request.
+	idle atomic.Bool
+}
+
+// connStateChanged is the ConnState hook of the HTTP server.
+func connStateChanged(nc net.Conn, state fasthttp.ConnState) {
+	if c, ok := nc.(*callerConn); ok && state != fasthttp.StateClosed {
+		c.idle.Store(state == fasthttp.StateIdle)
+	}
 }
 
 // Write bounds the time of each write, so that a caller that stops reading does not keep
@@ -152,12 +166,18 @@
 }
 
 // Close closes the connection. If the request is not fully read, the connection lingers and
-// counts until that has ended.
+// counts until that has ended. A request that has arrived on an idle connection is refused: the HTTP
+// server closes those without a look at a shutdown and at the idle timeout.
 func (c *callerConn) Close() error {
 	c.closeOnce.Do(func() {
-		if c.requestUnread {
+		refused := c.idle.Load() && hasUnread(c.Conn)
+		if refused || c.requestUnread {
 			go func() {
 				defer c.listener.remove(c)
+				if refused {
+					_ = c.SetWriteDeadline(time.Now().Add(lingerTimeout))
+					_, _ = c.Conn.Write(connectionEnds) // if it fails, the caller is gone
+				}
 				linger(c.Conn)
 			}()
 			return
@@ -168,6 +188,20 @@
 	return nil
 }
 
+// hasUnread reports whether bytes have arrived on a connection that were not read.
+func hasUnread(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_, unread := netopt.CheckConn(raw)
+	return unread
+}
+
 // linger sends FIN after the response and discards, within limits, what the caller still
 // sends.
 func linger(nc net.Conn) {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -83,6 +83,7 @@
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
+		ConnState:                    connStateChanged,
 		// A limit of one byte makes the server pass on every body unread, so that credential
 		// and contract are checked first.
 		MaxRequestBodySize: 1,
