--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -14,6 +14,8 @@
 	"github.com/valyala/fasthttp"
 
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/netopt"
+	"marigoldshunt/internal/wait"
 )
 
 // Defaults of Options.
@@ -29,11 +31,15 @@
 // shutdownGrace limits the wait for cancelled requests to send their typed error.
 const shutdownGrace = 2 * time.Second
 
+// drainPollInterval is the interval at which Shutdown looks whether connections still wait to be accepted.
+const drainPollInterval = time.Millisecond
+
 // Server serves callers.
 type Server struct {
 	opts        Options
 	httpServer  *fasthttp.Server
 	listener    atomic.Pointer[listener]
+	draining    atomic.Pointer[netopt.DrainingListener]
 	credentials indexCache
 	running     atomic.Int64
 	stopping    atomic.Bool
@@ -102,6 +108,10 @@
 
 // Serve serves connections of ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
+	if d, ok := netopt.NewDrainingListener(ln); ok {
+		s.draining.Store(d)
+		ln = netopt.RetryAccept(d)
+	}
 	l := &listener{Listener: ln, maxConnections: s.opts.MaxConnections, writeTimeout: s.opts.WriteTimeout, open: map[*callerConn]struct{}{}, removed: make(chan struct{}, 1)}
 	s.listener.Store(l)
 	s.log.WithField("address", ln.Addr().String()).Info("Serving callers.")
@@ -113,6 +123,7 @@
 // error host_leaving.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
+	s.drain(ctx)
 	err := s.httpServer.ShutdownWithContext(ctx)
 	if err == nil || !errors.Is(err, ctx.Err()) {
 		return fault.Wrap(err, fault.Internal, "", "shut down")
@@ -126,6 +137,17 @@
 	return fault.Wrap(err, fault.Timeout, "", "running requests were ended early")
 }
 
+// drain accepts the connections that wait to be accepted, and closes the listener.
+func (s *Server) drain(ctx context.Context) {
+	d := s.draining.Load()
+	if d == nil {
+		return
+	}
+	d.Drain()
+	for !d.Drained() && wait.For(ctx, drainPollInterval) {
+	}
+}
+
 // Running returns the number of requests being served.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
--- a/internal/frontend/stop_test.go
+++ b/internal/frontend/stop_test.go
@@ -47,3 +47,28 @@
 	ts.Check(ts.server.Shutdown(context.Background()), qt.IsNil)
 	ts.Assert(ts.answered(conns), qt.Equals, stopCallers)
 }
+
+// Callers of a stopping host saw connections reset that waited in the queue of its listener.
+func TestRequestsInTheQueueAtAStopAreAnswered(t *testing.T) {
+	ts := startServer(t, Options{}, echo)
+	ts.Assert(ts.roundTrip(ts.dial(), healthRequest).StatusCode, qt.Equals, 200)
+	l := ts.server.listener.Load()
+	l.mu.Lock() // the listener accepts one connection and then waits
+	var conns []net.Conn
+	for range stopCallers {
+		nc := ts.dial()
+		ts.Assert(nc.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+		_, err := io.WriteString(nc, healthRequest)
+		ts.Assert(err, qt.IsNil)
+		conns = append(conns, nc)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- ts.server.Shutdown(context.Background()) }()
+	for !ts.server.stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(10 * time.Millisecond) // gives a server that closes its queue the time to do so
+	l.mu.Unlock()
+	ts.Assert(ts.answered(conns), qt.Equals, stopCallers)
+	ts.Check(<-stopped, qt.IsNil)
+}
--- a/internal/netopt/drain.go
+++ b/internal/netopt/drain.go
@@ -23,8 +23,12 @@
 	draining, closed atomic.Bool
 }
 
-// NewDrainingListener returns a DrainingListener that takes over ln. ok is false if ln is none of TCP.
+// NewDrainingListener returns a DrainingListener that takes over ln, without the retries of RetryAccept.
+// ok is false if ln is none of TCP.
 func NewDrainingListener(ln net.Listener) (l *DrainingListener, ok bool) {
+	if r, isRetry := ln.(retryListener); isRetry {
+		ln = r.Listener
+	}
 	tcp, ok := ln.(*net.TCPListener)
 	if !ok {
 		return nil, false
@@ -92,6 +96,8 @@
 
 // Close implements net.Listener. Connections that wait in the queue are reset.
 func (l *DrainingListener) Close() error {
-	l.closed.Store(true)
+	if l.closed.Swap(true) {
+		return nil
+	}
 	return l.TCPListener.Close()
 }
