--- a/internal/gateway/connectionends_test.go
+++ b/internal/gateway/connectionends_test.go
@@ -164,3 +164,25 @@
 	gw.Assert(string(answer), qt.Contains, `"run_state":"not_run"`)
 	gw.Assert(<-stopped, qt.IsNil)
 }
+
+// lateContext is one of a stop that is about to end and doesn't.
+type lateContext struct{ context.Context }
+
+func (lateContext) Deadline() (time.Time, bool) { return time.Now(), true }
+
+// Guards against a process that ends while it waits for the requests of connections that it refuses.
+func TestStopWaitsForConnectionsThatAreBeingRefused(t *testing.T) {
+	gw := newTestGateway(t, document())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gw.Assert(err, qt.IsNil)
+	defer ln.Close()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	gw.Assert(err, qt.IsNil)
+	defer caller.Close()
+	accepted, err := ln.Accept()
+	gw.Assert(err, qt.IsNil)
+	newShedListener(ln, gw.server, true).refuse(accepted)
+	gw.Assert(gw.server.Connections().Refusing, qt.Equals, 1)
+	gw.Assert(gw.server.Shutdown(lateContext{context.Background()}), qt.IsNil)
+	gw.Assert(gw.server.Connections().Refusing, qt.Equals, 0)
+}
