--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -245,7 +245,7 @@
 	s.stop()
 	s.waitForCallers(lateCtx)
 	s.conns.endAllWaits(endLate)
-	for s.Connections().Open > 0 || !s.drained() {
+	for n := s.Connections(); n.Open > 0 || n.Refusing > 0 || !s.drained(); n = s.Connections() {
 		if !wait.For(ctx, shutdownPollInterval) {
 			s.log.WithField("running", s.Running()).Warn("Running requests were aborted at shutdown.")
 			break
