--- a/internal/gateway/earlyrefusal_test.go
+++ b/internal/gateway/earlyrefusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math"
@@ -229,3 +230,19 @@
 		})
 	}
 }
+
+// Guards against the end of a connection that its last response did not announce, because the stop began after that.
+func TestRefusalBeforeAStopDoesNotEndTheConnectionUnannounced(t *testing.T) {
+	gw := newLimitedGateway(t, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))), quiet)
+	nc, err := net.Dial("tcp", gw.address)
+	gw.Assert(err, qt.IsNil)
+	defer nc.Close()
+	refused, br := rawRequest("POST", "k1", "r1", "", "body"), bufio.NewReader(nc)
+	resp, _ := exchange(gw.C, nc, br, refused[:len(refused)-1])
+	gw.Assert(resp.StatusCode, qt.Equals, 503)
+	gw.Assert(resp.Close, qt.IsFalse)
+	go func() { _ = gw.server.Shutdown(context.Background()) }()
+	<-gw.server.stopping.Done()
+	resp, _ = exchange(gw.C, nc, br, refused[len(refused)-1:]+rawRequest("POST", "k2", "r2", "", ""))
+	gw.Assert(resp.StatusCode, qt.Equals, 200)
+}
