--- a/internal/gateway/earlyrefusal.go
+++ b/internal/gateway/earlyrefusal.go
@@ -178,7 +178,7 @@
 
 // endIfClosing ends the connection after a response that has announced it.
 func (q *earlyRequest) endIfClosing() error {
-	if q.closing() {
+	if q.announcedClose {
 		return errEndConnection
 	}
 	return nil
@@ -193,7 +193,7 @@
 	if name := q.server.opts.HeaderNames.RequestID; name != "" && len(q.head.id) > 0 {
 		response = append(append(append(append(response, name...), ": "...), q.head.id...), crlf...)
 	}
-	if q.closing() {
+	if q.announcedClose = q.closing(); q.announcedClose {
 		response = append(response, connectionClose...)
 	}
 	response = append(append(response, crlf...), body...)
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -84,6 +84,8 @@
 	arrived time.Time
 	// waitedAt is the position of the digits of offloadWaitedHeader in the copy of the request.
 	waitedAt int
+	// announcedClose is true if the response of this host says that the connection ends after it.
+	announcedClose bool
 	// responded is true once bytes of a response were written to the caller.
 	responded bool
 }
