--- a/internal/netopt/drain.go
+++ b/internal/netopt/drain.go
@@ -21,6 +21,8 @@
 	// left is the number of connections that may be accepted since Drain.
 	left             int
 	draining, closed atomic.Bool
+	// queueLength returns the number of connections that wait to be accepted, 0 also if it is not known.
+	queueLength func(fd int) int
 }
 
 // NewDrainingListener returns a DrainingListener that takes over ln. ok is false if ln is none of TCP.
@@ -29,7 +31,7 @@
 	if !ok {
 		return nil, false
 	}
-	return &DrainingListener{TCPListener: tcp, left: -1}, true
+	return &DrainingListener{TCPListener: tcp, left: -1, queueLength: queueLength}, true
 }
 
 // Drain lets Accept close the listener once it has accepted the connections that wait. New ones are
@@ -59,7 +61,8 @@
 
 // prepareDrain reports whether one more connection is to be accepted.
 func (l *DrainingListener) prepareDrain() bool {
-	waiting := l.queueLength()
+	waiting := 0
+	l.control(func(fd int) { waiting = l.queueLength(fd) })
 	if l.left < 0 {
 		l.left = waiting + maxLateAccepts
 		l.shortenQueue()
@@ -68,14 +71,13 @@
 	return waiting > 0 && l.left >= 0 && l.SetDeadline(time.Time{}) == nil
 }
 
-// queueLength returns the number of connections that wait to be accepted.
-func (l *DrainingListener) queueLength() (n int) {
-	l.control(func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			n = int(info.Unacked) // of a listener: the length of its queue
-		}
-	})
-	return n
+// queueLength returns what Linux says of a listener's queue. Other kernels with its interface leave it out.
+func queueLength(fd int) int {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return int(info.Unacked) // of a listener: the length of its queue
 }
 
 // shortenQueue keeps new connections out of the queue, which keeps those that are in it.
--- a/internal/netopt/drain_test.go
+++ b/internal/netopt/drain_test.go
@@ -10,12 +10,22 @@
 
 // Guards against connections that are reset in the queue of a listener that stops, and against a drain that never ends.
 func TestDrainAcceptsWhatWaits(t *testing.T) {
+	testDrainAcceptsWhatWaits(t, queueLength)
+}
+
+// Guards against the same on a kernel that doesn't tell the length of a listener's queue.
+func TestDrainAcceptsWhatWaitsInAQueueOfUnknownLength(t *testing.T) {
+	testDrainAcceptsWhatWaits(t, func(int) int { return 0 })
+}
+
+func testDrainAcceptsWhatWaits(t *testing.T, queueLength func(fd int) int) {
 	c := qt.New(t)
 	const callers = 200
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	ln, ok := NewDrainingListener(tcp)
 	c.Assert(ok, qt.IsTrue)
+	ln.queueLength = queueLength
 	t.Cleanup(func() { ln.Close() })
 	for range callers {
 		nc, err := net.Dial("tcp", ln.Addr().String())
