--- a/internal/netopt/drain.go
+++ b/internal/netopt/drain.go
@@ -14,6 +14,10 @@
 // drain began: one enters the queue whenever it is empty.
 const maxLateAccepts = 64
 
+// unknownQueueLength bounds the connections that a listener accepts whose queue has an unknown length.
+// It is the usual limit of the kernel.
+const unknownQueueLength = 4096
+
 // DrainingListener is a TCP listener that can be closed without a reset of the connections that wait
 // in its queue.
 type DrainingListener struct {
@@ -61,14 +65,33 @@
 
 // prepareDrain reports whether one more connection is to be accepted.
 func (l *DrainingListener) prepareDrain() bool {
-	waiting := 0
-	l.control(func(fd int) { waiting = l.queueLength(fd) })
+	waiting := false
+	l.control(func(fd int) { waiting = acceptable(fd) })
 	if l.left < 0 {
-		l.left = waiting + maxLateAccepts
+		l.left = l.longestQueue() + maxLateAccepts
 		l.shortenQueue()
 	}
 	l.left--
-	return waiting > 0 && l.left >= 0 && l.SetDeadline(time.Time{}) == nil
+	return waiting && l.left >= 0 && l.SetDeadline(time.Time{}) == nil
+}
+
+// acceptable reports whether a connection waits to be accepted.
+func acceptable(fd int) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(p, 0)
+	for errors.Is(err, unix.EINTR) {
+		n, err = unix.Poll(p, 0)
+	}
+	return err == nil && n == 1 && p[0].Revents&unix.POLLIN != 0
+}
+
+// longestQueue bounds the number of connections that wait to be accepted.
+func (l *DrainingListener) longestQueue() (n int) {
+	l.control(func(fd int) { n = l.queueLength(fd) })
+	if n == 0 {
+		return unknownQueueLength
+	}
+	return n
 }
 
 // queueLength returns what Linux says of a listener's queue. Other kernels with its interface leave it out.
