--- a/internal/netopt/drain.go
+++ b/internal/netopt/drain.go
@@ -14,6 +14,10 @@
 // drain began: one enters the queue whenever it is empty.
 const maxLateAccepts = 64
 
+// unknownQueueLength bounds the connections that a listener accepts whose queue has an unknown length.
+// It is the usual limit of the kernel.
+const unknownQueueLength = 4096
+
 // DrainingListener is a TCP listener that can be closed without a reset of the connections that wait
 // in its queue.
 type DrainingListener struct {
@@ -21,6 +25,8 @@
 	// left is the number of connections that may be accepted since Drain.
 	left             int
 	draining, closed atomic.Bool
+	// queueLength returns the number of connections that wait to be accepted, 0 also if it is not known.
+	queueLength func(fd int) int
 }
 
 // NewDrainingListener returns a DrainingListener that takes over ln, without the retries of RetryAccept.
@@ -33,7 +39,7 @@
 	if !ok {
 		return nil, false
 	}
-	return &DrainingListener{TCPListener: tcp, left: -1}, true
+	return &DrainingListener{TCPListener: tcp, left: -1, queueLength: queueLength}, true
 }
 
 // Drain lets Accept close the listener once it has accepted the connections that wait. New ones are
@@ -63,25 +69,44 @@
 
 // prepareDrain reports whether one more connection is to be accepted.
 func (l *DrainingListener) prepareDrain() bool {
-	waiting := l.queueLength()
+	waiting := false
+	l.control(func(fd int) { waiting = acceptable(fd) })
 	if l.left < 0 {
-		l.left = waiting + maxLateAccepts
+		l.left = l.longestQueue() + maxLateAccepts
 		l.shortenQueue()
 	}
 	l.left--
-	return waiting > 0 && l.left >= 0 && l.SetDeadline(time.Time{}) == nil
+	return waiting && l.left >= 0 && l.SetDeadline(time.Time{}) == nil
 }
 
-// queueLength returns the number of connections that wait to be accepted.
-func (l *DrainingListener) queueLength() (n int) {
-	l.control(func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			n = int(info.Unacked) // of a listener: the length of its queue
-		}
-	})
+// acceptable reports whether a connection waits to be accepted.
+func acceptable(fd int) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(p, 0)
+	for errors.Is(err, unix.EINTR) {
+		n, err = unix.Poll(p, 0)
+	}
+	return err == nil && n == 1 && p[0].Revents&unix.POLLIN != 0
+}
+
+// longestQueue bounds the number of connections that wait to be accepted.
+func (l *DrainingListener) longestQueue() (n int) {
+	l.control(func(fd int) { n = l.queueLength(fd) })
+	if n == 0 {
+		return unknownQueueLength
+	}
 	return n
 }
 
+// queueLength returns what Linux says of a listener's queue. Other kernels with its interface leave it out.
+func queueLength(fd int) int {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return int(info.Unacked) // of a listener: the length of its queue
+}
+
 // shortenQueue keeps new connections out of the queue, which keeps those that are in it.
 func (l *DrainingListener) shortenQueue() {
 	l.control(func(fd int) { _ = unix.Listen(fd, 0) }) // fails only if the listener is closed
