--- a/internal/gateway/connectionends.go
+++ b/internal/gateway/connectionends.go
@@ -19,6 +19,8 @@
 const (
 	// endIdle ends a connection that was idle for longer than the routing document allows.
 	endIdle connEnd = "idle"
+	// endHeader ends a connection whose header did not arrive in time.
+	endHeader connEnd = "header"
 	// endRoom ends an idle connection to make room for a new one.
 	endRoom connEnd = "room"
 	// endStop ends an idle connection because the host stops.
@@ -29,7 +31,7 @@
 	endAbort connEnd = "abort"
 )
 
-var allConnEnds = []connEnd{endIdle, endRoom, endStop, endLate, endAbort}
+var allConnEnds = []connEnd{endIdle, endHeader, endRoom, endStop, endLate, endAbort}
 
 // refuses reports whether a request that has arrived on the connection is refused as not run. For the
 // other reasons it is served.
--- a/internal/gateway/connectionends_test.go
+++ b/internal/gateway/connectionends_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -164,3 +165,30 @@
 	gw.Assert(string(answer), qt.Contains, `"run_state":"not_run"`)
 	gw.Assert(<-stopped, qt.IsNil)
 }
+
+// Callers saw requests cut at the limit for headers although these had arrived whole before a busy host read them.
+func TestHeaderThatHasArrivedIsReadAfterItsLimit(t *testing.T) {
+	gw := newTestGateway(t, document())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gw.Assert(err, qt.IsNil)
+	defer ln.Close()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	gw.Assert(err, qt.IsNil)
+	defer caller.Close()
+	nc, err := ln.Accept()
+	gw.Assert(err, qt.IsNil)
+	defer nc.Close()
+	notEarly := func(*headerConn, []byte) (bool, error) { return false, nil }
+	c := &headerConn{TCPConn: nc.(*net.TCPConn), server: gw.server, handleEarly: notEarly, headerStart: time.Now()}
+	gw.Assert(c.SetReadDeadline(pastDeadline), qt.IsNil)
+	fmt.Fprint(caller, plainRequest)
+	for end := time.Now().Add(testTimeout); !hasUnread(c); time.Sleep(time.Millisecond) {
+		gw.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	p := make([]byte, 4<<10)
+	n, err := c.Read(p)
+	gw.Assert(err, qt.IsNil)
+	gw.Assert(string(p[:n]), qt.Equals, plainRequest)
+	_, err = c.Read(p[n:])
+	gw.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+}
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -107,7 +107,7 @@
 	}
 	for {
 		n, err := c.read(p)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endReason() != "" {
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			n, err = c.readAtEnd(p)
 		}
 		if err != nil {
@@ -130,11 +130,14 @@
 	}
 }
 
-// readAtEnd decides what becomes of a connection whose wait was ended. A read with a past deadline
-// takes nothing, so it looks for a request that has arrived; only without one does the connection
-// end at once. Without an error the connection goes on.
+// readAtEnd decides what becomes of a connection whose wait was ended, or whose header reached its
+// limit. A read with a past deadline takes nothing, so it looks for a request that has arrived; only
+// without one does the connection end at once. Without an error the connection goes on.
 func (c *headerConn) readAtEnd(p []byte) (n int, err error) {
 	reason := c.endReason()
+	if reason == "" {
+		return c.readAtHeaderLimit(p)
+	}
 	if raw, ok := rawConn(c.TCPConn); ok {
 		n = netopt.ReadAvailable(raw, p)
 	}
@@ -152,6 +155,22 @@
 	return n, nil
 }
 
+// readAtHeaderLimit reads what has arrived of a header before its limit. Nothing is read of a body.
+func (c *headerConn) readAtHeaderLimit(p []byte) (n int, err error) {
+	if c.headerStart.IsZero() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if raw, ok := rawConn(c.TCPConn); ok {
+		n = netopt.ReadAvailable(raw, p)
+	}
+	c.server.ends.count(endHeader, n > 0)
+	if n == 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	c.beginHeader(n)
+	return n, nil
+}
+
 // read reads within the limit for headers.
 func (c *headerConn) read(p []byte) (int, error) {
 	if c.state == http.StateNew && c.headerStart.IsZero() {
