--- a/internal/gateway/connectionends_test.go
+++ b/internal/gateway/connectionends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 )
 
 // heldConn is a connection of a caller whose goroutine at the host gets no CPU time from a state on,
@@ -78,21 +80,21 @@
 		begin, rest string
 		status      int
 		closes      bool
-		leaving     bool
+		reason      connEnd
 	}{
-		{"idle time", closeAllIdle, plainRequest, "", 200, false, false},
-		{"room", room, plainRequest, "", 503, true, false},
-		{"stop", stop, plainRequest, "", 200, true, true},
-		{"idle time, half a head", closeAllIdle, plainRequest[:9], plainRequest[9:], 200, false, false},
-		{"stop, half a head", stop, plainRequest[:9], plainRequest[9:], 200, true, true},
-		{"room, half a head", room, plainRequest[:9], plainRequest[9:], 503, true, false},
-		{"room, two requests", room, plainRequest + plainRequest, "", 503, true, false},
-		{"room, a body that arrives later", room, "POST /order/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", "ok", 503, true, false},
+		{"idle time", closeAllIdle, plainRequest, "", 200, false, endIdle},
+		{"room", room, plainRequest, "", 503, true, endRoom},
+		{"stop", stop, plainRequest, "", 200, true, endStop},
+		{"idle time, half a head", closeAllIdle, plainRequest[:9], plainRequest[9:], 200, false, endIdle},
+		{"stop, half a head", stop, plainRequest[:9], plainRequest[9:], 200, true, endStop},
+		{"room, half a head", room, plainRequest[:9], plainRequest[9:], 503, true, endRoom},
+		{"room, two requests", room, plainRequest + plainRequest, "", 503, true, endRoom},
+		{"room, a body that arrives later", room, "POST /order/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", "ok", 503, true, endRoom},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			gw := newTestGatewayWith(t, document(), func(opts *Options) { opts.MaxConnections = 1 }, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))))
 			h := gw.hold(http.StateIdle, plainRequest)
-			gw.setView(func(v *View) { v.Leaving = tc.leaving })
+			gw.setView(func(v *View) { v.Leaving = tc.reason == endStop })
 			br := bufio.NewReader(h)
 			read := func() *http.Response {
 				resp, err := http.ReadResponse(br, nil)
@@ -104,6 +106,7 @@
 			h.sendUnread(gw.C, tc.begin)
 			tc.end(h.server)
 			h.waitForClosing(gw.C)
+			unread := h.server.ends.unread(tc.reason)
 			h.release()
 			_, err := io.WriteString(h, tc.rest)
 			gw.Assert(err, qt.IsNil)
@@ -112,6 +115,7 @@
 			gw.Assert(resp.StatusCode, qt.Equals, tc.status)
 			gw.Assert(resp.Close, qt.Equals, tc.closes)
 			gw.Assert(resp.Header.Get("Retry-After") != "", qt.Equals, tc.status == 503)
+			gw.Assert(unread.Count(), qt.Equals, int64(1))
 			if tc.closes {
 				_, err := br.ReadByte()
 				gw.Assert(err, qt.Equals, io.EOF)
@@ -151,7 +155,12 @@
 
 // Callers saw connections reset at the end of a stop whose requests a busy host had not begun to read.
 func TestRequestThatNobodyReadIsRefusedAtTheEndOfAStop(t *testing.T) {
-	gw := newTestGateway(t, document())
+	var logged bytes.Buffer
+	gw := newTestGatewayWith(t, document(), func(opts *Options) {
+		log := logrus.New()
+		log.SetOutput(&logged)
+		opts.Log = log
+	})
 	h := gw.hold(http.StateNew, plainRequest)
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
@@ -164,6 +173,7 @@
 	gw.Assert(string(answer), qt.Contains, "HTTP/1.1 503 ")
 	gw.Assert(string(answer), qt.Contains, `"run_state":"not_run"`)
 	gw.Assert(<-stopped, qt.IsNil)
+	gw.Assert(logged.String(), qt.Contains, "late=1 late_unread=1")
 }
 
 // Callers saw requests cut at the limit for headers although these had arrived whole before a busy host read them.
