--- a/internal/gateway/connectionends_test.go
+++ b/internal/gateway/connectionends_test.go
@@ -165,6 +165,21 @@
 	gw.Assert(<-stopped, qt.IsNil)
 }
 
+// Guards against callers that keep a connection for ever with half a head, because the idle limit ended their wait.
+func TestHeadThatTheIdleLimitMetIsStillBounded(t *testing.T) {
+	gw := newTestGatewayWith(t, document(), func(opts *Options) { opts.ReadHeaderTimeout = 200 * time.Millisecond }, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))))
+	h := gw.hold(http.StateIdle, plainRequest)
+	h.sendUnread(gw.C, plainRequest[:9])
+	h.release()
+	for hasUnread := 1; hasUnread > 0; time.Sleep(time.Millisecond) {
+		_, hasUnread = h.server.conns.countUnread()
+	}
+	closeAllIdle(h.server)
+	gw.Assert(h.SetReadDeadline(time.Now().Add(testTimeout)), qt.IsNil)
+	_, err := io.Copy(io.Discard, h)
+	gw.Assert(err, qt.IsNil)
+}
+
 // lateContext is one of a stop that is about to end and doesn't.
 type lateContext struct{ context.Context }
 
