--- a/internal/dispatch/resumed_test.go
+++ b/internal/dispatch/resumed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -130,3 +131,34 @@
 		c.Check(fault.As(err).RetryAfter == 0, qt.Equals, test.code == fault.StreamVersionGone, qt.Commentf("%s", test.name))
 	}
 }
+
+// Guards against an account that is served over twice as much as others because all its callers claim to resume streams.
+func TestAccountThatClaimsToResumeStreamsStarvesNoOther(t *testing.T) {
+	const accounts, tokens, step, settled, end = 5, 1_000, 100 * time.Millisecond, 100, 160
+	c := qt.New(t)
+	d := newBusyEngines().host
+	d.shares.configuredCapacity = 100_000
+	served := map[string]int{}
+	for n := range end {
+		now, byRank := at(0).Add(time.Duration(n)*step), map[Rank][]*Job{}
+		for i := range 10 * accounts * 6 {
+			j := &Job{Account: "claims", InputTokens: tokens, Resumed: true}
+			if i%10 == 0 {
+				j.Account, j.Resumed = fmt.Sprint("honest", i/10%accounts), false
+			}
+			d.RecordDemand(j, now)
+			byRank[j.Rank] = append(byRank[j.Rank], j)
+		}
+		for i, j := range slices.Concat(byRank[WithinConfiguredShare], byRank[WithinCurrentShare], byRank[BeyondShare]) {
+			switch {
+			case i >= 100_000*int(step)/int(time.Second)/tokens:
+				d.RecordRefusal(j, now)
+			case n >= settled:
+				served[j.Account] += tokens
+			}
+		}
+	}
+	for i := range accounts {
+		c.Check(2*served[fmt.Sprint("honest", i)] >= served["claims"], qt.IsTrue, qt.Commentf("%v", served))
+	}
+}
