--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -71,7 +71,9 @@
 	levels [2]float64
 }
 
-type localRates struct{ demand, served decayingRate }
+// localRates are the rates of an account at this host. raised is that of the tokens of its resumed
+// streams that rank higher than new ones would.
+type localRates struct{ demand, served, raised decayingRate }
 
 type decayingRate struct {
 	perSecond float64
@@ -127,19 +129,34 @@
 	return BeyondShare
 }
 
-// resumedShareFactor times its share of the current capacity is what an account may be served before
-// its resumed streams rank like new ones, so that nobody gets much more by resuming than others do.
-const resumedShareFactor = 2
+// Bounds of what callers gain by resuming streams, because nobody checks that they do.
+const (
+	// resumedShareFactor times its share of the current capacity is what an account may be served
+	// before its resumed streams rank like new ones.
+	resumedShareFactor = 2
+	// raisedFraction of that share is how much of its resumed streams may rank higher than new ones.
+	raisedFraction = 0.5
+)
 
 // RecordResumedDemand is RecordDemand for a stream that the caller resumes. It was within its account's
 // share when it began, and what its caller has of it is lost if it can't go on. It therefore ranks
 // highest, within bounds.
 func (s *FairShares) RecordResumedDemand(account string, tokens float64, now time.Time) Rank {
 	rank := s.RecordDemand(account, tokens, now)
-	if _, served := s.rates(account, now); served < s.levels[WithinCurrentShare]*resumedShareFactor {
-		return WithinConfiguredShare
+	if rank == WithinConfiguredShare || !s.mayRaise(account, now) {
+		return rank
 	}
-	return rank
+	s.local[account].raised.add(tokens, now)
+	return WithinConfiguredShare
+}
+
+// mayRaise reports whether a resumed stream of an account may rank highest. Hosts divide what all of
+// them may raise like the account divides its demand.
+func (s *FairShares) mayRaise(account string, now time.Time) bool {
+	demand, served := s.rates(account, now)
+	a, share := s.local[account], s.levels[WithinCurrentShare]
+	a.raised.decay(now)
+	return served < share*resumedShareFactor && a.raised.perSecond*demand < share*raisedFraction*a.demand.perSecond
 }
 
 // starvedFraction is the fraction of its demand below which an account that demands no more
