--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"marigoldshunt/internal/fault"
+	"marigoldshunt/internal/netopt"
 )
 
 // Limits for a lingering close, used if the caller may still be sending. Closing a socket
@@ -31,6 +32,9 @@
 // tooManyConnections is the whole response on a connection above the limit.
 var tooManyConnections = rawRefusal(fault.New(fault.QueueFull, fault.NotRun, "too many connections").WithRetryAfter(time.Second))
 
+// hostStopping is the whole response to a request that has arrived on a connection that a stop ends.
+var hostStopping = rawRefusal(fault.New(fault.HostLeaving, fault.NotRun, "host is stopping").WithRetryAfter(retryElsewhereDelay))
+
 // rawRefusal encodes e as an HTTP response that ends its connection.
 func rawRefusal(e *fault.Error) []byte {
 	var resp fasthttp.Response
@@ -52,6 +56,8 @@
 	// removed signals that a connection was removed.
 	removed   chan struct{}
 	lingering atomic.Int64
+	// stopping is true once the server stops.
+	stopping atomic.Bool
 }
 
 // Accept returns the next connection within the limit. Connections above the limit get a
@@ -140,6 +146,15 @@
 	closeOnce sync.Once
 	// requestUnread is set if the response is sent before the whole request was read.
 	requestUnread bool
+	// idle is true while no request has been read that has no response yet.
+	idle atomic.Bool
+}
+
+// connStateChanged is the ConnState hook of the HTTP server.
+func connStateChanged(nc net.Conn, state fasthttp.ConnState) {
+	if c, ok := nc.(*callerConn); ok {
+		c.idle.Store(state == fasthttp.StateNew || state == fasthttp.StateIdle)
+	}
 }
 
 // Write bounds the time of each write, so that a caller that stops reading does not keep
@@ -152,12 +167,16 @@
 }
 
 // Close closes the connection. If the request is not fully read, the connection lingers and
-// counts until that has ended.
+// counts until that has ended. A request that a stop has kept the server from reading is refused.
 func (c *callerConn) Close() error {
 	c.closeOnce.Do(func() {
-		if c.requestUnread {
+		refused := c.idle.Load() && c.listener.stopping.Load() && hasUnread(c.Conn)
+		if c.requestUnread || refused {
 			go func() {
 				defer c.listener.remove(c)
+				if refused {
+					_, _ = c.Write(hostStopping) // if it fails, nobody waits for it
+				}
 				linger(c.Conn)
 			}()
 			return
@@ -168,6 +187,20 @@
 	return nil
 }
 
+// hasUnread reports whether bytes wait to be read.
+func hasUnread(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_, unread := netopt.CheckConn(raw)
+	return unread
+}
+
 // linger sends FIN after the response and discards, within limits, what the caller still
 // sends.
 func linger(nc net.Conn) {
--- a/internal/frontend/conn_test.go
+++ b/internal/frontend/conn_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,12 +39,12 @@
 // heldConn is a connection whose goroutine gets no CPU time to read a second request until release.
 type heldConn struct {
 	*net.TCPConn
-	reads   int
+	reads   atomic.Int32
 	release chan struct{}
 }
 
 func (c *heldConn) Read(p []byte) (int, error) {
-	if c.reads++; c.reads > 1 {
+	if c.reads.Add(1) == 2 {
 		<-c.release
 	}
 	return c.TCPConn.Read(p)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -73,6 +73,7 @@
 	s.httpServer = &fasthttp.Server{
 		Handler:      s.handle,
 		ErrorHandler: badRequest,
+		ConnState:    connStateChanged,
 		Name:         "marigoldshunt",
 		// The listener limits the connections. A lower limit here would refuse connections
 		// without a typed error.
@@ -112,7 +113,13 @@
 // error host_leaving.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
+	if l := s.listener.Load(); l != nil {
+		l.stopping.Store(true)
+	}
 	err := s.httpServer.ShutdownWithContext(ctx)
+	if l := s.listener.Load(); l != nil && err == nil {
+		l.waitEmpty(lingerTimeout) // refusals are still being written
+	}
 	if err == nil || !errors.Is(err, ctx.Err()) {
 		return fault.Wrap(err, fault.Internal, "", "shut down")
 	}
