--- a/internal/daemon/edge.go
+++ b/internal/daemon/edge.go
@@ -202,7 +202,7 @@
 	g.Go(func() error {
 		return runEvery(ctx, gateway.ReportInterval, func(now time.Time) {
 			e.gateway.ReportAccounts(now)
-			e.gateway.ReportStreams(now)
+			e.gateway.ReportStreams()
 		})
 	})
 	g.Go(func() error {
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -135,8 +135,9 @@
 // share when it began, and what its caller has of it is lost if it can't go on. It therefore ranks
 // highest, within bounds.
 func (s *FairShares) RecordResumedDemand(account string, tokens float64, now time.Time) Rank {
+	_, served := s.rates(account, now)
 	rank := s.RecordDemand(account, tokens, now)
-	if _, served := s.rates(account, now); served < s.levels[WithinCurrentShare]*resumedShareFactor {
+	if served < s.levels[WithinCurrentShare]*resumedShareFactor {
 		return WithinConfiguredShare
 	}
 	return rank
--- a/internal/gateway/streamcounts.go
+++ b/internal/gateway/streamcounts.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -10,6 +9,9 @@
 	"marigoldshunt/internal/logsink"
 )
 
+// causeNoEvent is that of a resumed stream whose upstream answered without an event.
+const causeNoEvent = "no_event"
+
 // streamTally counts requests for resumable streams, and those whose callers got an event.
 type streamTally struct{ asked, begun int }
 
@@ -64,7 +66,7 @@
 	if resumed {
 		name = "streams_resumed"
 	}
-	cause := ""
+	cause := causeNoEvent
 	if err != nil {
 		cause = refusalCause(fault.As(err), &q.gate)
 	}
@@ -81,7 +83,7 @@
 
 // ReportStreams logs, for the time since the last call, how many of the streams that callers resumed
 // went on and how many new ones began, if callers resumed any.
-func (s *Server) ReportStreams(time.Time) {
+func (s *Server) ReportStreams() {
 	created, resumed, refused := s.streamCounts.take()
 	if resumed.asked == 0 || logsink.Drops(s.log, logrus.InfoLevel) {
 		return
