--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -142,18 +142,19 @@
 // share when it began, and what its caller has of it is lost if it can't go on. It therefore ranks
 // highest, within bounds.
 func (s *FairShares) RecordResumedDemand(account string, tokens float64, now time.Time) Rank {
+	_, served := s.rates(account, now) // without the request itself, as for new streams
 	rank := s.RecordDemand(account, tokens, now)
-	if rank == WithinConfiguredShare || !s.mayRaise(account, now) {
+	if rank == WithinConfiguredShare || !s.mayRaise(account, served, now) {
 		return rank
 	}
 	s.local[account].raised.add(tokens, now)
 	return WithinConfiguredShare
 }
 
-// mayRaise reports whether a resumed stream of an account may rank highest. Hosts divide what all of
-// them may raise like the account divides its demand.
-func (s *FairShares) mayRaise(account string, now time.Time) bool {
-	demand, served := s.rates(account, now)
+// mayRaise reports whether a resumed stream of an account that is served so many tokens per second may
+// rank highest. Hosts divide what all of them may raise like the account divides its demand.
+func (s *FairShares) mayRaise(account string, served float64, now time.Time) bool {
+	demand, _ := s.rates(account, now)
 	a, share := s.local[account], s.levels[WithinCurrentShare]
 	a.raised.decay(now)
 	return served < share*resumedShareFactor && a.raised.perSecond*demand < share*raisedFraction*a.demand.perSecond
