--- a/internal/loadgen/resume.go
+++ b/internal/loadgen/resume.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"marigoldshunt/internal/fault"
 	"marigoldshunt/internal/wait"
 )
 
@@ -59,12 +60,22 @@
 // minTryDelay is the pause between two tries of a caller whose refusal names none.
 const minTryDelay = 100 * time.Millisecond
 
+// maxTries bounds the requests of one resumption, also while no host serves.
+const maxTries = 100
+
+// reachedFleet reports whether a host answered that has a valid configuration.
+func (t *StreamTry) reachedFleet() bool {
+	cause := t.FailureCause()
+	return cause != CauseNoConnection && cause != string(fault.HostIsolated)
+}
+
 // maxResumptions bounds how often one stream is resumed.
 const maxResumptions = 10
 
 // FollowStream requests a stream and resumes it after each break of its connection until it is
 // complete. It makes at most tries requests to begin the stream, and as many for each resumption, with
-// the pause that the host names. It passes each try to record. timeout bounds each try.
+// the pause that the host names. Those that find no host that serves don't count, so that callers come
+// back after the hosts. It passes each try to record. timeout bounds each try.
 func (c *RoutedCaller) FollowStream(ctx context.Context, q RoutedRequest, tries int, timeout time.Duration, record func(StreamTry)) {
 	first, received := q.ID, 0
 	for resumption := 0; resumption <= maxResumptions; resumption++ {
@@ -84,13 +95,16 @@
 // tryStream sends a request until it succeeds or no try is left, and returns the last try.
 func (c *RoutedCaller) tryStream(ctx context.Context, q RoutedRequest, resumption, tries int, timeout time.Duration, record func(StreamTry)) (t StreamTry) {
 	id := q.ID
-	for n := range tries {
+	for n := 0; ; n++ {
 		if resumption > 0 || n > 0 {
 			q.ID = fmt.Sprintf("%s.%d.%d", id, resumption, n)
 		}
 		t = StreamTry{Resumption: resumption}
 		t.RoutedResult = c.tryOnce(ctx, q, timeout)
-		t.Last = n == tries-1 || t.Succeeded() || t.Fault != "" || ctx.Err() != nil
+		if t.reachedFleet() {
+			tries--
+		}
+		t.Last = tries <= 0 || n == maxTries || t.Succeeded() || t.Fault != "" || ctx.Err() != nil
 		record(t)
 		if t.Last {
 			break
--- a/internal/loadgen/routedrun.go
+++ b/internal/loadgen/routedrun.go
@@ -36,7 +36,8 @@
 	SharedTokens, OwnTokens, Prefixes int
 	OutputTokens, TokensPerEvent      int
 	// Tries is the number of requests that a caller makes at most to begin a stream, and as many for each
-	// time that it resumes the stream after a broken connection. With 0 it makes one and resumes nothing.
+	// time that it resumes the stream after a broken connection; those that find no host that serves
+	// don't count. With 0 it makes one and resumes nothing.
 	Tries int
 	Seed  int64
 }
--- a/internal/loadgen/streamshares.go
+++ b/internal/loadgen/streamshares.go
@@ -38,10 +38,10 @@
 	return float64(n.Served) / float64(n.Asked)
 }
 
-// Bounds of resumed streams: from minResumed of them on, at least minResumedShare times the share of the
+// Bounds of resumed streams: from MinResumed of them on, at least minResumedShare times the share of the
 // new streams that begin must go on.
 const (
-	minResumed      = 12
+	MinResumed      = 12
 	minResumedShare = 0.5
 )
 
@@ -105,5 +105,5 @@
 // ResumedTooRarely reports whether far fewer of the resumed streams go on than of the new ones begin.
 func (s *StreamShares) ResumedTooRarely() bool {
 	n := &s.Total
-	return n.Resumed.Asked >= minResumed && n.Resumed.share() < minResumedShare*n.New.share()
+	return n.Resumed.Asked >= MinResumed && n.Resumed.share() < minResumedShare*n.New.share()
 }
