--- a/internal/netopt/received.go
+++ b/internal/netopt/received.go
@@ -33,6 +33,16 @@
 	}
 	return Received{
 		Ago:   time.Duration(info.Last_data_recv) * time.Millisecond,
-		Ended: info.State != unix.BPF_TCP_ESTABLISHED,
+		Ended: hasEnded(info.State),
 	}, nil
 }
+
+// hasEnded reports whether a connection in a state of TCP receives nothing any more. It names these states, because a
+// kernel that tells no state leaves 0.
+func hasEnded(state uint8) bool {
+	switch state {
+	case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_CLOSING, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_TIME_WAIT:
+		return true
+	}
+	return false
+}
--- a/internal/netopt/received_test.go
+++ b/internal/netopt/received_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 )
 
 // Guards against a caller that has closed its connection and counts as waiting because its request is unread.
@@ -36,3 +37,12 @@
 	_, err = LastReceived(raw)
 	c.Assert(err, qt.IsNotNil)
 }
+
+// Guards against a busy host that drops every new connection where the kernel doesn't tell the state of TCP.
+func TestUnknownStateOfAConnectionIsNotItsEnd(t *testing.T) {
+	c := qt.New(t)
+	c.Check(hasEnded(0), qt.IsFalse)
+	c.Check(hasEnded(unix.BPF_TCP_ESTABLISHED), qt.IsFalse)
+	c.Check(hasEnded(unix.BPF_TCP_CLOSE_WAIT), qt.IsTrue)
+	c.Check(hasEnded(unix.BPF_TCP_CLOSE), qt.IsTrue)
+}
