--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -31,9 +31,6 @@
 	// above what it can serve.
 	acceptBatch = 8
 	acceptPause = time.Millisecond
-	// dropsPerAccept is the number of connections that are dropped unread for each one that counts for
-	// acceptBatch: callers that still wait come behind them.
-	dropsPerAccept = 4
 )
 
 // The responses to the first request of a connection that is refused, by a host that stays and one that leaves. A
@@ -55,9 +52,9 @@
 	server *Server
 	// offloads is true if requests may be passed on to other hosts.
 	offloads bool
-	// accepted counts the connections since the last pause, dropped all that were dropped unread.
-	accepted, dropped int
-	pause             func()
+	// accepted counts the connections since the last pause.
+	accepted int
+	pause    func()
 	// buf receives the requests that are refused by Accept itself.
 	buf []byte
 }
@@ -76,7 +73,8 @@
 		}
 		received := l.received(c)
 		if received.Ended {
-			l.drop(c)
+			l.server.count("shed_abandoned")
+			_ = c.Close() // nobody waits for a response
 			continue
 		}
 		if !l.refuses(c) {
@@ -102,15 +100,6 @@
 	return received
 }
 
-// drop closes a connection that its caller has given up.
-func (l *shedListener) drop(c net.Conn) {
-	l.server.count("shed_abandoned")
-	_ = c.Close() // nobody waits for a response
-	if l.dropped++; l.dropped%dropsPerAccept != 0 {
-		l.accepted--
-	}
-}
-
 // countRefused counts a connection that is refused.
 func (l *shedListener) countRefused(received netopt.Received) {
 	l.server.count("shed")
