--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -302,3 +302,14 @@
 		}
 	}
 }
+
+// Guards against hosts that are lost with most of their streams unrecorded, and against a flood of changes at the leader.
+func TestFewerThanHalfOfShortStreamsAreUnrecorded(t *testing.T) {
+	c := qt.New(t)
+	const shortStream, changesPerSecond = time.Second, 1_000
+	for _, hosts := range []int{12, 96, 300} {
+		window := streamWindow(hosts)
+		c.Check(window < shortStream/2, qt.IsTrue, qt.Commentf("%d hosts: %s", hosts, window))
+		c.Check(float64(hosts)/window.Seconds() <= changesPerSecond, qt.IsTrue, qt.Commentf("%d hosts: %s", hosts, window))
+	}
+}
