--- a/internal/gateway/streamtracker.go
+++ b/internal/gateway/streamtracker.go
@@ -29,9 +29,9 @@
 	// questionWindow is the time in which a host collects questions.
 	questionWindow = 20 * time.Millisecond
 	// windowPerHost times the number of hosts is the time in which a host collects beginnings, so
-	// that a large fleet sends no more changes than a small one. A stream that is lost with its
-	// host in that time can't be resumed, hence maxStreamWindow.
-	windowPerHost   = 6 * time.Millisecond
+	// that the leader gets at most 1,000 changes a second. A stream that is lost with its host in
+	// that time can't be resumed, hence maxStreamWindow.
+	windowPerHost   = time.Millisecond
 	maxStreamWindow = 500 * time.Millisecond
 	// streamStoreTimeout bounds one change.
 	streamStoreTimeout = 2 * time.Second
