--- a/internal/gateway/connectionends.go
+++ b/internal/gateway/connectionends.go
@@ -3,14 +3,10 @@
 import (
 	"io"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
-
-	"marigoldshunt/internal/fault"
-	"marigoldshunt/internal/netopt"
 )
 
 // connEnd is why the host ends a connection that waits for a request; empty if it doesn't.
@@ -39,42 +35,17 @@
 
 // refuseAtEnd refuses the request of a connection that ends. The first n bytes of buf are what was read
 // last. The HTTP server would spend more CPU time on it, and a host that needs the room has none to spare.
-func (s *Server) refuseAtEnd(c *net.TCPConn, reason connEnd, buf []byte, n int) {
+func (s *Server) refuseAtEnd(c *net.TCPConn, buf []byte, n int) {
 	s.loads.refuseConnection()
 	raw, ok := rawConn(c)
 	whole := ok && s.readAvailableRest(raw, buf, n)
-	if c.SetDeadline(time.Now().Add(refuseTimeout)) != nil {
-		return
-	}
-	if _, err := io.WriteString(c, reason.refusal()); err != nil {
+	if c.SetDeadline(time.Now().Add(refuseTimeout)) != nil || !s.writeRefusal(c, buf) || whole {
 		return
 	}
-	if !whole {
-		_ = c.CloseWrite() // fails only if the connection is already closed, and then so does the read
-		_, _ = io.Copy(io.Discard, c)
-		return
-	}
-	for range maxDrainReads {
-		if netopt.ReadAvailable(raw, buf) == 0 {
-			return
-		}
-	}
-}
-
-// refusal returns the response to a request that is refused for this reason.
-func (e connEnd) refusal() string {
-	if e == endLate {
-		return leavingResponse
-	}
-	return shedResponse
+	_ = c.CloseWrite() // fails only if the connection is already closed, and then so does the read
+	_, _ = io.Copy(io.Discard, c)
 }
 
-var (
-	leavingBody = failureBody(fault.HostLeaving, fault.NotRun)
-	// leavingResponse is a 503, which guarantees that the request was not run.
-	leavingResponse = failureHead(http.StatusServiceUnavailable, shortRetryAfter, len(leavingBody)) + "Connection: close\r\n\r\n" + leavingBody
-)
-
 // connectionEnds counts the waits for requests that were ended, by reason, and those of them at whose
 // end bytes of a request had arrived.
 type connectionEnds struct{ registry metrics.Registry }
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -147,7 +147,7 @@
 	case !begun:
 		return 0, os.ErrDeadlineExceeded
 	case reason.refuses():
-		c.server.refuseAtEnd(c.TCPConn, reason, p, n)
+		c.server.refuseAtEnd(c.TCPConn, p, n)
 		return 0, io.EOF
 	}
 	c.server.conns.resume(c)
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -306,7 +306,7 @@
 // the socket buffer, so writing it does not wait.
 func (s *Server) writeRefusal(c net.Conn, buf []byte) bool {
 	response := shedResponse
-	if s.opts.View().Leaving {
+	if s.opts.View().Leaving || s.stopping.Err() != nil {
 		response = leavingShedResponse
 	}
 	if _, err := io.WriteString(c, response); err != nil {
