--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -170,7 +170,7 @@
 // server closes those without a look at a shutdown and at the idle timeout.
 func (c *callerConn) Close() error {
 	c.closeOnce.Do(func() {
-		refused := c.idle.Load() && hasUnread(c.Conn)
+		refused := c.idle.Load() && netopt.HasUnread(c.Conn)
 		if refused || c.requestUnread {
 			go func() {
 				defer c.listener.remove(c)
@@ -188,20 +188,6 @@
 	return nil
 }
 
-// hasUnread reports whether bytes have arrived on a connection that were not read.
-func hasUnread(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	_, unread := netopt.CheckConn(raw)
-	return unread
-}
-
 // linger sends FIN after the response and discards, within limits, what the caller still
 // sends.
 func linger(nc net.Conn) {
@@ -229,16 +215,11 @@
 		close(w.done)
 		return w
 	}
-	sc, ok := cc.Conn.(syscall.Conn)
+	raw, ok := netopt.RawConn(cc.Conn)
 	if !ok {
 		close(w.done)
 		return w
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		close(w.done)
-		return w
-	}
 	_ = nc.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(w.done)
--- a/internal/gateway/connectionends.go
+++ b/internal/gateway/connectionends.go
@@ -7,6 +7,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/netopt"
 )
 
 // connEnd is why the host ends a connection that waits for a request; empty if it doesn't.
@@ -37,7 +39,7 @@
 // last. The HTTP server would spend more CPU time on it, and a host that needs the room has none to spare.
 func (s *Server) refuseAtEnd(c *net.TCPConn, buf []byte, n int) {
 	s.loads.refuseConnection()
-	raw, ok := rawConn(c)
+	raw, ok := netopt.RawConn(c)
 	whole := ok && s.readAvailableRest(raw, buf, n)
 	if c.SetDeadline(time.Now().Add(refuseTimeout)) != nil || !s.writeRefusal(c, buf) || whole {
 		return
--- a/internal/gateway/connectionends_test.go
+++ b/internal/gateway/connectionends_test.go
@@ -15,6 +15,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+
+	"marigoldshunt/internal/netopt"
 )
 
 // heldConn is a connection of a caller whose goroutine at the host gets no CPU time from a state on,
@@ -192,7 +194,7 @@
 	c := &headerConn{TCPConn: nc.(*net.TCPConn), server: gw.server, handleEarly: notEarly, headerStart: time.Now()}
 	gw.Assert(c.SetReadDeadline(pastDeadline), qt.IsNil)
 	fmt.Fprint(caller, plainRequest)
-	for end := time.Now().Add(testTimeout); !hasUnread(c); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(testTimeout); !netopt.HasUnread(c); time.Sleep(time.Millisecond) {
 		gw.Assert(time.Now().Before(end), qt.IsTrue)
 	}
 	p := make([]byte, 4<<10)
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -21,22 +21,12 @@
 type connContextKey struct{}
 
 func withRawConn(ctx context.Context, c net.Conn) context.Context {
-	if raw, ok := rawConn(c); ok {
+	if raw, ok := netopt.RawConn(c); ok {
 		return context.WithValue(ctx, connContextKey{}, raw)
 	}
 	return ctx
 }
 
-// rawConn returns the socket of a connection; ok is false if it has none.
-func rawConn(c net.Conn) (raw syscall.RawConn, ok bool) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return nil, false
-	}
-	raw, err := sc.SyscallConn()
-	return raw, err == nil
-}
-
 // callerDisconnected reports whether the caller of a request has closed its connection. The
 // server notices that too, but much later on a busy host.
 func callerDisconnected(ctx context.Context) bool {
@@ -235,7 +225,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.open {
-		if hasUnread(conn) {
+		if netopt.HasUnread(conn) {
 			unread++
 		}
 	}
--- a/internal/gateway/headertimeout.go
+++ b/internal/gateway/headertimeout.go
@@ -138,7 +138,7 @@
 	if reason == "" {
 		return c.readAtHeaderLimit(p)
 	}
-	if raw, ok := rawConn(c.TCPConn); ok {
+	if raw, ok := netopt.RawConn(c.TCPConn); ok {
 		n = netopt.ReadAvailable(raw, p)
 	}
 	begun := c.begun || n > 0
@@ -160,7 +160,7 @@
 	if c.headerStart.IsZero() {
 		return 0, os.ErrDeadlineExceeded
 	}
-	if raw, ok := rawConn(c.TCPConn); ok {
+	if raw, ok := netopt.RawConn(c.TCPConn); ok {
 		n = netopt.ReadAvailable(raw, p)
 	}
 	c.server.ends.count(endHeader, n > 0)
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -327,7 +327,7 @@
 }
 
 func (q *earlyRequest) callerConnected() bool {
-	raw, ok := rawConn(q.caller)
+	raw, ok := netopt.RawConn(q.caller)
 	if !ok {
 		return true
 	}
--- a/internal/gateway/offloadconns.go
+++ b/internal/gateway/offloadconns.go
@@ -116,7 +116,7 @@
 		hc := conns[len(conns)-1].hostConn
 		o.removeIdleLocked(host, conns[:len(conns)-1])
 		o.mu.Unlock()
-		if raw, ok := rawConn(hc.Conn); ok {
+		if raw, ok := netopt.RawConn(hc.Conn); ok {
 			if open, unread := netopt.CheckConn(raw); open && !unread {
 				return hc
 			}
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -92,7 +92,7 @@
 // received returns what a connection received until it was accepted. On an overloaded host many callers give up
 // before that. It returns the zero value on another host, and if it is not known.
 func (l *shedListener) received(c net.Conn) netopt.Received {
-	raw, ok := rawConn(c)
+	raw, ok := netopt.RawConn(c)
 	if !ok || !l.server.Busy() {
 		return netopt.Received{}
 	}
@@ -161,7 +161,7 @@
 // look returns the account of the request that has arrived on a connection, empty if it is not known,
 // and whether the request may be passed on. It consumes nothing.
 func (l *shedListener) look(c net.Conn) (account string, mayOffload bool) {
-	raw, ok := rawConn(c)
+	raw, ok := netopt.RawConn(c)
 	if !ok {
 		return "", false
 	}
@@ -186,7 +186,7 @@
 // closed unread, which tells callers that nothing has run.
 func (l *shedListener) refuse(c net.Conn) {
 	n := 0
-	if raw, ok := rawConn(c); ok {
+	if raw, ok := netopt.RawConn(c); ok {
 		n = netopt.ReadAvailable(raw, l.buf)
 		if n > 0 && l.server.readAvailableRest(raw, l.buf, n) {
 			l.server.respondRefusal(c, l.buf)
@@ -270,10 +270,10 @@
 	if !begun {
 		n, _ := c.Read(buf)
 		// A goroutine that gets CPU time late finds its deadline passed and the request there.
-		if n == 0 && !hasUnread(c) {
+		if n == 0 && !netopt.HasUnread(c) {
 			return // the caller sent nothing
 		}
-		raw, ok := rawConn(c)
+		raw, ok := netopt.RawConn(c)
 		whole = ok && s.readAvailableRest(raw, buf, n)
 	}
 	if !s.writeRefusal(c, buf) || whole || closeWrite(c) != nil {
@@ -312,7 +312,7 @@
 	if _, err := io.WriteString(c, response); err != nil {
 		return false
 	}
-	raw, ok := rawConn(c)
+	raw, ok := netopt.RawConn(c)
 	for range maxDrainReads {
 		if !ok || netopt.ReadAvailable(raw, buf) == 0 {
 			break
@@ -320,12 +320,3 @@
 	}
 	return true
 }
-
-func hasUnread(c net.Conn) bool {
-	raw, ok := rawConn(c)
-	if !ok {
-		return false
-	}
-	_, waiting := netopt.CheckConn(raw)
-	return waiting
-}
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -101,7 +101,7 @@
 
 func hasUnreadWithin(c net.Conn, timeout time.Duration) bool {
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if hasUnread(c) {
+		if netopt.HasUnread(c) {
 			return true
 		}
 	}
@@ -214,7 +214,7 @@
 }
 
 func endedWithin(c net.Conn, timeout time.Duration) bool {
-	raw, ok := rawConn(c)
+	raw, ok := netopt.RawConn(c)
 	for end := time.Now().Add(timeout); ok && time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if received, err := netopt.LastReceived(raw); err == nil && received.Ended {
 			return true
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -52,6 +52,27 @@
 	return fault.Wrap(err, fault.Internal, "", "set the user timeout of a connection")
 }
 
+// RawConn returns the socket of a connection; ok is false if it has none.
+func RawConn(c net.Conn) (raw syscall.RawConn, ok bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := sc.SyscallConn()
+	return raw, err == nil
+}
+
+// HasUnread reports whether bytes have arrived on a connection that were not read. It is false for a
+// connection without a socket.
+func HasUnread(c net.Conn) bool {
+	raw, ok := RawConn(c)
+	if !ok {
+		return false
+	}
+	_, unread := CheckConn(raw)
+	return unread
+}
+
 // CheckConn reports the state of a connection without waiting and without consuming bytes.
 // open is false once the remote end has closed or reset the connection and no bytes wait to
 // be read. unread is true while bytes wait to be read.
