End no kept connection for a new one on an overloaded host

Now a host that is overloaded refuses the new connection, as not run, and leaves the kept ones. Idle ones still end at the idle time of the routing document, and make room on a host that is not overloaded.

TestOverloadedHostEndsNoKeptConnectionForANewOne failed before: the new connection was served and a kept one cut.

--- a/internal/gateway/connectionends_test.go
+++ b/internal/gateway/connectionends_test.go
@@ -74,7 +74,7 @@
 
 // Callers on a stopping and on a full host saw kept connections reset although their request had arrived.
 func TestRequestOnAConnectionThatEndsIsAnsweredOrRefused(t *testing.T) {
-	room := func(s *Server) { s.conns.makeRoom() }
+	room := func(s *Server) { s.conns.makeRoom(true) }
 	stop := func(s *Server) { go func() { _ = s.Shutdown(context.Background()) }() }
 	for _, tc := range []struct {
 		name        string
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -102,14 +102,14 @@
 }
 
 // makeRoom reports whether one more connection may be opened. At the limit it closes the
-// longest idle connection to make room, also if the room comes too late for this connection.
-func (c *connections) makeRoom() bool {
+// longest idle connection to make room if mayEnd is true, also if the room comes too late for this connection.
+func (c *connections) makeRoom(mayEnd bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.limit <= 0 {
 		return true
 	}
-	hasRoom := len(c.open)-c.closing < c.limit || c.endLongestIdleLocked(endRoom)
+	hasRoom := len(c.open)-c.closing < c.limit || mayEnd && c.endLongestIdleLocked(endRoom)
 	return hasRoom && len(c.open) < c.limit+max(c.limit/closingDivisor, minClosing)
 }
 
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -174,3 +175,43 @@
 		gw.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("%+v", gw.server.Connections()))
 	}
 }
+
+// Callers of an overloaded host at its connection limit had their kept connections cut, each for a new one, as their
+// next requests were on the way.
+func TestOverloadedHostEndsNoKeptConnectionForANewOne(t *testing.T) {
+	const limit = 3
+	gw := newTestGatewayWith(t, document(), func(opts *Options) { opts.MaxConnections = limit }, newUpstream(t, writeRaw("%s", rawResponse(200, "ok"))))
+	exchange := func(nc net.Conn) (status int, err error) {
+		fmt.Fprint(nc, plainRequest)
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			return 0, err
+		}
+		return resp.StatusCode, nil
+	}
+	dial := func() net.Conn {
+		nc, err := net.Dial("tcp", gw.address)
+		gw.Assert(err, qt.IsNil)
+		t.Cleanup(func() { nc.Close() })
+		return nc
+	}
+	var kept []net.Conn
+	for range limit {
+		nc := dial()
+		status, err := exchange(nc)
+		gw.Assert(err, qt.IsNil)
+		gw.Assert(status, qt.Equals, http.StatusOK)
+		kept = append(kept, nc)
+	}
+	gw.waitFor(func(n ConnectionCounts) bool { return n.Idle == limit })
+	gw.overload()
+	for range 8 * limit {
+		status, err := exchange(dial())
+		gw.Assert(err, qt.IsNil)
+		gw.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	for _, nc := range kept {
+		_, err := exchange(nc)
+		gw.Assert(err, qt.IsNil)
+	}
+}
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -39,7 +39,7 @@
 	for range testMaxConnections {
 		open()
 	}
-	for conns.makeRoom() {
+	for conns.makeRoom(true) {
 		open()
 	}
 	for _, nc := range all {
@@ -51,14 +51,14 @@
 	}
 	c.Assert(conns.counts().Closing, qt.Equals, 0)
 	for range testMaxConnections {
-		conns.makeRoom()
+		conns.makeRoom(true)
 	}
 	for _, nc := range all {
 		if nc.ended {
 			conns.stateChanged(nc, http.StateClosed)
 		}
 	}
-	c.Assert(conns.makeRoom(), qt.IsTrue, qt.Commentf("%+v", conns.counts()))
+	c.Assert(conns.makeRoom(true), qt.IsTrue, qt.Commentf("%+v", conns.counts()))
 }
 
 // serveWithHook starts a server like gw's with before and after called around the ConnState
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		if !l.refuses(c) {
-			if l.server.conns.makeRoom() {
+			if l.server.makeRoom() {
 				return c, nil
 			}
 			l.server.loads.refuseConnection()
@@ -89,6 +89,11 @@
 	}
 }
 
+// makeRoom reports whether one more connection may be opened. An overloaded host ends no idle connection for it: the
+// request that is next on that one may be on the way, and its caller would open a new connection too, which costs the
+// host more CPU time than the request.
+func (s *Server) makeRoom() bool { return s.conns.makeRoom(!s.Busy()) }
+
 // received returns what a connection received until it was accepted. On an overloaded host many callers give up
 // before that. It returns the zero value on another host, and if it is not known.
 func (l *shedListener) received(c net.Conn) netopt.Received {
