Let an unreachable engine attract its next trial

A gate that was closed by an error would have stayed closed: it reported a backlog of 5 s for as long as it was closed, so that all hosts preferred other engines and none sent the trial that opens it. Now the backlog is reported until the next trial is due.

TestUnreachableEngineLooksBusyUntilItsNextTrial failed before.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -324,8 +324,8 @@
 // requests. The wait for the limits on its rate, and how late the engine is, count as the tokens that it reads
 // in that time, so that other upstreams are preferred.
 func (g *Gate) Backlog(now time.Time) (tokens, running int) {
-	if g.Phase(now) == EngineUnreachable {
-		return g.speed.tokensIn(unreachableBacklog), len(g.running)
+	if g.Phase(now) == EngineUnreachable && now.Before(g.restart.trialAt) {
+		return g.speed.tokensIn(unreachableBacklog), len(g.running) // hosts that see less send the next trial
 	}
 	tokens = g.unreadTokens(now) + g.speed.tokensIn(g.overdue(now))
 	for _, w := range g.waiting {
