Forget the prompt parts of an engine that has started again

Cause: the gate and the hosts went on counting the parts that the process before had cached, so that prompts were placed at the new one and paced as if it had them. Now both forget the parts when they see that the engine has started again.

TestRestartedEngineHasNoPartsOfBefore failed before (100 tokens to read for 3,100).

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -432,6 +432,11 @@
 	}
 }
 
+func (c *partCache) clear() {
+	clear(c.parts)
+	c.usedTokens = 0
+}
+
 func (c *partCache) evict() {
 	var oldest uint64
 	var at time.Time
--- a/internal/dispatch/gaterestart.go
+++ b/internal/dispatch/gaterestart.go
@@ -110,10 +110,13 @@
 		return
 	}
 	w.down = false
-	if admittedAt.Before(w.downAt) || w.coldStart.PerSecond <= 0 {
+	if admittedAt.Before(w.downAt) {
 		return
 	}
-	w.coldUntil, w.pace = now.Add(w.coldStart.WarmUpTime), RateLimit{}
+	g.cache.clear()
+	if w.coldStart.PerSecond > 0 {
+		w.coldUntil, w.pace = now.Add(w.coldStart.WarmUpTime), RateLimit{}
+	}
 }
 
 // coldWait returns the time until the cold-start limit allows a request after ahead others.
--- a/internal/dispatch/gaterestart_test.go
+++ b/internal/dispatch/gaterestart_test.go
@@ -127,3 +127,40 @@
 	running.Done(Answered, at(6_002))
 	c.Assert(pick(6_003).RateLimit, qt.Equals, 0.0)
 }
+
+// Guards against prompts that are placed and paced as if a restarted engine still had their parts.
+func TestRestartedEngineHasNoPartsOfBefore(t *testing.T) {
+	c := qt.New(t)
+	parts := []Part{{ID: 1, Tokens: 3_000}, {ID: 2, Tokens: 100}}
+	g := newTestGate()
+	request := func(seq uint64, ms int) AdmissionRequest {
+		r := newAdmissionRequest(seq, 0, ms, 800, WithinConfiguredShare)
+		r.Parts = parts
+		return r
+	}
+	g.Request(request(1, 0), at(0))
+	g.FirstEvent(AdmissionID{"h", 1}, at(80))
+	g.Done(AdmissionID{"h", 1}, at(90))
+	c.Assert(g.tokensToRead(request(2, 100), at(100)), qt.Equals, 100)
+	g.Unreachable("h1", 10, testColdStart, at(100))
+	g.Unreachable("h2", 10, testColdStart, at(100))
+	g.Request(newAdmissionRequest(2, 10, 400, 800, WithinConfiguredShare), at(400))
+	g.FirstEvent(AdmissionID{"h", 2}, at(410))
+	c.Assert(g.tokensToRead(request(3, 420), at(420)), qt.Equals, 3_100)
+
+	d := New(Options{Host: "h", DataCentre: "dc"})
+	d.SetServices([]routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 8}}}, 0)
+	d.SetInstances([]catalog.Instance{{ID: "i", Service: "s", Address: "a:1", DataCentre: "dc"}}, at(0))
+	job := &Job{Service: "s", Parts: parts, Remaining: 100 * time.Second}
+	pick := func(ms int) *Placement {
+		p, err := d.Pick(&Job{Service: "s", Parts: parts, Remaining: 100 * time.Second}, at(ms))
+		c.Assert(err, qt.IsNil)
+		return p
+	}
+	pick(0).Done(Answered, at(1))
+	x := d.instances[catalog.Key{ID: "i"}]
+	c.Assert(x.uncachedTokens(job, false, at(2)), qt.Equals, 100)
+	pick(2).Done(Unreachable, at(3))
+	pick(600).Done(Answered, at(610))
+	c.Assert(x.uncachedTokens(job, false, at(620)), qt.Equals, 3_100)
+}
--- a/internal/dispatch/instance.go
+++ b/internal/dispatch/instance.go
@@ -182,9 +182,11 @@
 	if x.unreachableAt.IsZero() {
 		return
 	}
-	x.mayBeColdUntil = now.Add(p.warmUpTime)
 	if p.placedAt.Before(x.unreachableAt) {
 		x.mayBeColdUntil = time.Time{}
+	} else {
+		x.mayBeColdUntil = now.Add(p.warmUpTime)
+		clear(x.partLastUsed)
 	}
 	x.unreachableAt = time.Time{}
 }
