emulator: start again under the old id, and be listed late

With -keep-id it keeps the id and differs in its start time, and -list-lag shows it as the process before for a while.

TestUpstreamThatKeepsItsIDIsListedLate.

--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -54,6 +54,8 @@
 	fs.Float64Var(&opts.RateLimit, "rate-limit", 0, "requests per second that answers to routed requests name, 0 to name none")
 	fs.StringVar(&opts.Version, "version", "", "software version in the list of instances")
 	fs.BoolVar(&opts.Leaving, "leaving", false, "say in answers to routed requests that the upstream is about to stop")
+	fs.BoolVar(&opts.KeepsID, "keep-id", false, "start again under the old instance ID after a crash")
+	fs.DurationVar(&opts.ListLag, "list-lag", 0, "how long after its start an upstream with -keep-id is listed as the process before")
 	fs.StringVar(&opts.CrashPart, "crash-part", "", "hexadecimal id of a prompt part, not the last one, that makes the upstream crash")
 	fs.DurationVar(&opts.CrashDowntime, "crash-down", 500*time.Millisecond, "how long connections are refused after a crash")
 	fs.Float64Var(&opts.GarbageRate, "garbage", 0, "fraction of events of routed streams at which garbage comes, and of their responses that are garbage as a whole")
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -67,6 +67,11 @@
 	Leaving bool
 	// LeaveTime is how long a leaving instance of a Group serves requests at least.
 	LeaveTime time.Duration
+	// KeepsID says whether the upstream starts again under its old instance ID. The list of instances then tells
+	// the new process by its start time.
+	KeepsID bool
+	// ListLag is how long after its start an upstream that keeps its ID is listed as the process before.
+	ListLag time.Duration
 	// CrashPart is the hexadecimal id of a prompt part that makes the upstream crash, unless it
 	// is the last part of its prompt.
 	CrashPart string
@@ -114,21 +119,23 @@
 	// the cold start: when a response or load report first carries the new instance ID, or
 	// when a warm or hidden upstream fails. A failure of an upstream that is visibly cold
 	// leaves shownAt unchanged.
-	hidden         bool
-	shownAt        time.Time
-	boots          int
-	instance       string
-	leaving        bool
-	instanceCtx    context.Context
-	cancelInstance context.CancelFunc
-	coldSince      time.Time
-	successes      int
-	running        int
-	queued         int
-	slots          chan struct{}
-	samples        []sample
-	busyTime       time.Duration
-	cache          cache
+	hidden   bool
+	shownAt  time.Time
+	boots    int
+	instance string
+	// bornAt is when the instance started, bornBefore when the one before did.
+	bornAt, bornBefore time.Time
+	leaving            bool
+	instanceCtx        context.Context
+	cancelInstance     context.CancelFunc
+	coldSince          time.Time
+	successes          int
+	running            int
+	queued             int
+	slots              chan struct{}
+	samples            []sample
+	busyTime           time.Duration
+	cache              cache
 	// engine is the simulated engine of the current instance.
 	engine   *engineDriver
 	orders   []Order
@@ -178,7 +185,10 @@
 	}
 	e.instanceCtx, e.cancelInstance = context.WithCancel(context.Background())
 	e.boots++
-	e.instance = fmt.Sprintf("%s-%d-%08x", e.opts.Name, e.boots, e.rng.Uint32())
+	if e.instance == "" || !e.opts.KeepsID {
+		e.instance = fmt.Sprintf("%s-%d-%08x", e.opts.Name, e.boots, e.rng.Uint32())
+	}
+	e.bornBefore, e.bornAt = e.bornAt, time.Now()
 	e.coldSince, e.successes = time.Now(), 0
 	e.hidden, e.shownAt = false, time.Time{}
 	e.running, e.queued = 0, 0
--- a/internal/emulator/group_test.go
+++ b/internal/emulator/group_test.go
@@ -78,3 +78,20 @@
 	}
 	c.Assert(counts, qt.DeepEquals, map[string]int{"v1": 2, "v2": 2})
 }
+
+// Guards against a list that shows an upstream that has started again under its old id as the process before for good, or never.
+func TestUpstreamThatKeepsItsIDIsListedLate(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, Options{Name: "up", Service: "notes", KeepsID: true, ColdTime: time.Hour, ListLag: 50 * time.Millisecond}, "v1=1")
+	e := g.Emulators()[0]
+	first := g.Entries().Instances[0]
+	time.Sleep(2 * time.Millisecond) // so that the start times differ
+	e.RefuseConnections(time.Millisecond)
+	late := g.Entries().Instances[0]
+	c.Assert([]any{late.ID, late.Born, late.ColdForMS}, qt.DeepEquals, []any{first.ID, first.Born, int64(0)})
+	for end := time.Now().Add(10 * time.Second); g.Entries().Instances[0].Born == first.Born; time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	c.Assert(g.Entries().Instances[0].ID, qt.Equals, first.ID)
+	c.Assert(g.Entries().Instances[0].ColdForMS > 0, qt.IsTrue)
+}
--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"marigoldshunt/internal/catalog"
 	"marigoldshunt/internal/fault"
@@ -71,8 +72,16 @@
 func (e *Emulator) entry(address string) catalog.Entry {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return catalog.Entry{
+	entry := catalog.Entry{
 		ID: e.instance, Service: e.opts.Service, Version: e.opts.Version, DataCentre: e.opts.DataCentre, Address: address, Slots: e.opts.Slots,
 		Draining: e.leaving, ColdForMS: e.coldForLocked().Milliseconds(),
 	}
+	if !e.opts.KeepsID {
+		return entry
+	}
+	entry.Born = e.bornAt.UnixMilli()
+	if !e.bornBefore.IsZero() && time.Since(e.bornAt) < e.opts.ListLag {
+		entry.Born, entry.ColdForMS = e.bornBefore.UnixMilli(), 0
+	}
+	return entry
 }
