--- a/internal/dispatch/gaterestart.go
+++ b/internal/dispatch/gaterestart.go
@@ -21,6 +21,9 @@
 	// minUnreachableHosts is the number of hosts that must fail to connect, because one host may have lost its own
 	// link to the engine.
 	minUnreachableHosts = 2
+	// minSilence is the time in which the engine must have read nothing. Some hosts may have lost their links to an
+	// engine that goes on serving the others.
+	minSilence = 250 * time.Millisecond
 	// unreachableBacklog is the time for whose prompts an engine without a process counts as busy. It is longer than
 	// callers wait for a first event, so that other engines are preferred.
 	unreachableBacklog = 5 * time.Second
@@ -43,9 +46,11 @@
 type restartWatch struct {
 	// unreachableFrom holds the hosts that failed to connect since the engine last read a prompt.
 	unreachableFrom map[string]bool
-	coldStart       ColdStart
-	down            bool
-	downAt          time.Time
+	// readAt is when the engine last read a prompt.
+	readAt    time.Time
+	coldStart ColdStart
+	down      bool
+	downAt    time.Time
 	// trialAt is when the next request is sent to an engine that is down.
 	trialAt time.Time
 	// coldUntil is until when pace applies.
@@ -61,7 +66,7 @@
 		w.unreachableFrom = map[string]bool{}
 	}
 	w.unreachableFrom[host] = true
-	if len(w.unreachableFrom) < min(minUnreachableHosts, hosts) {
+	if len(w.unreachableFrom) < min(minUnreachableHosts, hosts) || now.Sub(w.readAt) < minSilence {
 		return
 	}
 	w.coldStart, w.trialAt = c, now.Add(trialInterval)
@@ -106,6 +111,7 @@
 func (g *Gate) engineRead(admittedAt, now time.Time) {
 	w := &g.restart
 	clear(w.unreachableFrom)
+	w.readAt = now
 	if !w.down {
 		return
 	}
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -74,10 +74,13 @@
 // started again. The rest is for the few hosts that send to it meanwhile.
 const returnRateFraction = 0.5
 
+// maxReturnDelay bounds how long a host that has lost only its own link keeps away.
+const maxReturnDelay = 10 * time.Second
+
 // returnDelay spreads the times at which the hosts return to an instance that all of them could not reach.
 func (d *Dispatcher) returnDelay(s *routing.Service, x *instance) time.Duration {
 	rank := d.hosts.Rank(x.hash+uint64(x.Born), d.opts.Host)
-	return time.Duration(float64(rank) / (returnRateFraction * s.ColdPerSecond) * float64(time.Second))
+	return min(time.Duration(float64(rank)/(returnRateFraction*s.ColdPerSecond)*float64(time.Second)), maxReturnDelay)
 }
 
 // rateLimitOf returns the requests per second that the instance takes from all hosts, as far as this host knows;
