Set up connections of tests in one place, and say what the pause between accepts is

Behaviour and assertions are unchanged. Looked at and left: the two functions that pick garbage in the emulator, which are shorter than what would join them.

--- a/internal/gateway/restartedupstream_test.go
+++ b/internal/gateway/restartedupstream_test.go
@@ -50,15 +50,7 @@
 	c.Assert(err, qt.IsNil)
 	t.Cleanup(func() { ln.Close() })
 	at := time.Now()
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(conn)
-		}
-	}()
+	go r.acceptAll(ln)
 	return at
 }
 
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -27,8 +27,8 @@
 	// connection limit. As many may be ending.
 	refusingDivisor = 16
 	maxRefusing     = 256
-	// acceptBatch and acceptPause bound the rate at which an overloaded host accepts connections, far
-	// above what it can serve.
+	// An overloaded host pauses for acceptPause after acceptBatch connections, so that other goroutines get a turn.
+	// The pause lasts longer where CPU time is short, so that the two are no rate.
 	acceptBatch = 8
 	acceptPause = time.Millisecond
 )
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -48,18 +48,21 @@
 	}
 	u := &upstream{ln: ln, scripts: scripts}
 	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(c)
-		}
-	}()
+	go u.acceptAll(ln)
 	return u
 }
 
+// acceptAll serves the connections of ln until it is closed.
+func (u *upstream) acceptAll(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go u.serve(c)
+	}
+}
+
 // sharedScripts returns two upstreams that take their scripts from one list, because a
 // request is not sent to the same upstream twice.
 func sharedScripts(t testing.TB, scripts ...func(req *receivedRequest)) (a, b *upstream) {
--- a/internal/netopt/netopt_test.go
+++ b/internal/netopt/netopt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,20 +31,26 @@
 	}
 }
 
-// Guards against a connection that counts as open after the remote end has closed it, and
-// against a check that consumes bytes.
-func TestCheckConn(t *testing.T) {
-	c := qt.New(t)
+// newConnPair returns both ends of a connection, and the socket of the accepted one.
+func newConnPair(c *qt.C) (dialled, accepted net.Conn, raw syscall.RawConn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer ln.Close()
-	dialled, err := net.Dial("tcp", ln.Addr().String())
+	dialled, err = net.Dial("tcp", ln.Addr().String())
 	c.Assert(err, qt.IsNil)
-	accepted, err := ln.Accept()
+	accepted, err = ln.Accept()
 	c.Assert(err, qt.IsNil)
-	defer accepted.Close()
-	raw, err := accepted.(*net.TCPConn).SyscallConn()
+	c.Cleanup(func() { accepted.Close() })
+	raw, err = accepted.(*net.TCPConn).SyscallConn()
 	c.Assert(err, qt.IsNil)
+	return dialled, accepted, raw
+}
+
+// Guards against a connection that counts as open after the remote end has closed it, and
+// against a check that consumes bytes.
+func TestCheckConn(t *testing.T) {
+	c := qt.New(t)
+	dialled, accepted, raw := newConnPair(c)
 	state := func() [2]bool {
 		open, unread := CheckConn(raw)
 		return [2]bool{open, unread}
@@ -54,7 +61,7 @@
 		}
 	}
 	c.Assert(state(), qt.Equals, [2]bool{true, false})
-	_, err = dialled.Write([]byte("x"))
+	_, err := dialled.Write([]byte("x"))
 	c.Assert(err, qt.IsNil)
 	waitFor([2]bool{true, true})
 	c.Assert(dialled.Close(), qt.IsNil)
@@ -69,19 +76,10 @@
 // Guards against a look at what has arrived that consumes it or waits.
 func TestPeekConsumesNothing(t *testing.T) {
 	c := qt.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer ln.Close()
-	dialled, err := net.Dial("tcp", ln.Addr().String())
-	c.Assert(err, qt.IsNil)
-	accepted, err := ln.Accept()
-	c.Assert(err, qt.IsNil)
-	defer accepted.Close()
-	raw, err := accepted.(*net.TCPConn).SyscallConn()
-	c.Assert(err, qt.IsNil)
+	dialled, _, raw := newConnPair(c)
 	p := make([]byte, 8)
 	c.Assert(Peek(raw, p), qt.Equals, 0)
-	_, err = dialled.Write([]byte("request"))
+	_, err := dialled.Write([]byte("request"))
 	c.Assert(err, qt.IsNil)
 	for end := time.Now().Add(10 * time.Second); Peek(raw, p) == 0; time.Sleep(time.Millisecond) {
 		c.Assert(time.Now().Before(end), qt.IsTrue)
