--- a/internal/admission/fuzz_test.go
+++ b/internal/admission/fuzz_test.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,6 +32,19 @@
 		}
 		f.Add(uint8(min(i, 3)), b, b)
 	}
+	request, err := wire.Marshal(wire.AdmissionRequest{Seq: 1, ID: "e", Service: "s", Slots: 4, MemoryTokens: 1000, Tokens: 10, AimLeft: time.Second, EndLeft: 2 * time.Second})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, m := range []wire.AdmissionUnreachable{
+		{ID: "e", ColdPerSecond: 4, WarmUpTime: time.Second}, {ID: "e", ColdPerSecond: math.Inf(1), WarmUpTime: math.MinInt64}, {ID: "e", ColdPerSecond: math.NaN(), WarmUpTime: math.MaxInt64},
+	} {
+		b, err := wire.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint8(slices.Index(Kinds, wire.KindAdmissionUnreachable)), request, b)
+	}
 	f.Fuzz(func(t *testing.T, kind uint8, first, second []byte) {
 		c := qt.New(t)
 		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
